--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: test lint demo bench generate
+
+$(VENV)/.ready: constraints.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+test: $(VENV)/.ready
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 dragonflyramp tests benchmarks
+	$(BIN)/mypy dragonflyramp tests benchmarks
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m tests.demo
+
+bench: $(VENV)/.ready
+	$(BIN)/python -m benchmarks
+
+# Needs grpcio-tools, which the build itself does not.
+generate:
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
+		--grpc_python_out=. dragonflyramp/members/members.proto
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure dragonflyramp."""
--- /dev/null
+++ b/dragonflyramp/__init__.py
@@ -0,0 +1,1 @@
+"""Serve searches over many shards of backend servers."""
--- /dev/null
+++ b/dragonflyramp/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to backend servers."""
--- /dev/null
+++ b/dragonflyramp/models.py
@@ -0,0 +1,169 @@
+"""Define the value types that more than one package uses."""
+
+import enum
+from collections.abc import Mapping
+from typing import NewType
+
+import attrs
+
+MemberId = NewType('MemberId', str)
+SliceId = NewType('SliceId', str)
+
+
+@attrs.frozen
+class FailureDomain:
+    """Describe one failure domain of the operators' text."""
+
+    name: str
+    region: str
+
+
+@attrs.frozen
+class FixedReplica:
+    """Describe a replica that the operators' text itself lists."""
+
+    replica_id: str
+    address: str
+    failure_domain: str
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Describe one service; durations are in the unit of their suffix."""
+
+    name: str
+    depends_on: tuple[str, ...] = ()
+    deadline_ms: int = 1000
+    coverage_target: float = 1.0
+    answer_after_ms: int = 0
+    hedge_budget: float = 0.05
+    retry_budget: float = 0.1
+    canary_shards: int = 0
+    slices: int = 1
+    slots: int = 1
+    connections: int = 10
+    connection_cost_ms: float = 1.0
+    cold_requests_per_second: float = 2.0
+    queue_length: int = 64
+    replicas: tuple[FixedReplica, ...] = ()
+
+
+class HoldKind(enum.Enum):
+    """Name what a hold takes out."""
+
+    failure_domain = 'failure_domain'
+    replica = 'replica'
+
+
+@attrs.frozen(kw_only=True)
+class Hold:
+    """Record an operator's decision to take something out of service."""
+
+    name: str
+    kind: HoldKind
+    by: str
+    at: str
+    reason: str
+    confirm_dark: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """Hold one accepted operators' text in structured form."""
+
+    number: int
+    user: str
+    failure_domains: Mapping[str, FailureDomain]
+    services: Mapping[str, Service]
+    holds: Mapping[str, Hold]
+
+    def shards_of(self, service: str) -> tuple[str, ...]:
+        """List the shards below a service, each once, in order of the text."""
+        spec = self.services[service]
+        if not spec.depends_on:
+            return (service,)
+        found: dict[str, None] = {}
+        for dependency in spec.depends_on:
+            found.update(dict.fromkeys(self.shards_of(dependency)))
+        return tuple(found)
+
+    def is_held(self, replica_id: str, failure_domain: str) -> bool:
+        """Tell whether a hold takes this replica out of service."""
+        domain_hold = self.holds.get(failure_domain)
+        if domain_hold and domain_hold.kind is HoldKind.failure_domain:
+            return True
+        replica_hold = self.holds.get(replica_id)
+        return bool(replica_hold and replica_hold.kind is HoldKind.replica)
+
+
+class VmState(enum.Enum):
+    """Name the states that the platform's VM list reports."""
+
+    live = 'live'
+    leaving = 'leaving'
+
+
+@attrs.frozen(kw_only=True)
+class Replica:
+    """Identify one backend server that serves a shard."""
+
+    replica_id: str
+    shard: str
+    address: str
+    failure_domain: str
+
+
+@attrs.frozen(kw_only=True)
+class Slice:
+    """Group consecutive shards that one relay serves under one lease."""
+
+    slice_id: SliceId
+    shards: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Snapshot:
+    """Describe a snapshot of the index as one replica reports it."""
+
+    snapshot_id: str
+    generation: int
+    documents: int
+    total_documents: int | None
+
+
+class Warmth(enum.Enum):
+    """Name how much load a replica is known to bear."""
+
+    cold = 'cold'
+    warming = 'warming'
+    warm = 'warm'
+
+
+@attrs.frozen(kw_only=True)
+class WarmthEntry:
+    """Carry what a relay knows of one replica to another relay."""
+
+    replica_id: str
+    instance_id: str
+    warmth: Warmth
+    limit: float
+    latency_ms: float
+
+
+class LeaseState(enum.Enum):
+    """Name what a relay may do with a slice at a moment."""
+
+    held = 'held'
+    lapsed = 'lapsed'
+    deputy = 'deputy'
+    foreign = 'foreign'
+
+
+@attrs.frozen(kw_only=True)
+class Lease:
+    """State a relay's standing for one slice until a monotonic time."""
+
+    slice_id: SliceId
+    epoch: int
+    state: LeaseState
+    until_seconds: float
--- /dev/null
+++ b/dragonflyramp/results.py
@@ -0,0 +1,288 @@
+"""Define the one table of numbered result codes."""
+
+import enum
+import types
+from http import HTTPStatus
+
+import attrs
+
+
+class RunState(enum.Enum):
+    """Tell whether the request was run by a backend server."""
+
+    run = 'run'
+    not_run = 'not run'
+    unknown = 'unknown'
+
+
+@attrs.frozen
+class Meaning:
+    """Explain one result code."""
+
+    http_status: HTTPStatus
+    run: RunState
+    sentence: str
+
+
+class ResultCode(enum.IntEnum):
+    """Number every outcome; a number is never reused for another meaning."""
+
+    ok = 0
+    outcome_replayed = 1
+
+    bad_request = 100
+    unknown_service = 101
+    bad_deadline = 102
+    body_too_large = 103
+    missing_idempotency_key = 104
+    not_a_shard = 105
+
+    not_ready = 200
+    no_configuration = 201
+    isolated = 202
+    stopping = 203
+    no_relay = 204
+    no_replica = 205
+    queue_full = 206
+    queue_expired = 207
+    shed = 208
+    draining = 209
+    no_lease = 210
+    replica_cold = 211
+    claim_failed = 212
+    claims_full = 213
+    quarantined = 214
+    not_owner = 215
+
+    deadline_exceeded = 300
+    snapshot_gone = 301
+    connection_reset = 302
+    connection_silent = 303
+    backend_error = 304
+    bad_reply = 305
+    relay_lost = 306
+    outcome_unknown = 307
+    already_claimed = 308
+    cancelled = 309
+
+    text_syntax = 400
+    unknown_key = 401
+    missing_key = 402
+    bad_value = 403
+    unknown_name = 404
+    dependency_cycle = 405
+    slots_over_connections = 406
+    hold_leaves_shard_dark = 407
+    stale_base = 408
+    hold_protected = 409
+    push_unknown = 410
+    text_too_large = 411
+
+    platform_down = 500
+    version_conflict = 501
+    object_missing = 502
+    bad_message = 503
+    internal_error = 504
+    bad_setting = 505
+
+    @property
+    def meaning(self) -> Meaning:
+        """Give the HTTP status, the run state and the sentence."""
+        return _MEANINGS[self]
+
+
+def _not_run(http_status: HTTPStatus, sentence: str) -> Meaning:
+    return Meaning(http_status, RunState.not_run, sentence)
+
+
+def _unknown(http_status: HTTPStatus, sentence: str) -> Meaning:
+    return Meaning(http_status, RunState.unknown, sentence)
+
+
+_MEANINGS = types.MappingProxyType(
+    {
+        ResultCode.ok: Meaning(
+            HTTPStatus.OK, RunState.run, 'The request was run.'
+        ),
+        ResultCode.outcome_replayed: Meaning(
+            HTTPStatus.OK,
+            RunState.run,
+            'The recorded outcome of an earlier run follows.',
+        ),
+        ResultCode.bad_request: _not_run(
+            HTTPStatus.BAD_REQUEST, 'The request is malformed.'
+        ),
+        ResultCode.unknown_service: _not_run(
+            HTTPStatus.NOT_FOUND, 'The configuration has no such service.'
+        ),
+        ResultCode.bad_deadline: _not_run(
+            HTTPStatus.BAD_REQUEST,
+            'X-Deadline-Ms is missing, not a number, or out of range.',
+        ),
+        ResultCode.body_too_large: _not_run(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'The body is too large.'
+        ),
+        ResultCode.missing_idempotency_key: _not_run(
+            HTTPStatus.BAD_REQUEST,
+            'A submit needs an Idempotency-Key of 1 to 200 characters.',
+        ),
+        ResultCode.not_a_shard: _not_run(
+            HTTPStatus.BAD_REQUEST,
+            'A submit goes to a service that depends on no other.',
+        ),
+        ResultCode.not_ready: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The daemon is not ready.'
+        ),
+        ResultCode.no_configuration: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The daemon has no configuration yet.',
+        ),
+        ResultCode.isolated: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The daemon reaches neither the platform nor any member.',
+        ),
+        ResultCode.stopping: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The daemon is stopping.'
+        ),
+        ResultCode.no_relay: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'No relay serves the shard now.'
+        ),
+        ResultCode.no_replica: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'No replica of the shard may be used now.',
+        ),
+        ResultCode.queue_full: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The queue of the shard is full.'
+        ),
+        ResultCode.queue_expired: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'No slot became free before the deadline.',
+        ),
+        ResultCode.shed: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The backend server shed the request.',
+        ),
+        ResultCode.draining: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The backend server is draining.'
+        ),
+        ResultCode.no_lease: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The relay has no valid lease for the slice.',
+        ),
+        ResultCode.replica_cold: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Every usable replica is cold and has no capacity now.',
+        ),
+        ResultCode.claim_failed: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The platform did not record the claim of the key.',
+        ),
+        ResultCode.claims_full: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The claim bucket of the key has no space.',
+        ),
+        ResultCode.quarantined: _not_run(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            'The same request crashed backend servers and is refused.',
+        ),
+        ResultCode.not_owner: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'The relay does not hold the slice.'
+        ),
+        ResultCode.deadline_exceeded: _unknown(
+            HTTPStatus.GATEWAY_TIMEOUT, 'No answer came before the deadline.'
+        ),
+        ResultCode.snapshot_gone: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The backend server no longer holds the snapshot.',
+        ),
+        ResultCode.connection_reset: _unknown(
+            HTTPStatus.BAD_GATEWAY,
+            'The connection to the backend server was reset.',
+        ),
+        ResultCode.connection_silent: _unknown(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'The connection to the backend server went silent.',
+        ),
+        ResultCode.backend_error: _unknown(
+            HTTPStatus.BAD_GATEWAY, 'The backend server answered with an error.'
+        ),
+        ResultCode.bad_reply: _unknown(
+            HTTPStatus.BAD_GATEWAY,
+            'The reply of the backend server is malformed.',
+        ),
+        ResultCode.relay_lost: _unknown(
+            HTTPStatus.BAD_GATEWAY,
+            'The stream to the relay closed before the answer.',
+        ),
+        ResultCode.outcome_unknown: _unknown(
+            HTTPStatus.CONFLICT,
+            'The key was sent once, its outcome is unknown, not run again.',
+        ),
+        ResultCode.already_claimed: _unknown(
+            HTTPStatus.CONFLICT, 'The key is being run by another request.'
+        ),
+        ResultCode.cancelled: _unknown(
+            HTTPStatus.REQUEST_TIMEOUT, 'The caller went away.'
+        ),
+        ResultCode.text_syntax: _not_run(
+            HTTPStatus.BAD_REQUEST, 'The text is not valid TOML.'
+        ),
+        ResultCode.unknown_key: _not_run(
+            HTTPStatus.BAD_REQUEST, 'The text has an unknown key.'
+        ),
+        ResultCode.missing_key: _not_run(
+            HTTPStatus.BAD_REQUEST, 'The text lacks a required key.'
+        ),
+        ResultCode.bad_value: _not_run(
+            HTTPStatus.BAD_REQUEST,
+            'A value has the wrong type or is out of range.',
+        ),
+        ResultCode.unknown_name: _not_run(
+            HTTPStatus.BAD_REQUEST,
+            'The text names something that it does not define.',
+        ),
+        ResultCode.dependency_cycle: _not_run(
+            HTTPStatus.BAD_REQUEST, 'A service depends on itself.'
+        ),
+        ResultCode.slots_over_connections: _not_run(
+            HTTPStatus.BAD_REQUEST, 'A service has more slots than connections.'
+        ),
+        ResultCode.hold_leaves_shard_dark: _not_run(
+            HTTPStatus.CONFLICT, 'The hold leaves a shard without any replica.'
+        ),
+        ResultCode.stale_base: _not_run(
+            HTTPStatus.CONFLICT,
+            'The text was edited from an older configuration.',
+        ),
+        ResultCode.hold_protected: _not_run(
+            HTTPStatus.CONFLICT,
+            'The push removes a hold without releasing it by name.',
+        ),
+        ResultCode.push_unknown: _unknown(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'It is unknown whether the push was accepted.',
+        ),
+        ResultCode.text_too_large: _not_run(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'The text is too large.'
+        ),
+        ResultCode.platform_down: _unknown(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The platform did not answer in time.',
+        ),
+        ResultCode.version_conflict: _not_run(
+            HTTPStatus.CONFLICT, 'The object changed since it was read.'
+        ),
+        ResultCode.object_missing: _not_run(
+            HTTPStatus.NOT_FOUND, 'The object does not exist.'
+        ),
+        ResultCode.bad_message: _not_run(
+            HTTPStatus.BAD_REQUEST, 'A message is malformed.'
+        ),
+        ResultCode.internal_error: _unknown(
+            HTTPStatus.INTERNAL_SERVER_ERROR, 'An unexpected error occurred.'
+        ),
+        ResultCode.bad_setting: _not_run(
+            HTTPStatus.BAD_REQUEST, 'A setting is malformed or out of range.'
+        ),
+    }
+)
--- /dev/null
+++ b/dragonflyramp/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Start the programs."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test dragonflyramp."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the systems that dragonflyramp talks to."""
