--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -286,3 +286,29 @@
         ),
     }
 )
+
+
+def render_table() -> str:
+    """Render the codes as the Markdown of docs/result-codes.md."""
+    rows = [
+        f'| {code.value} | `{code.name}` | {code.meaning.http_status.value} '
+        f'| {code.meaning.run.value} | {code.meaning.sentence} |'
+        for code in ResultCode
+    ]
+    return '\n'.join((_TABLE_HEAD, *rows, ''))
+
+
+_TABLE_HEAD = """# Result codes
+
+Every refusal and failure carries one of these numbers. Numbers are never
+reused. The column "run" tells whether a backend server ran the request:
+"not run" is only given when nothing was sent or the backend server itself
+said that it did not start. Print this page with
+`python -m dragonflyramp.results`.
+
+| number | name | HTTP status | run | meaning |
+|---|---|---|---|---|"""
+
+
+if __name__ == '__main__':
+    print(render_table(), end='')  # noqa: WPS421 - prints the page
--- a/tests/test_results.py
+++ b/tests/test_results.py
@@ -1,6 +1,8 @@
 """Test the table of result codes."""
 
-from dragonflyramp.results import ResultCode, RunState
+import pathlib
+
+from dragonflyramp.results import ResultCode, RunState, render_table
 
 
 def test_every_code_has_a_meaning() -> None:
@@ -14,3 +16,9 @@
     """Codes of the 200 range are the refusals before any send."""
     refusals = [code for code in ResultCode if 200 <= code < 300]
     assert all(code.meaning.run is RunState.not_run for code in refusals)
+
+
+def test_page_lists_every_code() -> None:
+    """An operator looks up numbers on the page, so it may not lag."""
+    page = pathlib.Path(__file__).parents[1] / 'docs' / 'result-codes.md'
+    assert page.read_text() == render_table()
