--- /dev/null
+++ b/dragonflyramp/runtime.py
@@ -0,0 +1,138 @@
+"""Run a daemon: uvloop, signals, and tasks that never fail in silence."""
+
+import asyncio
+import contextlib
+import os
+import signal
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, TypeAlias
+
+import attrs
+from loguru import logger
+
+from dragonflyramp.metrics import counters
+
+# libuv opens no io_uring descriptor when this is set before uvloop loads.
+os.environ['UV_USE_IO_URING'] = '0'
+# gRPC writes its own lines to standard error, between the JSON log lines.
+os.environ.setdefault('GRPC_VERBOSITY', 'NONE')
+
+import uvloop  # noqa: E402 - the variable above must be set first
+from aiomisc import entrypoint  # noqa: E402 - imports uvloop
+
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+Work: TypeAlias = Coroutine[Any, Any, object]
+DaemonMain: TypeAlias = Callable[[asyncio.Event], Coroutine[Any, Any, None]]
+
+
+def run_daemon(main: DaemonMain) -> None:
+    """Run a daemon's coroutine; SIGTERM and SIGINT set its stop event.
+
+    Return when the coroutine ends, and raise what it raises.
+    """
+    with entrypoint(
+        loop_factory=uvloop.new_event_loop,
+        log_config=False,
+        catch_signals=(),
+    ) as loop:
+        loop.set_exception_handler(_note_loop_failure)
+        loop.run_until_complete(_run_until_stopped(main))
+
+
+async def run_together(*coroutines: Work) -> None:
+    """Run coroutines until all end; a failure cancels the others.
+
+    Raise the first failure after it was logged and counted.
+    """
+    await _run(coroutines, asyncio.FIRST_EXCEPTION)
+
+
+async def run_until_first(*coroutines: Work) -> None:
+    """Run coroutines until one ends, then cancel the others.
+
+    Raise the first failure after it was logged and counted.
+    """
+    await _run(coroutines, asyncio.FIRST_COMPLETED)
+
+
+@attrs.define(eq=False)
+class TaskSet:
+    """Hold tasks that start and end on their own.
+
+    A failure is logged and counted under the name of the task's kind.
+    """
+
+    _tasks: set[asyncio.Task[object]] = attrs.field(factory=set)
+
+    def __len__(self) -> int:
+        """Count the tasks that run."""
+        return len(self._tasks)
+
+    def start(self, coroutine: Work, kind: str) -> asyncio.Task[object]:
+        """Start a task and keep it until it ends."""
+        task = asyncio.create_task(coroutine, name=kind)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    async def wait(self) -> None:
+        """Wait for the tasks that run now."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def cancel(self) -> None:
+        """Cancel every task and wait for its end."""
+        await _cancel(tuple(self._tasks))
+
+    def _finish(self, task: asyncio.Task[object]) -> None:
+        self._tasks.discard(task)
+        _note_failure(task)
+
+
+async def _run_until_stopped(main: DaemonMain) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in _SIGNALS:
+        loop.add_signal_handler(number, stop.set)
+    await main(stop)
+
+
+async def _run(coroutines: Iterable[Work], return_when: str) -> None:
+    tasks = [
+        asyncio.create_task(coroutine, name=_name_of(coroutine))
+        for coroutine in coroutines
+    ]
+    async with contextlib.AsyncExitStack() as cleanup:
+        cleanup.push_async_callback(_cancel, tasks)
+        await asyncio.wait(tasks, return_when=return_when)
+    failures = [_note_failure(task) for task in tasks]
+    first = next(filter(None, failures), None)
+    if first is not None:
+        raise first
+
+
+async def _cancel(tasks: Iterable[asyncio.Task[object]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _name_of(coroutine: Work) -> str:
+    return getattr(coroutine, '__qualname__', 'task')
+
+
+def _note_failure(task: asyncio.Task[object]) -> BaseException | None:
+    failure = None if task.cancelled() else task.exception()
+    if failure is not None:
+        counters.add('task_failures', task.get_name())
+        logger.opt(exception=failure).error('task {} failed', task.get_name())
+    return failure
+
+
+def _note_loop_failure(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    counters.add('task_failures', 'event_loop')
+    failure = context.get('exception')
+    logger.opt(exception=failure).error('event loop: {}', context['message'])
