--- a/dragonflyramp/members/_channels_grpc.py
+++ b/dragonflyramp/members/_channels_grpc.py
@@ -21,6 +21,9 @@
     ('grpc.max_receive_message_length', _RECEIVE_LIMIT_BYTES),
     ('grpc.keepalive_time_ms', _KEEPALIVE_MS),
     ('grpc.keepalive_timeout_ms', _KEEPALIVE_TIMEOUT_MS),
+    # gRPC 1.85 keeps a silent connection open for longer than 30 s without
+    # this option, whatever the keepalive timeout is.
+    ('grpc.http2.ping_timeout_ms', _KEEPALIVE_TIMEOUT_MS),
     ('grpc.keepalive_permit_without_calls', 1),
     ('grpc.http2.max_pings_without_data', 0),
 )
--- a/dragonflyramp/members/_peer_links.py
+++ b/dragonflyramp/members/_peer_links.py
@@ -82,10 +82,13 @@
             self.connection.retire()
 
     async def _exchange(self) -> None:
-        connection = connect(self.peer, self.tools)
-        self.connection = connection
-        # exchange() logs and counts an unexpected failure; the link goes on.
-        with contextlib.suppress(Exception):
+        with contextlib.ExitStack() as cleanup:
+            # gRPC keeps the TCP connection while the call is referenced.
+            cleanup.callback(setattr, self, 'connection', None)
+            connection = connect(self.peer, self.tools)
+            self.connection = connection
+            # exchange() logs and counts a failure; the link goes on.
+            cleanup.enter_context(contextlib.suppress(Exception))
             await exchange(
                 connection,
                 self.tools.clock,
--- a/tests/scatter_fakes.py
+++ b/tests/scatter_fakes.py
@@ -184,3 +184,47 @@
         call = scatter(None)
         yield call
         call.cancel()
+
+
+@attrs.define(eq=False)
+class Proxy:
+    """Forward connections to a port, or hold every byte back."""
+
+    target_port: int
+    port: int = 0
+    connections: int = 0
+    passes: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one connection in both directions."""
+        self.connections += 1
+        target = await asyncio.open_connection('127.0.0.1', self.target_port)
+        with contextlib.suppress(ConnectionError):
+            await asyncio.gather(
+                self._copy(reader, target[1]), self._copy(target[0], writer)
+            )
+        self.connections -= 1
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while chunk := await reader.read(1 << 16):
+            await self.passes.wait()
+            writer.write(chunk)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def running_proxy(target_port: int) -> AsyncIterator[Proxy]:
+    """Run a proxy that passes bytes until the test clears `passes`."""
+    proxy = Proxy(target_port)
+    proxy.passes.set()
+    server = await asyncio.start_server(proxy.serve, '127.0.0.1', 0)
+    proxy.port = server.sockets[0].getsockname()[1]
+    async with contextlib.AsyncExitStack() as cleanup:
+        cleanup.callback(server.close)
+        yield proxy
+        proxy.passes.set()
+        await eventually(lambda: not proxy.connections)
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -11,7 +11,7 @@
 from dragonflyramp.members._codec_grpc import MAX_MESSAGE_BYTES, encode_front
 from dragonflyramp.members._outboxes import OutboxLimits
 from dragonflyramp.members._fronts import FrontLimits
-from dragonflyramp.members._peer_links import RelayPeer
+from dragonflyramp.members._peer_links import LinkLimits, RelayPeer
 from dragonflyramp.members.members_pb2 import FrontMessage, Query, ShardAttempt
 from dragonflyramp.metrics import counters
 from dragonflyramp.models import MemberId
@@ -231,3 +231,23 @@
         assert await inbox.get() == fakes.make_part('q1', 'a')
         links.close_inbox('q1')
         await eventually(lambda: not links.peers.all_open())
+
+
+async def test_silent_connection_is_noticed() -> None:
+    """Guards against searches that wait on a connection that is dead."""
+    fake = FakeServer()
+    async with (
+        fakes.running_relay(fake) as relay,
+        fakes.running_proxy(relay.port) as proxy,
+    ):
+        peer = RelayPeer(R1, f'127.0.0.1:{proxy.port}')
+        # Only the pings of gRPC can notice it within the time of the test.
+        limits = LinkLimits(close_silence_seconds=1000)
+        async with fakes.running_front(peer, limits=limits) as links:
+            inbox = links.open_inbox('q1')
+            await links.send_query(R1, fakes.make_query('q1', 'a'))
+            await eventually(lambda: fake.outboxes)
+            proxy.passes.clear()
+            assert await asyncio.wait_for(inbox.get(), 20) == RelayLost(R1)
+            proxy.passes.set()
+            await eventually(lambda: links.candidates(SLICE))
