--- /dev/null
+++ b/dragonflyramp/setting_kinds.py
@@ -0,0 +1,166 @@
+"""Define the kinds of values that settings take."""
+
+import enum
+import ipaddress
+import re
+from typing import Generic, Protocol, TypeVar
+
+import attrs
+
+_LAST_PORT = 65535
+
+_Value_co = TypeVar('_Value_co', covariant=True)
+_Choice = TypeVar('_Choice', bound=enum.Enum)
+
+
+class Kind(Protocol[_Value_co]):
+    """Read the text of a setting."""
+
+    @property
+    def unit(self) -> str:
+        """Name the unit; empty for values without one."""
+
+    @property
+    def allowed(self) -> str:
+        """Describe the allowed values in a few words."""
+
+    def parse(self, text: str) -> _Value_co:
+        """Read a value; raise ValueError unless it is allowed."""
+
+
+@attrs.frozen
+class Number:
+    """Accept a number within a range.
+
+    >>> Number(0.5, 60, 's').parse('1.5')
+    1.5
+    """
+
+    low: float
+    high: float
+    unit: str
+
+    @property
+    def allowed(self) -> str:
+        """Describe the range."""
+        return 'a number from {0:g} to {1:g}'.format(self.low, self.high)
+
+    def parse(self, text: str) -> float:
+        """Read a number; infinity and NaN are outside of every range."""
+        number = float(text)
+        if not self.low <= number <= self.high:
+            raise ValueError(self.allowed)
+        return number
+
+
+@attrs.frozen
+class Whole:
+    """Accept a whole number within a range."""
+
+    low: int
+    high: int
+    unit: str
+
+    @property
+    def allowed(self) -> str:
+        """Describe the range."""
+        return f'a whole number from {self.low} to {self.high}'
+
+    def parse(self, text: str) -> int:
+        """Read a whole number."""
+        number = int(text)
+        if not self.low <= number <= self.high:
+            raise ValueError(self.allowed)
+        return number
+
+
+@attrs.frozen
+class Choice(Generic[_Choice]):
+    """Accept the name of one member of an enumeration."""
+
+    choices: type[_Choice]
+    unit: str = ''
+
+    @property
+    def allowed(self) -> str:
+        """List the names."""
+        names = ', '.join(choice.name for choice in self.choices)
+        return f'one of {names}'
+
+    def parse(self, text: str) -> _Choice:
+        """Find the member by its name."""
+        by_name = {choice.name: choice for choice in self.choices}
+        if text not in by_name:
+            raise ValueError(self.allowed)
+        return by_name[text]
+
+
+@attrs.frozen
+class Name:
+    """Accept a short name, as in the operators' configuration file."""
+
+    unit: str = ''
+    allowed: str = '1 to 63 of the characters a-z, 0-9, "-", "_"'
+
+    def parse(self, text: str) -> str:
+        """Check the characters and the length."""
+        if not re.fullmatch('[a-z0-9_-]{1,63}', text):
+            raise ValueError(self.allowed)
+        return text
+
+
+@attrs.frozen
+class Address:
+    """Accept IP:port; a host name is refused, because none is resolved.
+
+    An address to listen on may have port 0, for which the kernel chooses.
+
+    >>> Address().parse('10.0.0.1:8080')
+    '10.0.0.1:8080'
+    >>> Address().parse('[::1]:8080')
+    '[::1]:8080'
+    """
+
+    first_port: int = 1
+    any_interface: bool = False
+    unit: str = ''
+
+    @property
+    def allowed(self) -> str:
+        """Describe the form."""
+        ports = f'{self.first_port} to {_LAST_PORT}'
+        host = 'an IP address' if self.any_interface else 'one IP address'
+        return f'{host} and a port from {ports}, as in 10.0.0.1:8080'
+
+    def parse(self, text: str) -> str:
+        """Check both parts and return them unchanged."""
+        host, _, port = text.rpartition(':')
+        is_version6 = host.startswith('[') and host.endswith(']')
+        address = ipaddress.ip_address(host[1:-1] if is_version6 else host)
+        is_port = port.isdecimal() and port.isascii()
+        is_in_range = is_port and self.first_port <= int(port) <= _LAST_PORT
+        is_allowed = self.any_interface or not address.is_unspecified
+        is_form = is_version6 == (address.version == 6)
+        if not (is_form and is_allowed and is_in_range):
+            raise ValueError(self.allowed)
+        return text
+
+
+@attrs.frozen
+class Addresses:
+    """Accept any number of IP:port, separated by commas.
+
+    >>> Addresses().parse('10.0.0.1:8080,10.0.0.2:8080')
+    ('10.0.0.1:8080', '10.0.0.2:8080')
+    >>> Addresses().parse('')
+    ()
+    """
+
+    unit: str = ''
+    allowed: str = 'IP:port, any number of them, separated by commas'
+
+    def parse(self, text: str) -> tuple[str, ...]:
+        """Read each address."""
+        if not text:
+            return ()
+        return tuple(Address().parse(part) for part in text.split(','))
