--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,85 @@
+"""Test how a daemon runs its tasks and stops."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from dragonflyramp.metrics import counters
+from dragonflyramp.runtime import TaskSet, run_together, run_until_first
+
+_PROGRAM = """
+import asyncio, os
+from dragonflyramp.runtime import run_daemon
+
+async def main(stop):
+    loop = asyncio.get_running_loop()
+    print(type(loop).__module__, os.environ['UV_USE_IO_URING'], flush=True)
+    names = [f'/proc/self/fd/{name}' for name in os.listdir('/proc/self/fd')]
+    links = [os.readlink(name) for name in names if os.path.exists(name)]
+    print(any('io_uring' in link for link in links), flush=True)
+    await stop.wait()
+    print('stopped', flush=True)
+
+run_daemon(main)
+"""
+
+
+async def _fail() -> None:
+    raise ValueError('of the test')
+
+
+async def test_failure_cancels_the_others() -> None:
+    """Guards against a daemon that goes on with half of its tasks."""
+    other = asyncio.get_running_loop().create_future()
+    seen = counters.get('task_failures', '_fail')
+
+    async def wait_for_other() -> None:  # noqa: WPS430 - needs the future
+        await other
+
+    with pytest.raises(ValueError, match='of the test'):
+        await run_together(_fail(), wait_for_other())
+    assert other.cancelled()
+    assert counters.get('task_failures', '_fail') == seen + 1
+
+
+async def test_first_end_cancels_the_others() -> None:
+    """Guards against the half of a stream that outlives the other half."""
+    forever = asyncio.Event()
+    await run_until_first(asyncio.sleep(0), forever.wait())
+    await run_together(asyncio.sleep(0), asyncio.sleep(0))
+    assert len(asyncio.all_tasks()) == 1
+
+
+async def test_failure_in_a_task_set_is_counted() -> None:
+    """Guards against a task that ends in silence."""
+    tasks = TaskSet()
+    seen = counters.get('task_failures', 'kind of the test')
+    tasks.start(_fail(), 'kind of the test')
+    tasks.start(asyncio.Event().wait(), 'other')
+    await asyncio.sleep(0)
+    await tasks.cancel()
+    await asyncio.sleep(0)
+    assert counters.get('task_failures', 'kind of the test') == seen + 1
+    assert not tasks
+
+
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+def test_signal_stops_a_daemon(number: signal.Signals) -> None:
+    """Guards against a stop that interrupts, and against an io_uring."""
+    with subprocess.Popen(
+        [sys.executable, '-c', _PROGRAM],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as daemon:
+        assert daemon.stdout
+        lines = [daemon.stdout.readline() for _ in range(2)]
+        daemon.send_signal(number)
+        output, errors = daemon.communicate(timeout=60)
+    assert lines == ['uvloop 0\n', 'False\n']
+    assert output == 'stopped\n'
+    assert not errors
+    assert daemon.returncode == 0
