--- a/dragonflyramp/members/_exchanges.py
+++ b/dragonflyramp/members/_exchanges.py
@@ -4,6 +4,8 @@
 import contextlib
 from collections.abc import Callable
 
+from loguru import logger
+
 from dragonflyramp.members._connections import Connection
 from dragonflyramp.members._streams import FrontMessage, KeepAlive, RelayMessage
 from dragonflyramp.messages import Part, Query, Report, Submit, SubmitOutcome
@@ -80,6 +82,8 @@
     if report.relay_id != connection.relay_id:
         counters.add('relay_streams', 'other_relay')
         return False
+    if connection.report is None:
+        logger.info('relay {} connected', connection.relay_id)
     connection.report = report
     return True
 
@@ -101,6 +105,8 @@
 
 
 def _lose(connection: Connection) -> None:
+    if connection.report is not None:
+        logger.info('relay {} disconnected', connection.relay_id)
     connection.report = None
     connection.submits.lose()
     for query_id in connection.queries:
--- a/dragonflyramp/members/_fronts.py
+++ b/dragonflyramp/members/_fronts.py
@@ -20,6 +20,7 @@
 )
 from dragonflyramp.messages import Part, Query, Report, Submit, SubmitOutcome
 from dragonflyramp.metrics import counters
+from dragonflyramp.models import MemberId
 from dragonflyramp.results import ResultCode
 from dragonflyramp.runtime import TaskSet, run_until_first
 
@@ -94,6 +95,7 @@
     stream: FrontStream
     outbox: Outbox[RelayMessage]
     keepalive_seconds: float
+    front_id: MemberId = MemberId('')
     pending: Pending = attrs.field(factory=Pending)
 
     async def read_all(self) -> None:
@@ -133,6 +135,7 @@
                 if self.intake.start_submit(message, self.outbox):
                     self.pending.accept(message.submit_id)
             case Hello():
+                self.front_id = message.front_id
                 logger.info('front {} connected', message.front_id)
 
     async def _next(self) -> RelayMessage:
@@ -224,6 +227,7 @@
         self._sessions.discard(session)
         is_slow = session.outbox.overflowed.is_set()
         counters.add('front_streams', 'not_reading' if is_slow else 'closed')
+        logger.info('front {} disconnected', session.front_id)
         for query_id in tuple(session.pending.parts):
             session.cancel_query(query_id)
         session.pending.idle.set()
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -251,3 +251,24 @@
             assert await asyncio.wait_for(inbox.get(), 20) == RelayLost(R1)
             proxy.passes.set()
             await eventually(lambda: links.candidates(SLICE))
+
+
+async def test_message_over_the_limit_fails_alone() -> None:
+    """Guards against one long message that breaks the stream of others."""
+    fake = FakeServer()
+    body = bytes(MAX_MESSAGE_BYTES)
+    long_query = attrs.evolve(fakes.make_query('q1', 'a'), body=body)
+    async with (
+        fakes.running_relay(fake) as relay,
+        fakes.running_front(relay.peer) as links,
+    ):
+        inboxes = [links.open_inbox(name) for name in ('q1', 'q2')]
+        await links.send_query(R1, long_query)
+        await links.send_query(R1, fakes.make_query('q2', 'a', 'b'))
+        assert await inboxes[0].get() == RelayLost(R1)
+        await eventually(lambda: 'q2' in fake.outboxes)
+        fake.outboxes['q2'].put_nowait(fakes.make_part('q2', 'a', body))
+        fake.outboxes['q2'].put_nowait(fakes.make_part('q2', 'b'))
+        failed = attrs.asdict(await inboxes[1].get())
+        assert (failed['code'], failed['body']) == (ResultCode.bad_reply, b'')
+        assert await inboxes[1].get() == fakes.make_part('q2', 'b')
