--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -290,14 +290,23 @@
 
 def render_table() -> str:
     """Render the codes as the Markdown of docs/result-codes.md."""
-    rows = [
-        f'| {code.value} | `{code.name}` | {code.meaning.http_status.value} '
-        f'| {code.meaning.run.value} | {code.meaning.sentence} |'
-        for code in ResultCode
-    ]
+    rows = [_render_row(code) for code in ResultCode]
     return '\n'.join((_TABLE_HEAD, *rows, ''))
 
 
+def _render_row(code: ResultCode) -> str:
+    meaning = code.meaning
+    cells = (
+        str(code.value),
+        f'`{code.name}`',
+        str(meaning.http_status.value),
+        meaning.run.value,
+        meaning.sentence,
+    )
+    row = ' | '.join(cells)
+    return f'| {row} |'
+
+
 _TABLE_HEAD = """# Result codes
 
 Every refusal and failure carries one of these numbers. Numbers are never
