--- /dev/null
+++ b/dragonflyramp/converters.py
@@ -0,0 +1,67 @@
+"""Structure decoded JSON and TOML into attrs classes without coercion.
+
+>>> decode_json(b'"text"', str)
+<Success: text>
+>>> decode_json(b'5', str)
+<Failure: 503>
+"""
+
+import functools
+import json
+from typing import TypeVar
+
+import cattrs
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.results import ResultCode
+
+_Target = TypeVar('_Target')
+
+
+def strict_converter(*, forbid_extra_keys: bool = False) -> cattrs.Converter:
+    """Create a converter that refuses a value of another type.
+
+    cattrs by default turns any value into a string and a string into a
+    number, which hides a malformed message.
+    """
+    converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
+    for kind in (str, int, float, bool):
+        converter.register_structure_hook(
+            kind, functools.partial(_structure_exactly, kind)
+        )
+    return converter
+
+
+def decode_json(
+    body: bytes, target: type[_Target]
+) -> Result[_Target, ResultCode]:
+    """Decode JSON into a type; fail with bad_message, never raise."""
+    try:
+        return Success(_CONVERTER.structure(json.loads(body), target))
+    except Exception:
+        # json and cattrs report malformed input with a dozen exception types.
+        return Failure(ResultCode.bad_message)
+
+
+def encode_json(message: object) -> bytes:
+    """Encode an attrs instance as JSON; equal instances give equal bytes."""
+    return json.dumps(
+        _CONVERTER.unstructure(message),
+        ensure_ascii=False,
+        separators=(',', ':'),
+        sort_keys=True,
+    ).encode()
+
+
+def _structure_exactly(kind: type, found: object, _: object) -> object:
+    # bool is a subclass of int, so isinstance would accept it as a number.
+    if found.__class__ is kind:
+        return found
+    if kind is float and found.__class__ is int:
+        return found
+    expected = kind.__name__
+    actual = found.__class__.__name__
+    raise TypeError(f'must be {expected}, not {actual}')
+
+
+_CONVERTER = strict_converter()
