--- /dev/null
+++ b/dragonflyramp/operators/_checks.py
@@ -0,0 +1,145 @@
+"""Check a whole configuration: what no single table shows."""
+
+import graphlib
+from collections import Counter
+from collections.abc import Iterator
+from typing import TypeAlias
+
+from dragonflyramp.models import Configuration, HoldKind, Service
+from dragonflyramp.operators._holds import dark_problems, fixed_replicas
+from dragonflyramp.operators._problems import Problem
+from dragonflyramp.results import ResultCode
+
+#: Bounds the walk from a service to its shards.
+_MAX_DEPTH = 8
+_MAX_CYCLES = 10
+
+_Graph: TypeAlias = dict[str, tuple[str, ...]]
+
+
+def check_configuration(configuration: Configuration) -> tuple[Problem, ...]:
+    """List the problems between tables; lines are left open."""
+    return (
+        *_missing(configuration),
+        *_services(configuration),
+        *_dependency_problems(configuration),
+        *_replicas(configuration),
+        *_holds(configuration),
+    )
+
+
+def _missing(configuration: Configuration) -> Iterator[Problem]:
+    required = {
+        'user': configuration.user,
+        'failure_domains': configuration.failure_domains,
+        'services': configuration.services,
+    }
+    for key, found in required.items():
+        if not found:
+            yield _problem(ResultCode.missing_key, key, 'is required')
+
+
+def _services(configuration: Configuration) -> Iterator[Problem]:
+    for service in configuration.services.values():
+        if service.slots > service.connections:
+            yield _problem(
+                ResultCode.slots_over_connections,
+                f'services.{service.name}.slots',
+                f'exceeds the {service.connections} connections',
+            )
+        yield from _names_of_dependencies(configuration, service)
+
+
+def _names_of_dependencies(
+    configuration: Configuration, service: Service
+) -> Iterator[Problem]:
+    key = f'services.{service.name}.depends_on'
+    for name in service.depends_on:
+        if name not in configuration.services:
+            sentence = f'no service is named {name}'
+            yield _problem(ResultCode.unknown_name, key, sentence)
+    for repeated in _repeated(service.depends_on):
+        yield _problem(ResultCode.bad_value, key, f'repeats {repeated}')
+
+
+def _dependency_problems(configuration: Configuration) -> Iterator[Problem]:
+    graph = {
+        name: service.depends_on
+        for name, service in configuration.services.items()
+    }
+    for _ in range(_MAX_CYCLES):
+        try:
+            order = tuple(graphlib.TopologicalSorter(graph).static_order())
+        except graphlib.CycleError as error:
+            cycle = list(reversed(error.args[1]))
+            yield _problem(
+                ResultCode.dependency_cycle,
+                f'services.{cycle[0]}.depends_on',
+                ' -> '.join(cycle),
+            )
+            graph[cycle[0]] = ()
+        else:
+            yield from _depth_problems(graph, order)
+            return
+
+
+def _depth_problems(graph: _Graph, order: tuple[str, ...]) -> Iterator[Problem]:
+    depths: dict[str, int] = {}
+    for name in order:
+        below = map(depths.__getitem__, graph.get(name, ()))
+        depth = 1 + max(below, default=0)
+        depths[name] = depth
+        if depth == _MAX_DEPTH + 1:
+            yield _problem(
+                ResultCode.bad_value,
+                f'services.{name}.depends_on',
+                f'has more than {_MAX_DEPTH} levels of services',
+            )
+
+
+def _replicas(configuration: Configuration) -> Iterator[Problem]:
+    seen: set[str] = set()
+    for service in configuration.services.values():
+        yield from _domain_problems(configuration, service)
+        for index, replica in enumerate(service.replicas):
+            if replica.replica_id in seen:
+                yield _problem(
+                    ResultCode.bad_value,
+                    f'services.{service.name}.replicas[{index}].id',
+                    f'another replica has the id {replica.replica_id}',
+                )
+            seen.add(replica.replica_id)
+
+
+def _domain_problems(
+    configuration: Configuration, service: Service
+) -> Iterator[Problem]:
+    for index, replica in enumerate(service.replicas):
+        if replica.failure_domain not in configuration.failure_domains:
+            yield _problem(
+                ResultCode.unknown_name,
+                f'services.{service.name}.replicas[{index}].failure_domain',
+                f'no failure domain is named {replica.failure_domain}',
+            )
+
+
+def _holds(configuration: Configuration) -> Iterator[Problem]:
+    for hold in configuration.holds.values():
+        is_domain = hold.kind is HoldKind.failure_domain
+        if is_domain and hold.name not in configuration.failure_domains:
+            yield _problem(
+                ResultCode.unknown_name,
+                f'holds.{hold.name}',
+                'no failure domain has this name',
+            )
+    yield from dark_problems(
+        configuration, fixed_replicas(configuration), configuration.holds
+    )
+
+
+def _repeated(names: tuple[str, ...]) -> list[str]:
+    return [name for name, count in Counter(names).items() if count > 1]
+
+
+def _problem(code: ResultCode, key: str, sentence: str) -> Problem:
+    return Problem(code=code, key=key, sentence=sentence)
--- /dev/null
+++ b/dragonflyramp/operators/_fields.py
@@ -0,0 +1,94 @@
+"""Check single values of the operators' text.
+
+Each function has the signature of a cattrs hook and raises ValueError or
+TypeError with a sentence that follows the key.
+"""
+
+import ipaddress
+import re
+from datetime import datetime
+from typing import Any
+
+import attrs
+import cattrs
+
+from dragonflyramp.converters import strict_converter
+from dragonflyramp.models import HoldKind
+
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._:-]{0,99}')
+_MAX_PORT = 65535
+_MAX_LENGTH = 1000
+_CONVERTER = strict_converter()
+
+
+@attrs.frozen
+class Between:
+    """Check the type of a number and its range, bounds included."""
+
+    lower: float
+    upper: float
+
+    def __call__(self, found: object, target: type[float]) -> float:
+        """Return the number."""
+        number: float = _CONVERTER.structure(found, target)
+        if self.lower <= number <= self.upper:
+            return number
+        raise ValueError(f'must be between {self.lower} and {self.upper}')
+
+
+def bounded_string(found: object, _: object) -> str:
+    """Check a string that is shown to operators."""
+    text = _CONVERTER.structure(found, str)
+    if text and len(text) <= _MAX_LENGTH and text.isprintable():
+        return text
+    raise ValueError(f'must be 1 to {_MAX_LENGTH} printable characters')
+
+
+def valid_name(found: object, _: object) -> str:
+    """Check the name of a service, failure domain, replica or hold."""
+    text = _CONVERTER.structure(found, str)
+    if _NAME.fullmatch(text):
+        return text
+    raise ValueError(f'name must match {_NAME.pattern}')
+
+
+def ip_and_port(found: object, _: object) -> str:
+    """Check an address such as 10.0.0.1:8080."""
+    text = _CONVERTER.structure(found, str)
+    host, _colon, port = text.rpartition(':')
+    ipaddress.ip_address(host.strip('[]'))
+    if port.isdecimal() and 0 < int(port) <= _MAX_PORT:
+        return text
+    raise ValueError(f'must end in a port of 1 to {_MAX_PORT}')
+
+
+def timestamp(found: object, _: object) -> str:
+    """Check a date and time in ISO 8601."""
+    text = _CONVERTER.structure(found, str)
+    datetime.fromisoformat(text)
+    return text
+
+
+def hold_kind(found: object, _: object) -> HoldKind:
+    """Check the kind of a hold."""
+    kinds = {kind.value: kind for kind in HoldKind}
+    if isinstance(found, str) and found in kinds:
+        return kinds[found]
+    accepted = ' or '.join(kinds)
+    raise ValueError(f'must be {accepted}')
+
+
+def list_of_names(found: object, _: object) -> tuple[str, ...]:
+    """Check a list of names; a string is no list of its characters."""
+    if isinstance(found, list):
+        return tuple(valid_name(name, str) for name in found)
+    raise TypeError('must be a list of names')
+
+
+def list_of_tables(
+    converter: cattrs.Converter, found: object, target: Any
+) -> Any:
+    """Check a list whose elements the converter knows."""
+    if isinstance(found, list):
+        return converter.structure(found, target)
+    raise TypeError('must be an array of tables')
--- /dev/null
+++ b/dragonflyramp/operators/_fragments.py
@@ -0,0 +1,118 @@
+"""Parse one part of the operators' text, which is valid TOML by itself."""
+
+import re
+import tomllib
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.models import FailureDomain, Hold, Service
+from dragonflyramp.operators._problems import Problem
+from dragonflyramp.operators._tables import structure_string, structure_table
+from dragonflyramp.results import ResultCode
+
+_Table = TypeVar('_Table')
+
+_SYNTAX_PLACE = re.compile(r' \(at (?:line (\d+)|end of document).*\)$')
+_FORMAT = 1
+_FORMAT_KEY = 'format'
+_USER_KEY = 'user'
+_TOP_LEVEL_KEYS = frozenset(
+    (_FORMAT_KEY, _USER_KEY, 'failure_domains', 'services', 'holds')
+)
+
+
+@attrs.frozen(kw_only=True)
+class Fragment:
+    """Hold what one part of the text defines."""
+
+    has_format: bool = False
+    user: str = ''
+    failure_domains: Mapping[str, FailureDomain] = attrs.field(factory=dict)
+    services: Mapping[str, Service] = attrs.field(factory=dict)
+    holds: Mapping[str, Hold] = attrs.field(factory=dict)
+
+
+def parse_fragment(part: bytes) -> Result[Fragment, tuple[Problem, ...]]:
+    """Parse a part; lines of syntax problems count from its start."""
+    try:
+        raw = tomllib.loads(part.decode())
+    except UnicodeDecodeError as error:
+        line = part.count(b'\n', 0, error.start) + 1
+        return Failure((_syntax(line, 'is not UTF-8'),))
+    except tomllib.TOMLDecodeError as error:
+        return Failure((_syntax_error(part, str(error)),))
+    except RecursionError:
+        return Failure((_syntax(1, 'is nested too deeply'),))
+    return _Parser(raw).parse()
+
+
+class _Parser:
+    """Structure the tables of one part and collect their problems."""
+
+    def __init__(self, raw: Mapping[str, Any]) -> None:
+        self._raw = raw
+        self._problems: list[Problem] = []
+
+    def parse(self) -> Result[Fragment, tuple[Problem, ...]]:
+        fragment = Fragment(
+            has_format=_FORMAT_KEY in self._raw,
+            user=self._user(),
+            failure_domains=self._section('failure_domains', FailureDomain),
+            services=self._section('services', Service),
+            holds=self._section('holds', Hold),
+        )
+        self._check_top_level()
+        if self._problems:
+            return Failure(tuple(self._problems))
+        return Success(fragment)
+
+    def _check_top_level(self) -> None:
+        for key in self._raw.keys() - _TOP_LEVEL_KEYS:
+            self._add(ResultCode.unknown_key, key, 'is not a known key')
+        found = self._raw.get(_FORMAT_KEY, _FORMAT)
+        if found != _FORMAT or isinstance(found, bool):
+            sentence = f'must be {_FORMAT}'
+            self._add(ResultCode.bad_value, _FORMAT_KEY, sentence)
+
+    def _user(self) -> str:
+        if _USER_KEY not in self._raw:
+            return ''
+        user = structure_string(_USER_KEY, self._raw[_USER_KEY])
+        if isinstance(user, Failure):
+            self._problems.append(user.failure())
+        return user.value_or('')
+
+    def _section(
+        self, section: str, target: type[_Table]
+    ) -> Mapping[str, _Table]:
+        tables = self._raw.get(section, {})
+        if not isinstance(tables, dict):
+            self._add(ResultCode.bad_value, section, 'must be a table')
+            return {}
+        structured: dict[str, _Table] = {}
+        for name, table in tables.items():
+            outcome = structure_table(section, name, table, target)
+            if isinstance(outcome, Failure):
+                self._problems.extend(outcome.failure())
+            else:
+                structured[name] = outcome.unwrap()
+        return structured
+
+    def _add(self, code: ResultCode, key: str, sentence: str) -> None:
+        self._problems.append(Problem(code=code, key=key, sentence=sentence))
+
+
+def _syntax_error(part: bytes, sentence: str) -> Problem:
+    place = _SYNTAX_PLACE.search(sentence)
+    line = place and place.group(1)
+    last_line = max(1, len(part.splitlines()))
+    return _syntax(
+        int(line) if line else last_line, _SYNTAX_PLACE.sub('', sentence)
+    )
+
+
+def _syntax(line: int, sentence: str) -> Problem:
+    return Problem(code=ResultCode.text_syntax, line=line, sentence=sentence)
--- /dev/null
+++ b/dragonflyramp/operators/_problems.py
@@ -0,0 +1,41 @@
+"""Define the problems that are reported to operators."""
+
+import re
+
+import attrs
+
+from dragonflyramp.results import ResultCode
+
+_LAST_KEY = re.compile(r'(?:\.|^)[^.\[]*$|\[\d+\]$')
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """State one problem; line 0 means that no line of the text has it."""
+
+    code: ResultCode
+    sentence: str
+    key: str = ''
+    line: int = 0
+
+    def __str__(self) -> str:
+        """Format as one plain line."""
+        pieces = [f'line {self.line}'] if self.line else []
+        if self.key:
+            pieces.append(self.key)
+        code = self.code
+        pieces.append(f'{code.value} {code.name}')
+        return ': '.join([*pieces, self.sentence])
+
+
+def parent_key(key: str) -> str:
+    """Drop the last name or index of a key.
+
+    >>> parent_key('services.a.replicas[0].id')
+    'services.a.replicas[0]'
+    >>> parent_key('services.a.replicas[0]')
+    'services.a.replicas'
+    >>> parent_key('services')
+    ''
+    """
+    return _LAST_KEY.sub('', key, count=1)
--- /dev/null
+++ b/dragonflyramp/operators/_roots.py
@@ -0,0 +1,88 @@
+"""Define the root object of the stored text and its encoding."""
+
+import re
+from collections.abc import Iterable
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.converters import decode_json, encode_json
+from dragonflyramp.models import Hold
+from dragonflyramp.operators._parts import PartRef
+from dragonflyramp.results import ResultCode
+
+ROOT_NAME = 'texts/root'
+#: Earlier changes that the root remembers.
+HISTORY_LENGTH = 32
+
+_SHA256 = re.compile('[0-9a-f]{64}')
+
+
+@attrs.frozen(kw_only=True)
+class HistoryEntry:
+    """Record one accepted change."""
+
+    number: int
+    write_id: str
+    author: str
+    at: str
+    note: str
+
+
+@attrs.frozen(kw_only=True)
+class Root:
+    """Hold the root object; holds are in order of name, history of number."""
+
+    number: int
+    write_id: str
+    author: str
+    at: str
+    note: str
+    parts: tuple[PartRef, ...]
+    holds: tuple[Hold, ...]
+    history: tuple[HistoryEntry, ...] = ()
+
+    @property
+    def entry(self) -> HistoryEntry:
+        """Return what the history of later roots keeps of this one."""
+        return HistoryEntry(
+            number=self.number,
+            write_id=self.write_id,
+            author=self.author,
+            at=self.at,
+            note=self.note,
+        )
+
+    def includes(self, write_id: str) -> bool:
+        """Tell whether a write is this root or one that it remembers."""
+        entries = (self.entry, *self.history)
+        return any(entry.write_id == write_id for entry in entries)
+
+    def history_before(self, number: int) -> tuple[HistoryEntry, ...]:
+        """Return the history that the root of a later number keeps."""
+        entries = (*self.history, self.entry)
+        earlier = [entry for entry in entries if entry.number < number]
+        return tuple(earlier[-HISTORY_LENGTH:])
+
+
+def sorted_holds(holds: Iterable[Hold]) -> tuple[Hold, ...]:
+    """Order holds as the root keeps them."""
+    return tuple(sorted(holds, key=lambda hold: hold.name))
+
+
+def encode_root(root: Root) -> bytes:
+    """Encode a root as JSON; equal roots give equal bytes."""
+    return encode_json(root)
+
+
+def decode_root(body: bytes) -> Result[Root, ResultCode]:
+    """Decode a root; fail with bad_message."""
+    return decode_json(body, Root).bind(_validated)
+
+
+def _validated(root: Root) -> Result[Root, ResultCode]:
+    # The digests become names of objects.
+    names = [ref.sha256 for ref in root.parts]
+    if root.number > 0 and all(map(_SHA256.fullmatch, names)):
+        return Success(root)
+    return Failure(ResultCode.bad_message)
--- /dev/null
+++ b/dragonflyramp/operators/_statements.py
@@ -0,0 +1,145 @@
+"""Find the statements of a TOML text, with lines and offsets.
+
+tomllib gives values without their places, so the problems found in values
+and the edits of hold tables look the places up here.
+"""
+
+import re
+import tomllib
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+
+import attrs
+
+from dragonflyramp.operators._problems import Problem, parent_key
+
+_TOKEN_KINDS = (
+    ('string', r'"{3}(?:[^\\]|\\.)*?"{3,5}(?!")'),
+    ('literal', r"'{3}.*?'{3,5}(?!')"),
+    ('line_string', r'"(?:[^"\\\n]|\\.)*"'),
+    ('line_literal', r"'[^'\n]*'"),
+    ('comment', r'\#[^\n]*'),
+    ('newline', r'\n'),
+    ('opening', r'[\[{]'),
+    ('closing', r'[\]}]'),
+    ('other', r'[^\s\x22\x27\#\[\]{}]+|[\x22\x27]'),
+)
+_TOKEN = re.compile(
+    '|'.join(f'(?P<{kind}>{pattern})' for kind, pattern in _TOKEN_KINDS),
+    re.DOTALL,
+)
+_KEY = re.compile(r'(?:"(?:\\.|[^"\\])*"|\x27[^\x27]*\x27|[^=\x22\x27])+')
+
+
+@attrs.frozen(kw_only=True)
+class Statement:
+    """Describe a table header or a key with its value.
+
+    The key of a header is the table's name; offsets count characters, and
+    `end` is that of the newline or of the end of the text.
+    """
+
+    key: str
+    is_header: bool
+    is_array: bool
+    line: int
+    start: int
+    end: int
+
+
+def scan(text: str) -> Iterator[Statement]:
+    """Yield the statements of a text that is valid TOML."""
+    line = 1
+    counted = 0
+    for start, end in _spans(text):
+        line += text.count('\n', counted, start)
+        counted = start
+        yield _statement(text[start:end].strip(), line, start, end)
+
+
+def with_lines(text: str, problems: Iterable[Problem]) -> tuple[Problem, ...]:
+    """Fill in the lines of the problems that have a key but no line."""
+    index = _line_index(text)
+    return tuple(
+        problem
+        if problem.line
+        else attrs.evolve(problem, line=_line_of(index, problem.key))
+        for problem in problems
+    )
+
+
+def _spans(text: str) -> Iterator[tuple[int, int]]:
+    start = -1
+    depth = 0
+    for token in _TOKEN.finditer(text):
+        kind = token.lastgroup
+        if kind == 'newline' and start >= 0 and not depth:
+            yield start, token.start()
+            start = -1
+        if kind in {'newline', 'comment'}:
+            continue
+        start = token.start() if start < 0 else start
+        depth = max(0, depth + _depth_change(kind))
+    if start >= 0:
+        yield start, len(text)
+
+
+def _depth_change(kind: str | None) -> int:
+    return (kind == 'opening') - (kind == 'closing')
+
+
+def _statement(source: str, line: int, start: int, end: int) -> Statement:
+    is_header = source.startswith('[')
+    is_array = source.startswith('[[')
+    inner = source.lstrip('[').partition(']')[0] if is_header else source
+    found = _KEY.match(inner)
+    return Statement(
+        key=_dotted(found.group() if found else inner),
+        is_header=is_header,
+        is_array=is_array,
+        line=line,
+        start=start,
+        end=end,
+    )
+
+
+def _dotted(source: str) -> str:
+    """Normalise quotes and spaces of a key, through tomllib itself."""
+    try:
+        nested = tomllib.loads(f'{source.strip()} = 0')
+    except tomllib.TOMLDecodeError:
+        return source.strip()
+    names = []
+    while isinstance(nested, dict):
+        name, nested = next(iter(nested.items()))
+        names.append(name)
+    return '.'.join(names)
+
+
+def _line_index(text: str) -> Mapping[str, int]:
+    index: dict[str, int] = {}
+    seen: Counter[str] = Counter()
+    prefix = ''
+    for statement in scan(text):
+        key = statement.key
+        if statement.is_header:
+            prefix = f'{key}[{seen[key]}]' if statement.is_array else key
+            seen[key] += 1
+            _add_line(index, prefix, statement.line)
+        else:
+            full_key = f'{prefix}.{key}' if prefix else key
+            _add_line(index, full_key, statement.line)
+    return index
+
+
+def _add_line(index: dict[str, int], key: str, line: int) -> None:
+    """Add the key and the tables that it implies, unless they are known."""
+    while key and key not in index:
+        index[key] = line
+        key = parent_key(key)
+
+
+def _line_of(index: Mapping[str, int], key: str) -> int:
+    while key and key not in index:
+        key = parent_key(key)
+    return index.get(key, 1)
--- /dev/null
+++ b/dragonflyramp/operators/_tables.py
@@ -0,0 +1,146 @@
+"""Structure the tables of the operators' text; ranges stand here."""
+
+import functools
+from collections.abc import Iterator
+from typing import Any, TypeVar
+
+import cattrs
+from cattrs.gen import make_dict_structure_fn, override
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.converters import strict_converter
+from dragonflyramp.models import (
+    FailureDomain,
+    FixedReplica,
+    Hold,
+    Service,
+)
+from dragonflyramp.operators._fields import (
+    Between,
+    bounded_string,
+    hold_kind,
+    ip_and_port,
+    list_of_names,
+    list_of_tables,
+    timestamp,
+    valid_name,
+)
+from dragonflyramp.operators._problems import Problem
+from dragonflyramp.results import ResultCode
+
+_Table = TypeVar('_Table')
+
+#: Accepted range of each number of a service, in the unit of its suffix.
+_RANGES: tuple[tuple[str, float, float], ...] = (
+    ('deadline_ms', 1, 60_000),
+    ('coverage_target', 0, 1),
+    ('answer_after_ms', 0, 60_000),
+    ('hedge_budget', 0, 1),
+    ('retry_budget', 0, 1),
+    ('canary_shards', 0, 1000),
+    ('slices', 1, 256),
+    ('slots', 1, 1000),
+    ('connections', 1, 10_000),
+    ('connection_cost_ms', 0, 10_000),
+    ('cold_requests_per_second', 0.01, 1000),
+    ('queue_length', 1, 10_000),
+)
+
+
+def structure_table(
+    section: str, name: str, table: object, target: type[_Table]
+) -> Result[_Table, tuple[Problem, ...]]:
+    """Structure one named table; fail with every problem and its key."""
+    key = f'{section}.{name}'
+    if not isinstance(table, dict):
+        return Failure((_bad_value(key, 'must be a table'),))
+    if 'name' in table:
+        return Failure((_unknown_key(f'{key}.name'),))
+    try:
+        return Success(_CONVERTER.structure({**table, 'name': name}, target))
+    except cattrs.BaseValidationError as error:
+        return Failure(tuple(_problems_of(error, key)))
+
+
+def structure_string(key: str, found: object) -> Result[str, Problem]:
+    """Check that a value of the top level is a string."""
+    try:
+        return Success(bounded_string(found, str))
+    except (TypeError, ValueError) as error:
+        return Failure(_bad_value(key, str(error)))
+
+
+def _problems_of(error: Exception, key: str) -> Iterator[Problem]:
+    if isinstance(error, cattrs.BaseValidationError):
+        for nested in error.exceptions:
+            yield from _problems_of(nested, _nested_key(nested, key))
+    elif isinstance(error, cattrs.ForbiddenExtraKeysError):
+        for extra in sorted(error.extra_fields):
+            yield _unknown_key(f'{key}.{extra}')
+    elif isinstance(error, KeyError):
+        yield Problem(
+            code=ResultCode.missing_key, key=key, sentence='is required'
+        )
+    else:
+        yield _bad_value(key, str(error))
+
+
+def _nested_key(error: Exception, key: str) -> str:
+    for note in getattr(error, '__notes__', ()):
+        if isinstance(note, cattrs.AttributeValidationNote):
+            # The text's key of this attribute is shorter.
+            name = 'id' if note.name == 'replica_id' else note.name
+            return f'{key}.{name}'
+        if isinstance(note, cattrs.IterableValidationNote):
+            return f'{key}[{note.index}]'
+    return key
+
+
+def _bad_value(key: str, sentence: str) -> Problem:
+    return Problem(code=ResultCode.bad_value, key=key, sentence=sentence)
+
+
+def _unknown_key(key: str) -> Problem:
+    return Problem(
+        code=ResultCode.unknown_key, key=key, sentence='is not a known key'
+    )
+
+
+def _register(converter: cattrs.Converter, target: type, **hooks: Any) -> None:
+    overrides = {
+        name: override(struct_hook=hook) for name, hook in hooks.items()
+    }
+    if target is FixedReplica:
+        overrides['replica_id'] = override(struct_hook=valid_name, rename='id')
+    make_hook: Any = make_dict_structure_fn
+    hook = make_hook(target, converter, **overrides)
+    converter.register_structure_hook(target, hook)
+
+
+def _create_converter() -> cattrs.Converter:
+    converter = strict_converter(forbid_extra_keys=True)
+    _register(converter, FailureDomain, name=valid_name, region=bounded_string)
+    _register(
+        converter, FixedReplica, address=ip_and_port, failure_domain=valid_name
+    )
+    _register(
+        converter,
+        Hold,
+        name=valid_name,
+        kind=hold_kind,
+        by=bounded_string,
+        at=timestamp,
+        reason=bounded_string,
+    )
+    _register(
+        converter,
+        Service,
+        name=valid_name,
+        depends_on=list_of_names,
+        replicas=functools.partial(list_of_tables, converter),
+        **{name: Between(lower, upper) for name, lower, upper in _RANGES},
+    )
+    return converter
+
+
+_CONVERTER = _create_converter()
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -84,6 +84,7 @@
     bad_message = 503
     internal_error = 504
     bad_setting = 505
+    daemon_unreachable = 506
 
     @property
     def meaning(self) -> Meaning:
@@ -284,5 +285,8 @@
         ResultCode.bad_setting: _not_run(
             HTTPStatus.BAD_REQUEST, 'A setting is malformed or out of range.'
         ),
+        ResultCode.daemon_unreachable: _unknown(
+            HTTPStatus.GATEWAY_TIMEOUT, 'The daemon did not answer in time.'
+        ),
     }
 )
--- /dev/null
+++ b/tests/test_text.py
@@ -0,0 +1,280 @@
+"""Test the operators' text: its rules, parts, deltas and hold edits."""
+
+import pathlib
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from dragonflyramp.converters import decode_json
+from dragonflyramp.models import Configuration, Hold, HoldKind
+from dragonflyramp.operators import PartCache, check, parse_text
+from dragonflyramp.operators._deltas import (
+    apply_delta,
+    decode_delta,
+    encode_delta,
+    root_delta,
+)
+from dragonflyramp.operators._edits import add_hold, remove_hold
+from dragonflyramp.operators._holds import dark_problems
+from dragonflyramp.operators._parts import (
+    PartRef,
+    digest,
+    join_parts,
+    split_text,
+)
+from dragonflyramp.operators._roots import (
+    HistoryEntry,
+    Root,
+    decode_root,
+    encode_root,
+)
+from dragonflyramp.results import ResultCode
+from tests.standins.fleets import fleet_of
+
+_EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+_USERS = ('forrozeira', 'heredia')
+
+_HEAD = """format = 1
+user = "u"
+[failure_domains.recife]
+region = "r"
+"""
+_REPLICA = """[[services.a.replicas]]
+id = "a-0"
+address = "10.0.0.1:8080"
+failure_domain = "recife"
+"""
+_HOLD = """[holds.recife]
+kind = "failure_domain"
+by = "ana"
+at = "2026-12-04T10:00:00Z"
+reason = "switch"
+"""
+
+
+def _example(user: str) -> bytes:
+    return (_EXAMPLES / f'{user}.toml').read_bytes()
+
+
+def _parsed(text: bytes) -> Configuration:
+    return parse_text(text).unwrap()
+
+
+@pytest.mark.parametrize(
+    ('lines', 'expected'),
+    [
+        ('slots = 1', ''),
+        ('slotz = 1', '6 services.a.slotz 401'),
+        ('"name" = "b"', '6 services.a.name 401'),
+        ('[servicez.a]', '6 servicez 401'),
+        ('slots = 0', '6 services.a.slots 403'),
+        ('slots = true', '6 services.a.slots 403'),
+        ('slots = 11', '6 services.a.slots 406'),
+        ('hedge_budget = nan', '6 services.a.hedge_budget 403'),
+        ('depends_on = "b"', '6 services.a.depends_on 403'),
+        ('depends_on = ["b"]', '6 services.a.depends_on 404'),
+        ('depends_on = ["a"]', '6 services.a.depends_on 405'),
+        (
+            '[services.b]\n# x\ndepends_on = [\n"a",\n"a"]',
+            '8 services.b.depends_on 403',
+        ),
+        (
+            'depends_on = ["b"]\n[services.b]\ndepends_on = ["a"]',
+            '6 services.a.depends_on 405',
+        ),
+        ('[services."a/b"]', '6 services.a/b.name 403'),
+        ('[services.a]', '6  400'),
+        ('slots = ', '6  400'),
+        (_REPLICA, ''),
+        (
+            _REPLICA.replace('10.0.0.1', 'host'),
+            '8 services.a.replicas[0].address 403',
+        ),
+        (_REPLICA.replace('id', '#'), '6 services.a.replicas[0].id 402'),
+        (
+            _REPLICA.replace('recife', 'natal'),
+            '9 services.a.replicas[0].failure_domain 404',
+        ),
+        (f'{_REPLICA}{_REPLICA}', '11 services.a.replicas[1].id 403'),
+        (_HOLD, ''),
+        (_HOLD.replace('by', '#'), '6 holds.recife.by 402'),
+        (_HOLD.replace('.recife', '.x'), '6 holds.x 404'),
+        (_HOLD.replace('2026', 'May'), '9 holds.recife.at 403'),
+        (f'{_REPLICA}{_HOLD}', '10 holds.recife 407'),
+        (f'{_REPLICA}{_HOLD}confirm_dark = true', ''),
+    ],
+)
+def test_rules(lines: str, expected: str) -> None:
+    """A mistake must be refused with its line, key and code."""
+    text = f'{_HEAD}[services.a]\n{lines}\n'
+    found = [
+        ' '.join((str(one.line), one.key, str(one.code.value)))
+        for one in check(text.encode())
+    ]
+    assert ', '.join(found) == expected
+
+
+def test_lines_are_those_of_the_file() -> None:
+    """Every problem is listed, and the base line shifts none of them."""
+    text = f'# base = 12\n{_HEAD}odd = 1\n[services.a]\nx = 1\nslots = 0\n'
+    lines = [problem.line for problem in check(text.encode())]
+    assert lines == [6, 8, 9]
+
+
+@given(st.binary(max_size=60))
+@settings(derandomize=True, deadline=None)
+def test_any_bytes_give_problems(noise: bytes) -> None:
+    """A malformed file must be refused, not end in a traceback."""
+    text = _HEAD.encode() + noise
+    assert isinstance(check(text), tuple)
+    assert join_parts(split_text(text)) == text
+    assert isinstance(decode_root(noise), Failure)
+
+
+@pytest.mark.parametrize(
+    ('user', 'replicas', 'shards'),
+    [('forrozeira', 84, 27), ('heredia', 85, 27)],
+)
+def test_examples(user: str, replicas: int, shards: int) -> None:
+    """The examples must have the sizes of the design page."""
+    configuration = _parsed(_example(user))
+    fleet = [machine.replica for machine in fleet_of(configuration)]
+    assert len(fleet) == replicas
+    assert len({replica.address for replica in fleet}) == replicas
+    assert len({replica.shard for replica in fleet}) == shards
+    assert len(configuration.failure_domains) == 4
+    for domain in configuration.failure_domains:
+        hold = _hold(domain)
+        held = attrs.evolve(configuration, holds={domain: hold})
+        assert not dark_problems(held, fleet, [domain])
+
+
+@pytest.mark.parametrize('user', _USERS)
+def test_parts(user: str) -> None:
+    """An edit of one service must change one part of the text."""
+    text = _example(user)
+    parts = split_text(text)
+    assert join_parts(parts) == text
+    edited = text.replace(b'slots = 6', b'slots = 5', 1)
+    changed = set(split_text(edited)) - set(parts)
+    assert len(parts) > 2
+    assert len(changed) == 1
+
+
+def test_parts_of_a_large_text() -> None:
+    """Parts must stay small and stable when a service is added."""
+    tables = [f'[services.s{index}]\nslots = 3\n' for index in range(3000)]
+    text = (_HEAD + ''.join(tables)).encode()
+    parts = split_text(text)
+    assert max(map(len, parts)) <= 8192
+    assert all(parse_text(_HEAD.encode() + part) for part in parts)
+    tables.insert(1500, '[services.added]\nslots = 3\n')
+    added = split_text((_HEAD + ''.join(tables)).encode())
+    assert len(set(added) - set(parts)) <= 2
+
+
+def test_only_changed_parts_are_parsed() -> None:
+    """A daemon must get the same configuration from parts as from text."""
+    text = _example('forrozeira')
+    cache = PartCache()
+    edited = text.replace(b'slots = 6', b'slots = 5', 1)
+    for number, body in enumerate((text, edited), start=1):
+        root = _root(number, body)
+        missing = cache.missing(root)
+        assert len(missing) == {1: len(root.parts), 2: 1}[number]
+        assert isinstance(cache.assemble(root), Failure)
+        for part in split_text(body):
+            assert cache.add(digest(part), part)
+        expected = parse_text(body, number)
+        assert cache.assemble(root) == expected
+    assert not cache.add(digest(b'other'), text)
+
+
+_names = st.lists(st.sampled_from('abcdef'), unique=True, max_size=4)
+
+
+@given(_names, _names, _names, _names, st.integers(1, 60))
+@settings(derandomize=True, deadline=None)
+def test_deltas(
+    base_parts: list[str],
+    parts: list[str],
+    base_holds: list[str],
+    holds: list[str],
+    steps: int,
+) -> None:
+    """A root rebuilt from a delta must be the root that was accepted."""
+    base = _root(7, b'', base_parts, base_holds)
+    target = base
+    for step in range(steps):
+        number = base.number + step + 1
+        history = target.history_before(number)
+        made = _root(number, b'', parts, holds)
+        target = attrs.evolve(made, history=history)
+    delta = decode_delta(encode_delta(root_delta(base, target))).unwrap()
+    assert apply_delta(base, delta) == Success(target)
+    assert decode_root(encode_root(target)) == Success(target)
+    other = attrs.evolve(base, note='other')
+    is_remembered = steps < 32
+    assert isinstance(apply_delta(other, delta), Failure) == is_remembered
+
+
+@pytest.mark.parametrize('user', _USERS)
+@pytest.mark.parametrize('name', ['recife', 'pd-01.a:8', 'x'])
+def test_hold_edits_keep_the_rest(user: str, name: str) -> None:
+    """`zone out` and `zone in` must leave the operators' own bytes alone."""
+    text = _example(user).decode()
+    for changed in (text, text.replace('\n', '\r\n'), f'{text}# end'):
+        held = add_hold(changed, _hold(name, reason='a "b" é'))
+        parsed = parse_text(held.encode())
+        problems = parsed.swap().value_or(())
+        assert [one.key for one in problems] in ([], [f'holds.{name}'])
+        assert remove_hold(held, name) == changed
+        assert remove_hold(changed, name) is None
+
+
+def test_hold_in_a_full_first_part() -> None:
+    """An emergency must not be refused because the first part is full."""
+    comments = '# comment\n' * 900
+    text = f'{_HEAD}{comments}kind = 1\n[services.a]\n'
+    held = add_hold(text, _hold('recife'))
+    assert held.startswith(text)
+    assert remove_hold(held, 'recife') == text
+
+
+def test_malformed_roots_are_refused() -> None:
+    """A part name that is no digest must not become an object name."""
+    root = _root(1, b'')
+    bad = attrs.evolve(root, parts=(PartRef('../root', 1),))
+    assert decode_root(encode_root(bad)) == Failure(ResultCode.bad_message)
+    assert isinstance(decode_json(b'{}', Root), Failure)
+
+
+def _hold(name: str, reason: str = 'x') -> Hold:
+    return Hold(
+        name=name,
+        kind=HoldKind.failure_domain,
+        by='ana',
+        at='2026-12-04T10:00:00Z',
+        reason=reason,
+    )
+
+
+def _root(
+    number: int,
+    text: bytes,
+    parts: list[str] | None = None,
+    holds: list[str] | None = None,
+) -> Root:
+    named = [PartRef(digest(part.encode()), 1) for part in parts or ()]
+    refs = [PartRef(digest(part), len(part)) for part in split_text(text)]
+    entry = HistoryEntry(
+        number=number, write_id=f'w{number}', author='a', at='t', note=''
+    )
+    return Root(
+        **attrs.asdict(entry),
+        parts=tuple(refs if parts is None else named),
+        holds=tuple(map(_hold, sorted(holds or ()))),
+    )
