--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -34,10 +34,13 @@
 
     #: Every call fails, and so do the watches that wait.
     down: bool = False
+    vms_down: bool = False
     delay_ms: float = 0
     #: The next writes of names with the prefix take effect unanswered.
     lost_replies: int = 0
     lost_prefix: str = ''
+    #: The first lost reply starts an outage.
+    down_after: bool = False
     #: Reads and watches see the version before the last one.
     stale: bool = False
     watch_delay_ms: float = 0
@@ -95,6 +98,7 @@
         faults = self.faults
         if faults.lost_replies and name.startswith(faults.lost_prefix):
             faults.lost_replies -= 1
+            faults.down = faults.down_after
             return Failure(ResultCode.platform_down)
         return Success(written.version)
 
@@ -118,7 +122,7 @@
         self, services: Sequence[str], known_version: str
     ) -> Result[VmListing | None, ResultCode]:
         """List as `VmList` states."""
-        if not await self._answers('vms'):
+        if not await self._answers('vms') or self.faults.vms_down:
             return Failure(ResultCode.platform_down)
         version = f'v{self._vms_version}'
         if known_version == version:
--- /dev/null
+++ b/tests/test_push.py
@@ -0,0 +1,313 @@
+"""Test pushes: races, old copies, lost replies, holds, dark shards."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Result
+
+from dragonflyramp.models import Replica, VmState
+from dragonflyramp.operators import (
+    ROOT_NAME,
+    Accepted,
+    Pusher,
+    PushOutcome,
+    Refused,
+    Retries,
+    TextStore,
+    Unknown,
+)
+from dragonflyramp.operators._commits import Update
+from dragonflyramp.operators._drafts import Proposal
+from dragonflyramp.operators._stored import StoredRoot
+from dragonflyramp.platform import (
+    ObjectStore,
+    VersionedObject,
+    VirtualMachine,
+)
+from dragonflyramp.results import ResultCode
+from tests.standins.platform import MemoryPlatform
+
+_TEXT = """format = 1
+user = "u"
+[failure_domains.recife]
+region = "r"
+[failure_domains.natal]
+region = "r"
+[services.a]
+[services.b]
+"""
+_HOLD = """[holds.{0}]
+kind = "{1}"
+by = "ana"
+at = "2026-12-04T10:00:00Z"
+reason = "switch"
+"""
+_RECIFE = _HOLD.format('recife', 'failure_domain')
+_NATAL = _HOLD.format('natal', 'failure_domain')
+_CONFIRMED = f'{_NATAL}confirm_dark = true\n'
+
+
+async def _no_pause(_: float) -> None:
+    await asyncio.sleep(0)
+
+
+def _pusher(
+    platform: MemoryPlatform, store: ObjectStore | None = None
+) -> Pusher:
+    retries = Retries(rng=random.Random(1), pause=_no_pause, attempts=4)
+    return Pusher(TextStore(store=store or platform, retries=retries), platform)
+
+
+def _proposal(text: str, base: int | None, *released: str) -> Proposal:
+    return Proposal(
+        text=text.encode(),
+        base=base,
+        write_id=f'id-{text}-{base}',
+        author='ana',
+        at='2026-12-04T10:00:00Z',
+        released=frozenset(released),
+    )
+
+
+def _fleet(*domains: str, leaving: str = '') -> list[VirtualMachine]:
+    return [
+        VirtualMachine(
+            replica=Replica(
+                replica_id=f'{shard}-{domain}',
+                shard=shard,
+                address='10.0.0.1:1',
+                failure_domain=domain,
+            ),
+            state=VmState.leaving if domain == leaving else VmState.live,
+        )
+        for shard in ('a', 'b')
+        for domain in domains
+    ]
+
+
+async def _platform(text: str = _TEXT) -> MemoryPlatform:
+    """Start with number 1 stored and replicas in both failure domains."""
+    platform = MemoryPlatform()
+    platform.replace_machines(_fleet('recife', 'natal'))
+    outcome = await _pusher(platform).push(_proposal(text, None))
+    assert isinstance(outcome, Accepted)
+    return platform
+
+
+def _codes(outcome: PushOutcome) -> str:
+    if isinstance(outcome, Refused):
+        return ' '.join(str(one.code.value) for one in outcome.problems)
+    return type(outcome).__name__
+
+
+@pytest.mark.parametrize(
+    ('stored', 'proposal', 'expected'),
+    [
+        (_TEXT, _proposal(f'{_TEXT}# x\n', 1), 'Accepted'),
+        (_TEXT, _proposal(_TEXT, 7), 'Accepted'),
+        # A script pushes an old copy.
+        (_TEXT, _proposal(f'{_TEXT}# x\n', 0), '408'),
+        (_TEXT, _proposal(f'{_TEXT}# x\n', None), '408'),
+        (_TEXT, _proposal(f'{_TEXT}# x\n', 2), '408'),
+        (_TEXT, _proposal(f'{_TEXT}odd = 1\n', 1), '401'),
+        # A push undoes a hold without naming it.
+        (_TEXT + _RECIFE, _proposal(_TEXT, 1), '409'),
+        (_TEXT + _RECIFE, _proposal(_TEXT, 0), '408 409'),
+        (_TEXT + _RECIFE, _proposal(_TEXT, 1, 'recife'), 'Accepted'),
+        (_TEXT + _RECIFE, _proposal(_TEXT, 1, 'recif'), '409 404'),
+        (
+            _TEXT + _RECIFE,
+            _proposal(_TEXT + _RECIFE.replace('switch', 'x'), 1),
+            '409',
+        ),
+        # A hold leaves a shard without replicas.
+        (_TEXT, _proposal(_TEXT + _RECIFE, 1), 'Accepted'),
+        (_TEXT, _proposal(_TEXT + _RECIFE + _NATAL, 1), '407 407'),
+        (_TEXT + _RECIFE, _proposal(_TEXT + _RECIFE + _NATAL, 1), '407'),
+        (
+            _TEXT + _RECIFE,
+            _proposal(_TEXT + _RECIFE + _CONFIRMED, 1),
+            'Accepted',
+        ),
+        (_TEXT, _proposal(_TEXT + _HOLD.format('x', 'replica'), 1), '404'),
+        (
+            _TEXT,
+            _proposal(_TEXT + _HOLD.format('a-natal', 'replica'), 1),
+            'Accepted',
+        ),
+    ],
+)
+async def test_push(stored: str, proposal: Proposal, expected: str) -> None:
+    """Only an edit of the stored text that undoes no hold is accepted."""
+    platform = await _platform(stored)
+    before = platform.versions()[ROOT_NAME]
+    outcome = await _pusher(platform).push(proposal)
+    assert _codes(outcome) == expected
+    is_written = isinstance(outcome, Accepted) and outcome.is_changed
+    assert platform.versions()[ROOT_NAME] == before + is_written
+    if isinstance(outcome, Refused):
+        assert bool(outcome.diff) == outcome.has_code(ResultCode.stale_base)
+
+
+@pytest.mark.parametrize(
+    ('fleet', 'faults', 'text', 'expected'),
+    [
+        (_fleet('recife', 'natal', leaving='natal'), {}, _RECIFE, '407'),
+        (_fleet('recife'), {}, _RECIFE, '407'),
+        (_fleet(), {}, _RECIFE, 'Accepted'),
+        (_fleet('natal'), {'vms_down': True}, _RECIFE, '500'),
+        (_fleet('natal'), {'vms_down': True}, _CONFIRMED, 'Accepted'),
+        (_fleet('natal'), {'vms_down': True}, '# x\n', 'Accepted'),
+    ],
+)
+async def test_holds_against_the_vm_list(
+    fleet: list[VirtualMachine],
+    faults: dict[str, bool],
+    text: str,
+    expected: str,
+) -> None:
+    """A hold must not silently leave a shard without live replicas."""
+    platform = await _platform()
+    platform.replace_machines(fleet)
+    platform.change_faults(**faults)
+    outcome = await _pusher(platform).push(_proposal(_TEXT + text, 1))
+    assert _codes(outcome) == expected
+
+
+async def test_dark_hold_in_force_blocks_nothing() -> None:
+    """A shard that went dark later must not refuse unrelated pushes."""
+    platform = await _platform(_TEXT + _RECIFE)
+    platform.replace_machines(_fleet('recife'))
+    text = f'{_TEXT}{_RECIFE}# x\n'
+    outcome = await _pusher(platform).push(_proposal(text, 1))
+    assert isinstance(outcome, Accepted)
+
+
+async def test_two_operators_race() -> None:
+    """Of two pushes of the same base, one must be refused with the diff."""
+    platform = await _platform()
+    outcomes = await asyncio.gather(
+        _pusher(platform).push(_proposal(f'{_TEXT}# ana\n', 1)),
+        _pusher(platform).push(_proposal(f'{_TEXT}# rui\n', 1)),
+    )
+    assert [_codes(one) for one in outcomes] == ['Accepted', '408']
+    assert isinstance(outcomes[1], Refused)
+    assert outcomes[1].diff.endswith('-# ana\n+# rui')
+
+
+@pytest.mark.parametrize(
+    ('faults', 'expected', 'version'),
+    [
+        ({'lost_replies': 1}, 'Accepted', 2),
+        ({'lost_replies': 1, 'stale': True}, 'Unknown', 2),
+        ({'lost_replies': 1, 'down_after': True}, 'Unknown', 2),
+        ({'down': True}, '500', 1),
+    ],
+)
+async def test_lost_reply(
+    faults: dict[str, bool], expected: str, version: int
+) -> None:
+    """A lost reply must end in what is true, or in unknown."""
+    platform = await _platform()
+    platform.change_faults(lost_prefix='texts/', **faults)
+    outcome = await _pusher(platform).push(_proposal(f'{_TEXT}# x\n', 1))
+    assert _codes(outcome) == expected
+    assert platform.versions()[ROOT_NAME] == version
+
+
+async def test_settle() -> None:
+    """What is read back decides only when it is newer than what was read."""
+    platform = await _platform()
+    stored = (await _pusher(platform).texts.read_root()).unwrap()
+    assert stored.root
+    mine = attrs.evolve(stored.root, number=2, write_id='mine')
+    other = attrs.evolve(mine, write_id='other')
+    later = attrs.evolve(mine, number=40, write_id='later')
+    update = Update(mine, 1)
+    cases = (
+        (StoredRoot(2, mine), 'Accepted'),
+        (StoredRoot(3, attrs.evolve(later, history=(mine.entry,))), 'Accepted'),
+        (StoredRoot(2, other), '408'),
+        (StoredRoot(40, later), 'Unknown'),
+        (StoredRoot(1, stored.root), 'NoneType'),
+        (StoredRoot(0, None), 'NoneType'),
+    )
+    for seen, expected in cases:
+        settled = update.settle(seen)
+        found = _codes(settled) if settled else type(settled).__name__
+        assert found == expected
+
+
+class _Shaky(ObjectStore):
+    """Delay and disturb each call by the next of the drawn numbers."""
+
+    def __init__(self, platform: MemoryPlatform, steps: list[int]) -> None:
+        self._platform = platform
+        self._steps: Iterator[int] = iter(steps)
+
+    async def read(self, name: str) -> Result[VersionedObject, ResultCode]:
+        step = await self._delay()
+        self._platform.change_faults(stale=step % 4 == 1)
+        found = await self._platform.read(name)
+        self._platform.change_faults(stale=False)
+        return Failure(ResultCode.platform_down) if step % 4 == 2 else found
+
+    async def write(
+        self, name: str, body: bytes, version: int
+    ) -> Result[int, ResultCode]:
+        step = await self._delay()
+        if step % 4 == 1:
+            return Failure(ResultCode.platform_down)
+        written = await self._platform.write(name, body, version)
+        return Failure(ResultCode.bad_reply) if step % 4 == 2 else written
+
+    async def watch(
+        self, name: str, version: int, timeout_seconds: float
+    ) -> Result[VersionedObject | None, ResultCode]:
+        raise NotImplementedError
+
+    async def _delay(self) -> int:
+        step = next(self._steps, 0)
+        for _ in range(step // 4):
+            await asyncio.sleep(0)
+        return step
+
+
+_steps = st.lists(st.integers(0, 19), max_size=24)
+
+
+@given(st.lists(_steps, min_size=2, max_size=4))
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_interleavings(schedules: list[list[int]]) -> None:
+    """Outcomes must agree with the history, whatever fails and overlaps."""
+    asyncio.run(_race(schedules))
+
+
+async def _race(schedules: list[list[int]]) -> None:
+    platform = await _platform()
+    proposals = [
+        _proposal(f'{_TEXT}# {index}\n', 1) for index in range(len(schedules))
+    ]
+    outcomes = await asyncio.gather(
+        *(
+            _pusher(platform, _Shaky(platform, steps)).push(proposal)
+            for steps, proposal in zip(schedules, proposals, strict=True)
+        )
+    )
+    stored = (await _pusher(platform).texts.read_root()).unwrap().root
+    assert stored
+    assert stored.number == platform.versions()[ROOT_NAME]
+    for outcome, proposal in zip(outcomes, proposals, strict=True):
+        is_included = stored.includes(proposal.write_id)
+        assert is_included in _allowed(outcome)
+
+
+def _allowed(outcome: PushOutcome) -> tuple[bool, ...]:
+    if isinstance(outcome, Unknown):
+        return (True, False)
+    return (isinstance(outcome, Accepted),)
