Add the operators' command

The flags are parsed apart from those of the process, so that tests run the command in-process. Each flag is also read from DRAGONFLYRAMP_<FLAG>.

--- a/dragonflyramp/operators/__init__.py
+++ b/dragonflyramp/operators/__init__.py
@@ -26,6 +26,7 @@
     encode_delta,
     root_delta,
 )
+from dragonflyramp.operators._fields import is_ip_and_port
 from dragonflyramp.operators._http import (
     open_daemons,
     status_application,
@@ -98,6 +99,7 @@
     'encode_root',
     'explain',
     'history',
+    'is_ip_and_port',
     'join_parts',
     'notify',
     'open_daemons',
--- a/dragonflyramp/operators/_fields.py
+++ b/dragonflyramp/operators/_fields.py
@@ -17,6 +17,7 @@
 
 _NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._:-]{0,99}')
 _MAX_PORT = 65535
+_PORT = re.compile('[1-9][0-9]{0,4}')
 _MAX_LENGTH = 1000
 _CONVERTER = strict_converter()
 
@@ -55,11 +56,25 @@
 def ip_and_port(found: object, _: object) -> str:
     """Check an address such as 10.0.0.1:8080."""
     text = _CONVERTER.structure(found, str)
-    host, _colon, port = text.rpartition(':')
-    ipaddress.ip_address(host.strip('[]'))
-    if port.isdecimal() and 0 < int(port) <= _MAX_PORT:
+    if is_ip_and_port(text):
         return text
-    raise ValueError(f'must end in a port of 1 to {_MAX_PORT}')
+    raise ValueError('must be IP:port')
+
+
+def is_ip_and_port(text: str) -> bool:
+    """Tell whether a string is an address such as 10.0.0.1:8080.
+
+    >>> is_ip_and_port('10.0.0.1:8080'), is_ip_and_port('[::1]:8080')
+    (True, True)
+    >>> is_ip_and_port('10.0.0.1'), is_ip_and_port('host:8080')
+    (False, False)
+    """
+    host, _colon, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return bool(_PORT.fullmatch(port)) and int(port) <= _MAX_PORT
 
 
 def timestamp(found: object, _: object) -> str:
--- a/dragonflyramp/operators/_http.py
+++ b/dragonflyramp/operators/_http.py
@@ -125,7 +125,8 @@
     ) -> Result[bytes, ResultCode]:
         try:
             return await self._send(method, url, body)
-        except (ClientError, TimeoutError, OSError):
+        except (ClientError, OSError, ValueError):
+            # A ValueError is an address that is none.
             return Failure(ResultCode.daemon_unreachable)
 
     async def _send(
--- a/dragonflyramp/platform/_calls_http.py
+++ b/dragonflyramp/platform/_calls_http.py
@@ -58,7 +58,8 @@
             return await self._send(call)
         except aiohttp.ClientResponseError:
             return Failure(ResultCode.bad_reply)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (aiohttp.ClientError, OSError, ValueError):
+            # A ValueError is an address that is none.
             return Failure(ResultCode.platform_down)
 
     async def _send(self, call: Call) -> Result[Reply, ResultCode]:
--- /dev/null
+++ b/dragonflyramp/tools/_operator_sessions.py
@@ -0,0 +1,38 @@
+"""Create what the operators' command works with."""
+
+import contextlib
+import datetime
+import random
+import uuid
+from collections.abc import AsyncIterator
+
+from dragonflyramp import operators
+from dragonflyramp.platform import open_platform
+from dragonflyramp.tools._operator_flags import OperatorSettings
+
+
+@contextlib.asynccontextmanager
+async def open_pusher(
+    settings: OperatorSettings,
+) -> AsyncIterator[operators.Pusher]:
+    """Open the platform for the length of the context."""
+    retries = operators.Retries(rng=random.Random())
+    async with open_platform(
+        settings.platform, settings.timeout_seconds
+    ) as platform:
+        texts = operators.TextStore(store=platform.store, retries=retries)
+        yield operators.Pusher(texts, platform.vms)
+
+
+def create_operator(settings: OperatorSettings) -> operators.Operator:
+    """Describe the operator who runs the command."""
+    return operators.Operator(
+        author=settings.author,
+        now=_now,
+        new_write_id=lambda: uuid.uuid4().hex,
+    )
+
+
+def _now() -> str:
+    now = datetime.datetime.now(datetime.UTC)
+    return now.isoformat(timespec='seconds').replace('+00:00', 'Z')
--- /dev/null
+++ b/dragonflyramp/tools/_reports.py
@@ -0,0 +1,169 @@
+"""Turn the outcomes of commands into lines and exit codes."""
+
+import enum
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import attrs
+from returns.result import Failure, Result
+
+from dragonflyramp.operators import (
+    Accepted,
+    DaemonAnswer,
+    HistoryEntry,
+    OfferReply,
+    Problem,
+    PushOutcome,
+    Refused,
+    Status,
+)
+from dragonflyramp.results import ResultCode
+
+
+class ExitCode(enum.IntEnum):
+    """Number the exit codes of the operators' command."""
+
+    ok = 0
+    refused = 1
+    bad_usage = 2
+    unknown = 3
+
+
+@attrs.frozen(kw_only=True)
+class Report:
+    """Hold what a command prints to standard output and to standard error."""
+
+    exit_code: ExitCode = ExitCode.ok
+    output: str = ''
+    problems: tuple[str, ...] = ()
+
+    def followed_by(self, other: 'Report') -> 'Report':
+        """Append the lines of another report, keep the exit code."""
+        return Report(
+            exit_code=self.exit_code,
+            output=f'{self.output}{other.output}',
+            problems=(*self.problems, *other.problems),
+        )
+
+
+def report_usage(sentence: str) -> Report:
+    """Report a command that cannot be run as it was given."""
+    problem = Problem(code=ResultCode.bad_setting, sentence=sentence)
+    return Report(exit_code=ExitCode.bad_usage, problems=(str(problem),))
+
+
+def report_problems(problems: Iterable[Problem]) -> Report:
+    """Report a check."""
+    lines = tuple(map(str, problems))
+    exit_code = ExitCode.refused if lines else ExitCode.ok
+    return Report(exit_code=exit_code, problems=lines)
+
+
+def report_push(outcome: PushOutcome) -> Report:
+    """Report a push or a change of a hold."""
+    if isinstance(outcome, Accepted):
+        change = 'accepted' if outcome.is_changed else 'already in force'
+        number = outcome.root.number
+        return Report(output=f'{change}: number {number}\n')
+    if isinstance(outcome, Refused):
+        output = f'{outcome.diff}\n' if outcome.diff else ''
+        report = report_problems(outcome.problems)
+        return attrs.evolve(report, output=output)
+    problems = (str(outcome.problem),)
+    return Report(exit_code=ExitCode.unknown, problems=problems)
+
+
+def report_text(shown: Result[bytes, ResultCode]) -> Report:
+    """Report the stored text."""
+    if isinstance(shown, Failure):
+        return _report_unread(shown.failure())
+    return Report(output=shown.unwrap().decode())
+
+
+def report_history(
+    entries: Result[tuple[HistoryEntry, ...], ResultCode],
+) -> Report:
+    """Report the remembered changes, the latest first."""
+    if isinstance(entries, Failure):
+        return _report_unread(entries.failure())
+    lines = [
+        ' '.join((str(one.number), one.at, one.author, one.note))
+        for one in reversed(entries.unwrap())
+    ]
+    return Report(output=_joined(lines))
+
+
+def report_status(answers: Sequence[DaemonAnswer[Status]]) -> Report:
+    """Report the status of daemons, one JSON object a line."""
+    problems = _unanswered(answers)
+    lines = [
+        ' '.join((one.address, _compact(one.outcome.unwrap())))
+        for one in answers
+        if not isinstance(one.outcome, Failure)
+    ]
+    return Report(
+        exit_code=ExitCode.unknown if problems else ExitCode.ok,
+        output=_joined(lines),
+        problems=problems,
+    )
+
+
+def report_notified(answers: Sequence[DaemonAnswer[OfferReply]]) -> Report:
+    """Report which daemons took an accepted change."""
+    lines = [
+        ' '.join((one.address, _taken(one.outcome.unwrap())))
+        for one in answers
+        if not isinstance(one.outcome, Failure)
+    ]
+    return Report(output=_joined(lines), problems=_unanswered(answers))
+
+
+def report_explanation(code: ResultCode | None) -> Report:
+    """Report the meaning of a result code."""
+    if code is None:
+        return report_usage('there is no such result code')
+    meaning = code.meaning
+    run = meaning.run.value
+    http_status = meaning.http_status.value
+    pieces = (
+        str(code.value),
+        code.name,
+        f'({run}, HTTP {http_status}):',
+        meaning.sentence,
+    )
+    return Report(output=_joined([' '.join(pieces)]))
+
+
+def _report_unread(code: ResultCode) -> Report:
+    problem = Problem(code=code, sentence=code.meaning.sentence)
+    is_missing = code is ResultCode.object_missing
+    return Report(
+        exit_code=ExitCode.refused if is_missing else ExitCode.unknown,
+        problems=(str(problem),),
+    )
+
+
+def _unanswered(answers: Iterable[DaemonAnswer[Any]]) -> tuple[str, ...]:
+    failed = [one for one in answers if isinstance(one.outcome, Failure)]
+    return tuple(
+        str(_unanswered_problem(one.address, one.outcome.failure()))
+        for one in failed
+    )
+
+
+def _unanswered_problem(address: str, code: ResultCode) -> Problem:
+    return Problem(code=code, key=address, sentence=code.meaning.sentence)
+
+
+def _taken(reply: OfferReply) -> str:
+    name = reply.code.name
+    return f'{name}: number {reply.number}'
+
+
+def _compact(status: Status) -> str:
+    return json.dumps(status, separators=(',', ':'))
+
+
+def _joined(lines: Iterable[str]) -> str:
+    return ''.join(f'{line}\n' for line in lines)
--- /dev/null
+++ b/dragonflyramp/tools/operator.py
@@ -0,0 +1,166 @@
+"""Run the operators' command."""
+
+import asyncio
+import os
+import pathlib
+import sys
+import types
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+
+import attrs
+from returns.result import Failure
+
+from dragonflyramp import operators
+from dragonflyramp.tools import _reports as reports
+from dragonflyramp.tools._operator_flags import (
+    OperatorSettings,
+    parse_command_line,
+)
+from dragonflyramp.tools._operator_sessions import create_operator, open_pusher
+
+
+class _UsageError(Exception):
+    """Report a command that cannot be run as it was given."""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command and return the exit code."""
+    report = _report(sys.argv if argv is None else argv)
+    sys.stdout.buffer.write(report.output.encode())
+    sys.stdout.flush()
+    sys.stderr.write(''.join(f'{line}\n' for line in report.problems))
+    return report.exit_code
+
+
+def _report(argv: Sequence[str]) -> reports.Report:
+    parsed = parse_command_line(argv, os.environ)
+    if isinstance(parsed, Failure):
+        return reports.report_usage(parsed.failure())
+    line = parsed.unwrap()
+    try:
+        return asyncio.run(_run(line.settings, line.words))
+    except _UsageError as error:
+        return reports.report_usage(str(error))
+
+
+async def _run(
+    settings: OperatorSettings, words: tuple[str, ...]
+) -> reports.Report:
+    for name, command in _COMMANDS.items():
+        expected = tuple(name.split())
+        size = len(expected)
+        if words[:size] == expected:
+            command.check(settings, words[size:])
+            return await command.run(settings, words[-1])
+    commands = ', '.join(_COMMANDS)
+    raise _UsageError(f'the commands are: {commands}')
+
+
+@attrs.frozen
+class _Command:
+    """Hold what runs a command and what it needs."""
+
+    run: Callable[[OperatorSettings, str], Awaitable[reports.Report]]
+    argument: str = ''
+    required: tuple[str, ...] = ()
+
+    def check(self, settings: OperatorSettings, words: Sequence[str]) -> None:
+        """Raise unless the argument and the required flags are given."""
+        if len(words) != bool(self.argument):
+            expected = self.argument or 'no argument'
+            raise _UsageError(f'the command takes {expected}')
+        for name in self.required:
+            if not getattr(settings, name):
+                raise _UsageError(f'the command needs --{name}')
+
+
+async def _check(settings: OperatorSettings, path: str) -> reports.Report:
+    return reports.report_problems(operators.check(_read(path)))
+
+
+async def _push(settings: OperatorSettings, path: str) -> reports.Report:
+    request = operators.PushRequest(
+        text=_read(path),
+        note=settings.note,
+        base=settings.base,
+        released=frozenset(settings.release),
+    )
+    async with open_pusher(settings) as pusher:
+        operator = create_operator(settings)
+        outcome = await operators.push(pusher, operator, request)
+    return await _announce(settings, outcome)
+
+
+async def _show(settings: OperatorSettings, _: str) -> reports.Report:
+    async with open_pusher(settings) as pusher:
+        return reports.report_text(await operators.show(pusher.texts))
+
+
+async def _history(settings: OperatorSettings, _: str) -> reports.Report:
+    async with open_pusher(settings) as pusher:
+        return reports.report_history(await operators.history(pusher.texts))
+
+
+async def _zone_out(settings: OperatorSettings, name: str) -> reports.Report:
+    request = operators.HoldRequest(
+        name=name, reason=settings.reason, confirm_dark=settings.confirm_dark
+    )
+    async with open_pusher(settings) as pusher:
+        operator = create_operator(settings)
+        outcome = await operators.take_out(pusher, operator, request)
+    return await _announce(settings, outcome)
+
+
+async def _zone_in(settings: OperatorSettings, name: str) -> reports.Report:
+    async with open_pusher(settings) as pusher:
+        operator = create_operator(settings)
+        outcome = await operators.bring_in(pusher, operator, name)
+    return await _announce(settings, outcome)
+
+
+async def _status(settings: OperatorSettings, _: str) -> reports.Report:
+    async with operators.open_daemons(settings.timeout_seconds) as daemons:
+        answers = await operators.status(daemons, settings.daemons)
+    return reports.report_status(answers)
+
+
+async def _explain(settings: OperatorSettings, code: str) -> reports.Report:
+    return reports.report_explanation(operators.explain(code))
+
+
+_READING = ('platform',)
+_WRITING = ('platform', 'author')
+_COMMANDS: Mapping[str, _Command] = types.MappingProxyType(
+    {
+        'check': _Command(_check, 'FILE'),
+        'push': _Command(_push, 'FILE', _WRITING),
+        'show': _Command(_show, '', _READING),
+        'history': _Command(_history, '', _READING),
+        'zone out': _Command(_zone_out, 'NAME', (*_WRITING, 'reason')),
+        'zone in': _Command(_zone_in, 'NAME', _WRITING),
+        'status': _Command(_status, '', ('daemons',)),
+        'explain': _Command(_explain, 'CODE'),
+    }
+)
+
+
+async def _announce(
+    settings: OperatorSettings, outcome: operators.PushOutcome
+) -> reports.Report:
+    report = reports.report_push(outcome)
+    if not isinstance(outcome, operators.Accepted):
+        return report
+    async with operators.open_daemons(settings.timeout_seconds) as daemons:
+        answers = await operators.notify(daemons, settings.notify, outcome)
+    return report.followed_by(reports.report_notified(answers))
+
+
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise _UsageError(str(error)) from error
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,318 @@
+"""Test the operators' commands and the status interface of a daemon."""
+
+import asyncio
+import json
+import pathlib
+import random
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
+
+import attrs
+import pytest
+from aiohttp import ClientSession, web
+from returns.result import Failure, Success
+
+from dragonflyramp import operators
+from dragonflyramp.metrics import render
+from dragonflyramp.platform import VirtualMachine
+from dragonflyramp.results import ResultCode
+from dragonflyramp.tools.operator import main
+from tests.standins.fleets import fleet_of
+from tests.standins.platform import MemoryPlatform, encode_machine
+
+_EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples/forrozeira.toml'
+_TEXT = _EXAMPLE.read_bytes()
+_FLEET = fleet_of(operators.parse_text(_TEXT).unwrap())
+
+
+async def _no_pause(_: float) -> None:
+    await asyncio.sleep(0)
+
+
+def _pusher(platform: MemoryPlatform) -> operators.Pusher:
+    retries = operators.Retries(rng=random.Random(1), pause=_no_pause)
+    texts = operators.TextStore(store=platform, retries=retries)
+    return operators.Pusher(texts, platform)
+
+
+def _operator(author: str = 'ana') -> operators.Operator:
+    rng = random.Random(author)
+    return operators.Operator(
+        author=author,
+        now=lambda: '2026-12-04T10:00:00Z',
+        new_write_id=lambda: str(rng.random()),
+    )
+
+
+def _out(name: str, *, confirm_dark: bool = False) -> operators.HoldRequest:
+    return operators.HoldRequest(
+        name=name, reason='switch', confirm_dark=confirm_dark
+    )
+
+
+@pytest.fixture
+async def platform() -> MemoryPlatform:
+    """Start with the example stored as number 1."""
+    started = MemoryPlatform()
+    started.replace_machines(_FLEET)
+    request = operators.PushRequest(text=_TEXT)
+    outcome = await operators.push(_pusher(started), _operator(), request)
+    assert isinstance(outcome, operators.Accepted)
+    return started
+
+
+async def test_show_edit_push(platform: MemoryPlatform) -> None:
+    """The base line of `show` must carry the number to `push`."""
+    pusher = _pusher(platform)
+    shown = (await operators.show(pusher.texts)).unwrap()
+    assert shown == b'# base = 1\n%b' % _TEXT
+    edited = operators.PushRequest(text=b'%b# x\n' % shown, note='comment')
+    for expected in (operators.Accepted, operators.Refused):
+        outcome = await operators.push(pusher, _operator(), edited)
+        assert isinstance(outcome, expected)
+        edited = attrs.evolve(edited, text=b'%b# y\n' % shown)
+    entries = (await operators.history(pusher.texts)).unwrap()
+    assert [entry.note for entry in entries] == ['', 'comment']
+
+
+async def test_zone_out_and_in(platform: MemoryPlatform) -> None:
+    """A hold must come and go without touching the rest of the text."""
+    pusher = _pusher(platform)
+    out = await operators.take_out(pusher, _operator(), _out('recife'))
+    again = await operators.take_out(pusher, _operator(), _out('recife'))
+    assert isinstance(out, operators.Accepted)
+    assert [hold.name for hold in out.root.holds] == ['recife']
+    assert again == operators.Accepted(root=out.root, is_changed=False)
+    back = await operators.bring_in(pusher, _operator(), 'recife')
+    assert isinstance(back, operators.Accepted)
+    assert (await pusher.texts.read_text()).unwrap().text == _TEXT
+
+
+@pytest.mark.parametrize(
+    ('hold_request', 'vms', 'code'),
+    [
+        (_out('recif'), _FLEET, ResultCode.unknown_name),
+        (_out('venue-link-0'), _FLEET, None),
+        (_out('recife'), _FLEET[:1], ResultCode.hold_leaves_shard_dark),
+        (_out('recife', confirm_dark=True), _FLEET[:1], None),
+        (_out('recife'), None, ResultCode.platform_down),
+        (_out('recife', confirm_dark=True), None, None),
+        (_out('venue-link-0'), None, ResultCode.platform_down),
+    ],
+)
+async def test_zone_out_checks(
+    platform: MemoryPlatform,
+    hold_request: operators.HoldRequest,
+    vms: tuple[VirtualMachine, ...] | None,
+    code: ResultCode | None,
+) -> None:
+    """A hold that would do nothing, or too much, must be refused."""
+    platform.change_faults(vms_down=vms is None)
+    platform.replace_machines(vms or ())
+    outcome = await operators.take_out(
+        _pusher(platform), _operator(), hold_request
+    )
+    assert isinstance(outcome, operators.Refused) == bool(code)
+    if isinstance(outcome, operators.Refused):
+        assert [problem.code for problem in outcome.problems] == [code]
+
+
+async def test_zones_survive_races(platform: MemoryPlatform) -> None:
+    """A hold must not be lost or refused when others change the text."""
+    pusher = _pusher(platform)
+    push = operators.PushRequest(text=b'%b# x\n' % _TEXT, base=1)
+    outcomes = await asyncio.gather(
+        operators.take_out(pusher, _operator('ana'), _out('recife')),
+        operators.take_out(pusher, _operator('rui'), _out('contract-office-1')),
+        operators.take_out(pusher, _operator('eva'), _out('recife')),
+        operators.push(pusher, _operator('leo'), push),
+    )
+    assert all(isinstance(one, operators.Accepted) for one in outcomes[:3])
+    root = (await pusher.texts.read_root()).unwrap().root
+    assert root
+    assert [hold.name for hold in root.holds] == ['contract-office-1', 'recife']
+
+
+async def test_zone_out_with_a_lost_reply(platform: MemoryPlatform) -> None:
+    """A lost reply must not add a hold twice or report a failure."""
+    platform.change_faults(lost_replies=1, lost_prefix='texts/')
+    outcome = await operators.take_out(
+        _pusher(platform), _operator(), _out('natal')
+    )
+    assert isinstance(outcome, operators.Accepted)
+    assert outcome.root.number == 2
+
+
+async def test_zone_in_without_a_table(platform: MemoryPlatform) -> None:
+    """A hold that is missing or written inline must not end in a guess."""
+    pusher = _pusher(platform)
+    for text in (_TEXT, _inline_hold()):
+        request = operators.PushRequest(text=text, base=1)
+        await operators.push(pusher, _operator(), request)
+        outcome = await operators.bring_in(pusher, _operator(), 'natal')
+        assert isinstance(outcome, operators.Refused)
+        assert outcome.has_code(ResultCode.unknown_name)
+
+
+def _inline_hold() -> bytes:
+    keys = 'kind="failure_domain", by="a", at="2026-12-04", reason="x"'
+    return f'{_TEXT.decode()}[holds]\nnatal = {{ {keys} }}\n'.encode()
+
+
+@attrs.define
+class _Daemon:
+    """Take offers as a daemon does."""
+
+    readiness: ResultCode = ResultCode.isolated
+    offers: list[operators.Offer] = attrs.field(factory=list)
+
+    def view(self) -> operators.DaemonView:
+        return operators.DaemonView(
+            status=lambda: {'number': len(self.offers)},
+            readiness=lambda: self.readiness,
+            offer=self.take,
+            metrics=render,
+        )
+
+    async def take(self, offer: operators.Offer) -> operators.OfferReply:
+        self.offers.append(offer)
+        return operators.OfferReply(ResultCode.ok, offer.root.number)
+
+
+@pytest.fixture
+async def daemon_address() -> AsyncIterator[str]:
+    """Serve the status interface of a daemon."""
+    app = operators.status_application(_Daemon().view())
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    host, port = runner.addresses[0][:2]
+    yield f'{host}:{port}'
+    await runner.cleanup()
+
+
+async def test_notify_and_status(
+    platform: MemoryPlatform, daemon_address: str
+) -> None:
+    """An accepted change must reach daemons while the platform is away."""
+    outcome = await operators.take_out(
+        _pusher(platform), _operator(), _out('natal')
+    )
+    assert isinstance(outcome, operators.Accepted)
+    addresses = (daemon_address, '127.0.0.1:1')
+    async with operators.open_daemons(5) as daemons:
+        told = await operators.notify(daemons, addresses, outcome)
+        seen = await operators.status(daemons, addresses)
+    lost = Failure(ResultCode.daemon_unreachable)
+    reply = operators.OfferReply(ResultCode.ok, 2)
+    assert [one.outcome for one in told] == [Success(reply), lost]
+    assert [one.outcome for one in seen] == [Success({'number': 1}), lost]
+
+
+@pytest.mark.parametrize(
+    ('path', 'body', 'status', 'expected'),
+    [
+        ('/healthz', None, 200, 'ok'),
+        ('/readyz', None, 503, 'isolated'),
+        ('/metrics', None, 200, ''),
+        ('/offer', b'{', 400, 'bad_message'),
+        ('/offer', b'{"root": 1, "parts": {}}', 400, 'bad_message'),
+        ('/offer', bytes(5_000_000), 413, ''),
+    ],
+)
+async def test_status_interface(
+    daemon_address: str,
+    path: str,
+    body: bytes | None,
+    status: int,
+    expected: str,
+) -> None:
+    """A malformed offer must get a code and leave the daemon running."""
+    method = 'GET' if body is None else 'POST'
+    url = f'http://{daemon_address}{path}'
+    async with ClientSession() as session:
+        async with session.request(method, url, data=body) as reply:
+            assert reply.status == status
+            assert expected in await reply.text()
+
+
+@pytest.fixture
+def address() -> Iterator[str]:
+    """Run the stand-in of the platform as a process."""
+    with subprocess.Popen(
+        (sys.executable, '-m', 'tests.standins.platform'),
+        stdout=subprocess.PIPE,
+    ) as process:
+        assert process.stdout
+        yield json.loads(process.stdout.readline())['address']
+        process.kill()
+
+
+async def _fill(address: str) -> None:
+    url = f'http://{address}/control'
+    order = {'vms': list(map(encode_machine, _FLEET))}
+    async with ClientSession() as session:
+        await session.post(url, json=order)
+
+
+def test_command_line(
+    address: str,
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """The exit code must tell accepted, refused and unknown apart."""
+    asyncio.run(_fill(address))
+    monkeypatch.setenv('DRAGONFLYRAMP_PLATFORM', address)
+    monkeypatch.setenv('DRAGONFLYRAMP_AUTHOR', 'ana')
+    old = tmp_path / 'old.toml'
+    steps = (
+        ('show', 1, '502 object_missing'),
+        (f'push {_EXAMPLE}', 0, 'accepted: number 1'),
+        ('show', 0, '# base = 1\n# Forro'),
+        ('zone out recife --reason=fire', 0, 'accepted: number 2'),
+        (f'push {old}', 1, '408 stale_base: the text was edited from 1'),
+        (f'push {old} --base=2', 1, '409 hold_protected: set by ana'),
+        (f'push {old} --base=2 --release=recife', 0, 'number 3'),
+        ('zone in recife', 1, 'recife: 404 unknown_name'),
+        ('history', 0, 'ana zone out recife\n1 '),
+        ('show --platform=127.0.0.1:1', 3, '500 platform_down'),
+    )
+    for words, exit_code, expected in steps:
+        assert main(['dragonflyramp', *words.split()]) == exit_code
+        captured = capfd.readouterr()
+        assert expected in captured.out + captured.err
+        if words == 'show' and not exit_code:
+            old.write_text(f'{captured.out}# old\n')
+
+
+@pytest.mark.parametrize(
+    ('words', 'exit_code', 'expected'),
+    [
+        ('check examples/forrozeira.toml', 0, ''),
+        ('check missing.toml', 2, 'No such file'),
+        ('check', 2, 'the command takes FILE'),
+        ('zone', 2, 'the commands are: check, push'),
+        ('zone out recife --author=a', 2, 'needs --platform'),
+        ('status --daemons=host:1', 2, 'host:1 is no address'),
+        ('status --daemons=127.0.0.1:1', 3, '506 daemon_unreachable'),
+        ('show --odd', 2, 'odd'),
+        ('push x --base=-1', 2, '--base'),
+        ('explain 406', 0, '406 slots_over_connections (not run, HTTP 400)'),
+        ('explain 999', 2, 'no such result code'),
+    ],
+)
+def test_usage(
+    words: str,
+    exit_code: int,
+    expected: str,
+    monkeypatch: pytest.MonkeyPatch,
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """A mistyped command must end with one line and exit code 2."""
+    monkeypatch.chdir(_EXAMPLE.parent.parent)
+    assert main(['dragonflyramp', *words.split()]) == exit_code
+    captured = capfd.readouterr()
+    assert expected in captured.out + captured.err
+    assert captured.err.count('\n') == bool(exit_code)
