--- /dev/null
+++ b/dragonflyramp/callers/_http.py
@@ -0,0 +1,195 @@
+"""Encode the callers' HTTP protocol; all decisions are in the front."""
+
+import asyncio
+import json
+import secrets
+from collections.abc import Awaitable, Callable, Mapping
+from http import HTTPStatus
+
+import attrs
+from aiohttp import web
+from loguru import logger
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from dragonflyramp import metrics
+from dragonflyramp.callers._fronts import Front
+from dragonflyramp.callers._hits import refuse_constant
+from dragonflyramp.callers._requests import (
+    Coverage,
+    Refusal,
+    SearchAnswer,
+    SearchRequest,
+)
+from dragonflyramp.results import ResultCode
+
+_MAX_ID_LENGTH = 200
+#: More digits are no deadline; the service's own bound is far below.
+_MAX_DEADLINE_DIGITS = 12
+_REQUEST_ID_BYTES = 16
+
+_Endpoint = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def create_runner(front: Front) -> web.AppRunner:
+    """Create the HTTP server; a caller that goes away cancels its search."""
+    return web.AppRunner(
+        create_application(front), handler_cancellation=True, access_log=None
+    )
+
+
+def create_application(front: Front) -> web.Application:
+    """Create the application for a runner with handler cancellation."""
+    handlers = _Handlers(front)
+    application = web.Application(
+        middlewares=[_answer_errors],
+        client_max_size=front.parts.settings.max_body_bytes,
+    )
+    application.add_routes(
+        [
+            web.post('/search/{service}', handlers.search),
+            web.get('/healthz', handlers.healthz),
+            web.get('/readyz', handlers.readyz),
+            web.get('/metrics', handlers.metrics),
+        ]
+    )
+    return application
+
+
+@attrs.frozen
+class _Handlers:
+    front: Front
+
+    async def search(self, request: web.Request) -> web.Response:
+        """Run one search in the task of the connection."""
+        request_id = _request_id(request)
+        received_seconds = self.front.parts.clock()
+        read = await _read_request(request)
+        if not is_successful(read):
+            return _malformed(read.failure(), request_id)
+        message = read.unwrap()
+        found = await self.front.search(
+            SearchRequest(
+                request_id=request_id,
+                service=request.match_info['service'],
+                body=message.body,
+                deadline_ms=message.deadline_ms,
+                received_seconds=received_seconds,
+            )
+        )
+        if is_successful(found):
+            return web.json_response(_search_json(found.unwrap()))
+        return _refused(found.failure(), request_id)
+
+    async def healthz(self, request: web.Request) -> web.Response:
+        """Tell that the process serves."""
+        return web.Response(text='ok\n')
+
+    async def readyz(self, request: web.Request) -> web.Response:
+        """Tell a load balancer whether to send requests."""
+        if self.front.is_ready(self.front.parts.clock()):
+            return web.Response(text='ready\n')
+        return web.Response(
+            text='not ready\n', status=HTTPStatus.SERVICE_UNAVAILABLE
+        )
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Print all counters for Prometheus."""
+        return web.Response(
+            body=metrics.render(), content_type='text/plain', charset='utf-8'
+        )
+
+
+@attrs.frozen
+class _Message:
+    deadline_ms: int
+    body: bytes
+
+
+@web.middleware
+async def _answer_errors(
+    request: web.Request,
+    handler: _Endpoint,  # noqa: WPS110 - aiohttp passes it by this name
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except web.HTTPException:
+        raise
+    except Exception:
+        logger.exception('the request to {} failed', request.path)
+        return _malformed(ResultCode.internal_error, _request_id(request))
+
+
+async def _read_request(request: web.Request) -> Result[_Message, ResultCode]:
+    digits = request.headers.get('X-Deadline-Ms', '')
+    is_number = digits.isascii() and digits.isdecimal()
+    if not is_number or len(digits) > _MAX_DEADLINE_DIGITS:
+        return Failure(ResultCode.bad_deadline)
+    deadline_ms = int(digits)
+    try:
+        async with asyncio.timeout(deadline_ms / 1000):
+            body = await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        return Failure(ResultCode.body_too_large)
+    except (TimeoutError, web.RequestPayloadError):
+        return Failure(ResultCode.bad_request)
+    if _is_json(body):
+        return Success(_Message(deadline_ms, body))
+    return Failure(ResultCode.bad_request)
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body, parse_constant=refuse_constant)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
+def _request_id(request: web.Request) -> str:
+    given = request.headers.get('X-Request-Id', '')
+    return given if _is_id(given) else secrets.token_hex(_REQUEST_ID_BYTES)
+
+
+def _is_id(text: str) -> bool:
+    return 0 < len(text) <= _MAX_ID_LENGTH and text.isprintable()
+
+
+def _malformed(code: ResultCode, request_id: str) -> web.Response:
+    metrics.counters.add('refusals', code.name)
+    return _refused(Refusal(code), request_id)
+
+
+def _refused(refusal: Refusal, request_id: str) -> web.Response:
+    meaning = refusal.code.meaning
+    return web.json_response(
+        {
+            'code': refusal.code.value,
+            'name': refusal.code.name,
+            'sentence': meaning.sentence,
+            'run': refusal.run.value,
+            'request_id': request_id,
+        },
+        status=meaning.http_status,
+    )
+
+
+def _search_json(answer: SearchAnswer) -> Mapping[str, object]:
+    return {
+        'request_id': answer.request_id,
+        'snapshot': answer.snapshot_id,
+        'hits': [hit.fields for hit in answer.hits],
+        'coverage': _coverage_json(answer.coverage),
+    }
+
+
+def _coverage_json(coverage: Coverage) -> Mapping[str, object]:
+    return {
+        'merged': coverage.merged,
+        'total': coverage.total,
+        'fraction': coverage.fraction,
+        'missing': [
+            {'shard': missing.shard, 'code': missing.code.value}
+            for missing in coverage.missing
+        ],
+    }
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -36,6 +36,7 @@
     body_too_large = 103
     missing_idempotency_key = 104
     not_a_shard = 105
+    key_reused = 106
 
     not_ready = 200
     no_configuration = 201
@@ -53,6 +54,8 @@
     claims_full = 213
     quarantined = 214
     not_owner = 215
+    canary_incomplete = 216
+    front_full = 217
 
     deadline_exceeded = 300
     snapshot_gone = 301
@@ -130,6 +133,10 @@
             HTTPStatus.BAD_REQUEST,
             'A submit goes to a service that depends on no other.',
         ),
+        ResultCode.key_reused: _not_run(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            'The Idempotency-Key was used with another body.',
+        ),
         ResultCode.not_ready: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE, 'The daemon is not ready.'
         ),
@@ -188,6 +195,14 @@
         ResultCode.not_owner: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE, 'The relay does not hold the slice.'
         ),
+        ResultCode.canary_incomplete: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The shard was not asked because no canary completed.',
+        ),
+        ResultCode.front_full: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The front runs as many requests as it may.',
+        ),
         ResultCode.deadline_exceeded: _unknown(
             HTTPStatus.GATEWAY_TIMEOUT, 'No answer came before the deadline.'
         ),
