--- a/dragonflyramp/callers/_searches.py
+++ b/dragonflyramp/callers/_searches.py
@@ -101,7 +101,8 @@
         reversed(rounds), key=lambda round_: round_.gather.documents.merged
     )
     for shard in best.waiting:
-        best.gather.codes.setdefault(shard, ResultCode.canary_incomplete)
+        if shard not in best.asked:
+            best.gather.codes.setdefault(shard, ResultCode.canary_incomplete)
     gathered = best.gather.close()
     is_whole = not gathered.coverage.missing
     counters.add('answers', 'complete' if is_whole else 'partial')
--- a/tests/standins/front_fakes.py
+++ b/tests/standins/front_fakes.py
@@ -73,6 +73,11 @@
         return self.isolated
 
 
+def desk_source(shards: int, desk: Service = DESK) -> FakeSource:
+    """Give the configuration of one searched service."""
+    return FakeSource(configuration(shards, desk))
+
+
 @attrs.frozen(kw_only=True)
 class Reply:
     """Script a relay's answer to one attempt."""
@@ -94,6 +99,7 @@
     attempt_id: str
 
 
+Shards = tuple[str, ...]
 Sent = tuple[str, Query]
 Inbox = asyncio.Queue[RelayEvent]
 #: Decides the answer to an attempt; None stays silent.
@@ -154,7 +160,7 @@
         """Give the scripted outcome."""
         raise NotImplementedError
 
-    def asked(self) -> list[tuple[str, tuple[str, ...]]]:
+    def asked(self) -> list[tuple[str, Shards]]:
         """List each message's relay and shards."""
         return [
             (relay_id, tuple(one.shard for one in query.attempts))
@@ -179,7 +185,9 @@
     if reply.loses_relay:
         return RelayLost(asked.relay_id)
     query = asked.query
-    hits = [{'id': asked.shard, 'score': reply.score}]
+    hits = [
+        {'snapshot': query.snapshot_id, 'id': asked.shard, 'score': reply.score}
+    ]
     body = {'snapshot': query.snapshot_id, 'documents': 10, 'hits': hits}
     return Part(
         query_id=query.query_id,
