callers: submits with idempotency claims over the object API

Claims of one bucket share one conditional update. A write whose reply is lost is settled by reading back; a claim that was given up is fenced off by a later write and freed in the background.

--- a/dragonflyramp/callers/_background.py
+++ b/dragonflyramp/callers/_background.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+from loguru import logger
 
 
 @attrs.define(eq=False)
@@ -22,5 +23,9 @@
 
     async def wait_idle(self, timeout_seconds: float) -> None:
         """Wait until all tasks ended, or the timeout."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=timeout_seconds)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                while self._tasks:
+                    await asyncio.wait(self._tasks)
+        except TimeoutError:
+            logger.warning('{} tasks did not end in time', len(self._tasks))
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -1,19 +1,26 @@
 """Accept the requests of callers, from any front end."""
 
 import asyncio
+import contextlib
 
 from loguru import logger
 from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from dragonflyramp.callers._admission import Admission, Stopping
 from dragonflyramp.callers._background import BackgroundTasks
-from dragonflyramp.callers._parts import FrontParts, compose_searches
+from dragonflyramp.callers._checks import RequestChecks
+from dragonflyramp.callers._parts import (
+    FrontParts,
+    compose_searches,
+    compose_submits,
+)
 from dragonflyramp.callers._quarantine import Quarantine
 from dragonflyramp.callers._requests import (
     Refusal,
     SearchAnswer,
     SearchRequest,
+    SubmitAnswer,
     SubmitRequest,
 )
 from dragonflyramp.callers._suspects import Suspects
@@ -31,31 +38,47 @@
         self.parts = parts
         self.quarantine = Quarantine(settings.quarantine)
         self._stopping = Stopping(settings.notice_seconds)
+        self._checks = RequestChecks(parts.source, parts.clock)
         self._background = BackgroundTasks()
-        self._searches = compose_searches(
-            parts, Suspects(self.quarantine), self._background
-        )
+        suspects = Suspects(self.quarantine)
+        self._searches = compose_searches(parts, suspects, self._background)
+        self._submits = compose_submits(parts, suspects, self._background)
         self._search_admission = Admission(
             settings.max_searches, self._stopping
         )
+        self._submit_admission = Admission(settings.max_submits, self._stopping)
 
     async def search(
         self, request: SearchRequest
     ) -> Result[SearchAnswer, Refusal]:
         """Run one search; cancelling the call cancels the search."""
-        admitted = self._admit(request, self._search_admission)
-        if not is_successful(admitted):
-            return _refuse(admitted.failure())
-        service = admitted.unwrap()
+        checked = self._checks.check(request, self._search_admission)
+        if not is_successful(checked):
+            return _refuse(checked.failure())
+        service = checked.unwrap()
         with self._search_admission.enter():
             found = await self._searches.search(request, service)
         return found.lash(_count)
 
+    async def submit(
+        self, request: SubmitRequest
+    ) -> Result[SubmitAnswer, Refusal]:
+        """Run one submit; it goes on to its end if the call is cancelled."""
+        checked = self._checks.check_submit(request, self._submit_admission)
+        if not is_successful(checked):
+            return _refuse(checked.failure())
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._submit_admission.enter())
+            running = self._run_submit(
+                request, checked.unwrap(), stack.pop_all()
+            )
+        return await asyncio.shield(self._background.start(running))
+
     def is_ready(self, now_seconds: float) -> bool:
         """Tell whether a load balancer should send requests here."""
         return (
             not self._stopping.is_announced()
-            and self._unready_code(now_seconds) is None
+            and self._checks.unready(now_seconds) is None
             and bool(self.parts.links.reports())
         )
 
@@ -67,30 +90,21 @@
             left = self._stopping.refuses_from() - self.parts.clock()
             await asyncio.sleep(left)
         await self._search_admission.wait_idle()
+        # Submits, the recording of their outcomes, and cancellations.
+        await self._background.wait_idle(
+            self.parts.settings.claims.settle_seconds
+        )
         logger.info('drained: no request is in flight')
 
-    def _admit(
-        self, request: SearchRequest | SubmitRequest, admission: Admission
-    ) -> Result[Service, ResultCode]:
-        now_seconds = self.parts.clock()
-        code = admission.refusal(now_seconds)
-        code = code or self._unready_code(now_seconds)
-        if code:
-            return Failure(code)
-        configuration = self.parts.source.current
-        service = configuration and configuration.services.get(request.service)
-        if not service:
-            return Failure(ResultCode.unknown_service)
-        if request.deadline_ms < 1:
-            return Failure(ResultCode.bad_deadline)
-        return Success(service)
-
-    def _unready_code(self, now_seconds: float) -> ResultCode | None:
-        if self.parts.source.current is None:
-            return ResultCode.no_configuration
-        if self.parts.source.is_isolated(now_seconds):
-            return ResultCode.isolated
-        return None
+    async def _run_submit(
+        self,
+        request: SubmitRequest,
+        service: Service,
+        entered: contextlib.ExitStack,
+    ) -> Result[SubmitAnswer, Refusal]:
+        with entered:
+            found = await self._submits.submit(request, service)
+        return found.lash(_count)
 
 
 def _refuse(code: ResultCode) -> Failure[Refusal]:
--- a/dragonflyramp/callers/_http.py
+++ b/dragonflyramp/callers/_http.py
@@ -20,6 +20,8 @@
     Refusal,
     SearchAnswer,
     SearchRequest,
+    SubmitAnswer,
+    SubmitRequest,
 )
 from dragonflyramp.results import ResultCode
 
@@ -48,6 +50,7 @@
     application.add_routes(
         [
             web.post('/search/{service}', handlers.search),
+            web.post('/submit/{service}', handlers.submit),
             web.get('/healthz', handlers.healthz),
             web.get('/readyz', handlers.readyz),
             web.get('/metrics', handlers.metrics),
@@ -81,6 +84,29 @@
             return web.json_response(_search_json(found.unwrap()))
         return _refused(found.failure(), request_id)
 
+    async def submit(self, request: web.Request) -> web.Response:
+        """Run one submit; it goes on if the caller goes away."""
+        request_id = _request_id(request)
+        received_seconds = self.front.parts.clock()
+        read = await _read_request(request)
+        if not is_successful(read):
+            return _malformed(read.failure(), request_id)
+        message = read.unwrap()
+        key = request.headers.get('Idempotency-Key', '')
+        found = await self.front.submit(
+            SubmitRequest(
+                request_id=request_id,
+                service=request.match_info['service'],
+                body=message.body,
+                deadline_ms=message.deadline_ms,
+                received_seconds=received_seconds,
+                idempotency_key=key if _is_id(key) else '',
+            )
+        )
+        if is_successful(found):
+            return web.json_response(_submit_json(found.unwrap()))
+        return _refused(found.failure(), request_id)
+
     async def healthz(self, request: web.Request) -> web.Response:
         """Tell that the process serves."""
         return web.Response(text='ok\n')
@@ -183,6 +209,22 @@
     }
 
 
+def _submit_json(answer: SubmitAnswer) -> Mapping[str, object]:
+    return {
+        'request_id': answer.request_id,
+        'replayed': answer.code is ResultCode.outcome_replayed,
+        'outcome': _outcome_json(answer.body),
+    }
+
+
+def _outcome_json(body: bytes) -> object:
+    """Decode a backend server's reply; one that is not JSON stays text."""
+    try:
+        return json.loads(body, parse_constant=refuse_constant)
+    except (ValueError, RecursionError):
+        return body.decode(errors='replace')
+
+
 def _coverage_json(coverage: Coverage) -> Mapping[str, object]:
     return {
         'merged': coverage.merged,
--- a/dragonflyramp/callers/_parts.py
+++ b/dragonflyramp/callers/_parts.py
@@ -7,6 +7,8 @@
 import attrs
 
 from dragonflyramp.callers._background import BackgroundTasks
+from dragonflyramp.callers._claim_buckets import ClaimClocks
+from dragonflyramp.callers._claims import Claims
 from dragonflyramp.callers._dispatch import Dispatcher
 from dragonflyramp.callers._endings import Endings
 from dragonflyramp.callers._exchanges import Exchange
@@ -16,6 +18,7 @@
 from dragonflyramp.callers._policies import FrontPolicies
 from dragonflyramp.callers._searches import Searches
 from dragonflyramp.callers._settings import FrontSettings
+from dragonflyramp.callers._submits import Submits
 from dragonflyramp.callers._suspects import Suspects
 from dragonflyramp.members import ConfigurationSource, RelayLinks
 from dragonflyramp.platform import ObjectStore
@@ -38,6 +41,29 @@
     unix_clock: Callable[[], float] = time.time
 
 
+def compose_submits(
+    parts: FrontParts, suspects: Suspects, background: BackgroundTasks
+) -> Submits:
+    """Build the submit path of a front."""
+    clocks = ClaimClocks(
+        clock=parts.clock, unix_clock=parts.unix_clock, rng=parts.rng
+    )
+    return Submits(
+        links=parts.links,
+        planner=Planner(parts.links, parts.source),
+        suspects=suspects,
+        claims=Claims(
+            store=parts.store,
+            settings=parts.settings.claims,
+            clocks=clocks,
+            background=background,
+        ),
+        settings=parts.settings.deadlines,
+        clock=parts.clock,
+        rng=parts.rng,
+    )
+
+
 def compose_searches(
     parts: FrontParts, suspects: Suspects, background: BackgroundTasks
 ) -> Searches:
--- a/tests/standins/front_fakes.py
+++ b/tests/standins/front_fakes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 
@@ -111,6 +111,16 @@
     return Reply()
 
 
+OnSubmit = Callable[[Submit], Awaitable[SubmitOutcome]]
+
+
+async def run_submit(submit: Submit) -> SubmitOutcome:
+    """Run a submit at once."""
+    return SubmitOutcome(
+        submit_id=submit.submit_id, code=ResultCode.ok, body=b'{"booked": 1}'
+    )
+
+
 @attrs.define(eq=False)
 class FakeRelays:
     """Stand in for the links to relays; every relay serves every slice."""
@@ -120,6 +130,7 @@
     unreachable: set[str] = attrs.field(factory=set)
     inboxes: dict[str, Inbox] = attrs.field(factory=dict)
     queries: list[Sent] = attrs.field(factory=list)
+    on_submit: OnSubmit = run_submit
     cancelled: list[tuple[str, str]] = attrs.field(factory=list)
 
     def candidates(self, slice_id: SliceId) -> tuple[MemberId, ...]:
@@ -158,7 +169,7 @@
         self, relay_id: MemberId, submit: Submit
     ) -> SubmitOutcome:
         """Give the scripted outcome."""
-        raise NotImplementedError
+        return await self.on_submit(submit)
 
     def asked(self) -> list[tuple[str, Shards]]:
         """List each message's relay and shards."""
--- a/tests/standins/object_stores.py
+++ b/tests/standins/object_stores.py
@@ -53,6 +53,8 @@
     """Describe what happens to one call."""
 
     delay_ms: float = 0
+    #: How long the process is paused when the call begins.
+    pause_ms: float = 0
     is_reply_lost: bool = False
     #: When a write whose reply is lost takes effect; None is never.
     effect_ms: float | None = 0
