--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -21,9 +21,9 @@
 from dragonflyramp.callers._suspicions import Exposure
 from dragonflyramp.models import Service
 from dragonflyramp.results import ResultCode, RunState
+from tests.standins.front_cases import ALL, CANARY, Case, codes
 from tests.standins.front_fakes import DESK, Asked, Reply, Shards
 from tests.standins.virtual_time import run_virtual
-from tests.test_searches import ALL, CANARY, Case, codes
 
 QUARANTINED = ResultCode.quarantined
 
