callers: decode JSON with one strict decoder, bound body and stop waits

A search compared all reports once for every shard, and each part built a JSON decoder. Outcome bodies that are too large to record are dropped before they wait, and an unexpected failure of a send still settles its claim.

--- a/dragonflyramp/callers/_claim_steps.py
+++ b/dragonflyramp/callers/_claim_steps.py
@@ -65,7 +65,8 @@
     token: str
     until_seconds: float
     code: ResultCode = ResultCode.ok
-    body: bytes = b''
+    #: None when the body is too large to be kept.
+    body: bytes | None = b''
     unsettled_version: int | None = None
     reply: asyncio.Future[ClaimReply] = attrs.field(
         factory=lambda: asyncio.get_running_loop().create_future()
@@ -165,12 +166,11 @@
     operation: Operation, ledger: Ledger, state: ClaimState
 ) -> ClaimRecord:
     is_kept = state is ClaimState.done and operation.code is ResultCode.ok
-    is_small = len(operation.body) <= ledger.settings.max_outcome_bytes
     return ClaimRecord(
         key=operation.key,
         state=state,
         token=operation.token,
         claimed_unix_seconds=int(ledger.now_unix_seconds),
         code=operation.code,
-        body=operation.body if is_kept and is_small else None,
+        body=operation.body if is_kept else None,
     )
--- a/dragonflyramp/callers/_claims.py
+++ b/dragonflyramp/callers/_claims.py
@@ -70,6 +70,7 @@
         whether it is done; it is retried in the background for
         settle_seconds.
         """
+        is_kept = len(outcome.body) <= self.settings.max_outcome_bytes
         was_run = outcome.code.meaning.run is not RunState.not_run
         operation = Operation(
             step=Step.record if was_run else Step.release,
@@ -77,7 +78,7 @@
             token=token,
             until_seconds=self._settle_until(),
             code=outcome.code,
-            body=outcome.body,
+            body=outcome.body if is_kept else None,
         )
         self._enqueue(operation)
         left_seconds = max(0, until_seconds - self.clocks.clock())
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -90,9 +90,9 @@
             left = self._stopping.refuses_from() - self.parts.clock()
             await asyncio.sleep(left)
         await self._search_admission.wait_idle()
-        # Submits, the recording of their outcomes, and cancellations.
+        await self._submit_admission.wait_idle()
         await self._background.wait_idle(
-            self.parts.settings.claims.settle_seconds
+            self.parts.settings.settle_notice_seconds
         )
         logger.info('drained: no request is in flight')
 
--- a/dragonflyramp/callers/_hits.py
+++ b/dragonflyramp/callers/_hits.py
@@ -1,12 +1,12 @@
 """Read the hits of a backend server's reply and merge those of all."""
 
 import itertools
-import json
 import math
 from collections.abc import Iterable
 
 from returns.result import Failure, Result, Success
 
+from dragonflyramp.callers._json_values import decode_json
 from dragonflyramp.callers._requests import Hit
 from dragonflyramp.results import ResultCode
 
@@ -21,7 +21,7 @@
     """
     try:
         return Success(_read_hits(body, snapshot_id))
-    except (ValueError, RecursionError):
+    except ValueError:
         return Failure(ResultCode.bad_reply)
 
 
@@ -31,13 +31,8 @@
     return tuple(sorted(hits, key=lambda hit: -hit.score))
 
 
-def refuse_constant(name: str) -> float:
-    """Refuse NaN and the infinities, which are not JSON."""
-    raise ValueError(f'{name} is not JSON')
-
-
 def _read_hits(body: bytes, snapshot_id: str) -> tuple[Hit, ...]:
-    reply = json.loads(body, parse_constant=refuse_constant)
+    reply = decode_json(body)
     if not isinstance(reply, dict):
         raise ValueError('the reply is not a JSON object')
     if reply.get('snapshot', snapshot_id) != snapshot_id:
--- a/dragonflyramp/callers/_http.py
+++ b/dragonflyramp/callers/_http.py
@@ -1,7 +1,6 @@
 """Encode the callers' HTTP protocol; all decisions are in the front."""
 
 import asyncio
-import json
 import secrets
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
@@ -14,7 +13,7 @@
 
 from dragonflyramp import metrics
 from dragonflyramp.callers._fronts import Front
-from dragonflyramp.callers._hits import refuse_constant
+from dragonflyramp.callers._json_values import decode_json
 from dragonflyramp.callers._requests import (
     Coverage,
     Refusal,
@@ -42,10 +41,11 @@
 
 def create_application(front: Front) -> web.Application:
     """Create the application for a runner with handler cancellation."""
-    handlers = _Handlers(front)
+    settings = front.parts.settings
+    handlers = _Handlers(front, settings.body_timeout_seconds)
     application = web.Application(
         middlewares=[_answer_errors],
-        client_max_size=front.parts.settings.max_body_bytes,
+        client_max_size=settings.max_body_bytes,
     )
     application.add_routes(
         [
@@ -62,12 +62,13 @@
 @attrs.frozen
 class _Handlers:
     front: Front
+    body_timeout_seconds: float
 
     async def search(self, request: web.Request) -> web.Response:
         """Run one search in the task of the connection."""
         request_id = _request_id(request)
         received_seconds = self.front.parts.clock()
-        read = await _read_request(request)
+        read = await _read_request(request, self.body_timeout_seconds)
         if not is_successful(read):
             return _malformed(read.failure(), request_id)
         message = read.unwrap()
@@ -88,7 +89,7 @@
         """Run one submit; it goes on if the caller goes away."""
         request_id = _request_id(request)
         received_seconds = self.front.parts.clock()
-        read = await _read_request(request)
+        read = await _read_request(request, self.body_timeout_seconds)
         if not is_successful(read):
             return _malformed(read.failure(), request_id)
         message = read.unwrap()
@@ -146,14 +147,16 @@
         return _malformed(ResultCode.internal_error, _request_id(request))
 
 
-async def _read_request(request: web.Request) -> Result[_Message, ResultCode]:
+async def _read_request(
+    request: web.Request, timeout_seconds: float
+) -> Result[_Message, ResultCode]:
     digits = request.headers.get('X-Deadline-Ms', '')
     is_number = digits.isascii() and digits.isdecimal()
     if not is_number or len(digits) > _MAX_DEADLINE_DIGITS:
         return Failure(ResultCode.bad_deadline)
     deadline_ms = int(digits)
     try:
-        async with asyncio.timeout(deadline_ms / 1000):
+        async with asyncio.timeout(min(deadline_ms / 1000, timeout_seconds)):
             body = await request.read()
     except web.HTTPRequestEntityTooLarge:
         return Failure(ResultCode.body_too_large)
@@ -166,8 +169,8 @@
 
 def _is_json(body: bytes) -> bool:
     try:
-        json.loads(body, parse_constant=refuse_constant)
-    except (ValueError, RecursionError):
+        decode_json(body)
+    except ValueError:
         return False
     return True
 
@@ -220,8 +223,8 @@
 def _outcome_json(body: bytes) -> object:
     """Decode a backend server's reply; one that is not JSON stays text."""
     try:
-        return json.loads(body, parse_constant=refuse_constant)
-    except (ValueError, RecursionError):
+        return decode_json(body)
+    except ValueError:
         return body.decode(errors='replace')
 
 
--- a/dragonflyramp/callers/_outcomes.py
+++ b/dragonflyramp/callers/_outcomes.py
@@ -26,6 +26,9 @@
     )
 )
 
+#: No replica holds the snapshot any more, as far as the relay knows.
+_GONE = frozenset((ResultCode.snapshot_gone, ResultCode.no_replica))
+
 #: The backend server ran the request to its end and is alive.
 _COMPLETED = frozenset(
     (
@@ -104,7 +107,7 @@
 def _follow_up(round_: Round, shard: str, code: ResultCode) -> None:
     if code is ResultCode.connection_reset:
         _ask_again(round_, shard)
-    elif code is ResultCode.snapshot_gone:
+    elif code in _GONE:
         round_.gone.add(shard)
     elif code in _ASK_NEXT:
         _ask_next(round_, shard, code)
--- a/dragonflyramp/callers/_planning.py
+++ b/dragonflyramp/callers/_planning.py
@@ -140,18 +140,26 @@
     _plans: dict[str, ServicePlan] = attrs.field(factory=dict, init=False)
 
     def plan(self, service: str) -> ServicePlan:
-        """List the shards and snapshots of a configured service."""
-        configuration = self._refresh()
+        """List the shards and snapshots of a service.
+
+        A service that a new configuration removed has none.
+        """
+        configuration = self._follow_configuration()
+        reports = self._links.reports()
+        if not _are_same(reports, self._reports):
+            self._reports = reports
+            self._plans.clear()
         found = self._plans.get(service)
         if found is None:
-            shards = configuration.shards_of(service)
+            is_known = service in configuration.services
+            shards = configuration.shards_of(service) if is_known else ()
             found = ServicePlan(shards, snapshot_views(self._reports, shards))
             self._plans[service] = found
         return found
 
     def candidates(self, shard: str) -> tuple[MemberId, ...]:
         """List the connected relays for a shard, the holder first."""
-        self._refresh()
+        self._follow_configuration()
         slice_id = self._slices and self._slices.by_shard.get(shard)
         return self._links.candidates(slice_id) if slice_id else ()
 
@@ -159,7 +167,7 @@
         """Tell whether any relay is connected."""
         return bool(self._links.reports())
 
-    def _refresh(self) -> Configuration:
+    def _follow_configuration(self) -> Configuration:
         configuration = self._source.current
         if configuration is None:
             raise RuntimeError('planning needs a configuration')
@@ -167,10 +175,6 @@
             self._configuration = configuration
             self._slices = slice_map(configuration)
             self._plans.clear()
-        reports = self._links.reports()
-        if not _are_same(reports, self._reports):
-            self._reports = reports
-            self._plans.clear()
         return configuration
 
 
--- a/dragonflyramp/callers/_settings.py
+++ b/dragonflyramp/callers/_settings.py
@@ -53,7 +53,7 @@
     backoff_base_ms: float = 5
     backoff_max_ms: float = 500
     #: How long outcomes and releases are retried in the background.
-    settle_seconds: float = 60
+    settle_seconds: float = 600
     #: How long an answer waits for its outcome to be recorded.
     record_wait_ms: float = 100
 
@@ -67,6 +67,10 @@
     max_body_bytes: int = 65_536
     #: How long a stopping front accepts after it became not ready.
     notice_seconds: float = 5
+    #: How long a stopping front waits for outcomes to be recorded.
+    settle_notice_seconds: float = 30
+    #: How long a caller may take to send its body.
+    body_timeout_seconds: float = 10
     #: How long a send or cancel may wait for a relay's stream.
     link_timeout_ms: float = 100
     deadlines: DeadlineSettings = DeadlineSettings()
--- a/dragonflyramp/callers/_submits.py
+++ b/dragonflyramp/callers/_submits.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import attrs
+from loguru import logger
 from returns.result import Failure, Result, Success
 
 from dragonflyramp.callers._claim_records import ClaimKey, claim_key
@@ -128,8 +129,11 @@
             async with asyncio.timeout(left_seconds):
                 return await self.links.send_submit(relay_id, submit)
         except TimeoutError:
-            code = ResultCode.outcome_unknown
-            return SubmitOutcome(submit_id=job.submit_id, code=code, body=b'')
+            return _unknown(job)
+        except Exception:
+            # It may have been sent, and the claim has to be settled.
+            logger.exception('the send of a submit failed')
+            return _unknown(job)
 
     def _job(self, request: SubmitRequest, service: Service) -> _Job:
         deadline_ms = min(request.deadline_ms, service.deadline_ms)
@@ -146,6 +150,12 @@
         )
 
 
+def _unknown(job: _Job) -> SubmitOutcome:
+    return SubmitOutcome(
+        submit_id=job.submit_id, code=ResultCode.outcome_unknown, body=b''
+    )
+
+
 def _exposure(job: _Job, sent_seconds: float) -> Exposure:
     return Exposure(
         fingerprint=job.fingerprint,
