--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -11,10 +11,11 @@
 
 from dragonflyramp.callers import Gather
 from dragonflyramp.callers._coverage import DocumentCount
-from dragonflyramp.callers._gather import Gathered
+from dragonflyramp.callers._gather import Gathered, Verdict
 from dragonflyramp.callers._hits import merge_hits, parse_hits
 from dragonflyramp.callers._requests import Coverage, Hit
 from dragonflyramp.messages import Part
+from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
 SHARDS = ('s0', 's1', 's2')
@@ -30,7 +31,7 @@
     code: ResultCode = ResultCode.ok,
 ) -> Part:
     """Build a part whose hit carries its origin."""
-    origin = [query, snapshot, shard, f'{query}.{shard}.{attempt}']
+    origin = [query, snapshot, shard, f'{shard}.{attempt}']
     hits = [{'score': 1, 'origin': origin}]
     return Part(
         query_id=query,
@@ -39,7 +40,8 @@
         snapshot_id=snapshot,
         code=code,
         documents=DOCUMENTS,
-        body=json.dumps({'snapshot': snapshot, 'hits': hits}).encode(),
+        # Without a snapshot in the body only the envelope tells it.
+        body=json.dumps({'hits': hits}).encode(),
     )
 
 
@@ -91,8 +93,8 @@
         ),
     )
     for shard in SHARDS:
-        gather.expect(f'q.{shard}.0', shard)
-        gather.expect(f'q.{shard}.1', shard)
+        gather.expect(f'{shard}.0', shard)
+        gather.expect(f'{shard}.1', shard)
     return gather
 
 
@@ -117,7 +119,7 @@
     """Name what is wrong in one answer."""
     origins = [hit.fields['origin'] for hit in answer.hits]
     expected = [
-        ['q', 'A', shard, f'q.{shard}.{attempt}']
+        ['q', 'A', shard, f'{shard}.{attempt}']
         for shard in SHARDS
         for attempt in (0, 1)
     ]
@@ -191,6 +193,31 @@
     assert not faults(our_gather(total), script, total)
 
 
+def test_dropped_parts_are_counted() -> None:
+    """Parts that go astray would stay unnoticed."""
+    gather = our_gather(30)
+    counted = [
+        (part('s0', query='other'), Verdict.foreign_query),
+        (part('s0', snapshot='B'), Verdict.foreign_snapshot),
+        (part('s0', attempt=7), Verdict.foreign_attempt),
+        (part('s0', code=ResultCode.shed), Verdict.failed),
+        (part('s0'), Verdict.duplicate),
+        (part('s0', attempt=1), Verdict.merged),
+        (None, None),
+        (part('s1'), Verdict.late),
+    ]
+    for one, verdict in counted:
+        name = verdict.value if verdict else ''
+        before = counters.get('dropped_parts', name)
+        if one is None:
+            gather.close()
+            continue
+        taken = gather.take(one)
+        assert taken.verdict is verdict
+        after = counters.get('dropped_parts', name)
+        assert after - before == taken.is_dropped
+
+
 @pytest.mark.parametrize(
     ('documents', 'body'),
     [
