--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -7,7 +7,7 @@
 )
 from dragonflyramp.callers._fronts import Front
 from dragonflyramp.callers._gather import Gather
-from dragonflyramp.callers._http import create_application, create_runner
+from dragonflyramp.callers._http import CallersServer, start_server
 from dragonflyramp.callers._parts import FrontParts
 from dragonflyramp.callers._policies import NAIVE_POLICIES, FrontPolicies
 from dragonflyramp.callers._quarantine import Quarantine, QuarantineEntry
@@ -35,6 +35,7 @@
 
 __all__ = (
     'NAIVE_POLICIES',
+    'CallersServer',
     'CanaryPolicy',
     'ClaimSettings',
     'Coverage',
@@ -59,6 +60,5 @@
     'SubmitAnswer',
     'SubmitRequest',
     'TargetStragglers',
-    'create_application',
-    'create_runner',
+    'start_server',
 )
--- a/dragonflyramp/callers/_http.py
+++ b/dragonflyramp/callers/_http.py
@@ -32,15 +32,34 @@
 _Endpoint = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-def create_runner(front: Front) -> web.AppRunner:
-    """Create the HTTP server; a caller that goes away cancels its search."""
-    return web.AppRunner(
+@attrs.frozen(eq=False)
+class CallersServer:
+    """Hold a listening HTTP server and its port."""
+
+    port: int
+    _runner: web.AppRunner
+
+    async def stop(self) -> None:
+        """Close the port and idle connections, and wait for the others."""
+        await self._runner.cleanup()
+
+
+async def start_server(front: Front, host: str, port: int) -> CallersServer:
+    """Listen for callers; port 0 lets the kernel choose.
+
+    Raise OSError when the address cannot be bound. A caller that goes away
+    cancels the handler of its request.
+    """
+    runner = web.AppRunner(
         create_application(front), handler_cancellation=True, access_log=None
     )
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    return CallersServer(runner.addresses[0][1], runner)
 
 
 def create_application(front: Front) -> web.Application:
-    """Create the application for a runner with handler cancellation."""
+    """Create the application; it needs handler cancellation."""
     settings = front.parts.settings
     handlers = _Handlers(front, settings.body_timeout_seconds)
     application = web.Application(
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -5,17 +5,16 @@
 import types
 from collections.abc import AsyncIterator, Mapping
 
+import aiohttp
 import attrs
 import pytest
 import pytest_asyncio
-from aiohttp import web
-from aiohttp.test_utils import BaseTestServer, TestClient
 
 from dragonflyramp.callers import (
     Front,
     FrontParts,
     FrontSettings,
-    create_runner,
+    start_server,
 )
 from dragonflyramp.messages import Submit, SubmitOutcome
 from dragonflyramp.results import ResultCode
@@ -33,7 +32,6 @@
 from tests.standins.object_stores import MemoryStore
 from tests.standins.virtual_time import clock, run_virtual
 
-Client = TestClient[web.Request, None]
 #: Only guards against a test that hangs.
 LIMIT_SECONDS = 20
 DEADLINE = types.MappingProxyType({'X-Deadline-Ms': '60000'})
@@ -42,24 +40,13 @@
 KEYED = types.MappingProxyType({'Idempotency-Key': 'k', **DEADLINE})
 
 
-class FrontServer(BaseTestServer):
-    """Serve a front through its own runner, at a port of the kernel."""
-
-    def __init__(self, front: Front) -> None:
-        super().__init__()
-        self._front = front
-
-    async def _make_runner(self, **settings: object) -> web.BaseRunner:
-        return create_runner(self._front)
-
-
 @attrs.define
 class Served:
     """Hold a front, its relays, and a client of its HTTP server."""
 
     links: FakeRelays
     front: Front
-    client: Client
+    client: aiohttp.ClientSession
     happened: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def wait(self) -> None:
@@ -82,9 +69,11 @@
             settings=FrontSettings(max_searches=1, notice_seconds=0),
         )
     )
-    client: Client = TestClient(FrontServer(front))
-    async with client:
+    server = await start_server(front, '127.0.0.1', 0)
+    url = f'http://127.0.0.1:{server.port}'
+    async with aiohttp.ClientSession(url) as client:
         yield Served(links, front, client)
+    await server.stop()
 
 
 async def test_search_answer(served: Served) -> None:
