--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -235,6 +235,12 @@
     ]
 
 
+async def failing(node: Node) -> list[ResultCode]:
+    """Repeat after a send that ended in an unexpected error."""
+    node.world.sends = iter(())
+    return await again(node)
+
+
 async def twice_at_once(node: Node) -> list[ResultCode]:
     """Submit the same key twice at the same time."""
     found = await asyncio.gather(node.submit('a'), node.submit('b'))
@@ -291,6 +297,7 @@
             {},
             (ResultCode.bad_reply, UNKNOWN, REUSED, ResultCode.bad_reply),
         ),
+        (failing, Send(), {}, (UNKNOWN, UNKNOWN, REUSED, UNKNOWN)),
         (twice_at_once, Send(), {}, (OK, ResultCode.already_claimed)),
         (past_retention, Send(), {}, (OK, REPLAYED, OK)),
         (many_keys, Send(), {'bucket_limit_bytes': 1000}, (OK,) * 8),
