--- /dev/null
+++ b/tests/programs.py
@@ -0,0 +1,122 @@
+"""Run the real programs and the stand-ins as processes."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any, Self
+
+import attrs
+
+ROOT = pathlib.Path(__file__).parents[1]
+#: Guards against hanging only; a healthy start takes about a second.
+START_SECONDS = 60
+_LINE_LIMIT_BYTES = 4 * 1024 * 1024
+
+
+@attrs.define(eq=False)
+class Program:
+    """Run one program and keep what it writes."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    lines: list[str] = attrs.field(factory=list)
+    _readers: list[asyncio.Task[None]] = attrs.field(factory=list)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @classmethod
+    async def start(
+        cls,
+        module: str,
+        arguments: Sequence[str] = (),
+        *,
+        stdin: bytes | None = None,
+        environment: Mapping[str, str] | None = None,
+    ) -> Self:
+        """Start `python -m module` in the root of the repository."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module,
+            *arguments,
+            cwd=ROOT,
+            env={**os.environ, **(environment or {})},
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            limit=_LINE_LIMIT_BYTES,
+        )
+        program = cls(module, process)
+        await program._connect(stdin)
+        return program
+
+    async def wait_json(self, key: str) -> dict[str, Any]:
+        """Wait for a line that is a JSON object with a key."""
+        async with asyncio.timeout(START_SECONDS):
+            while not self._find(key):
+                if self.process.returncode is not None:
+                    raise AssertionError('\n'.join(self.lines))
+                self._changed.clear()
+                await self._changed.wait()
+        return self._find(key)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for the exit code."""
+        async with asyncio.timeout(START_SECONDS):
+            code = await self.process.wait()
+            await asyncio.gather(*self._readers)
+        return code
+
+    async def kill(self) -> None:
+        """End the process at once, also a stopped one."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+        for reader in self._readers:
+            reader.cancel()
+
+    def _find(self, key: str) -> dict[str, Any]:
+        for line in self.lines:
+            found = _parse(line)
+            if key in found:
+                return found
+        return {}
+
+    async def _connect(self, stdin: bytes | None) -> None:
+        if self.process.stdin is not None:
+            if stdin is not None:
+                self.process.stdin.write(stdin)
+                await self.process.stdin.drain()
+            self.process.stdin.close()
+        for stream in (self.process.stdout, self.process.stderr):
+            if stream is not None:
+                self._readers.append(asyncio.create_task(self._read(stream)))
+
+    async def _read(self, stream: asyncio.StreamReader) -> None:
+        while line := await stream.readline():
+            self.lines.append(line.decode(errors='replace').rstrip())
+            self._changed.set()
+        self._changed.set()
+
+
+def _parse(line: str) -> dict[str, Any]:
+    with contextlib.suppress(ValueError):
+        found = json.loads(line)
+        if isinstance(found, dict):
+            return _flatten(found)
+    return {}
+
+
+def _flatten(found: dict[str, Any]) -> dict[str, Any]:
+    """Bring the extra fields of a JSON log line to the top."""
+    extra = found.get('record', {}).get('extra', {})
+    return {**found, **extra}
