Add the path of a search to the backend servers

A relay queues each attempt at the task of its shard, which chooses a replica and gives the send to an idle connection task. Admission, ramp, hedges, retries and leaving follow policies that take the time as an argument. The stand-in for backend servers runs in the same process or as a program. The test covers one search through all of it; the other behaviour is not tested yet.

--- /dev/null
+++ b/dragonflyramp/backends/_lessons.py
@@ -0,0 +1,149 @@
+"""Learn from the end of each send: ramp, latencies, snapshots, crashes."""
+
+from dragonflyramp.backends._connections import Ended
+from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._leaving import LeavingSignal
+from dragonflyramp.backends._queues import ShardQueue
+from dragonflyramp.backends._ramp import Completion, Verdict
+from dragonflyramp.backends._replicas import log_warmth
+from dragonflyramp.backends._works import Send
+from dragonflyramp.results import ResultCode
+
+#: Codes of complete replies to a request that the server ran.
+_RAN = frozenset(
+    (
+        ResultCode.ok,
+        ResultCode.backend_error,
+        ResultCode.bad_reply,
+    )
+)
+#: Codes of complete replies, each of which is a sign of life.
+_ANSWERED = _RAN | {
+    ResultCode.shed,
+    ResultCode.draining,
+    ResultCode.snapshot_gone,
+}
+_REFUSED_LOAD = frozenset((ResultCode.shed, ResultCode.connection_reset))
+_NO_ANSWER = frozenset(
+    (
+        ResultCode.connection_silent,
+        ResultCode.deadline_exceeded,
+    )
+)
+_GIVEN_UP = _NO_ANSWER | {ResultCode.cancelled}
+# Timers may fire a little early.
+_PATIENCE_SHARE = 0.95
+
+
+class Lessons:
+    """Take the end of a send into the state of its replica and service."""
+
+    def __init__(self, queue: ShardQueue, context: TierContext) -> None:
+        """Serve one shard."""
+        self._queue = queue
+        self._context = context
+
+    def learn(self, ended: Ended, now_seconds: float) -> None:
+        """Take in one end; the order matters, an instance comes first."""
+        send = ended.send
+        send.replica.running -= 1
+        self._learn_fingerprint(ended, now_seconds)
+        if not ended.reply.sent:
+            return
+        self._learn_reply(ended, now_seconds)
+        self._learn_ramp(ended, now_seconds)
+        self._learn_latency(ended, now_seconds)
+
+    def _learn_fingerprint(self, ended: Ended, now_seconds: float) -> None:
+        fingerprints = self._context.fingerprints
+        fingerprint = ended.send.work.fingerprint
+        code = ended.reply.code
+        if code is ResultCode.connection_reset:
+            replica_id = ended.send.replica.replica.replica_id
+            fingerprints.crash(fingerprint, replica_id, now_seconds)
+        else:
+            fingerprints.end(fingerprint, completed=code in _RAN)
+
+    def _learn_reply(self, ended: Ended, now_seconds: float) -> None:
+        reply = ended.reply
+        replica = ended.send.replica
+        observer = self._context.observer
+        if reply.code in _ANSWERED:
+            observer.note_instance(replica, reply.instance_id, now_seconds)
+            observer.note_load(replica, reply.load, now_seconds)
+        if reply.code is ResultCode.draining:
+            observer.note_leaving(replica, LeavingSignal.drain_sign)
+        elif reply.code is ResultCode.snapshot_gone:
+            snapshot_id = ended.send.work.snapshot_id
+            replica.snapshots.note_missing(snapshot_id, now_seconds)
+        elif reply.code is ResultCode.ok:
+            observer.note_staying(replica, reply.instance_id)
+            if reply.snapshot_id:
+                replica.snapshots.note_shown(reply.snapshot_id, reply.documents)
+
+    def _learn_ramp(self, ended: Ended, now_seconds: float) -> None:
+        replica = ended.send.replica
+        if ended.reply.instance_id in replica.former_instances:
+            return
+        completion = Completion(
+            verdict=_verdict(ended),
+            latency_seconds=ended.latency_seconds,
+            baseline_seconds=self._baseline(ended.send, now_seconds),
+        )
+        warmth = replica.ramp.warmth
+        ramp = self._context.policies.ramp
+        ramp.note_end(replica.ramp, completion, now_seconds)
+        if replica.ramp.warmth is not warmth:
+            log_warmth(replica, ended.reply.code.name)
+
+    def _learn_latency(self, ended: Ended, now_seconds: float) -> None:
+        send = ended.send
+        seconds = ended.latency_seconds
+        replica_latency = send.replica.latencies[send.work.kind]
+        service_latency = self._queue.terms.latencies[send.work.kind]
+        if ended.reply.code is ResultCode.ok:
+            replica_latency.add(seconds, now_seconds)
+            if send.replica.is_warm:
+                service_latency.add(seconds, now_seconds)
+        elif ended.reply.code in _GIVEN_UP:
+            replica_latency.add_at_least(seconds, now_seconds)
+            if send.replica.is_warm:
+                service_latency.add_at_least(seconds)
+
+    def _baseline(self, send: Send, now_seconds: float) -> float | None:
+        kind = send.work.kind
+        pools = self._queue.pools.values()
+        peers = [pool.replica for pool in pools if pool.replica.is_warm]
+        latencies = [
+            peer.latencies[kind].seconds
+            for peer in peers
+            if peer is not send.replica
+        ]
+        service_latency = self._queue.terms.latencies[kind]
+        return service_latency.baseline_seconds(
+            [seconds for seconds in latencies if seconds is not None],
+            now_seconds,
+        )
+
+
+def _verdict(ended: Ended) -> Verdict:
+    code = ended.reply.code
+    send = ended.send
+    if code in _REFUSED_LOAD:
+        return Verdict.failed
+    if code in _NO_ANSWER:
+        blamed = (
+            ended.latency_seconds >= _PATIENCE_SHARE * send.patience_seconds
+        )
+        return Verdict.failed if blamed else Verdict.neutral
+    if code is ResultCode.ok and not _is_older_than_cold(send):
+        return Verdict.completed
+    return Verdict.neutral
+
+
+def _is_older_than_cold(send: Send) -> bool:
+    """Tell whether the request started before the replica turned cold."""
+    if send.called_seconds is None:
+        return True
+    demoted_seconds = send.replica.ramp.demoted_seconds
+    return send.called_seconds < demoted_seconds
--- /dev/null
+++ b/dragonflyramp/backends/_queries.py
@@ -0,0 +1,86 @@
+"""Turn the queries and submits of fronts into works of shards."""
+
+import asyncio
+from collections.abc import Callable
+
+from dragonflyramp.backends._latencies import RequestKind
+from dragonflyramp.backends._works import Outcome, Work
+from dragonflyramp.messages import Part, Query, ShardAttempt, Submit
+
+_MS_PER_SECOND = 1000
+
+
+def deadline_seconds(
+    remaining_ms: int, max_remaining_ms: int, now_seconds: float
+) -> float:
+    """Turn the time that is left into a deadline, within a bound.
+
+    >>> deadline_seconds(400, 60_000, 10)
+    10.4
+    """
+    return now_seconds + min(remaining_ms, max_remaining_ms) / _MS_PER_SECOND
+
+
+def search_work(
+    query: Query,
+    attempt: ShardAttempt,
+    deliver: Callable[[Outcome], None],
+    *,
+    deadline: float,
+    now_seconds: float,
+) -> Work:
+    """Make the work of one attempt."""
+    return Work(
+        kind=RequestKind.search,
+        query_id=query.query_id,
+        attempt_id=attempt.attempt_id,
+        request_id=query.request_id,
+        snapshot_id=query.snapshot_id,
+        fingerprint=query.fingerprint,
+        body=query.body,
+        arrived_seconds=now_seconds,
+        deadline_seconds=deadline,
+        deliver=deliver,
+    )
+
+
+def submit_work(
+    submit: Submit,
+    deliver: Callable[[Outcome], None],
+    *,
+    deadline: float,
+    now_seconds: float,
+) -> Work:
+    """Make the work of a submit."""
+    return Work(
+        kind=RequestKind.submit,
+        query_id=submit.submit_id,
+        attempt_id=submit.submit_id,
+        request_id=submit.request_id,
+        idempotency_key=submit.idempotency_key,
+        fingerprint=submit.fingerprint,
+        body=submit.body,
+        arrived_seconds=now_seconds,
+        deadline_seconds=deadline,
+        deliver=deliver,
+    )
+
+
+def put_part(
+    outbox: asyncio.Queue[Part],
+    query: Query,
+    attempt: ShardAttempt,
+    outcome: Outcome,
+) -> None:
+    """Answer an attempt; the outbox must not be bounded."""
+    outbox.put_nowait(
+        Part(
+            query_id=query.query_id,
+            shard=attempt.shard,
+            attempt_id=attempt.attempt_id,
+            snapshot_id=query.snapshot_id,
+            code=outcome.code,
+            documents=outcome.documents,
+            body=outcome.body,
+        )
+    )
--- /dev/null
+++ b/dragonflyramp/backends/_senders.py
@@ -0,0 +1,135 @@
+"""Send works over one connection, with a second try when it is silent."""
+
+import asyncio
+import math
+
+from dragonflyramp.backends._admissions import Admission, Permit
+from dragonflyramp.backends._clients import (
+    BackendClient,
+    Reply,
+    SearchCall,
+    SubmitCall,
+)
+from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._latencies import RequestKind
+from dragonflyramp.backends._replicas import ReplicaState
+from dragonflyramp.backends._statuses import StatusReader
+from dragonflyramp.backends._works import Send, Work
+from dragonflyramp.metrics import counters
+from dragonflyramp.results import ResultCode
+
+_MS_PER_SECOND = 1000
+_NOT_OPENED = Reply(code=ResultCode.no_replica, sent=False)
+
+#: Gives a send back that must not start now.
+NOT_PERMITTED = Reply(code=ResultCode.no_lease, sent=False)
+
+
+class Sender:
+    """Send works over one client, which it opens and closes."""
+
+    def __init__(
+        self, client: BackendClient, admission: Admission, context: TierContext
+    ) -> None:
+        """Open nothing yet."""
+        self._client = client
+        self._admission = admission
+        self._context = context
+        self._reader = StatusReader(client, context)
+        self._used_seconds = -math.inf
+
+    async def send(self, send: Send) -> Reply:
+        """Send a work; at most once when it must not be repeated.
+
+        A read on a silent connection is sent a second time on a fresh one,
+        which tells a silent connection from a dead server. A request that
+        met a lost connection was not sent, so it may be sent.
+        """
+        if send.work.kind is RequestKind.submit:
+            await self._drop_unless_recent()
+        reply = await self._attempt(send, again=False)
+        if reply.code is ResultCode.connection_silent:
+            counters.add('silent_connections', send.replica.replica.shard)
+            second = await self._attempt(send, again=True)
+            reply = second if second.sent else reply
+        elif reply.code is ResultCode.connection_reset and not reply.sent:
+            await self.aclose()
+            reply = await self._attempt(send, again=False)
+        self._used_seconds = self._context.clock()
+        return reply
+
+    async def aclose(self) -> None:
+        """Close the connection, which cancels what runs on it."""
+        await self._client.close()
+
+    async def _drop_unless_recent(self) -> None:
+        idle_seconds = self._context.clock() - self._used_seconds
+        if idle_seconds > self._context.settings.submit_recent_seconds:
+            await self.aclose()
+
+    async def _attempt(self, send: Send, *, again: bool) -> Reply:
+        if not self._client.is_open() and not await self._open(send.replica):
+            return _NOT_OPENED
+        now_seconds = self._context.clock()
+        permit = self._admission.permit(send, now_seconds, again=again)
+        if permit is None:
+            return NOT_PERMITTED
+        counters.add(
+            'sends', 'fresh_connection' if again else send.purpose.name
+        )
+        send.called_seconds = now_seconds
+        send.patience_seconds = permit.patience_seconds
+        return await self._call(send.work, permit, now_seconds)
+
+    async def _open(self, replica: ReplicaState) -> bool:
+        """Open a connection by reading the status of the server.
+
+        The server may have restarted since the last connection, and then it
+        must be known as cold before it gets any work.
+        """
+        opened = await self._reader.read(replica)
+        if not opened:
+            now_seconds = self._context.clock()
+            self._context.policies.ramp.restart(replica.ramp, now_seconds)
+        return opened
+
+    async def _call(
+        self, work: Work, permit: Permit, now_seconds: float
+    ) -> Reply:
+        left_seconds = permit.deadline_seconds - now_seconds
+        limit_seconds = left_seconds
+        if work.kind is RequestKind.search:
+            limit_seconds = min(left_seconds, permit.silence_seconds)
+        try:
+            async with asyncio.timeout(limit_seconds):
+                return await _post(self._client, work, left_seconds)
+        except TimeoutError:
+            await self.aclose()
+        if now_seconds + limit_seconds < work.deadline_seconds:
+            return Reply(code=ResultCode.connection_silent)
+        return Reply(code=ResultCode.deadline_exceeded)
+
+
+async def _post(
+    client: BackendClient, work: Work, left_seconds: float
+) -> Reply:
+    deadline_ms = max(1, int(left_seconds * _MS_PER_SECOND))
+    if work.kind is RequestKind.submit:
+        return await client.submit(
+            SubmitCall(
+                idempotency_key=work.idempotency_key,
+                deadline_ms=deadline_ms,
+                attempt_id=work.attempt_id,
+                request_id=work.request_id,
+                body=work.body,
+            )
+        )
+    return await client.search(
+        SearchCall(
+            snapshot_id=work.snapshot_id,
+            deadline_ms=deadline_ms,
+            attempt_id=work.attempt_id,
+            request_id=work.request_id,
+            body=work.body,
+        )
+    )
--- /dev/null
+++ b/dragonflyramp/backends/_statuses.py
@@ -0,0 +1,89 @@
+"""Read the status of a backend server, and run one task for each replica."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result
+
+from dragonflyramp.backends._clients import (
+    BackendClient,
+    Status,
+    StatusFailure,
+)
+from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._leaving import LeavingSignal
+from dragonflyramp.backends._replicas import ReplicaState
+from dragonflyramp.metrics import counters
+
+_PERIOD_FACTORS = (0.9, 1.1)
+
+
+class StatusReader:
+    """Read statuses into the state of a replica."""
+
+    def __init__(self, client: BackendClient, context: TierContext) -> None:
+        """Use the client's connection, or open one."""
+        self._client = client
+        self._context = context
+
+    async def read(self, replica: ReplicaState) -> bool:
+        """Read once; after a failure the connection is closed."""
+        status = await self._read()
+        observer = self._context.observer
+        if is_successful(status):
+            now_seconds = self._context.clock()
+            observer.note_status(replica, status.unwrap(), now_seconds)
+            return True
+        await self._client.close()
+        failure = status.failure()
+        counters.add('failed_statuses', failure.name)
+        if failure is StatusFailure.refused:
+            observer.note_leaving(replica, LeavingSignal.refused_connection)
+        return False
+
+    async def _read(self) -> Result[Status, StatusFailure]:
+        limit_seconds = self._context.settings.status_timeout_seconds
+        try:
+            async with asyncio.timeout(limit_seconds):
+                return await self._client.status()
+        except TimeoutError:
+            return Failure(StatusFailure.lost)
+
+
+class StatusTask:
+    """Read the status of one replica once a period."""
+
+    def __init__(
+        self,
+        replica: ReplicaState,
+        context: TierContext,
+        on_read: Callable[[], None],
+    ) -> None:
+        """Start with the first run."""
+        self._replica = replica
+        self._context = context
+        self._on_read = on_read
+        self._client = context.client_factory(replica.replica.address)
+        self._reader = StatusReader(self._client, context)
+
+    async def run(self) -> None:
+        """Read until cancelled; the replicas drift apart over time."""
+        period_seconds = self._context.settings.status_period_seconds
+        async with contextlib.aclosing(self):
+            while True:
+                await self._read()
+                factor = self._context.rng.uniform(*_PERIOD_FACTORS)
+                await asyncio.sleep(factor * period_seconds)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._client.close()
+
+    async def _read(self) -> None:
+        """Read once, and once more if the connection may have been silent."""
+        was_open = self._client.is_open()
+        if not await self._reader.read(self._replica) and was_open:
+            await self._reader.read(self._replica)
+        self._on_read()
--- /dev/null
+++ b/dragonflyramp/backends/_wire_http.py
@@ -0,0 +1,108 @@
+"""Exchange single HTTP requests over a session of one connection."""
+
+from collections.abc import Mapping
+from types import SimpleNamespace
+
+import aiohttp
+import attrs
+
+_READ_BYTES = 65536
+
+
+class ConnectionLostError(Exception):
+    """Stop a request before aiohttp opens another connection for it."""
+
+
+class TooLargeError(Exception):
+    """Stop reading a body above the limit."""
+
+
+#: What an exchange raises.
+FAILURES = (
+    aiohttp.ClientError,
+    OSError,
+    ConnectionLostError,
+    TooLargeError,
+)
+
+
+@attrs.define(kw_only=True)
+class WireRequest:
+    """Hold one HTTP request, and whether it left this process."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+    body: bytes = b''
+    may_open: bool
+    sent: bool = False
+
+
+@attrs.frozen
+class WireReply:
+    """Hold one complete HTTP reply."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+def new_session(root: str, idle_seconds: float) -> aiohttp.ClientSession:
+    """Create a session without time limits; callers cancel instead."""
+    hooks = aiohttp.TraceConfig()
+    hooks.on_connection_create_start.append(_check_may_open)
+    hooks.on_request_headers_sent.append(_note_sent)
+    return aiohttp.ClientSession(
+        root,
+        connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=idle_seconds),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
+        trace_configs=[hooks],
+    )
+
+
+async def exchange(
+    session: aiohttp.ClientSession, request: WireRequest, max_bytes: int
+) -> WireReply:
+    """Send a request and read the whole reply, or raise a failure."""
+    async with session.request(
+        request.method,
+        request.path,
+        headers=request.headers,
+        data=request.body or None,
+        # A redirect would send a submit a second time.
+        allow_redirects=False,
+        trace_request_ctx=request,
+    ) as response:
+        body = await _read(response, max_bytes)
+        return WireReply(response.status, response.headers, body)
+
+
+async def _check_may_open(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    event: aiohttp.TraceConnectionCreateStartParams,
+) -> None:
+    """Keep work off a new connection whose server is not yet known.
+
+    The server may have restarted, and a restarted server is cold.
+    """
+    if not context.trace_request_ctx.may_open:
+        raise ConnectionLostError
+
+
+async def _note_sent(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    event: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    context.trace_request_ctx.sent = True
+
+
+async def _read(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    body = bytearray()
+    async for chunk in response.content.iter_chunked(_READ_BYTES):
+        body.extend(chunk)
+        if len(body) > max_bytes:
+            raise TooLargeError
+    return bytes(body)
--- /dev/null
+++ b/tests/backend_rig.py
@@ -0,0 +1,202 @@
+"""Build a relay's backend side against the stand-in, in one process."""
+
+import asyncio
+import contextlib
+import hashlib
+import itertools
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import attrs
+
+from dragonflyramp.backends import (
+    BackendSettings,
+    BackendTier,
+    PolicySet,
+    http_client_factory,
+)
+from dragonflyramp.messages import Part, Query, ShardAttempt
+from dragonflyramp.models import (
+    Configuration,
+    FailureDomain,
+    MemberId,
+    Replica,
+    Service,
+    SliceId,
+    VmState,
+)
+from dragonflyramp.models import Warmth, WarmthEntry
+from dragonflyramp.platform import VirtualMachine
+from tests.standins.backend_models import ServerSpec
+from tests.standins.backends import Fleet
+from tests.standins.fakes import (
+    FakeConfigurationSource,
+    FakeLeaseTable,
+    FakeVmList,
+)
+
+#: Bounds waits that only guard against hanging.
+GUARD_SECONDS = 20
+SERVICE = 'desk'
+SLICE = SliceId(f'{SERVICE}/0')
+_query_numbers = itertools.count(1)
+
+
+def configuration(
+    shards: tuple[str, ...], number: int = 1, **service_fields: Any
+) -> Configuration:
+    """Make a configuration of one searched service over the shards."""
+    services = {SERVICE: Service(name=SERVICE, depends_on=shards)}
+    for shard in shards:
+        fields = {'slots': 3, 'cold_requests_per_second': 2, **service_fields}
+        services[shard] = Service(name=shard, **fields)
+    return Configuration(
+        number=number,
+        user='test',
+        failure_domains={'a': FailureDomain('a', 'r')},
+        services=services,
+        holds={},
+    )
+
+
+def machines(
+    fleet: Fleet, state: VmState = VmState.live
+) -> list[VirtualMachine]:
+    """List the servers of a fleet as VMs."""
+    return [
+        VirtualMachine(
+            replica=Replica(
+                replica_id=server.spec.replica_id,
+                shard=server.spec.shard,
+                address=server.address,
+                failure_domain=server.spec.failure_domain,
+            ),
+            state=state,
+        )
+        for server in fleet.servers.values()
+    ]
+
+
+@attrs.define(kw_only=True)
+class Rig:
+    """Hold a running tier and everything around it."""
+
+    fleet: Fleet
+    tier: BackendTier
+    leases: FakeLeaseTable
+    source: FakeConfigurationSource
+    vm_list: FakeVmList
+
+    async def until(self, check: Callable[[], bool]) -> None:
+        """Wait until a check holds; fail when it does not in time."""
+        async with asyncio.timeout(GUARD_SECONDS):
+            while not check():
+                await asyncio.sleep(0.01)
+
+    async def until_ready(self) -> None:
+        """Wait until each replica has shown its snapshots."""
+        await self.until(
+            lambda: len(self.ready_replicas()) == len(self.fleet.servers)
+        )
+
+    def ready_replicas(self) -> list[str]:
+        """List the replicas that have shown their snapshots."""
+        return [
+            replica.replica_id
+            for replica in self.tier.describe()
+            if replica.snapshot_ids
+        ]
+
+    def make_warm(self) -> None:
+        """Load a table that says that every replica is warm."""
+        entries = [
+            WarmthEntry(
+                replica_id=replica.replica_id,
+                instance_id=replica.instance_id,
+                warmth=Warmth.warm,
+                limit=3,
+                latency_ms=5,
+            )
+            for replica in self.tier.describe()
+        ]
+        self.tier.load_warmth(SLICE, entries)
+
+    def query(self, *shards: str, body: bytes = b'{}', ms: int = 400) -> Query:
+        """Make a query with one attempt for each shard."""
+        number = next(_query_numbers)
+        return Query(
+            query_id=f'q{number}',
+            request_id=f'r{number}',
+            service=SERVICE,
+            snapshot_id='s1',
+            remaining_ms=ms,
+            body=body,
+            fingerprint=hashlib.sha256(body).hexdigest(),
+            attempts=tuple(
+                ShardAttempt(shard=shard, attempt_id=f'{number}/{shard}')
+                for shard in shards
+            ),
+        )
+
+    async def search(self, query: Query) -> dict[str, Part]:
+        """Run a query and collect exactly one part per attempt."""
+        outbox: asyncio.Queue[Part] = asyncio.Queue()
+        self.tier.start_query(query, outbox)
+        parts: dict[str, Part] = {}
+        async with asyncio.timeout(GUARD_SECONDS):
+            for _ in query.attempts:
+                part = await outbox.get()
+                assert part.attempt_id not in parts
+                parts[part.attempt_id] = part
+        assert outbox.empty()
+        return {part.shard: part for part in parts.values()}
+
+
+@contextlib.asynccontextmanager
+async def running(
+    specs: list[ServerSpec],
+    *,
+    settings: BackendSettings | None = None,
+    policies: PolicySet | None = None,
+    **service_fields: Any,
+) -> AsyncIterator[Rig]:
+    """Run servers and a tier whose lease holds all of them."""
+    chosen = settings or BackendSettings(status_period_seconds=0.1)
+    shards = tuple(dict.fromkeys(spec.shard for spec in specs))
+    async with Fleet(specs) as fleet:
+        leases = FakeLeaseTable((SLICE,))
+        source = FakeConfigurationSource(
+            configuration(shards, **service_fields)
+        )
+        vm_list = FakeVmList(machines(fleet))
+        tier = BackendTier(
+            client_factory=http_client_factory(chosen),
+            lease_table=leases,
+            source=source,
+            vm_list=vm_list,
+            policies=policies or PolicySet.ours(),
+            relay_id=MemberId('relay'),
+            failure_domain='a',
+            settings=chosen,
+            clock=time.monotonic,
+            rng=random.Random(1),
+        )
+        task = asyncio.create_task(tier.run())
+        rig = Rig(
+            fleet=fleet,
+            tier=tier,
+            leases=leases,
+            source=source,
+            vm_list=vm_list,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(_cancel, task)
+            await rig.until_ready()
+            yield rig
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
