--- a/dragonflyramp/backends/_senders.py
+++ b/dragonflyramp/backends/_senders.py
@@ -20,6 +20,8 @@
 
 _MS_PER_SECOND = 1000
 _NOT_OPENED = Reply(code=ResultCode.no_replica, sent=False)
+_SILENT = Reply(code=ResultCode.connection_silent)
+_TOO_LATE = Reply(code=ResultCode.deadline_exceeded)
 
 #: Gives a send back that must not start now.
 NOT_PERMITTED = Reply(code=ResultCode.no_lease, sent=False)
@@ -45,16 +47,17 @@
         which tells a silent connection from a dead server. A request that
         met a lost connection was not sent, so it may be sent.
         """
-        if send.work.kind is RequestKind.submit:
+        is_submit = send.work.kind is RequestKind.submit
+        if is_submit:
             await self._drop_unless_recent()
         reply = await self._attempt(send, again=False)
-        if reply.code is ResultCode.connection_silent:
+        if reply.code is ResultCode.connection_reset and not reply.sent:
+            await self.aclose()
+            reply = await self._attempt(send, again=False)
+        if reply.code is ResultCode.connection_silent and not is_submit:
             counters.add('silent_connections', send.replica.replica.shard)
             second = await self._attempt(send, again=True)
             reply = second if second.sent else reply
-        elif reply.code is ResultCode.connection_reset and not reply.sent:
-            await self.aclose()
-            reply = await self._attempt(send, again=False)
         self._used_seconds = self._context.clock()
         return reply
 
@@ -85,13 +88,14 @@
         """Open a connection by reading the status of the server.
 
         The server may have restarted since the last connection, and then it
-        must be known as cold before it gets any work.
+        must be known as cold before it gets any work. When the status cannot
+        tell the instance, the server counts as cold.
         """
-        opened = await self._reader.read(replica)
-        if not opened:
+        failure = await self._reader.read(replica)
+        if failure is not None:
             now_seconds = self._context.clock()
             self._context.policies.ramp.restart(replica.ramp, now_seconds)
-        return opened
+        return self._client.is_open()
 
     async def _call(
         self, work: Work, permit: Permit, now_seconds: float
@@ -106,8 +110,8 @@
         except TimeoutError:
             await self.aclose()
         if now_seconds + limit_seconds < work.deadline_seconds:
-            return Reply(code=ResultCode.connection_silent)
-        return Reply(code=ResultCode.deadline_exceeded)
+            return _SILENT
+        return _TOO_LATE
 
 
 async def _post(
--- a/dragonflyramp/backends/_statuses.py
+++ b/dragonflyramp/backends/_statuses.py
@@ -28,20 +28,21 @@
         self._client = client
         self._context = context
 
-    async def read(self, replica: ReplicaState) -> bool:
-        """Read once; after a failure the connection is closed."""
+    async def read(self, replica: ReplicaState) -> StatusFailure | None:
+        """Read once; the connection stays open when the server answered."""
         status = await self._read()
         observer = self._context.observer
         if is_successful(status):
             now_seconds = self._context.clock()
             observer.note_status(replica, status.unwrap(), now_seconds)
-            return True
-        await self._client.close()
+            return None
         failure = status.failure()
         counters.add('failed_statuses', failure.name)
+        if failure is not StatusFailure.bad_reply:
+            await self._client.close()
         if failure is StatusFailure.refused:
             observer.note_leaving(replica, LeavingSignal.refused_connection)
-        return False
+        return failure
 
     async def _read(self) -> Result[Status, StatusFailure]:
         limit_seconds = self._context.settings.status_timeout_seconds
@@ -84,6 +85,7 @@
     async def _read(self) -> None:
         """Read once, and once more if the connection may have been silent."""
         was_open = self._client.is_open()
-        if not await self._reader.read(self._replica) and was_open:
+        failure = await self._reader.read(self._replica)
+        if failure is StatusFailure.lost and was_open:
             await self._reader.read(self._replica)
         self._on_read()
