--- a/tests/backend_rig.py
+++ b/tests/backend_rig.py
@@ -15,9 +15,16 @@
     BackendSettings,
     BackendTier,
     PolicySet,
+    ReplicaDescription,
     http_client_factory,
 )
-from dragonflyramp.messages import Part, Query, ShardAttempt
+from dragonflyramp.messages import (
+    Part,
+    Query,
+    ShardAttempt,
+    Submit,
+    SubmitOutcome,
+)
 from dragonflyramp.models import (
     Configuration,
     FailureDomain,
@@ -29,6 +36,7 @@
 )
 from dragonflyramp.models import Warmth, WarmthEntry
 from dragonflyramp.platform import VirtualMachine
+from dragonflyramp.results import ResultCode
 from tests.standins.backend_models import ServerSpec
 from tests.standins.backends import Fleet
 from tests.standins.fakes import (
@@ -44,6 +52,12 @@
 _query_numbers = itertools.count(1)
 
 
+def quick_settings(**fields: Any) -> BackendSettings:
+    """Make settings whose periods tests need not wait long for."""
+    periods = {'status_period_seconds': 0.1, 'vm_poll_seconds': 0.05}
+    return BackendSettings(**{**periods, **fields})
+
+
 def configuration(
     shards: tuple[str, ...], number: int = 1, **service_fields: Any
 ) -> Configuration:
@@ -79,6 +93,17 @@
     ]
 
 
+@attrs.define
+class JumpingClock:
+    """Give monotonic seconds; a jump stands for a paused process."""
+
+    offset_seconds: float = 0
+
+    def __call__(self) -> float:
+        """Give the time."""
+        return time.monotonic() + self.offset_seconds
+
+
 @attrs.define(kw_only=True)
 class Rig:
     """Hold a running tier and everything around it."""
@@ -88,6 +113,7 @@
     leases: FakeLeaseTable
     source: FakeConfigurationSource
     vm_list: FakeVmList
+    clock: 'JumpingClock'
 
     async def until(self, check: Callable[[], bool]) -> None:
         """Wait until a check holds; fail when it does not in time."""
@@ -140,6 +166,39 @@
             ),
         )
 
+    async def submit(self, key: str, *, ms: int = 400) -> SubmitOutcome:
+        """Run a submit of the shard x."""
+        submit = Submit(
+            submit_id=key,
+            request_id=f'r{key}',
+            service='x',
+            idempotency_key=key,
+            remaining_ms=ms,
+            body=b'{}',
+            fingerprint=key,
+        )
+        async with asyncio.timeout(GUARD_SECONDS):
+            return await self.tier.run_submit(submit)
+
+    async def codes(self, count: int, **fields: Any) -> set[ResultCode]:
+        """Run searches of the shard x at once, and give their codes."""
+        found = await asyncio.gather(
+            *(self.search(self.query('x', **fields)) for _ in range(count))
+        )
+        return {parts['x'].code for parts in found}
+
+    def state(self, replica_id: str) -> str:
+        """Give the state of a replica."""
+        return self.described(replica_id).state
+
+    def described(self, replica_id: str) -> ReplicaDescription:
+        """Give the description of a replica."""
+        return next(
+            replica
+            for replica in self.tier.describe()
+            if replica.replica_id == replica_id
+        )
+
     async def search(self, query: Query) -> dict[str, Part]:
         """Run a query and collect exactly one part per attempt."""
         outbox: asyncio.Queue[Part] = asyncio.Queue()
@@ -163,7 +222,7 @@
     **service_fields: Any,
 ) -> AsyncIterator[Rig]:
     """Run servers and a tier whose lease holds all of them."""
-    chosen = settings or BackendSettings(status_period_seconds=0.1)
+    chosen = settings or quick_settings()
     shards = tuple(dict.fromkeys(spec.shard for spec in specs))
     async with Fleet(specs) as fleet:
         leases = FakeLeaseTable((SLICE,))
@@ -171,6 +230,7 @@
             configuration(shards, **service_fields)
         )
         vm_list = FakeVmList(machines(fleet))
+        clock = JumpingClock()
         tier = BackendTier(
             client_factory=http_client_factory(chosen),
             lease_table=leases,
@@ -180,7 +240,7 @@
             relay_id=MemberId('relay'),
             failure_domain='a',
             settings=chosen,
-            clock=time.monotonic,
+            clock=clock,
             rng=random.Random(1),
         )
         task = asyncio.create_task(tier.run())
@@ -190,6 +250,7 @@
             leases=leases,
             source=source,
             vm_list=vm_list,
+            clock=clock,
         )
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(_cancel, task)
--- a/tests/standins/backend_models.py
+++ b/tests/standins/backend_models.py
@@ -93,6 +93,7 @@
     )
     #: Monotonic seconds, which all processes of one machine share.
     last_started_seconds: float = 0
+    largest_deadline_ms: float = 0
     cancelled: int = 0
     shed: int = 0
     expired: int = 0
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -212,7 +212,10 @@
         if self.faults.crash_text and self.faults.crash_text in body.decode():
             self.crash()
             await asyncio.Event().wait()
-        deadline_ms = float(request.headers.get('X-Deadline-Ms', 'inf'))
+        deadline_ms = float(request.headers['X-Deadline-Ms'])
+        self.records.largest_deadline_ms = max(
+            self.records.largest_deadline_ms, deadline_ms
+        )
         service_ms = self._service_ms()
         await _sleep_ms(min(service_ms, deadline_ms))
         if service_ms > deadline_ms:
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -11,7 +11,7 @@
 import signal
 import sys
 from collections.abc import Iterable, Mapping
-from typing import Self
+from typing import Any, Self
 
 import attrs
 import cattrs
@@ -69,7 +69,7 @@
 
     replica: str
     action: str
-    faults: Mapping[str, object] = attrs.field(factory=dict)
+    faults: Mapping[str, Any] = attrs.field(factory=dict)
     snapshots: tuple[SnapshotSpec, ...] = ()
 
 
