Add membership: group record, leases, heartbeats and the Members service

One member writes the group record once per period and answers the heartbeats that the write covers; slices are assigned by rendezvous hashing. The decisions take the time as an argument and are not yet tested beyond two members tests over loopback.

--- /dev/null
+++ b/dragonflyramp/members/_group_views.py
@@ -0,0 +1,111 @@
+"""Keep the newest group record that one daemon knows."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+import attrs
+
+from dragonflyramp.members._groups import (
+    EMPTY_RECORD,
+    GroupRecord,
+    MemberDescription,
+    MemberEntry,
+    Role,
+)
+from dragonflyramp.members._lease_tables import MemberLeaseTable
+from dragonflyramp.members._rendezvous import first, order
+
+
+@attrs.define(eq=False)
+class GroupView:
+    """Adopt records of higher renewals and tell who waits for changes.
+
+    `record` changes only when anything but its counters does, last at
+    `layout_renewal`; `renewal` is the newest renewal seen.
+    """
+
+    own: MemberDescription
+    seeds: tuple[str, ...]
+    clock: Callable[[], float]
+    lease_table: MemberLeaseTable
+    record: GroupRecord = EMPTY_RECORD
+    renewal: int = 0
+    layout_renewal: int = 0
+    progress_seconds: float = attrs.field(init=False)
+    last_contact_seconds: float = -math.inf
+    _changed: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Count the start as progress, to wait one term for a writer."""
+        self.progress_seconds = self.clock()
+
+    def note_contact(self) -> None:
+        """Note a successful exchange with the platform or a member."""
+        self.last_contact_seconds = self.clock()
+
+    def note_renewal(self, renewal: int) -> None:
+        """Note that the record's writer makes progress."""
+        if renewal > self.renewal:
+            self.renewal = renewal
+            self.progress_seconds = self.clock()
+
+    def adopt(self, record: GroupRecord) -> bool:
+        """Adopt a record of a higher renewal; tell whether it differs."""
+        if record.renewal <= self.renewal:
+            return False
+        self.note_renewal(record.renewal)
+        if record.layout() == self.record.layout():
+            return False
+        self.record = record
+        self.layout_renewal = record.renewal
+        self.lease_table.see_record(record, self.clock())
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return True
+
+    async def wait_record_change(
+        self, known: GroupRecord | None = None
+    ) -> GroupRecord:
+        """Wait until the record differs from the known or present one."""
+        if known is None or known is self.record:
+            await self._changed.wait()
+        return self.record
+
+    def peers(self, role: Role | None = None) -> tuple[MemberEntry, ...]:
+        """List the other members of one role, or of both."""
+        return tuple(
+            entry
+            for entry in self.record.members.values()
+            if entry.member_id != self.own.member_id
+            and role in {None, entry.role}
+        )
+
+    def snapshot(self) -> GroupRecord:
+        """Return the record with the newest renewal seen."""
+        return attrs.evolve(self.record, renewal=self.renewal)
+
+
+def other_addresses(view: GroupView) -> tuple[str, ...]:
+    """List where other members may answer: the record's, then seeds."""
+    known = dict.fromkeys(entry.address for entry in view.peers())
+    known.update(dict.fromkeys(view.seeds))
+    known.pop(view.own.address, None)
+    return tuple(known)
+
+
+def writer_rank(view: GroupView) -> int:
+    """Give this member's place among those that may become the writer."""
+    own_id = view.own.member_id
+    able = {*view.record.members, own_id} - {view.record.writer}
+    return order(view.record.writer, able | {own_id}).index(own_id)
+
+
+def is_watcher(view: GroupView) -> bool:
+    """Tell whether this member holds the watch of the configuration.
+
+    The writer and one other member do.
+    """
+    writer = view.record.writer
+    others = [one for one in view.record.members if one != writer]
+    return view.own.member_id in {writer, first('texts/root', others)}
--- /dev/null
+++ b/dragonflyramp/members/_promise_tasks.py
@@ -0,0 +1,94 @@
+"""Ask the deputies of the slices that this member holds for promises."""
+
+import asyncio
+import functools
+
+import attrs
+from returns.pipeline import is_successful
+
+from dragonflyramp.members._heartbeats import HeartbeatSender
+from dragonflyramp.members._messages import Promise, PromiseReply
+from dragonflyramp.members._repeats import repeat
+from dragonflyramp.members._settings import MembershipSettings
+from dragonflyramp.members._warmths import warmth_tables
+from dragonflyramp.models import MemberId
+from dragonflyramp.results import ResultCode
+
+
+@attrs.define(eq=False)
+class PromiseTasks:
+    """Run one task for each deputy of the slices that this member holds."""
+
+    _sender: HeartbeatSender
+    _settings: MembershipSettings
+    _tasks: dict[MemberId, asyncio.Task[None]] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Start and cancel tasks as the record names deputies."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                record = self._sender.view.record
+                self._update(group)
+                await self._sender.view.wait_record_change(record)
+
+    def _update(self, group: asyncio.TaskGroup) -> None:
+        wanted = {
+            deputy
+            for entry in self._sender.table.holder.held()
+            for deputy in entry.deputies
+        }
+        for ended in self._tasks.keys() - wanted:
+            self._tasks.pop(ended).cancel()
+        for deputy in wanted - self._tasks.keys():
+            self._tasks[deputy] = group.create_task(self._ask_always(deputy))
+
+    async def _ask_always(self, deputy_id: MemberId) -> None:
+        await repeat(
+            'promise',
+            functools.partial(self._ask_and_rest, deputy_id),
+            self._settings.renewal_period_seconds,
+        )
+
+    async def _ask_and_rest(self, deputy_id: MemberId) -> None:
+        clock = self._sender.view.clock
+        started_seconds = clock()
+        await self._ask(deputy_id, started_seconds)
+        next_seconds = started_seconds + self._settings.renewal_period_seconds
+        await asyncio.sleep(max(0, next_seconds - clock()))
+
+    async def _ask(self, deputy_id: MemberId, started_seconds: float) -> None:
+        view = self._sender.view
+        deputy = view.record.members.get(deputy_id)
+        if deputy is None:
+            return
+        request = Promise(
+            holder_id=view.own.member_id,
+            configuration_number=self._sender.facts().number,
+            slices=warmth_tables(
+                (
+                    entry
+                    for entry in view.lease_table.holder.held()
+                    if deputy_id in entry.deputies
+                ),
+                self._sender.hooks,
+            ),
+        )
+        reply = await self._sender.calls.promise(
+            deputy.address, request, self._settings.renewal_period_seconds
+        )
+        if is_successful(reply):
+            self._note(deputy_id, reply.unwrap(), started_seconds)
+
+    def _note(
+        self, deputy_id: MemberId, reply: PromiseReply, started_seconds: float
+    ) -> None:
+        self._sender.view.note_contact()
+        if reply.code is not ResultCode.ok:
+            return
+        self._sender.table.holder.note_promises(
+            deputy_id,
+            reply.promised,
+            started_seconds,
+            shown=reply.configuration_number,
+            adopted=self._sender.facts().number,
+        )
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -84,6 +84,9 @@
     bad_message = 503
     internal_error = 504
     bad_setting = 505
+    not_writer = 506
+    group_full = 507
+    member_unreachable = 508
 
     @property
     def meaning(self) -> Meaning:
@@ -284,5 +287,14 @@
         ResultCode.bad_setting: _not_run(
             HTTPStatus.BAD_REQUEST, 'A setting is malformed or out of range.'
         ),
+        ResultCode.not_writer: _not_run(
+            HTTPStatus.CONFLICT, 'The member does not write the group record.'
+        ),
+        ResultCode.group_full: _not_run(
+            HTTPStatus.CONFLICT, 'The group has as many members as it may.'
+        ),
+        ResultCode.member_unreachable: _unknown(
+            HTTPStatus.BAD_GATEWAY, 'The other member did not answer in time.'
+        ),
     }
 )
