--- a/dragonflyramp/members/_group_stores.py
+++ b/dragonflyramp/members/_group_stores.py
@@ -37,7 +37,7 @@
     if reply == Failure(ResultCode.platform_down):
         counters.add('platform_failures', ResultCode.platform_down.name)
     else:
-        view.note_contact()
+        view.contacts.note_platform()
     return reply
 
 
--- a/dragonflyramp/members/_group_views.py
+++ b/dragonflyramp/members/_group_views.py
@@ -17,6 +17,24 @@
 from dragonflyramp.members._rendezvous import first, order
 
 
+@attrs.define
+class Contacts:
+    """Remember when exchanges last succeeded; calls received count too."""
+
+    _clock: Callable[[], float]
+    last_seconds: float = -math.inf
+    last_member_seconds: float = -math.inf
+
+    def note_platform(self) -> None:
+        """Note an answer of the platform, a refusal too."""
+        self.last_seconds = self._clock()
+
+    def note_member(self) -> None:
+        """Note an exchange with another member."""
+        self.last_seconds = self._clock()
+        self.last_member_seconds = self.last_seconds
+
+
 @attrs.define(eq=False)
 class GroupView:
     """Adopt records of higher renewals and tell who waits for changes.
@@ -33,16 +51,13 @@
     renewal: int = 0
     layout_renewal: int = 0
     progress_seconds: float = attrs.field(init=False)
-    last_contact_seconds: float = -math.inf
+    contacts: Contacts = attrs.field(init=False)
     _changed: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
         """Count the start as progress, to wait one term for a writer."""
         self.progress_seconds = self.clock()
-
-    def note_contact(self) -> None:
-        """Note a successful exchange with the platform or a member."""
-        self.last_contact_seconds = self.clock()
+        self.contacts = Contacts(self.clock)
 
     def note_renewal(self, renewal: int) -> None:
         """Note that the record's writer makes progress."""
--- a/dragonflyramp/members/_heartbeats.py
+++ b/dragonflyramp/members/_heartbeats.py
@@ -82,7 +82,7 @@
     def _use(
         self, reply: HeartbeatReply, address: str, started_seconds: float
     ) -> None:
-        self.view.note_contact()
+        self.view.contacts.note_member()
         self.configuration.hint(reply.configuration_number, address)
         self.hooks.add_quarantined(reply.quarantined)
         if not self._learn(reply):
--- a/dragonflyramp/members/_membership.py
+++ b/dragonflyramp/members/_membership.py
@@ -40,7 +40,7 @@
     @property
     def last_contact_seconds(self) -> float:
         """Give when an exchange with platform or members last succeeded."""
-        return self.view.last_contact_seconds
+        return self.view.contacts.last_seconds
 
     def peers(self, role: Role) -> tuple[MemberEntry, ...]:
         """List the other members of one role."""
--- a/dragonflyramp/members/_membership_parts.py
+++ b/dragonflyramp/members/_membership_parts.py
@@ -11,7 +11,8 @@
 from dragonflyramp.members._heartbeats import HeartbeatSender
 from dragonflyramp.members._lease_tables import MemberLeaseTable
 from dragonflyramp.members._membership_inputs import MembershipInputs
-from dragonflyramp.members._promise_tasks import PromiseTasks
+from dragonflyramp.members._peer_tasks import PeerTasks
+from dragonflyramp.members._promise_requests import DeputyPromiseRequests
 from dragonflyramp.members._services import MembershipService
 from dragonflyramp.members._vm_evidence import VmWatch
 from dragonflyramp.members._writers import RecordWriter
@@ -28,7 +29,7 @@
     vm_watch: VmWatch
     cycles: MemberCycles
     probe: PeerProbe
-    promises: PromiseTasks
+    promises: PeerTasks
     handovers: Handovers
 
 
@@ -62,6 +63,7 @@
         GroupWriter(inputs.own.member_id, settings),
         vm_watch.evidence,
     )
+    requests = DeputyPromiseRequests(sender, settings)
     return MembershipParts(
         sender=sender,
         service=MembershipService(sender, desk, replies, writer),
@@ -69,6 +71,12 @@
         vm_watch=vm_watch,
         cycles=MemberCycles(view, sender, writer, settings, inputs.rng),
         probe=PeerProbe(view, sender, settings),
-        promises=PromiseTasks(sender, settings),
+        promises=PeerTasks(
+            'promise',
+            view,
+            requests.deputies,
+            requests.run_once,
+            settings.renewal_period_seconds,
+        ),
         handovers=Handovers(sender, settings),
     )
--- a/dragonflyramp/members/_promise_tasks.py
+++ b/dragonflyramp/members/_promise_requests.py
@@ -1,14 +1,12 @@
 """Ask the deputies of the slices that this member holds for promises."""
 
 import asyncio
-import functools
 
 import attrs
 from returns.pipeline import is_successful
 
 from dragonflyramp.members._heartbeats import HeartbeatSender
 from dragonflyramp.members._messages import Promise, PromiseReply
-from dragonflyramp.members._repeats import repeat
 from dragonflyramp.members._settings import MembershipSettings
 from dragonflyramp.members._warmths import warmth_tables
 from dragonflyramp.models import MemberId
@@ -16,40 +14,22 @@
 
 
 @attrs.define(eq=False)
-class PromiseTasks:
-    """Run one task for each deputy of the slices that this member holds."""
+class DeputyPromiseRequests:
+    """Ask a deputy once per period to promise its slices' tenures."""
 
     _sender: HeartbeatSender
     _settings: MembershipSettings
-    _tasks: dict[MemberId, asyncio.Task[None]] = attrs.field(factory=dict)
 
-    async def run(self) -> None:
-        """Start and cancel tasks as the record names deputies."""
-        async with asyncio.TaskGroup() as group:
-            while True:
-                record = self._sender.view.record
-                self._update(group)
-                await self._sender.view.wait_record_change(record)
-
-    def _update(self, group: asyncio.TaskGroup) -> None:
-        wanted = {
+    def deputies(self) -> frozenset[MemberId]:
+        """List the deputies of the slices that this member holds."""
+        return frozenset(
             deputy
             for entry in self._sender.table.holder.held()
             for deputy in entry.deputies
-        }
-        for ended in self._tasks.keys() - wanted:
-            self._tasks.pop(ended).cancel()
-        for deputy in wanted - self._tasks.keys():
-            self._tasks[deputy] = group.create_task(self._ask_always(deputy))
-
-    async def _ask_always(self, deputy_id: MemberId) -> None:
-        await repeat(
-            'promise',
-            functools.partial(self._ask_and_rest, deputy_id),
-            self._settings.renewal_period_seconds,
         )
 
-    async def _ask_and_rest(self, deputy_id: MemberId) -> None:
+    async def run_once(self, deputy_id: MemberId) -> None:
+        """Ask one deputy and rest until the period ends."""
         clock = self._sender.view.clock
         started_seconds = clock()
         await self._ask(deputy_id, started_seconds)
@@ -82,7 +62,7 @@
     def _note(
         self, deputy_id: MemberId, reply: PromiseReply, started_seconds: float
     ) -> None:
-        self._sender.view.note_contact()
+        self._sender.view.contacts.note_member()
         if reply.code is not ResultCode.ok:
             return
         self._sender.table.holder.note_promises(
--- a/dragonflyramp/members/_services.py
+++ b/dragonflyramp/members/_services.py
@@ -29,7 +29,7 @@
 
     async def heartbeat(self, request: Heartbeat) -> HeartbeatReply:
         """Answer once a write covers the heartbeat, or refuse."""
-        self._sender.view.note_contact()
+        self._sender.view.contacts.note_member()
         self._sender.hooks.add_quarantined(request.quarantined)
         self._sender.configuration.hint(
             request.configuration_number, request.member.address
@@ -41,7 +41,7 @@
     async def promise(self, request: Promise) -> PromiseReply:
         """Promise not to renounce tenures and load their warmth."""
         view = self._sender.view
-        view.note_contact()
+        view.contacts.note_member()
         now_seconds = view.clock()
         promised = []
         for one in request.slices:
@@ -59,7 +59,7 @@
 
     async def handover(self, request: Handover) -> HandoverReply:
         """Load the warmth of slices that this member is to get."""
-        self._sender.view.note_contact()
+        self._sender.view.contacts.note_member()
         slices = self._sender.view.record.slices
         accepted = []
         for one in request.slices:
--- /dev/null
+++ b/dragonflyramp/members/_spread_loops.py
@@ -0,0 +1,137 @@
+"""Look for configurations that are newer than the adopted one."""
+
+import asyncio
+import random
+
+import attrs
+from returns.pipeline import is_successful
+
+from dragonflyramp.members._group_views import (
+    GroupView,
+    is_watcher,
+    other_addresses,
+)
+from dragonflyramp.members._settings import MembershipSettings
+from dragonflyramp.members._text_adoption import TextAdoption
+from dragonflyramp.members._text_fetches import MemberTexts
+from dragonflyramp.members._text_sources import PlatformTexts
+from dragonflyramp.members._texts import Source
+from dragonflyramp.results import ResultCode
+
+#: A malformed text is tried again ever more rarely, up to this pause in
+#: periods, because each try reads it again.
+_MAX_PAUSE_PERIODS = 32
+
+#: Members asked in one try because they showed a higher number.
+_MAX_ASKED = 3
+
+_RETRIED_EACH_PERIOD = frozenset(
+    (
+        ResultCode.ok,
+        ResultCode.platform_down,
+        ResultCode.object_missing,
+        ResultCode.member_unreachable,
+    )
+)
+
+
+@attrs.define(eq=False)
+class RootWatch:
+    """Hold the platform's watch of the root while that is this member's job.
+
+    A member that no other member reaches holds it too: nobody else would
+    tell it of a change.
+    """
+
+    _view: GroupView
+    _settings: MembershipSettings
+    _platform: PlatformTexts
+    _adoption: TextAdoption
+    _rng: random.Random
+
+    async def run_once(self) -> None:
+        """Wait for one change of the root, or of who holds the watch."""
+        if not self._is_needed():
+            await self._wait_for_change_of_job()
+            return
+        found = await self._platform.watch_root()
+        if not is_successful(found):
+            await asyncio.sleep(self._pause_seconds())
+            return
+        root = found.unwrap()
+        if root is not None:
+            await self._adoption.take(root.body, (), Source.platform)
+
+    def _is_needed(self) -> bool:
+        silent_seconds = (
+            self._view.clock() - self._view.contacts.last_member_seconds
+        )
+        is_alone = silent_seconds >= self._settings.isolation_seconds
+        return is_alone or is_watcher(self._view)
+
+    async def _wait_for_change_of_job(self) -> None:
+        try:
+            await asyncio.wait_for(
+                self._view.wait_record_change(self._view.record),
+                self._settings.renewal_period_seconds,
+            )
+        except TimeoutError:
+            return
+
+    def _pause_seconds(self) -> float:
+        period_seconds = self._settings.renewal_period_seconds
+        return self._rng.uniform(period_seconds / 2, period_seconds)
+
+
+@attrs.define(eq=False)
+class CatchUp:
+    """Get a configuration whose number is known, or the first one."""
+
+    _view: GroupView
+    _settings: MembershipSettings
+    _platform: PlatformTexts
+    _members: MemberTexts
+    _adoption: TextAdoption
+    _turn: int = 0
+    _pause_periods: int = 1
+
+    async def run_once(self) -> None:
+        """Wait until something newer is known and try to get it."""
+        hints = self._adoption.texts.hints
+        await hints.wait_due()
+        codes = await self._try_sources()
+        if not hints.is_due:
+            return
+        self._pause_periods = min(self._pause_periods * 2, _MAX_PAUSE_PERIODS)
+        if _RETRIED_EACH_PERIOD.issuperset(codes):
+            self._pause_periods = 1
+        try:
+            await asyncio.wait_for(
+                hints.wait_raised(),
+                self._pause_periods * self._settings.renewal_period_seconds,
+            )
+        except TimeoutError:
+            return
+
+    async def _try_sources(self) -> list[ResultCode]:
+        hints = self._adoption.texts.hints
+        codes = []
+        for hinted in hints.take_addresses()[:_MAX_ASKED]:
+            codes.append(await self._members.fetch(hinted))
+            if not hints.is_due:
+                return codes
+        codes.append(await self._read_platform())
+        addresses = other_addresses(self._view)
+        if hints.is_due and addresses:
+            self._turn += 1
+            address = addresses[self._turn % len(addresses)]
+            codes.append(await self._members.fetch(address))
+        return codes
+
+    async def _read_platform(self) -> ResultCode:
+        found = await self._platform.read_root()
+        if not is_successful(found):
+            return found.failure()
+        return await self._adoption.take(
+            found.unwrap().body, (), Source.platform
+        )
