--- a/dragonflyramp/members/_channels_grpc.py
+++ b/dragonflyramp/members/_channels_grpc.py
@@ -16,9 +16,11 @@
 _KEEPALIVE_MS = 1500
 _KEEPALIVE_TIMEOUT_MS = 1500
 
-_COMMON_OPTIONS = (
+_SIZES = (
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
     ('grpc.max_receive_message_length', _RECEIVE_LIMIT_BYTES),
+)
+_KEEPALIVE = (
     ('grpc.keepalive_time_ms', _KEEPALIVE_MS),
     ('grpc.keepalive_timeout_ms', _KEEPALIVE_TIMEOUT_MS),
     # gRPC 1.85 keeps a silent connection open for longer than 30 s without
@@ -27,17 +29,20 @@
     ('grpc.keepalive_permit_without_calls', 1),
     ('grpc.http2.max_pings_without_data', 0),
 )
-_CHANNEL_OPTIONS = (
-    *_COMMON_OPTIONS,
+_CALL_OPTIONS = (
+    *_SIZES,
     ('grpc.enable_retries', 0),
     ('grpc.enable_http_proxy', 0),
     ('grpc.service_config_disable_resolution', 1),
     # Channels share no connections: a new channel is a new connection.
     ('grpc.use_local_subchannel_pool', 1),
 )
+_STREAM_OPTIONS = (*_CALL_OPTIONS, *_KEEPALIVE)
 _SERVER_OPTIONS = (
-    *_COMMON_OPTIONS,
-    # Without this two daemons could listen on one port and share its calls.
+    *_SIZES,
+    *_KEEPALIVE,
+    # A newer member at an address proves that the older process ended, which
+    # is wrong if two processes can listen there.
     ('grpc.so_reuseport', 0),
     ('grpc.http2.min_ping_interval_without_data_ms', _KEEPALIVE_MS // 3),
     ('grpc.http2.max_ping_strikes', 0),
@@ -56,26 +61,36 @@
 
     Raise ValueError for anything but an IP address and a port.
     """
-    return aio.insecure_channel(_target(address), _CHANNEL_OPTIONS)
+    return aio.insecure_channel(_target(address), _STREAM_OPTIONS)
+
+
+def open_call_channel(address: str) -> aio.Channel:
+    """Create a channel for calls with a deadline, which need no keepalive.
+
+    Raise ValueError for anything but an IP address and a port.
+    """
+    return aio.insecure_channel(_target(address), _CALL_OPTIONS)
 
 
 class MemberServer:
     """Listen for the calls of other daemons."""
 
-    def __init__(self, *services: GrpcService) -> None:
-        """Take the services to offer."""
+    def __init__(self) -> None:
+        """Create a server that neither listens nor offers anything."""
         self._server = aio.server(options=_SERVER_OPTIONS)
-        for service in services:
-            service.add_to(self._server)
 
-    async def start(self, address: str) -> int:
-        """Listen on an IP:port and return the port; 0 lets the kernel choose.
+    def bind(self, address: str) -> int:
+        """Bind an IP:port and return the port; 0 lets the kernel choose.
 
         Raise RuntimeError when the address cannot be bound.
         """
-        port = self._server.add_insecure_port(address)
+        return self._server.add_insecure_port(address)
+
+    async def start(self, *services: GrpcService) -> None:
+        """Offer services and answer calls."""
+        for service in services:
+            service.add_to(self._server)
         await self._server.start()
-        return port
 
     async def stop(self, grace_seconds: float) -> None:
         """Refuse new calls, and cancel running ones after the grace time."""
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -88,6 +88,9 @@
     internal_error = 504
     bad_setting = 505
     daemon_unreachable = 506
+    not_writer = 507
+    group_full = 508
+    member_unreachable = 509
 
     @property
     def meaning(self) -> Meaning:
@@ -303,6 +306,15 @@
         ResultCode.daemon_unreachable: _unknown(
             HTTPStatus.GATEWAY_TIMEOUT, 'The daemon did not answer in time.'
         ),
+        ResultCode.not_writer: _not_run(
+            HTTPStatus.CONFLICT, 'The member does not write the group record.'
+        ),
+        ResultCode.group_full: _not_run(
+            HTTPStatus.CONFLICT, 'The group has as many members as it may.'
+        ),
+        ResultCode.member_unreachable: _unknown(
+            HTTPStatus.BAD_GATEWAY, 'The other member did not answer in time.'
+        ),
     }
 )
 
--- a/tests/scatter_fakes.py
+++ b/tests/scatter_fakes.py
@@ -141,8 +141,9 @@
 ) -> AsyncIterator[RunningRelay]:
     """Run a relay over real gRPC for the length of the block."""
     fronts = Fronts(fake, limits or FrontLimits())
-    server = MemberServer(ScatterService(fronts))
-    chosen = await server.start(f'127.0.0.1:{port}')
+    server = MemberServer()
+    chosen = server.bind(f'127.0.0.1:{port}')
+    await server.start(ScatterService(fronts))
     reporting = asyncio.create_task(fronts.run())
     async with contextlib.AsyncExitStack() as cleanup:
         cleanup.push_async_callback(server.stop, 0)
