--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -15,7 +15,6 @@
     compose_searches,
     compose_submits,
 )
-from dragonflyramp.callers._quarantine import Quarantine
 from dragonflyramp.callers._requests import (
     Refusal,
     SearchAnswer,
@@ -36,7 +35,7 @@
         """Compose the front; nothing runs before the first request."""
         settings = parts.settings
         self.parts = parts
-        self.quarantine = Quarantine(settings.quarantine)
+        self.quarantine = parts.quarantine
         self._stopping = Stopping(settings.notice_seconds)
         self._checks = RequestChecks(parts.source, parts.clock)
         self._background = BackgroundTasks()
--- a/dragonflyramp/callers/_parts.py
+++ b/dragonflyramp/callers/_parts.py
@@ -16,6 +16,7 @@
 from dragonflyramp.callers._outcomes import Outcomes
 from dragonflyramp.callers._planning import Planner
 from dragonflyramp.callers._policies import FrontPolicies
+from dragonflyramp.callers._quarantine import Quarantine
 from dragonflyramp.callers._searches import Searches
 from dragonflyramp.callers._settings import FrontSettings
 from dragonflyramp.callers._submits import Submits
@@ -37,6 +38,7 @@
     rng: random.Random
     settings: FrontSettings = FrontSettings()
     policies: FrontPolicies = FrontPolicies()
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
     clock: Callable[[], float] = time.monotonic
     unix_clock: Callable[[], float] = time.time
 
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -17,13 +17,6 @@
     RelayLinks,
     RelayLost,
 )
-from dragonflyramp.members._outboxes import OutboxLimits
-from dragonflyramp.members._peer_links import LinkLimits, LinkTools, RelayPeer
-from dragonflyramp.members._peers import PeerLinks, RelayPeers
-from dragonflyramp.members._scatter_grpc import (
-    GrpcStreamOpener,
-    ScatterService,
-)
 from dragonflyramp.members._members_grpc import (
     GrpcMemberCalls,
     MembersService,
@@ -31,6 +24,13 @@
 from dragonflyramp.members._membership import Membership
 from dragonflyramp.members._membership_inputs import MembershipInputs
 from dragonflyramp.members._messages import PartContent, Quarantined
+from dragonflyramp.members._outboxes import OutboxLimits
+from dragonflyramp.members._peer_links import LinkLimits, LinkTools, RelayPeer
+from dragonflyramp.members._peers import PeerLinks, RelayPeers
+from dragonflyramp.members._scatter_grpc import (
+    GrpcStreamOpener,
+    ScatterService,
+)
 from dragonflyramp.members._settings import MembershipSettings
 from dragonflyramp.members._spread import ConfigurationKeeper, SpreadInputs
 from dragonflyramp.members._texts import AdoptedTexts, RootFacts, TextCodec
--- a/dragonflyramp/operators/__init__.py
+++ b/dragonflyramp/operators/__init__.py
@@ -29,6 +29,7 @@
 from dragonflyramp.operators._fields import is_ip_and_port
 from dragonflyramp.operators._http import (
     open_daemons,
+    serve_status,
     status_application,
 )
 from dragonflyramp.operators._outcomes import (
@@ -107,6 +108,7 @@
     'part_name',
     'push',
     'root_delta',
+    'serve_status',
     'show',
     'split_text',
     'status',
--- a/dragonflyramp/operators/_http.py
+++ b/dragonflyramp/operators/_http.py
@@ -1,6 +1,7 @@
 """Serve and reach the status interface of a daemon over HTTP."""
 
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import Any
@@ -54,6 +55,27 @@
     return application
 
 
+@attrs.frozen(eq=False)
+class StatusServer:
+    """Hold the listening status interface."""
+
+    _runner: web.AppRunner
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+
+async def serve_status(
+    view: DaemonView, listener: socket.socket
+) -> StatusServer:
+    """Serve the status interface on a socket that listens."""
+    runner = web.AppRunner(status_application(view), access_log=None)
+    await runner.setup()
+    await web.SockSite(runner, listener).start()
+    return StatusServer(runner)
+
+
 class _Handlers:
     def __init__(self, view: DaemonView) -> None:
         self._view = view
--- a/dragonflyramp/settings.py
+++ b/dragonflyramp/settings.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from dragonflyramp.results import ResultCode
 from dragonflyramp.setting_kinds import (
     Address,
     Addresses,
@@ -14,7 +15,6 @@
     Number,
     Whole,
 )
-from dragonflyramp.results import ResultCode
 
 _Typed = TypeVar('_Typed')
 _KIND = 'kind'
@@ -166,9 +166,6 @@
         "Longest body of a caller's request. Messages between daemons hold "
         'at most 4 MiB.',
     )
-    max_hits: int = _optional(
-        Whole(1, 10 * 1000, 'hits'), 100, 'Most hits in the answer to a search.'
-    )
     vm_list_period_seconds: float = _optional(
         _seconds(0.1, _MINUTE), 2, 'Time between two reads of the VM list.'
     )
--- a/dragonflyramp/tools/_operator_flags.py
+++ b/dragonflyramp/tools/_operator_flags.py
@@ -7,6 +7,7 @@
 import attrs
 from absl import flags
 from returns.result import Failure, Result, Success
+
 from dragonflyramp.operators import is_ip_and_port
 
 _ENVIRONMENT_PREFIX = 'DRAGONFLYRAMP_'
--- a/tests/backend_rig.py
+++ b/tests/backend_rig.py
@@ -33,8 +33,9 @@
     Service,
     SliceId,
     VmState,
+    Warmth,
+    WarmthEntry,
 )
-from dragonflyramp.models import Warmth, WarmthEntry
 from dragonflyramp.platform import VirtualMachine
 from dragonflyramp.results import ResultCode
 from tests.standins.backend_models import ServerSpec
--- a/tests/standins/front_fakes.py
+++ b/tests/standins/front_fakes.py
@@ -15,8 +15,13 @@
     Submit,
     SubmitOutcome,
 )
-from dragonflyramp.models import Configuration, MemberId, Service, Snapshot
-from dragonflyramp.models import SliceId
+from dragonflyramp.models import (
+    Configuration,
+    MemberId,
+    Service,
+    SliceId,
+    Snapshot,
+)
 from dragonflyramp.results import ResultCode
 
 DESK = Service(name='desk', deadline_ms=400)
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -9,8 +9,8 @@
 
 from dragonflyramp.members import RelayLost
 from dragonflyramp.members._codec_grpc import MAX_MESSAGE_BYTES, encode_front
-from dragonflyramp.members._outboxes import OutboxLimits
 from dragonflyramp.members._fronts import FrontLimits
+from dragonflyramp.members._outboxes import OutboxLimits
 from dragonflyramp.members._peer_links import LinkLimits, RelayPeer
 from dragonflyramp.members.members_pb2 import FrontMessage, Query, ShardAttempt
 from dragonflyramp.metrics import counters
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -73,8 +73,8 @@
         ('--group=a\nb', r"--group='a\nb'", '1 to 63'),
         ('--policy=best', "='best'", 'one of ours, naive'),
         ('--log_level=all', "='all'", 'one of debug'),
-        ('--max_hits=1.5', "='1.5'", 'whole number from 1 to 10000'),
-        ('--max_hits=0', "='0'", 'from 1 to 10000'),
+        ('--max_body_bytes=2000.5', "='2000.5'", 'whole number from 1024 to'),
+        ('--max_body_bytes=1023', "='1023'", 'from 1024 to 3145728'),
         ('--drain_seconds=nan', "='nan'", 'from 0 to 600'),
         ('--drain_seconds=-1', "='-1'", 'from 0 to 600'),
         ('--lease_term_seconds=1.5', 'seconds=1.5', 'at least 2'),
@@ -96,8 +96,10 @@
 
 def test_bad_variable_is_named() -> None:
     """Guards against a search for a flag that was never given."""
-    line = load_with(DRAGONFLYRAMP_MAX_HITS='many')
-    assert "--max_hits='many' (from DRAGONFLYRAMP_MAX_HITS)" in str(line)
+    line = load_with(DRAGONFLYRAMP_MAX_BODY_BYTES='many')
+    assert "--max_body_bytes='many' (from DRAGONFLYRAMP_MAX_BODY_BYTES)" in str(
+        line
+    )
 
 
 def test_missing_setting_is_named() -> None:
@@ -109,7 +111,7 @@
 def test_bad_setting_ends_the_program() -> None:
     """Guards against a traceback, or a start, instead of one line."""
     ended = subprocess.run(
-        [sys.executable, '-c', _PROGRAM, *_REQUIRED, '--max_hits=0'],
+        [sys.executable, '-c', _PROGRAM, *_REQUIRED, '--max_body_bytes=0'],
         capture_output=True,
         check=False,
         text=True,
@@ -117,7 +119,7 @@
     )
     assert ended.returncode == 2
     assert ended.stderr.count('\n') == 1
-    assert "--max_hits='0'" in ended.stderr
+    assert "--max_body_bytes='0'" in ended.stderr
 
 
 def test_page_shows_the_settings() -> None:
