Keep a slow relay or service from turning replicas cold

A connect that is cancelled under uvloop leaves a socket that is closed a second time later, perhaps as that of another connection; a connect is now never cancelled, it is ended afterwards. A relay that was itself too slow blamed the replicas for its late timers; a timer that fires more than 20 ms late now blames nobody. When a whole service slowed down, the replica that was asked most turned cold first; a slow reply now counts only when another replica completed a request at the same time.

A replica without any reply for 5 s, or with two connections in a row that could not be opened, gets no work until its status can be read, so that probes do not wait for a dead VM.

--- a/dragonflyramp/backends/_admissions.py
+++ b/dragonflyramp/backends/_admissions.py
@@ -60,16 +60,21 @@
         self, replica: ReplicaState, current: Standing, now_seconds: float
     ) -> int:
         """Give how many requests may run on a replica; 0 for none."""
-        self._context.observer.check_silence(replica, now_seconds)
-        policies = self._context.policies
-        if policies.leaving.is_leaving(replica.leaving):
+        if not self.is_available(replica, now_seconds):
             return 0
         slots = self._terms.service.slots
         return min(
-            policies.ramp.limit(replica.ramp, now_seconds),
+            self._context.policies.ramp.limit(replica.ramp, now_seconds),
             current.slots(slots, warm=replica.is_warm),
         )
 
+    def is_available(self, replica: ReplicaState, now_seconds: float) -> bool:
+        """Tell whether a replica stays and replies, whatever its lease."""
+        if self._context.observer.is_silent(replica, now_seconds):
+            return False
+        leaving = self._context.policies.leaving
+        return not leaving.is_leaving(replica.leaving)
+
     def free_from_seconds(self, replica: ReplicaState) -> float:
         """Give the time from which the ramp's rate allows a start."""
         if replica.is_warm:
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -65,6 +65,8 @@
     refused = 'refused'
     lost = 'lost'
     bad_reply = 'bad_reply'
+    #: This process, not the server, was too slow.
+    stalled = 'stalled'
 
 
 class BackendClient(Protocol):
--- a/dragonflyramp/backends/_descriptions.py
+++ b/dragonflyramp/backends/_descriptions.py
@@ -11,7 +11,10 @@
 
 @attrs.frozen(kw_only=True)
 class ReplicaDescription:
-    """Describe one replica; `state` is cold, warming, warm or leaving."""
+    """Describe one replica.
+
+    `state` is cold, warming, warm, leaving or silent.
+    """
 
     replica_id: str
     shard: str
@@ -33,7 +36,7 @@
 ) -> ReplicaDescription:
     """Describe a replica as it is used now."""
     replica = state.replica
-    leaving = context.policies.leaving.is_leaving(state.leaving)
+    silent = context.observer.is_silent(state, now_seconds)
     latency_seconds = state.latencies[RequestKind.search].seconds
     return ReplicaDescription(
         replica_id=replica.replica_id,
@@ -41,7 +44,7 @@
         address=replica.address,
         failure_domain=replica.failure_domain,
         instance_id=state.instance_id,
-        state='leaving' if leaving else state.ramp.warmth.name,
+        state='silent' if silent else _used_state(state, context),
         leaving_reason=_leaving_reason(state),
         limit=context.policies.ramp.limit(state.ramp, now_seconds),
         running=state.running,
@@ -58,6 +61,12 @@
     )
 
 
+def _used_state(state: ReplicaState, context: TierContext) -> str:
+    if context.policies.leaving.is_leaving(state.leaving):
+        return 'leaving'
+    return state.ramp.warmth.name
+
+
 def _leaving_reason(state: ReplicaState) -> str:
     if state.leaving.held:
         return 'hold'
--- a/dragonflyramp/backends/_dispatches.py
+++ b/dragonflyramp/backends/_dispatches.py
@@ -35,6 +35,8 @@
         for work in tuple(self._queue.waiting):
             if work.deadline_seconds <= now_seconds:
                 self._queue.refuse(work, work.waits_code)
+        if not self._queue.waiting:
+            return
         current = self._admission.standing(now_seconds)
         refusal = _refusal(
             current.state, self._context.source.is_isolated(now_seconds)
@@ -71,7 +73,7 @@
         if not untried:
             code = work.last_code
             if code is None:
-                code = self._code_without(usable, holding)
+                code = self._code_without(usable, holding, now_seconds)
             self._queue.refuse(work, code)
             return
         free = self._handout.free_now(untried, now_seconds)
@@ -85,18 +87,20 @@
             fingerprints.wake_later(work.fingerprint, self._wake)
 
     def _code_without(
-        self, usable: Sequence[Limited], holding: Sequence[Limited]
+        self,
+        usable: Sequence[Limited],
+        holding: Sequence[Limited],
+        now_seconds: float,
     ) -> ResultCode:
         """Tell why there is no replica for a work."""
         if usable and not holding:
             return ResultCode.snapshot_gone
-        leaving = self._context.policies.leaving
-        staying = [
+        available = [
             pool
             for pool in self._queue.pools.values()
-            if not leaving.is_leaving(pool.replica.leaving)
+            if self._admission.is_available(pool.replica, now_seconds)
         ]
-        if staying and not usable:
+        if available and not usable:
             return ResultCode.no_lease
         return ResultCode.no_replica
 
--- a/dragonflyramp/backends/_followers.py
+++ b/dragonflyramp/backends/_followers.py
@@ -7,7 +7,7 @@
 
 from dragonflyramp.backends._alarms import Alarm
 from dragonflyramp.backends._contexts import TierContext
-from dragonflyramp.backends._serving import Serving
+from dragonflyramp.backends._serving import Serving, available_replicas
 from dragonflyramp.backends._slices import GainedNumbers, served_shards
 from dragonflyramp.metrics import counters
 from dragonflyramp.models import Configuration, LeaseState, SliceId
@@ -18,11 +18,12 @@
 
 @attrs.frozen(kw_only=True)
 class _Seen:
-    """Hold what the leases allowed at the last look."""
+    """Hold what changes with time alone, at the last look."""
 
     leases: tuple[tuple[SliceId, int, LeaseState], ...]
     settled_number: int
     isolated: bool
+    available: tuple[str, ...]
 
 
 class Inputs:
@@ -98,7 +99,7 @@
             await self._inputs.shards_changed.wait(period_seconds)
 
     async def watch_leases(self) -> None:
-        """Look at the leases once a period, and act on what changed."""
+        """Look once a period at what changes with time, and act on it."""
         seen: object = None
         while True:
             found = self._look(self._context.clock())
@@ -134,4 +135,7 @@
             ),
             settled_number=table.settled_number(now_seconds),
             isolated=self._context.source.is_isolated(now_seconds),
+            available=available_replicas(
+                self._serving.shards.values(), now_seconds
+            ),
         )
--- a/dragonflyramp/backends/_http.py
+++ b/dragonflyramp/backends/_http.py
@@ -1,5 +1,6 @@
 """Speak the protocol of the backend servers, over HTTP."""
 
+import asyncio
 from collections.abc import Mapping
 from http import HTTPStatus
 
@@ -28,6 +29,7 @@
     TooLargeError,
     WireReply,
     WireRequest,
+    end_exchange,
     exchange,
     new_session,
 )
@@ -49,6 +51,7 @@
         self._root = f'http://{address}'
         self._settings = settings
         self._session: aiohttp.ClientSession | None = None
+        self._ending: set[asyncio.Task[None]] = set()
 
     def is_open(self) -> bool:
         """Tell whether a status opened a connection that is not lost."""
@@ -56,13 +59,8 @@
 
     async def status(self) -> Result[Status, StatusFailure]:
         """Read the status, on a new connection when none is open."""
-        if self._session is None:
-            idle_seconds = self._settings.connection_idle_seconds
-            self._session = new_session(self._root, idle_seconds)
-        request = WireRequest(method='GET', path='/status', may_open=True)
-        max_bytes = self._settings.max_reply_bytes
         try:
-            raw = await exchange(self._session, request, max_bytes)
+            raw = await self._get_status()
         except FAILURES as error:
             return Failure(_status_failure(error))
         if raw.status != HTTPStatus.OK:
@@ -73,24 +71,18 @@
 
     async def search(self, call: SearchCall) -> Reply:
         """Search on the open connection; unsent when it was lost."""
-        headers = {
-            'X-Snapshot-Id': call.snapshot_id,
-            'X-Deadline-Ms': str(call.deadline_ms),
-            'X-Attempt-Id': call.attempt_id,
-            'X-Request-Id': call.request_id,
-        }
-        raw = await self._post('/search', headers, call.body)
+        headers = {**_headers(call), 'X-Snapshot-Id': call.snapshot_id}
+        request = _post_request('/search', headers, call.body)
+        max_bytes = self._settings.max_reply_bytes
+        raw = await _post(self._session, request, max_bytes)
         return raw if isinstance(raw, Reply) else _search_reply(raw)
 
     async def submit(self, call: SubmitCall) -> Reply:
         """Submit on the open connection; unsent when it was lost."""
-        headers = {
-            'Idempotency-Key': call.idempotency_key,
-            'X-Deadline-Ms': str(call.deadline_ms),
-            'X-Attempt-Id': call.attempt_id,
-            'X-Request-Id': call.request_id,
-        }
-        raw = await self._post('/submit', headers, call.body)
+        headers = {**_headers(call), 'Idempotency-Key': call.idempotency_key}
+        request = _post_request('/submit', headers, call.body)
+        max_bytes = self._settings.max_reply_bytes
+        raw = await _post(self._session, request, max_bytes)
         return raw if isinstance(raw, Reply) else _submit_reply(raw)
 
     async def close(self) -> None:
@@ -100,23 +92,24 @@
         if session is not None:
             await session.close()
 
-    async def _post(
-        self, path: str, headers: Mapping[str, str], body: bytes
-    ) -> WireReply | Reply:
-        if self._session is None:
-            return Reply(code=ResultCode.connection_reset, sent=False)
-        request = WireRequest(
-            method='POST',
-            path=path,
-            headers={**headers, 'Content-Type': 'application/json'},
-            body=body,
-            may_open=False,
+    async def _get_status(self) -> WireReply:
+        session = self._session
+        if session is None:
+            idle_seconds = self._settings.connection_idle_seconds
+            session = new_session(self._root, idle_seconds)
+            self._session = session
+        request = WireRequest(method='GET', path='/status', may_open=True)
+        task = asyncio.create_task(
+            exchange(session, request, self._settings.max_reply_bytes)
         )
-        max_bytes = self._settings.max_reply_bytes
         try:
-            return await exchange(self._session, request, max_bytes)
-        except FAILURES as error:
-            return Reply(code=_failure_code(error), sent=request.sent)
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self._session = None
+            ending = asyncio.create_task(end_exchange(session, request, task))
+            self._ending.add(ending)
+            ending.add_done_callback(self._ending.discard)
+            raise
 
 
 def http_client_factory(settings: BackendSettings) -> ClientFactory:
@@ -124,6 +117,34 @@
     return lambda address: HttpBackendClient(address, settings)
 
 
+def _headers(call: SearchCall | SubmitCall) -> dict[str, str]:
+    return {
+        'Content-Type': 'application/json',
+        'X-Deadline-Ms': str(call.deadline_ms),
+        'X-Attempt-Id': call.attempt_id,
+        'X-Request-Id': call.request_id,
+    }
+
+
+def _post_request(
+    path: str, headers: Mapping[str, str], body: bytes
+) -> WireRequest:
+    return WireRequest(
+        method='POST', path=path, headers=headers, body=body, may_open=False
+    )
+
+
+async def _post(
+    session: aiohttp.ClientSession | None, request: WireRequest, max_bytes: int
+) -> WireReply | Reply:
+    if session is None:
+        return Reply(code=ResultCode.connection_reset, sent=False)
+    try:
+        return await exchange(session, request, max_bytes)
+    except FAILURES as error:
+        return Reply(code=_failure_code(error), sent=request.sent)
+
+
 def _status_failure(error: Exception) -> StatusFailure:
     if isinstance(error, aiohttp.ClientConnectorError):
         if isinstance(error.os_error, ConnectionRefusedError):
--- a/dragonflyramp/backends/_latencies.py
+++ b/dragonflyramp/backends/_latencies.py
@@ -113,18 +113,8 @@
         if usual_seconds is not None and elapsed_seconds >= usual_seconds:
             self.window.add(elapsed_seconds)
 
-    def baseline_seconds(
-        self, warm_peers: Iterable[float], now_seconds: float
-    ) -> float | None:
-        """Give what the service's latency is when nothing is wrong.
-
-        The peers come first: when all replicas slow down together, none of
-        them turned cold. Without peers the last known latency counts until
-        it is too old to tell.
-        """
-        peers = lower_median(warm_peers)
-        if peers is not None:
-            return peers
+    def remembered_seconds(self, now_seconds: float) -> float | None:
+        """Give the usual latency until it is too old to tell."""
         age_seconds = now_seconds - self.remembered.updated_seconds
         if age_seconds > _REMEMBERED_SECONDS:
             return None
--- a/dragonflyramp/backends/_leaving.py
+++ b/dragonflyramp/backends/_leaving.py
@@ -58,7 +58,7 @@
 
     def note_instance(self, state: LeavingState, instance_id: str) -> None:
         """End the state for an instance that the signal was not about."""
-        if state.signal is None or instance_id == state.instance_id:
+        if state.signal is None or instance_id in {'', state.instance_id}:
             return
         refused = state.signal is LeavingSignal.refused_connection
         if not state.instance_id and not refused:
--- a/dragonflyramp/backends/_lessons.py
+++ b/dragonflyramp/backends/_lessons.py
@@ -2,11 +2,14 @@
 
 from dragonflyramp.backends._connections import Ended
 from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._latencies import RequestKind, lower_median
 from dragonflyramp.backends._leaving import LeavingSignal
 from dragonflyramp.backends._queues import ShardQueue
 from dragonflyramp.backends._ramp import Completion, Verdict
-from dragonflyramp.backends._replicas import log_warmth
+from dragonflyramp.backends._replicas import ReplicaState, log_warmth
+from dragonflyramp.backends._statuses import STALL_SECONDS
 from dragonflyramp.backends._works import Send
+from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
 #: Codes of complete replies to a request that the server ran.
@@ -77,7 +80,8 @@
             snapshot_id = ended.send.work.snapshot_id
             replica.snapshots.note_missing(snapshot_id, now_seconds)
         elif reply.code is ResultCode.ok:
-            observer.note_staying(replica, reply.instance_id)
+            leaving = self._context.policies.leaving
+            leaving.note_instance(replica.leaving, reply.instance_id)
             if reply.snapshot_id:
                 replica.snapshots.note_shown(reply.snapshot_id, reply.documents)
 
@@ -85,11 +89,7 @@
         replica = ended.send.replica
         if ended.reply.instance_id in replica.former_instances:
             return
-        completion = Completion(
-            verdict=_verdict(ended),
-            latency_seconds=ended.latency_seconds,
-            baseline_seconds=self._baseline(ended.send, now_seconds),
-        )
+        completion = self._completion(ended, now_seconds)
         warmth = replica.ramp.warmth
         ramp = self._context.policies.ramp
         ramp.note_end(replica.ramp, completion, now_seconds)
@@ -110,37 +110,73 @@
             if send.replica.is_warm:
                 service_latency.add_at_least(seconds)
 
-    def _baseline(self, send: Send, now_seconds: float) -> float | None:
+    def _completion(self, ended: Ended, now_seconds: float) -> Completion:
+        """Compare with the warm peers, or with what was usual before.
+
+        The peers come first: when all replicas slow down together, none of
+        them turned cold.
+        """
+        send = ended.send
         kind = send.work.kind
-        pools = self._queue.pools.values()
-        peers = [pool.replica for pool in pools if pool.replica.is_warm]
-        latencies = [
-            peer.latencies[kind].seconds
-            for peer in peers
-            if peer is not send.replica
-        ]
-        service_latency = self._queue.terms.latencies[kind]
-        return service_latency.baseline_seconds(
-            [seconds for seconds in latencies if seconds is not None],
-            now_seconds,
+        peers = _warm_latencies(self._queue, kind, send.replica)
+        started_seconds = now_seconds - ended.latency_seconds
+        baseline_seconds = lower_median([seconds for seconds, _ in peers])
+        if baseline_seconds is None:
+            service_latency = self._queue.terms.latencies[kind]
+            baseline_seconds = service_latency.remembered_seconds(now_seconds)
+        return Completion(
+            verdict=_verdict(ended),
+            started_seconds=started_seconds,
+            latency_seconds=ended.latency_seconds,
+            baseline_seconds=baseline_seconds,
+            baseline_is_current=not peers
+            or any(updated >= started_seconds for _, updated in peers),
         )
 
 
+def _warm_latencies(
+    queue: ShardQueue, kind: RequestKind, without: ReplicaState
+) -> list[tuple[float, float]]:
+    """List latency and time of it for each other warm replica."""
+    peers = [
+        pool.replica.latencies[kind]
+        for pool in queue.pools.values()
+        if pool.replica is not without and pool.replica.is_warm
+    ]
+    return [
+        (peer.seconds, peer.updated_seconds)
+        for peer in peers
+        if peer.seconds is not None
+    ]
+
+
 def _verdict(ended: Ended) -> Verdict:
     code = ended.reply.code
-    send = ended.send
     if code in _REFUSED_LOAD:
         return Verdict.failed
-    if code in _NO_ANSWER:
-        blamed = (
-            ended.latency_seconds >= _PATIENCE_SHARE * send.patience_seconds
-        )
-        return Verdict.failed if blamed else Verdict.neutral
-    if code is ResultCode.ok and not _is_older_than_cold(send):
+    if code in _NO_ANSWER and _is_to_blame(ended):
+        return Verdict.failed
+    if code is ResultCode.ok and not _is_older_than_cold(ended.send):
         return Verdict.completed
     return Verdict.neutral
 
 
+def _is_to_blame(ended: Ended) -> bool:
+    """Tell whether the replica had enough time, and this process did too.
+
+    When the timer fired late, this process was paused or overloaded, and the
+    reply may have been waiting to be read.
+    """
+    send = ended.send
+    if send.called_seconds is None:
+        return False
+    ended_seconds = send.called_seconds + ended.latency_seconds
+    if ended_seconds - send.due_seconds > STALL_SECONDS:
+        counters.add('unblamed_timeouts', 'stalled')
+        return False
+    return ended.latency_seconds >= _PATIENCE_SHARE * send.patience_seconds
+
+
 def _is_older_than_cold(send: Send) -> bool:
     """Tell whether the request started before the replica turned cold."""
     if send.called_seconds is None:
--- a/dragonflyramp/backends/_ramp.py
+++ b/dragonflyramp/backends/_ramp.py
@@ -21,11 +21,17 @@
 
 @attrs.frozen(kw_only=True)
 class Completion:
-    """Describe the end of one request; the baseline is the service's."""
+    """Describe the end of one request; the baseline is the service's.
+
+    The baseline is current when another replica completed a request while
+    this one ran. Without that the whole service may have slowed down.
+    """
 
     verdict: Verdict
+    started_seconds: float = 0
     latency_seconds: float = 0
     baseline_seconds: float | None = None
+    baseline_is_current: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -51,6 +57,7 @@
     clean: int = 0
     clean_wanted: int = 0
     slow_in_a_row: int = 0
+    last_slow_seconds: float = -math.inf
     next_start_seconds: float = -math.inf
     last_start_seconds: float
     demoted_seconds: float = -math.inf
@@ -178,20 +185,16 @@
         if completion.verdict is Verdict.failed:
             self.restart(state, now_seconds)
             return
-        slow = not self._is_within(completion, self.slow_factor)
-        state.slow_in_a_row = state.slow_in_a_row + 1 if slow else 0
+        if _is_within(completion, self.slow_factor, self.slack_seconds):
+            state.slow_in_a_row = 0
+        elif _is_evidence(state, completion):
+            state.slow_in_a_row += 1
+            state.last_slow_seconds = now_seconds
         if state.slow_in_a_row >= self.slow_replies:
             self.restart(state, now_seconds)
-        elif self._is_within(completion, self.near_factor):
+        elif _is_within(completion, self.near_factor, self.slack_seconds):
             _grow(self, state, completion.latency_seconds)
 
-    def _is_within(self, completion: Completion, factor: float) -> bool:
-        baseline = completion.baseline_seconds
-        if baseline is None:
-            return True
-        bound = factor * baseline + self.slack_seconds
-        return completion.latency_seconds <= bound
-
 
 @attrs.frozen(kw_only=True)
 class StaticSplitRamp:
@@ -229,6 +232,26 @@
         """Learn nothing."""
 
 
+def _is_within(
+    completion: Completion, factor: float, slack_seconds: float
+) -> bool:
+    baseline = completion.baseline_seconds
+    if baseline is None:
+        return True
+    return completion.latency_seconds <= factor * baseline + slack_seconds
+
+
+def _is_evidence(state: RampState, completion: Completion) -> bool:
+    """Tell whether a slow reply counts against this replica alone.
+
+    Requests that ran at the same time may have met the same short stall, so
+    a slow reply counts only when it started after the last one that did.
+    """
+    if completion.started_seconds < state.last_slow_seconds:
+        return False
+    return completion.baseline_is_current
+
+
 def _grow(
     ramp: SlowStartRamp, state: RampState, latency_seconds: float
 ) -> None:
--- a/dragonflyramp/backends/_replica_table.py
+++ b/dragonflyramp/backends/_replica_table.py
@@ -31,7 +31,7 @@
         tasks: TaskTable,
         on_change: Callable[[ReplicaState], None],
     ) -> None:
-        """Start empty; `on_change` follows each reading of a status."""
+        """Start empty; `on_change` follows what a status changed."""
         self._context = context
         self._tasks = tasks
         self._on_change = on_change
@@ -54,7 +54,7 @@
         state.listed = served.listed
         if state.leaving.held and not served.held:
             # What was out of service has returned, and starts cold.
-            self._context.policies.ramp.restart(state.ramp, now_seconds)
+            self._context.observer.turn_cold(state, 'returned', now_seconds)
         state.leaving.held = served.held
         return state
 
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -1,5 +1,6 @@
 """Keep what a relay knows of each replica."""
 
+import math
 from collections import deque
 
 import attrs
@@ -17,6 +18,7 @@
 
 _LATENCY_WEIGHT = 0.3
 _FORMER_INSTANCES = 4
+_MAX_FAILED_OPENS = 2
 
 
 def _new_latencies() -> dict[RequestKind, SmoothedLatency]:
@@ -43,6 +45,7 @@
     )
     listed: VmState = VmState.live
     running: int = 0
+    failed_opens: int = 0
 
     @property
     def is_warm(self) -> bool:
@@ -82,13 +85,13 @@
     ) -> None:
         """Take in a sign of life; a new instance is cold."""
         state.last_contact_seconds = now_seconds
+        state.failed_opens = 0
         if instance_id in {'', state.instance_id, *state.former_instances}:
             return
         if state.instance_id:
             state.former_instances.append(state.instance_id)
             state.snapshots.clear()
-            self.policies.ramp.restart(state.ramp, now_seconds)
-            log_warmth(state, 'new_instance')
+            self.turn_cold(state, 'new_instance', now_seconds)
         state.instance_id = instance_id
 
     def note_load(
@@ -113,22 +116,37 @@
                 signal.name,
             )
 
-    def note_staying(self, state: ReplicaState, instance_id: str) -> None:
-        """Take in that an instance ran a request."""
-        if instance_id:
-            self.policies.leaving.note_instance(state.leaving, instance_id)
+    def note_failed_open(self, state: ReplicaState, now_seconds: float) -> None:
+        """Take in that no connection could be opened in time.
 
-    def check_silence(self, state: ReplicaState, now_seconds: float) -> None:
-        """Return a replica to cold when it gave no reply for too long.
+        A second time without a reply in between, the replica gets no work
+        until its status can be read.
+        """
+        state.failed_opens += 1
+        if state.failed_opens >= _MAX_FAILED_OPENS:
+            state.last_contact_seconds = -math.inf
+            self.turn_cold(state, 'unreachable', now_seconds)
+
+    def is_silent(self, state: ReplicaState, now_seconds: float) -> bool:
+        """Tell whether a replica gave no reply for too long; it is cold then.
 
         This also covers a time in which this process was paused.
         """
         silent_seconds = now_seconds - state.last_contact_seconds
         if silent_seconds <= self.settings.silent_replica_seconds:
-            return
+            return False
         if state.ramp.warmth is not Warmth.cold:
-            self.policies.ramp.restart(state.ramp, now_seconds)
-            log_warmth(state, 'silent')
+            self.turn_cold(state, 'silent', now_seconds)
+        return True
+
+    def turn_cold(
+        self, state: ReplicaState, reason: str, now_seconds: float
+    ) -> None:
+        """Return a replica to cold for a reason other than a request."""
+        former = state.ramp.warmth
+        self.policies.ramp.restart(state.ramp, now_seconds)
+        if state.ramp.warmth is not former:
+            log_warmth(state, reason)
 
 
 def log_warmth(state: ReplicaState, reason: str) -> None:
--- a/dragonflyramp/backends/_senders.py
+++ b/dragonflyramp/backends/_senders.py
@@ -8,6 +8,7 @@
     BackendClient,
     Reply,
     SearchCall,
+    StatusFailure,
     SubmitCall,
 )
 from dragonflyramp.backends._contexts import TierContext
@@ -82,7 +83,7 @@
         )
         send.called_seconds = now_seconds
         send.patience_seconds = permit.patience_seconds
-        return await self._call(send.work, permit, now_seconds)
+        return await self._call(send, permit, now_seconds)
 
     async def _open(self, replica: ReplicaState) -> bool:
         """Open a connection by reading the status of the server.
@@ -91,25 +92,31 @@
         must be known as cold before it gets any work. When the status cannot
         tell the instance, the server counts as cold.
         """
-        failure = await self._reader.read(replica)
-        if failure is not None:
-            now_seconds = self._context.clock()
-            self._context.policies.ramp.restart(replica.ramp, now_seconds)
+        limit_seconds = self._context.settings.open_timeout_seconds
+        failure = await self._reader.read(replica, limit_seconds)
+        observer = self._context.observer
+        now_seconds = self._context.clock()
+        if failure is StatusFailure.bad_reply:
+            observer.turn_cold(replica, 'unknown_instance', now_seconds)
+        elif failure is StatusFailure.lost:
+            observer.note_failed_open(replica, now_seconds)
         return self._client.is_open()
 
     async def _call(
-        self, work: Work, permit: Permit, now_seconds: float
+        self, send: Send, permit: Permit, now_seconds: float
     ) -> Reply:
+        work = send.work
         left_seconds = permit.deadline_seconds - now_seconds
         limit_seconds = left_seconds
         if work.kind is RequestKind.search:
             limit_seconds = min(left_seconds, permit.silence_seconds)
+        send.due_seconds = now_seconds + limit_seconds
         try:
             async with asyncio.timeout(limit_seconds):
                 return await _post(self._client, work, left_seconds)
         except TimeoutError:
             await self.aclose()
-        if now_seconds + limit_seconds < work.deadline_seconds:
+        if send.due_seconds < work.deadline_seconds:
             return _SILENT
         return _TOO_LATE
 
--- a/dragonflyramp/backends/_serving.py
+++ b/dragonflyramp/backends/_serving.py
@@ -1,6 +1,6 @@
 """Keep the shards and replicas in step with what the relay serves."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from dragonflyramp.backends._budgets import Budget
 from dragonflyramp.backends._contexts import ShardTerms, TierContext
@@ -100,3 +100,15 @@
         if shard is not None:
             shard.wake()
         self._on_change()
+
+
+def available_replicas(
+    shards: Iterable[Shard], now_seconds: float
+) -> tuple[str, ...]:
+    """List the replicas that stay and reply."""
+    return tuple(
+        replica_id
+        for shard in shards
+        for replica_id, pool in shard.queue.pools.items()
+        if shard.admission.is_available(pool.replica, now_seconds)
+    )
--- a/dragonflyramp/backends/_settings.py
+++ b/dragonflyramp/backends/_settings.py
@@ -11,8 +11,10 @@
     vm_poll_seconds: float = 2
     #: Period of reading the status of one replica.
     status_period_seconds: float = 1
-    #: Longest wait for a status, and for opening a connection.
+    #: Longest wait for a status that is read once a period.
     status_timeout_seconds: float = 0.5
+    #: Longest wait for a connection that a request needs.
+    open_timeout_seconds: float = 0.2
     #: Period of looking at the slices that the lease table lists.
     lease_check_seconds: float = 0.25
     #: An idle connection is closed after this time.
@@ -24,7 +26,8 @@
     #: Longest time that a query may still have when it arrives.
     max_remaining_ms: int = 60_000
 
-    #: A replica without any reply for this time is cold.
+    #: A replica without any reply for this time gets no work, and is cold
+    #: when it replies again.
     silent_replica_seconds: float = 5
     #: Requests to replicas not known to be warm end this long before the lease.
     lease_margin_seconds: float = 0.02
--- a/dragonflyramp/backends/_statuses.py
+++ b/dragonflyramp/backends/_statuses.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Callable
 
+import attrs
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
 
@@ -16,10 +17,24 @@
 from dragonflyramp.backends._leaving import LeavingSignal
 from dragonflyramp.backends._replicas import ReplicaState
 from dragonflyramp.metrics import counters
+from dragonflyramp.models import Snapshot, Warmth
 
+#: A timer that fires this late shows that this process was paused or
+#: overloaded, so that a reply may have been waiting to be read.
+STALL_SECONDS = 0.02
 _PERIOD_FACTORS = (0.9, 1.1)
 
 
+@attrs.frozen
+class _Outline:
+    """Hold what of a replica matters to its shard and to the reports."""
+
+    instance_id: str
+    snapshots: tuple[Snapshot, ...]
+    warmth: Warmth
+    leaving: bool
+
+
 class StatusReader:
     """Read statuses into the state of a replica."""
 
@@ -28,29 +43,38 @@
         self._client = client
         self._context = context
 
-    async def read(self, replica: ReplicaState) -> StatusFailure | None:
+    async def read(
+        self, replica: ReplicaState, limit_seconds: float
+    ) -> StatusFailure | None:
         """Read once; the connection stays open when the server answered."""
-        status = await self._read()
+        status = await self._read(limit_seconds)
+        now_seconds = self._context.clock()
         observer = self._context.observer
         if is_successful(status):
-            now_seconds = self._context.clock()
             observer.note_status(replica, status.unwrap(), now_seconds)
             return None
         failure = status.failure()
         counters.add('failed_statuses', failure.name)
-        if failure is not StatusFailure.bad_reply:
+        if failure is StatusFailure.bad_reply:
+            observer.note_instance(replica, '', now_seconds)
+        else:
             await self._client.close()
         if failure is StatusFailure.refused:
             observer.note_leaving(replica, LeavingSignal.refused_connection)
         return failure
 
-    async def _read(self) -> Result[Status, StatusFailure]:
-        limit_seconds = self._context.settings.status_timeout_seconds
+    async def _read(
+        self, limit_seconds: float
+    ) -> Result[Status, StatusFailure]:
+        due_seconds = self._context.clock() + limit_seconds
         try:
             async with asyncio.timeout(limit_seconds):
                 return await self._client.status()
         except TimeoutError:
-            return Failure(StatusFailure.lost)
+            overdue_seconds = self._context.clock() - due_seconds
+        if overdue_seconds > STALL_SECONDS:
+            return Failure(StatusFailure.stalled)
+        return Failure(StatusFailure.lost)
 
 
 class StatusTask:
@@ -60,12 +84,12 @@
         self,
         replica: ReplicaState,
         context: TierContext,
-        on_read: Callable[[], None],
+        on_change: Callable[[], None],
     ) -> None:
         """Start with the first run."""
         self._replica = replica
         self._context = context
-        self._on_read = on_read
+        self._on_change = on_change
         self._client = context.client_factory(replica.replica.address)
         self._reader = StatusReader(self._client, context)
 
@@ -84,8 +108,21 @@
 
     async def _read(self) -> None:
         """Read once, and once more if the connection may have been silent."""
+        former = self._outline()
         was_open = self._client.is_open()
-        failure = await self._reader.read(self._replica)
+        limit_seconds = self._context.settings.status_timeout_seconds
+        failure = await self._reader.read(self._replica, limit_seconds)
         if failure is StatusFailure.lost and was_open:
-            await self._reader.read(self._replica)
-        self._on_read()
+            await self._reader.read(self._replica, limit_seconds)
+        if self._outline() != former:
+            self._on_change()
+
+    def _outline(self) -> _Outline:
+        replica = self._replica
+        leaving = self._context.policies.leaving.is_leaving(replica.leaving)
+        return _Outline(
+            replica.instance_id,
+            replica.snapshots.listed(),
+            replica.ramp.warmth,
+            leaving,
+        )
--- a/dragonflyramp/backends/_warmths.py
+++ b/dragonflyramp/backends/_warmths.py
@@ -36,9 +36,9 @@
         """List what is known of the replicas that are not leaving."""
         exported: list[WarmthEntry] = []
         for state in states:
-            self._context.observer.check_silence(state, now_seconds)
+            silent = self._context.observer.is_silent(state, now_seconds)
             leaving = self._context.policies.leaving.is_leaving(state.leaving)
-            if state.instance_id and not leaving:
+            if state.instance_id and not leaving and not silent:
                 exported.append(_entry(state))
         return tuple(exported)
 
--- a/dragonflyramp/backends/_wire_http.py
+++ b/dragonflyramp/backends/_wire_http.py
@@ -1,12 +1,17 @@
 """Exchange single HTTP requests over a session of one connection."""
 
+import asyncio
+import socket
 from collections.abc import Mapping
 from types import SimpleNamespace
+from typing import Any, TypeAlias
 
 import aiohttp
 import attrs
 
 _READ_BYTES = 65536
+# The kernel gives up connecting after about 3 s, and not after 2 minutes.
+_CONNECT_REPEATS = 1
 
 
 class ConnectionLostError(Exception):
@@ -17,6 +22,15 @@
     """Stop reading a body above the limit."""
 
 
+#: What the socket module calls address info.
+AddressInfo: TypeAlias = tuple[
+    int | socket.AddressFamily,
+    int | socket.SocketKind,
+    int,
+    str,
+    tuple[Any, ...],
+]
+
 #: What an exchange raises.
 FAILURES = (
     aiohttp.ClientError,
@@ -28,13 +42,14 @@
 
 @attrs.define(kw_only=True)
 class WireRequest:
-    """Hold one HTTP request, and whether it left this process."""
+    """Hold one HTTP request, and how far it came."""
 
     method: str
     path: str
     headers: Mapping[str, str] = attrs.field(factory=dict)
     body: bytes = b''
     may_open: bool
+    connected: asyncio.Event = attrs.field(factory=asyncio.Event)
     sent: bool = False
 
 
@@ -51,6 +66,8 @@
     """Create a session without time limits; callers cancel instead."""
     hooks = aiohttp.TraceConfig()
     hooks.on_connection_create_start.append(_check_may_open)
+    hooks.on_connection_create_end.append(_note_connected)
+    hooks.on_connection_reuseconn.append(_note_connected)
     hooks.on_request_headers_sent.append(_note_sent)
     return aiohttp.ClientSession(
         root,
@@ -78,6 +95,31 @@
         return WireReply(response.status, response.headers, body)
 
 
+async def end_exchange(
+    session: aiohttp.ClientSession,
+    request: WireRequest,
+    task: asyncio.Task[WireReply],
+) -> None:
+    """End an exchange that is given up, and close its session.
+
+    A connect is not cancelled: under uvloop the socket would be closed twice,
+    the second time perhaps as that of another connection.
+    """
+    connected = asyncio.ensure_future(request.connected.wait())
+    await asyncio.wait((task, connected), return_when=asyncio.FIRST_COMPLETED)
+    connected.cancel()
+    task.cancel()
+    await asyncio.gather(task, connected, return_exceptions=True)
+    await session.close()
+
+
+def _new_socket(address: AddressInfo) -> socket.socket:
+    family, kind, protocol, *_ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_SYNCNT, _CONNECT_REPEATS)
+    return sock
+
+
 async def _check_may_open(
     session: aiohttp.ClientSession,
     context: SimpleNamespace,
@@ -91,6 +133,14 @@
         raise ConnectionLostError
 
 
+async def _note_connected(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    event: object,
+) -> None:
+    context.trace_request_ctx.connected.set()
+
+
 async def _note_sent(
     session: aiohttp.ClientSession,
     context: SimpleNamespace,
--- a/dragonflyramp/backends/_works.py
+++ b/dragonflyramp/backends/_works.py
@@ -89,6 +89,8 @@
     scope: asyncio.Timeout | None = None
     given_up: bool = False
     called_seconds: float | None = None
+    #: Time at which the call is given up.
+    due_seconds: float = math.inf
     #: A replica that gave no answer for this time is to blame.
     patience_seconds: float = math.inf
 
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -67,6 +67,7 @@
         if self._restart is not None:
             self._restart.cancel()
         self.stop_listening()
+        self.reset_connections()
         await self._http.shutdown(0)
 
     def stop_listening(self) -> None:
