--- a/dragonflyramp/backends/_wire_http.py
+++ b/dragonflyramp/backends/_wire_http.py
@@ -35,6 +35,8 @@
 FAILURES = (
     aiohttp.ClientError,
     OSError,
+    # A malformed address.
+    ValueError,
     ConnectionLostError,
     TooLargeError,
 )
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -131,9 +131,10 @@
     return attrs.evolve(adopted, holds={replica_id: hold})
 
 
-async def test_server_turns_cold_without_a_sign() -> None:
+@pytest.mark.parametrize('mode', ['shed', 'stall'])
+async def test_server_turns_cold_without_a_sign(mode: str) -> None:
     """The first shed reply has to end the load of a warm replica."""
-    async with warm('x-1', 'x-2', **RATE) as rig:
+    async with warm('x-1', 'x-2', collapse_mode=mode, **RATE) as rig:
         rig.fleet['x-1'].turn_cold()
         async with asyncio.timeout(20):
             while rig.state('x-1') == 'warm':
