--- a/dragonflyramp/backends/_admissions.py
+++ b/dragonflyramp/backends/_admissions.py
@@ -5,11 +5,15 @@
 import attrs
 
 from dragonflyramp.backends._contexts import ShardTerms, TierContext
+from dragonflyramp.backends._jobs import Send
 from dragonflyramp.backends._latencies import USUAL_QUANTILE, LatencyWindow
+from dragonflyramp.backends._lease_rights import (
+    LeaseRights,
+    Ownership,
+    lease_rights,
+)
 from dragonflyramp.backends._replicas import ReplicaState
 from dragonflyramp.backends._settings import BackendSettings
-from dragonflyramp.backends._standings import Standing, Tenure, standing
-from dragonflyramp.backends._works import Send
 from dragonflyramp.models import LeaseState, SliceId
 
 
@@ -18,12 +22,12 @@
     """Allow one send until a time.
 
     The connection counts as silent after `silence_seconds`; a replica that
-    gave no answer for `patience_seconds` is to blame.
+    gave no answer for `blame_after_seconds` is to blame.
     """
 
     deadline_seconds: float
     silence_seconds: float
-    patience_seconds: float
+    blame_after_seconds: float
 
 
 class Admission:
@@ -36,7 +40,7 @@
         self._held: tuple[SliceId, int] | None = None
         self._cold_from_seconds = math.inf
 
-    def standing(self, now_seconds: float) -> Standing:
+    def lease_rights(self, now_seconds: float) -> LeaseRights:
         """Read the lease of the shard's slice."""
         lease_table = self._context.lease_table
         settings = self._context.settings
@@ -45,19 +49,19 @@
         if lease.state is LeaseState.held and held != self._held:
             self._held = held
             self._cold_from_seconds = now_seconds + settings.cold_pause_seconds
-        tenure = Tenure(
+        ownership = Ownership(
             gained_number=self._terms.gained_number,
             settled_number=lease_table.settled_number(now_seconds),
         )
-        return standing(
+        return lease_rights(
             lease,
-            tenure,
+            ownership,
             margin_seconds=settings.lease_margin_seconds,
             now_seconds=now_seconds,
         )
 
     def limit(
-        self, replica: ReplicaState, current: Standing, now_seconds: float
+        self, replica: ReplicaState, current: LeaseRights, now_seconds: float
     ) -> int:
         """Give how many requests may run on a replica; 0 for none."""
         if not self.is_available(replica, now_seconds):
@@ -92,18 +96,18 @@
         replica = send.replica
         if self._context.source.is_isolated(now_seconds):
             return None
-        current = self.standing(now_seconds)
+        current = self.lease_rights(now_seconds)
         if replica.running > self.limit(replica, current, now_seconds):
             return None
         if again and not self._allows_again(replica, now_seconds):
             return None
-        deadline_seconds = send.work.deadline_seconds
+        deadline_seconds = send.job.deadline_seconds
         if not replica.is_warm:
             deadline_seconds = min(deadline_seconds, current.until_seconds)
         if deadline_seconds <= now_seconds:
             return None
         self._context.policies.ramp.note_start(replica.ramp, now_seconds)
-        latency = self._terms.latencies[send.work.kind]
+        latency = self._terms.latencies[send.job.kind]
         return make_permit(
             self._context.settings,
             latency.window,
@@ -139,14 +143,14 @@
     usual_seconds = latencies.quantile(USUAL_QUANTILE)
     if usual_seconds is None:
         usual_seconds = settings.silence_unknown_seconds / factor
-    patience_seconds = max(
+    blame_after_seconds = max(
         factor * usual_seconds, settings.silence_floor_seconds
     )
     share_seconds = fraction * (deadline_seconds - now_seconds)
     return Permit(
         deadline_seconds=deadline_seconds,
         silence_seconds=min(
-            patience_seconds, max(share_seconds, 2 * usual_seconds)
+            blame_after_seconds, max(share_seconds, 2 * usual_seconds)
         ),
-        patience_seconds=patience_seconds,
+        blame_after_seconds=blame_after_seconds,
     )
--- a/dragonflyramp/backends/_handouts.py
+++ b/dragonflyramp/backends/_assignments.py
@@ -1,22 +1,22 @@
-"""Hand works to connections of replicas that may take them now."""
+"""Hand jobs to connections of replicas that may take them now."""
 
 from collections.abc import Iterable, Sequence
 
 import attrs
 
 from dragonflyramp.backends._admissions import Admission
-from dragonflyramp.backends._choice import Candidate, Choosing
+from dragonflyramp.backends._choice import Candidate, ChoiceContext
 from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._jobs import Job, Send, SendPurpose
 from dragonflyramp.backends._latencies import RequestKind
+from dragonflyramp.backends._lease_rights import LeaseRights
 from dragonflyramp.backends._pools import ConnectionPool
 from dragonflyramp.backends._queues import ShardQueue
 from dragonflyramp.backends._replicas import ReplicaState
-from dragonflyramp.backends._standings import Standing
-from dragonflyramp.backends._works import Send, SendPurpose, Work
 
 
 @attrs.frozen
-class Limited:
+class LimitedPool:
     """Pair the connections of a usable replica with its limit now."""
 
     pool: ConnectionPool
@@ -32,8 +32,8 @@
         return bool(self.pool.idle) and self.replica.running < self.limit
 
 
-class Handout:
-    """Find the replicas for a work, choose one and hand the work out."""
+class Assigner:
+    """Find the replicas for a job, choose one and hand the job out."""
 
     def __init__(
         self, queue: ShardQueue, admission: Admission, context: TierContext
@@ -43,23 +43,27 @@
         self._admission = admission
         self._context = context
 
-    def usable(self, current: Standing, now_seconds: float) -> list[Limited]:
+    def usable(
+        self, current: LeaseRights, now_seconds: float
+    ) -> list[LimitedPool]:
         """List the replicas that may get requests at all."""
         limited = [
-            Limited(
+            LimitedPool(
                 pool, self._admission.limit(pool.replica, current, now_seconds)
             )
             for pool in self._queue.pools.values()
         ]
         return [entry for entry in limited if entry.limit > 0]
 
-    def untried(self, work: Work, holders: Iterable[Limited]) -> list[Limited]:
-        """List the replicas that neither failed this work nor crashed."""
+    def untried(
+        self, job: Job, holders: Iterable[LimitedPool]
+    ) -> list[LimitedPool]:
+        """List the replicas that neither failed this job nor crashed."""
         avoided = self._context.fingerprints.suspects.replica_ids(
-            work.fingerprint
+            job.fingerprint
         )
         if not self._context.policies.retries.may_repeat_replica():
-            avoided |= work.tried
+            avoided |= job.tried
         return [
             entry
             for entry in holders
@@ -67,8 +71,8 @@
         ]
 
     def free_now(
-        self, untried: Iterable[Limited], now_seconds: float
-    ) -> list[Limited]:
+        self, untried: Iterable[LimitedPool], now_seconds: float
+    ) -> list[LimitedPool]:
         """List the replicas whose limit and rate admit a request now."""
         return [
             entry
@@ -76,39 +80,39 @@
             if entry.has_slot() and self.free_from_seconds(entry) <= now_seconds
         ]
 
-    def free_from_seconds(self, entry: Limited) -> float:
+    def free_from_seconds(self, entry: LimitedPool) -> float:
         """Give the time from which the rate admits a request."""
         return self._admission.free_from_seconds(entry.replica)
 
-    def hand_out(
+    def assign(
         self,
-        work: Work,
-        free: Sequence[Limited],
+        job: Job,
+        free: Sequence[LimitedPool],
         purpose: SendPurpose,
         now_seconds: float,
     ) -> None:
-        """Choose a replica and give the work to one of its connections."""
-        chosen = self._choose(work, free, now_seconds)
+        """Choose a replica and give the job to one of its connections."""
+        chosen = self._choose(job, free, now_seconds)
         replica = chosen.replica
-        send = Send(work=work, replica=replica, purpose=purpose)
-        work.sends.append(send)
-        work.tried.add(replica.replica.replica_id)
+        send = Send(job=job, replica=replica, purpose=purpose)
+        job.sends.append(send)
+        job.tried.add(replica.replica.replica_id)
         replica.running += 1
         self._context.policies.ramp.note_start(replica.ramp, now_seconds)
-        self._context.fingerprints.begin(work.fingerprint)
+        self._context.fingerprints.begin(job.fingerprint)
         chosen.pool.idle.pop().take(send)
 
     def _choose(
-        self, work: Work, free: Sequence[Limited], now_seconds: float
-    ) -> Limited:
-        proven = work.fingerprint in self._context.fingerprints
-        choosing = Choosing(
+        self, job: Job, free: Sequence[LimitedPool], now_seconds: float
+    ) -> LimitedPool:
+        proven = job.fingerprint in self._context.fingerprints
+        choice_context = ChoiceContext(
             failure_domain=self._context.failure_domain,
-            careful=work.kind is RequestKind.submit or not proven,
+            avoid_probes=job.kind is RequestKind.submit or not proven,
         )
         chosen = self._context.policies.choice.choose(
-            [_candidate(entry.replica, work.kind) for entry in free],
-            choosing,
+            [_candidate(entry.replica, job.kind) for entry in free],
+            choice_context,
             now_seconds=now_seconds,
             rng=self._context.rng,
         )
@@ -116,14 +120,14 @@
         return by_id[chosen.replica_id]
 
 
-def holders(usable: Iterable[Limited], work: Work) -> list[Limited]:
-    """List the replicas that hold the snapshot of a work."""
-    if work.kind is RequestKind.submit:
+def holders(usable: Iterable[LimitedPool], job: Job) -> list[LimitedPool]:
+    """List the replicas that hold the snapshot of a job."""
+    if job.kind is RequestKind.submit:
         return list(usable)
     return [
         entry
         for entry in usable
-        if entry.replica.snapshots.has(work.snapshot_id)
+        if entry.replica.snapshots.has(job.snapshot_id)
     ]
 
 
--- a/dragonflyramp/backends/_choice.py
+++ b/dragonflyramp/backends/_choice.py
@@ -22,14 +22,14 @@
 
 
 @attrs.frozen(kw_only=True)
-class Choosing:
-    """Describe the request; a careful one avoids replicas without need.
+class ChoiceContext:
+    """Describe the request that a replica is chosen for.
 
-    A careful request is one that others wait for or that is not repeated.
+    A request that others wait for, or that is not repeated, avoids probes.
     """
 
     failure_domain: str
-    careful: bool
+    avoid_probes: bool
 
 
 class ChoicePolicy(Protocol):
@@ -38,7 +38,7 @@
     def choose(
         self,
         candidates: Sequence[Candidate],
-        choosing: Choosing,
+        choice_context: ChoiceContext,
         *,
         now_seconds: float,
         rng: random.Random,
@@ -55,7 +55,7 @@
     """
 
     cold_probe_seconds: float = 0.1
-    careful_probe_seconds: float = 2
+    rare_probe_seconds: float = 2
     warm_probe_seconds: float = 1
     #: Scores within this fraction of the lowest one count as equal.
     tie_fraction: float = 0.1
@@ -63,7 +63,7 @@
     def choose(
         self,
         candidates: Sequence[Candidate],
-        choosing: Choosing,
+        choice_context: ChoiceContext,
         *,
         now_seconds: float,
         rng: random.Random,
@@ -72,7 +72,7 @@
         waiting = [
             candidate
             for candidate in candidates
-            if self._needs_probe(candidate, choosing, now_seconds)
+            if self._needs_probe(candidate, choice_context, now_seconds)
         ]
         if waiting:
             return min(
@@ -82,14 +82,17 @@
                     candidate.last_start_seconds,
                 ),
             )
-        return _lowest(candidates, choosing, self.tie_fraction, rng)
+        return _lowest(candidates, choice_context, self.tie_fraction, rng)
 
     def _needs_probe(
-        self, candidate: Candidate, choosing: Choosing, now_seconds: float
+        self,
+        candidate: Candidate,
+        choice_context: ChoiceContext,
+        now_seconds: float,
     ) -> bool:
         probe_seconds = self.warm_probe_seconds
-        if choosing.careful:
-            probe_seconds = self.careful_probe_seconds
+        if choice_context.avoid_probes:
+            probe_seconds = self.rare_probe_seconds
         elif not candidate.warm:
             probe_seconds = self.cold_probe_seconds
         return now_seconds - candidate.last_start_seconds >= probe_seconds
@@ -102,7 +105,7 @@
     def choose(
         self,
         candidates: Sequence[Candidate],
-        choosing: Choosing,
+        choice_context: ChoiceContext,
         *,
         now_seconds: float,
         rng: random.Random,
@@ -113,7 +116,7 @@
 
 def _lowest(
     candidates: Sequence[Candidate],
-    choosing: Choosing,
+    choice_context: ChoiceContext,
     tie_fraction: float,
     rng: random.Random,
 ) -> Candidate:
@@ -131,7 +134,7 @@
     near = [
         candidate
         for candidate in tied
-        if candidate.failure_domain == choosing.failure_domain
+        if candidate.failure_domain == choice_context.failure_domain
     ]
     return rng.choice(near or tied)
 
--- a/dragonflyramp/backends/_completions.py
+++ b/dragonflyramp/backends/_completions.py
@@ -4,19 +4,19 @@
 
 import attrs
 
-from dragonflyramp.backends._connections import Ended
+from dragonflyramp.backends._connections import EndedSend
 from dragonflyramp.backends._contexts import TierContext
-from dragonflyramp.backends._latencies import RequestKind
-from dragonflyramp.backends._lessons import Lessons
-from dragonflyramp.backends._queues import ShardQueue
-from dragonflyramp.backends._retries import FailedSend
-from dragonflyramp.backends._senders import NOT_PERMITTED
-from dragonflyramp.backends._works import (
+from dragonflyramp.backends._jobs import (
+    Job,
     Outcome,
     Send,
     SendPurpose,
-    Work,
 )
+from dragonflyramp.backends._latencies import RequestKind
+from dragonflyramp.backends._observations import SendObserver
+from dragonflyramp.backends._queues import ShardQueue
+from dragonflyramp.backends._retries import FailedSend
+from dragonflyramp.backends._senders import NOT_PERMITTED
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
@@ -28,71 +28,73 @@
         """Serve one shard."""
         self._queue = queue
         self._context = context
-        self._lessons = Lessons(queue, context)
+        self._observer = SendObserver(queue, context)
 
-    def take(self, ended: Ended, now_seconds: float) -> None:
-        """Learn from a send that ended and take its work further."""
+    def take(self, ended: EndedSend, now_seconds: float) -> None:
+        """Learn from a send that ended and take its job further."""
         checked = _checked(ended)
-        self._lessons.learn(checked, now_seconds)
+        self._observer.learn(checked, now_seconds)
         send = ended.send
-        work = send.work
-        work.sends.remove(send)
-        if work.finished:
+        job = send.job
+        job.sends.remove(send)
+        if job.finished:
             return
         reply = checked.reply
         if reply.code is ResultCode.ok:
             self._deliver(checked)
         elif ended.reply is NOT_PERMITTED:
-            self._put_back(work, send)
+            self._put_back(job, send)
         else:
             self._fail(checked, now_seconds)
 
-    def _deliver(self, ended: Ended) -> None:
+    def _deliver(self, ended: EndedSend) -> None:
         reply = ended.reply
         outcome = Outcome(
             code=reply.code, documents=reply.documents, body=reply.body
         )
         if ended.send.purpose is SendPurpose.hedge:
             counters.add('hedges', 'won')
-        work = ended.send.work
-        self._queue.finish(work, outcome)
-        for loser in work.sends:
+        job = ended.send.job
+        self._queue.finish(job, outcome)
+        for loser in job.sends:
             # A cold replica that is always cancelled would never get warm.
             if loser.replica.is_warm:
                 counters.add('cancelled_sends', 'lost_hedge')
                 loser.give_up()
 
-    def _put_back(self, work: Work, send: Send) -> None:
-        """Place a work anew whose send was not allowed to start."""
+    def _put_back(self, job: Job, send: Send) -> None:
+        """Place a job anew whose send was not allowed to start."""
         counters.add('not_permitted', send.replica.replica.shard)
-        if not work.sends:
-            work.tried.discard(send.replica.replica.replica_id)
-            self._queue.put_back(work)
+        if not job.sends:
+            job.tried.discard(send.replica.replica.replica_id)
+            self._queue.put_back(job)
 
-    def _fail(self, ended: Ended, now_seconds: float) -> None:
-        """Send a failed work again, wait for its other send, or give up."""
-        work = ended.send.work
+    def _fail(self, ended: EndedSend, now_seconds: float) -> None:
+        """Send a failed job again, wait for its other send, or give up."""
+        job = ended.send.job
         reply = ended.reply
-        work.last_code = reply.code
+        job.last_code = reply.code
         if reply.sent:
-            work.note_code(reply.code)
-        if work.sends:
+            job.note_code(reply.code)
+        if job.sends:
             return
         delay_seconds = self._retry_delay(ended, now_seconds)
         if delay_seconds is None:
-            self._queue.refuse(work, reply.code)
+            self._queue.refuse(job, reply.code)
             return
         counters.add('retries', reply.code.name)
-        work.retries += 1
-        work.hedge_seconds = math.inf
-        work.not_before_seconds = now_seconds + delay_seconds
-        self._queue.put_back(work)
+        job.retries += 1
+        job.hedge_seconds = math.inf
+        job.not_before_seconds = now_seconds + delay_seconds
+        self._queue.put_back(job)
 
-    def _retry_delay(self, ended: Ended, now_seconds: float) -> float | None:
-        work = ended.send.work
-        if work.kind is RequestKind.submit and ended.reply.sent:
+    def _retry_delay(
+        self, ended: EndedSend, now_seconds: float
+    ) -> float | None:
+        job = ended.send.job
+        if job.kind is RequestKind.submit and ended.reply.sent:
             return None
-        if work.ran_code is ResultCode.connection_reset:
+        if job.ran_code is ResultCode.connection_reset:
             # The front decides whether a request that may crash servers
             # is tried on a second one.
             return None
@@ -101,21 +103,21 @@
             return 0
         failed = FailedSend(
             code=ended.reply.code,
-            retries=work.retries,
-            remaining_seconds=work.deadline_seconds - now_seconds,
+            retries=job.retries,
+            remaining_seconds=job.deadline_seconds - now_seconds,
         )
         return self._context.policies.retries.delay_seconds(
             failed, self._queue.terms.retry_budget, self._context.rng
         )
 
 
-def _checked(ended: Ended) -> Ended:
+def _checked(ended: EndedSend) -> EndedSend:
     """Replace a reply that must not reach the front.
 
     A reply from another snapshot would mix two states of the index.
     """
     reply = ended.reply
-    wanted = ended.send.work.snapshot_id
+    wanted = ended.send.job.snapshot_id
     if reply.code is ResultCode.ok and reply.snapshot_id != wanted:
         counters.add('bad_replies', 'wrong_snapshot')
         bad = attrs.evolve(reply, code=ResultCode.bad_reply, body=b'')
--- a/dragonflyramp/backends/_connections.py
+++ b/dragonflyramp/backends/_connections.py
@@ -9,14 +9,14 @@
 
 from dragonflyramp.backends._clients import Reply
 from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._jobs import Send
 from dragonflyramp.backends._senders import Sender
-from dragonflyramp.backends._works import Send
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
 
 @attrs.frozen(kw_only=True)
-class Ended:
+class EndedSend:
     """Report the end of a send to the shard's task."""
 
     send: Send
@@ -31,7 +31,7 @@
         self,
         sender: Sender,
         context: TierContext,
-        on_end: Callable[['Connection', Ended], None],
+        on_end: Callable[['Connection', EndedSend], None],
     ) -> None:
         """Wait for the first send."""
         self._sender = sender
@@ -62,7 +62,7 @@
     async def _serve(self, send: Send) -> Reply:
         if send.given_up:
             return Reply(code=ResultCode.cancelled, sent=False)
-        left_seconds = send.work.deadline_seconds - self._clock()
+        left_seconds = send.job.deadline_seconds - self._clock()
         try:
             async with asyncio.timeout(left_seconds) as scope:
                 send.scope = scope
@@ -81,12 +81,12 @@
             code = ResultCode.cancelled
         return Reply(code=code, sent=send.called_seconds is not None)
 
-    def _ended(self, send: Send, reply: Reply) -> Ended:
+    def _ended(self, send: Send, reply: Reply) -> EndedSend:
         now_seconds = self._clock()
         called_seconds = send.called_seconds
         if called_seconds is None:
             called_seconds = now_seconds
-        return Ended(
+        return EndedSend(
             send=send,
             reply=reply,
             latency_seconds=now_seconds - called_seconds,
--- a/dragonflyramp/backends/_dispatches.py
+++ b/dragonflyramp/backends/_dispatches.py
@@ -1,20 +1,20 @@
-"""Place the waiting works of a shard."""
+"""Place the waiting jobs of a shard."""
 
 import math
 from collections.abc import Sequence
 
 from dragonflyramp.backends._admissions import Admission
+from dragonflyramp.backends._assignments import Assigner, LimitedPool, holders
 from dragonflyramp.backends._contexts import TierContext
 from dragonflyramp.backends._fingerprints import Wake
-from dragonflyramp.backends._handouts import Handout, Limited, holders
+from dragonflyramp.backends._jobs import Job, SendPurpose
 from dragonflyramp.backends._queues import ShardQueue
-from dragonflyramp.backends._works import SendPurpose, Work
 from dragonflyramp.models import LeaseState
 from dragonflyramp.results import ResultCode
 
 
 class Dispatcher:
-    """Give each waiting work a replica, a reason to wait, or a refusal."""
+    """Give each waiting job a replica, a reason to wait, or a refusal."""
 
     def __init__(
         self,
@@ -28,20 +28,20 @@
         self._admission = admission
         self._context = context
         self._wake = wake
-        self._handout = Handout(queue, admission, context)
+        self._assigner = Assigner(queue, admission, context)
 
     def dispatch(self, now_seconds: float) -> None:
         """Refuse what is too late, and place what is due."""
-        for work in tuple(self._queue.waiting):
-            if work.deadline_seconds <= now_seconds:
-                self._queue.refuse(work, work.waits_code)
+        for job in tuple(self._queue.waiting):
+            if job.deadline_seconds <= now_seconds:
+                self._queue.refuse(job, job.waits_code)
         if not self._queue.waiting:
             return
-        current = self._admission.standing(now_seconds)
+        current = self._admission.lease_rights(now_seconds)
         refusal = _refusal(
             current.state, self._context.source.is_isolated(now_seconds)
         )
-        usable = self._handout.usable(current, now_seconds)
+        usable = self._assigner.usable(current, now_seconds)
         for due in tuple(self._queue.waiting):
             if refusal is not None:
                 self._queue.refuse(due, refusal)
@@ -49,14 +49,14 @@
                 self._place(due, usable, now_seconds)
 
     def next_due_seconds(self, now_seconds: float) -> float:
-        """Give the next time at which a waiting work needs a look.
+        """Give the next time at which a waiting job needs a look.
 
         What is due already waits for an event instead, such as a free slot.
         """
         times: list[float] = []
-        for work in self._queue.waiting:
-            times.append(work.deadline_seconds)
-            times.append(work.not_before_seconds)
+        for job in self._queue.waiting:
+            times.append(job.deadline_seconds)
+            times.append(job.not_before_seconds)
         if times:
             times.extend(
                 self._admission.free_from_seconds(pool.replica)
@@ -66,33 +66,33 @@
         return min(later, default=math.inf)
 
     def _place(
-        self, work: Work, usable: Sequence[Limited], now_seconds: float
+        self, job: Job, usable: Sequence[LimitedPool], now_seconds: float
     ) -> None:
-        holding = holders(usable, work)
-        untried = self._handout.untried(work, holding)
+        holding = holders(usable, job)
+        untried = self._assigner.untried(job, holding)
         if not untried:
-            code = work.last_code
+            code = job.last_code
             if code is None:
                 code = self._code_without(usable, holding, now_seconds)
-            self._queue.refuse(work, code)
+            self._queue.refuse(job, code)
             return
-        free = self._handout.free_now(untried, now_seconds)
+        free = self._assigner.free_now(untried, now_seconds)
         if not free:
-            self._wait_for_slot(work, untried)
+            self._wait_for_slot(job, untried)
             return
         fingerprints = self._context.fingerprints
-        if fingerprints.may_run(work.fingerprint, work.arrived_seconds):
-            self._start(work, free, now_seconds)
+        if fingerprints.may_run(job.fingerprint, job.arrived_seconds):
+            self._start(job, free, now_seconds)
         else:
-            fingerprints.wake_later(work.fingerprint, self._wake)
+            fingerprints.wake_later(job.fingerprint, self._wake)
 
     def _code_without(
         self,
-        usable: Sequence[Limited],
-        holding: Sequence[Limited],
+        usable: Sequence[LimitedPool],
+        holding: Sequence[LimitedPool],
         now_seconds: float,
     ) -> ResultCode:
-        """Tell why there is no replica for a work."""
+        """Tell why there is no replica for a job."""
         if usable and not holding:
             return ResultCode.snapshot_gone
         available = [
@@ -104,34 +104,34 @@
             return ResultCode.no_lease
         return ResultCode.no_replica
 
-    def _wait_for_slot(self, work: Work, untried: Sequence[Limited]) -> None:
-        """Let a work wait, unless cold replicas have no capacity in time."""
-        work.waits_code = ResultCode.queue_expired
+    def _wait_for_slot(self, job: Job, untried: Sequence[LimitedPool]) -> None:
+        """Let a job wait, unless cold replicas have no capacity in time."""
+        job.waits_code = ResultCode.queue_expired
         if any(entry.replica.is_warm for entry in untried):
             return
-        work.waits_code = ResultCode.replica_cold
+        job.waits_code = ResultCode.replica_cold
         earliest_seconds = min(
-            self._handout.free_from_seconds(entry) for entry in untried
+            self._assigner.free_from_seconds(entry) for entry in untried
         )
-        if earliest_seconds >= work.deadline_seconds:
-            self._queue.refuse(work, ResultCode.replica_cold)
+        if earliest_seconds >= job.deadline_seconds:
+            self._queue.refuse(job, ResultCode.replica_cold)
 
     def _start(
-        self, work: Work, free: Sequence[Limited], now_seconds: float
+        self, job: Job, free: Sequence[LimitedPool], now_seconds: float
     ) -> None:
-        self._queue.waiting.remove(work)
-        self._queue.running.append(work)
-        purpose = SendPurpose.retry if work.tried else SendPurpose.first
-        self._handout.hand_out(work, free, purpose, now_seconds)
+        self._queue.waiting.remove(job)
+        self._queue.running.append(job)
+        purpose = SendPurpose.retry if job.tried else SendPurpose.first
+        self._assigner.assign(job, free, purpose, now_seconds)
         terms = self._queue.terms
         if purpose is SendPurpose.first:
             terms.hedge_budget.earn()
             terms.retry_budget.earn()
         delay_seconds = self._context.policies.hedging.delay_seconds(
-            terms.latencies[work.kind].window
+            terms.latencies[job.kind].window
         )
-        if work.may_hedge:
-            work.hedge_seconds = now_seconds + delay_seconds
+        if job.may_hedge:
+            job.hedge_seconds = now_seconds + delay_seconds
 
 
 def _refusal(state: LeaseState, isolated: bool) -> ResultCode | None:
--- a/dragonflyramp/backends/_fingerprints.py
+++ b/dragonflyramp/backends/_fingerprints.py
@@ -60,8 +60,8 @@
     """Follow the bodies that run, that completed, and that crashed a server.
 
     A body that has not completed yet runs on one server at a time. After a
-    crash the works that waited with it stay waiting until the body completes
-    somewhere; only a work that arrives later, which is the front's decision,
+    crash the jobs that waited with it stay waiting until the body completes
+    somewhere; only a job that arrives later, which is the front's decision,
     may run it again.
     """
 
@@ -76,7 +76,7 @@
         return fingerprint in self._proven
 
     def may_run(self, fingerprint: str, arrived_seconds: float) -> bool:
-        """Tell whether a work that arrived then may run the body now."""
+        """Tell whether a job that arrived then may run the body now."""
         if fingerprint in self._proven:
             return True
         if fingerprint in self._running:
@@ -84,7 +84,7 @@
         return not self.suspects.crashed_since(fingerprint, arrived_seconds)
 
     def wake_later(self, fingerprint: str, wake: Wake) -> None:
-        """Call when the body has run, so that a waiting work is looked at."""
+        """Call when the body has run, so that a waiting job is looked at."""
         wakes = self._waiting.setdefault(fingerprint, [])
         if wake not in wakes:
             wakes.append(wake)
@@ -117,7 +117,7 @@
         self._forget_unused_wakes()
 
     def _forget_unused_wakes(self) -> None:
-        """Drop the wakes of works that ended while their body was parked."""
+        """Drop the wakes of jobs that ended while their body was held back."""
         for fingerprint in tuple(self._waiting):
             suspected = self.suspects.replica_ids(fingerprint)
             if not suspected and fingerprint not in self._running:
--- a/dragonflyramp/backends/_followers.py
+++ b/dragonflyramp/backends/_followers.py
@@ -5,10 +5,10 @@
 import attrs
 from returns.pipeline import is_successful
 
-from dragonflyramp.backends._alarms import Alarm
 from dragonflyramp.backends._contexts import TierContext
-from dragonflyramp.backends._serving import Serving, available_replicas
+from dragonflyramp.backends._shard_table import ShardTable, available_replicas
 from dragonflyramp.backends._slices import GainedNumbers, served_shards
+from dragonflyramp.backends._timed_events import TimedEvent
 from dragonflyramp.metrics import counters
 from dragonflyramp.models import Configuration, LeaseState, SliceId
 from dragonflyramp.platform import VirtualMachine, VmList
@@ -26,17 +26,17 @@
     available: tuple[str, ...]
 
 
-class Inputs:
+class ServingInputs:
     """Hold what decides which shards and replicas are served."""
 
-    def __init__(self, context: TierContext, serving: Serving) -> None:
+    def __init__(self, context: TierContext, shard_table: ShardTable) -> None:
         """Start without a configuration."""
         self._context = context
-        self._serving = serving
+        self._shard_table = shard_table
         self._gained = GainedNumbers()
         self._configuration: Configuration | None = None
         self._machines: tuple[VirtualMachine, ...] = ()
-        self.shards_changed = Alarm()
+        self.shards_changed = TimedEvent()
 
     def adopt_configuration(self, configuration: Configuration) -> None:
         """Serve as a configuration with a higher number says."""
@@ -58,8 +58,8 @@
             self._context.lease_table.slice_ids(),
             self._machines,
         )
-        changed = served.keys() != self._serving.shards.keys()
-        self._serving.apply(served, self._gained.by_shard())
+        changed = served.keys() != self._shard_table.shards.keys()
+        self._shard_table.apply(served, self._gained.by_shard())
         if changed:
             self.shards_changed.wake()
 
@@ -68,13 +68,13 @@
     """Follow the configuration, the VM list and the leases."""
 
     def __init__(
-        self, context: TierContext, serving: Serving, vm_list: VmList
+        self, context: TierContext, shard_table: ShardTable, vm_list: VmList
     ) -> None:
         """Start without a configuration."""
         self._context = context
-        self._serving = serving
+        self._shard_table = shard_table
         self._vm_list = vm_list
-        self._inputs = Inputs(context, serving)
+        self._inputs = ServingInputs(context, shard_table)
 
     async def follow_configuration(self) -> None:
         """Adopt each configuration; its number only grows."""
@@ -89,7 +89,7 @@
         version = _NO_VERSION
         listed: tuple[str, ...] = ()
         while True:
-            services = tuple(self._serving.shards)
+            services = tuple(self._shard_table.shards)
             if services != listed:
                 version = _NO_VERSION
                 listed = services
@@ -106,7 +106,7 @@
             if found != seen:
                 seen = found
                 self._inputs.refresh()
-                self._serving.wake_all()
+                self._shard_table.wake_all()
             await asyncio.sleep(self._context.settings.lease_check_seconds)
 
     async def _list_vms(self, services: tuple[str, ...], version: str) -> str:
@@ -136,6 +136,6 @@
             settled_number=table.settled_number(now_seconds),
             isolated=self._context.source.is_isolated(now_seconds),
             available=available_replicas(
-                self._serving.shards.values(), now_seconds
+                self._shard_table.shards.values(), now_seconds
             ),
         )
--- a/dragonflyramp/backends/_works.py
+++ b/dragonflyramp/backends/_jobs.py
@@ -1,4 +1,4 @@
-"""Define the units of work of a shard: works, and their sends."""
+"""Define the jobs of a shard, and the sends of a job."""
 
 import asyncio
 import enum
@@ -14,7 +14,7 @@
 
 
 class SendPurpose(enum.Enum):
-    """Name why a work is sent."""
+    """Name why a job is sent."""
 
     first = 'first'
     retry = 'retry'
@@ -23,7 +23,7 @@
 
 @attrs.frozen(kw_only=True)
 class Outcome:
-    """Hold what becomes of a work."""
+    """Hold what becomes of a job."""
 
     code: ResultCode
     documents: int = 0
@@ -31,7 +31,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class Work:
+class Job:
     """Follow one attempt or submit until its outcome is delivered."""
 
     kind: RequestKind
@@ -57,7 +57,7 @@
 
     @property
     def may_hedge(self) -> bool:
-        """Tell whether a second replica may run the work at once."""
+        """Tell whether a second replica may run the job at once."""
         return self.kind is RequestKind.search and self.retries == 0
 
     def note_code(self, code: ResultCode) -> None:
@@ -68,7 +68,7 @@
     def finish(self, outcome: Outcome) -> None:
         """Deliver the outcome once; later calls change nothing.
 
-        A work that may have been run is never reported as not run.
+        A job that may have been run is never reported as not run.
         """
         if self.finished:
             return
@@ -81,9 +81,9 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Send:
-    """Follow one send of a work to one replica."""
+    """Follow one send of a job to one replica."""
 
-    work: Work
+    job: Job
     replica: ReplicaState
     purpose: SendPurpose
     scope: asyncio.Timeout | None = None
@@ -92,7 +92,7 @@
     #: Time at which the call is given up.
     due_seconds: float = math.inf
     #: A replica that gave no answer for this time is to blame.
-    patience_seconds: float = math.inf
+    blame_after_seconds: float = math.inf
 
     def give_up(self) -> None:
         """Cancel the send; its connection is closed."""
--- a/dragonflyramp/backends/_standings.py
+++ b/dragonflyramp/backends/_lease_rights.py
@@ -8,7 +8,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Tenure:
+class Ownership:
     """State since when a relay may count a shard as its own.
 
     `gained_number` is the configuration that moved the shard to its slice,
@@ -20,7 +20,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Standing:
+class LeaseRights:
     """State what a relay may do with the shards of a slice now.
 
     Requests to replicas not proven warm end before `until_seconds`.
@@ -33,10 +33,10 @@
     def slots(self, slots: int, *, warm: bool) -> int:
         """Give how many of a replica's slots may be used.
 
-        >>> standing = Standing(
+        >>> lease_rights = LeaseRights(
         ...     state=LeaseState.lapsed, cold_allowed=False, until_seconds=0
         ... )
-        >>> standing.slots(5, warm=True), standing.slots(5, warm=False)
+        >>> lease_rights.slots(5, warm=True), lease_rights.slots(5, warm=False)
         (2, 0)
         """
         if self.state is LeaseState.foreign:
@@ -48,9 +48,13 @@
         return max(1, slots // 2) if self.state is LeaseState.lapsed else 1
 
 
-def standing(
-    lease: Lease, tenure: Tenure, *, margin_seconds: float, now_seconds: float
-) -> Standing:
+def lease_rights(
+    lease: Lease,
+    ownership: Ownership,
+    *,
+    margin_seconds: float,
+    now_seconds: float,
+) -> LeaseRights:
     """Decide on the lease of a slice and a shard's place in it.
 
     A shard gained through a later configuration than the settled one may
@@ -60,9 +64,9 @@
     state = lease.state
     if state is LeaseState.held and now_seconds >= lease.until_seconds:
         state = LeaseState.lapsed
-    settled = tenure.settled_number >= tenure.gained_number
+    settled = ownership.settled_number >= ownership.gained_number
     long_enough = now_seconds + _SHORTEST_SEND_SECONDS <= until_seconds
-    return Standing(
+    return LeaseRights(
         state=state,
         cold_allowed=state is LeaseState.held and settled and long_enough,
         until_seconds=until_seconds,
--- a/dragonflyramp/backends/_leaving.py
+++ b/dragonflyramp/backends/_leaving.py
@@ -42,7 +42,7 @@
 
 
 @attrs.frozen
-class UntilNewInstance:
+class LeavingUntilRestart:
     """Keep a leaving replica out until another instance appears.
 
     An operator's hold is independent of the instance and ends with the hold.
@@ -74,7 +74,7 @@
 
 
 @attrs.frozen
-class UntilNextReply:
+class LeavingUntilReply:
     """Forget a signal as soon as the server answers again."""
 
     def note_signal(
--- a/dragonflyramp/backends/_lessons.py
+++ b/dragonflyramp/backends/_observations.py
@@ -1,14 +1,14 @@
 """Learn from the end of each send: ramp, latencies, snapshots, crashes."""
 
-from dragonflyramp.backends._connections import Ended
+from dragonflyramp.backends._connections import EndedSend
 from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._jobs import Send
 from dragonflyramp.backends._latencies import RequestKind, lower_median
 from dragonflyramp.backends._leaving import LeavingSignal
 from dragonflyramp.backends._queues import ShardQueue
 from dragonflyramp.backends._ramp import Completion, Verdict
 from dragonflyramp.backends._replicas import ReplicaState, log_warmth
 from dragonflyramp.backends._statuses import STALL_SECONDS
-from dragonflyramp.backends._works import Send
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
@@ -35,10 +35,10 @@
 )
 _GIVEN_UP = _NO_ANSWER | {ResultCode.cancelled}
 # Timers may fire a little early.
-_PATIENCE_SHARE = 0.95
+_BLAME_SHARE = 0.95
 
 
-class Lessons:
+class SendObserver:
     """Take the end of a send into the state of its replica and service."""
 
     def __init__(self, queue: ShardQueue, context: TierContext) -> None:
@@ -46,7 +46,7 @@
         self._queue = queue
         self._context = context
 
-    def learn(self, ended: Ended, now_seconds: float) -> None:
+    def learn(self, ended: EndedSend, now_seconds: float) -> None:
         """Take in one end; the order matters, an instance comes first."""
         send = ended.send
         send.replica.running -= 1
@@ -57,9 +57,9 @@
         self._learn_ramp(ended, now_seconds)
         self._learn_latency(ended, now_seconds)
 
-    def _learn_fingerprint(self, ended: Ended, now_seconds: float) -> None:
+    def _learn_fingerprint(self, ended: EndedSend, now_seconds: float) -> None:
         fingerprints = self._context.fingerprints
-        fingerprint = ended.send.work.fingerprint
+        fingerprint = ended.send.job.fingerprint
         code = ended.reply.code
         if code is ResultCode.connection_reset:
             replica_id = ended.send.replica.replica.replica_id
@@ -67,7 +67,7 @@
         else:
             fingerprints.end(fingerprint, completed=code in _RAN)
 
-    def _learn_reply(self, ended: Ended, now_seconds: float) -> None:
+    def _learn_reply(self, ended: EndedSend, now_seconds: float) -> None:
         reply = ended.reply
         replica = ended.send.replica
         observer = self._context.observer
@@ -77,7 +77,7 @@
         if reply.code is ResultCode.draining:
             observer.note_leaving(replica, LeavingSignal.drain_sign)
         elif reply.code is ResultCode.snapshot_gone:
-            snapshot_id = ended.send.work.snapshot_id
+            snapshot_id = ended.send.job.snapshot_id
             replica.snapshots.note_missing(snapshot_id, now_seconds)
         elif reply.code is ResultCode.ok:
             leaving = self._context.policies.leaving
@@ -85,7 +85,7 @@
             if reply.snapshot_id:
                 replica.snapshots.note_shown(reply.snapshot_id, reply.documents)
 
-    def _learn_ramp(self, ended: Ended, now_seconds: float) -> None:
+    def _learn_ramp(self, ended: EndedSend, now_seconds: float) -> None:
         replica = ended.send.replica
         if ended.reply.instance_id in replica.former_instances:
             return
@@ -96,11 +96,11 @@
         if replica.ramp.warmth is not warmth:
             log_warmth(replica, ended.reply.code.name)
 
-    def _learn_latency(self, ended: Ended, now_seconds: float) -> None:
+    def _learn_latency(self, ended: EndedSend, now_seconds: float) -> None:
         send = ended.send
         seconds = ended.latency_seconds
-        replica_latency = send.replica.latencies[send.work.kind]
-        service_latency = self._queue.terms.latencies[send.work.kind]
+        replica_latency = send.replica.latencies[send.job.kind]
+        service_latency = self._queue.terms.latencies[send.job.kind]
         if ended.reply.code is ResultCode.ok:
             replica_latency.add(seconds, now_seconds)
             if send.replica.is_warm:
@@ -110,14 +110,14 @@
             if send.replica.is_warm:
                 service_latency.add_at_least(seconds)
 
-    def _completion(self, ended: Ended, now_seconds: float) -> Completion:
+    def _completion(self, ended: EndedSend, now_seconds: float) -> Completion:
         """Compare with the warm peers, or with what was usual before.
 
         The peers come first: when all replicas slow down together, none of
         them turned cold.
         """
         send = ended.send
-        kind = send.work.kind
+        kind = send.job.kind
         peers = _warm_latencies(self._queue, kind, send.replica)
         started_seconds = now_seconds - ended.latency_seconds
         baseline_seconds = lower_median([seconds for seconds, _ in peers])
@@ -150,7 +150,7 @@
     ]
 
 
-def _verdict(ended: Ended) -> Verdict:
+def _verdict(ended: EndedSend) -> Verdict:
     code = ended.reply.code
     if code in _REFUSED_LOAD:
         return Verdict.failed
@@ -161,7 +161,7 @@
     return Verdict.neutral
 
 
-def _is_to_blame(ended: Ended) -> bool:
+def _is_to_blame(ended: EndedSend) -> bool:
     """Tell whether the replica had enough time, and this process did too.
 
     When the timer fired late, this process was paused or overloaded, and the
@@ -174,7 +174,7 @@
     if ended_seconds - send.due_seconds > STALL_SECONDS:
         counters.add('unblamed_timeouts', 'stalled')
         return False
-    return ended.latency_seconds >= _PATIENCE_SHARE * send.patience_seconds
+    return ended.latency_seconds >= _BLAME_SHARE * send.blame_after_seconds
 
 
 def _is_older_than_cold(send: Send) -> bool:
--- a/dragonflyramp/backends/_policies.py
+++ b/dragonflyramp/backends/_policies.py
@@ -10,8 +10,8 @@
 from dragonflyramp.backends._hedging import HedgePolicy, NoHedge, QuantileHedge
 from dragonflyramp.backends._leaving import (
     LeavingPolicy,
-    UntilNewInstance,
-    UntilNextReply,
+    LeavingUntilReply,
+    LeavingUntilRestart,
 )
 from dragonflyramp.backends._ramp import (
     RampPolicy,
@@ -43,7 +43,7 @@
             choice=LeastLoadedChoice(),
             hedging=QuantileHedge(),
             retries=JitteredRetry(),
-            leaving=UntilNewInstance(),
+            leaving=LeavingUntilRestart(),
         )
 
     @classmethod
@@ -54,5 +54,5 @@
             choice=RandomChoice(),
             hedging=NoHedge(),
             retries=ImmediateRetry(),
-            leaving=UntilNextReply(),
+            leaving=LeavingUntilReply(),
         )
--- a/dragonflyramp/backends/_queries.py
+++ b/dragonflyramp/backends/_queries.py
@@ -1,10 +1,10 @@
-"""Turn the queries and submits of fronts into works of shards."""
+"""Turn the queries and submits of fronts into jobs of shards."""
 
 import asyncio
 from collections.abc import Callable
 
+from dragonflyramp.backends._jobs import Job, Outcome
 from dragonflyramp.backends._latencies import RequestKind
-from dragonflyramp.backends._works import Outcome, Work
 from dragonflyramp.messages import Part, Query, ShardAttempt, Submit
 
 _MS_PER_SECOND = 1000
@@ -21,16 +21,16 @@
     return now_seconds + min(remaining_ms, max_remaining_ms) / _MS_PER_SECOND
 
 
-def search_work(
+def search_job(
     query: Query,
     attempt: ShardAttempt,
     deliver: Callable[[Outcome], None],
     *,
     deadline: float,
     now_seconds: float,
-) -> Work:
-    """Make the work of one attempt."""
-    return Work(
+) -> Job:
+    """Make the job of one attempt."""
+    return Job(
         kind=RequestKind.search,
         query_id=query.query_id,
         attempt_id=attempt.attempt_id,
@@ -44,15 +44,15 @@
     )
 
 
-def submit_work(
+def submit_job(
     submit: Submit,
     deliver: Callable[[Outcome], None],
     *,
     deadline: float,
     now_seconds: float,
-) -> Work:
-    """Make the work of a submit."""
-    return Work(
+) -> Job:
+    """Make the job of a submit."""
+    return Job(
         kind=RequestKind.submit,
         query_id=submit.submit_id,
         attempt_id=submit.submit_id,
--- a/dragonflyramp/backends/_queues.py
+++ b/dragonflyramp/backends/_queues.py
@@ -1,13 +1,13 @@
-"""Hold the works of one shard, and the connections they may use."""
+"""Hold the jobs of one shard, and the connections they may use."""
 
 from collections import deque
 
 import attrs
 
-from dragonflyramp.backends._connections import Ended
+from dragonflyramp.backends._connections import EndedSend
 from dragonflyramp.backends._contexts import ShardTerms
+from dragonflyramp.backends._jobs import Job, Outcome
 from dragonflyramp.backends._pools import ConnectionPool
-from dragonflyramp.backends._works import Outcome, Work
 from dragonflyramp.results import ResultCode
 
 
@@ -17,26 +17,26 @@
 
     terms: ShardTerms
     pools: dict[str, ConnectionPool] = attrs.field(factory=dict)
-    waiting: list[Work] = attrs.field(factory=list)
-    running: list[Work] = attrs.field(factory=list)
-    ended: deque[Ended] = attrs.field(factory=deque)
+    waiting: list[Job] = attrs.field(factory=list)
+    running: list[Job] = attrs.field(factory=list)
+    ended: deque[EndedSend] = attrs.field(factory=deque)
 
     def is_full(self) -> bool:
-        """Tell whether the bound of the waiting works is reached."""
+        """Tell whether the bound of the waiting jobs is reached."""
         return len(self.waiting) >= self.terms.service.queue_length
 
-    def put_back(self, work: Work) -> None:
-        """Let a work that was handed out wait again, before the others."""
-        self.running.remove(work)
-        self.waiting.insert(0, work)
-
-    def finish(self, work: Work, outcome: Outcome) -> None:
-        """Deliver an outcome and forget the work."""
-        for works in (self.waiting, self.running):
-            if work in works:
-                works.remove(work)
-        work.finish(outcome)
-
-    def refuse(self, work: Work, code: ResultCode) -> None:
-        """Finish a work without a reply."""
-        self.finish(work, Outcome(code=code))
+    def put_back(self, job: Job) -> None:
+        """Let a job that was handed out wait again, before the others."""
+        self.running.remove(job)
+        self.waiting.insert(0, job)
+
+    def finish(self, job: Job, outcome: Outcome) -> None:
+        """Deliver an outcome and forget the job."""
+        for jobs in (self.waiting, self.running):
+            if job in jobs:
+                jobs.remove(job)
+        job.finish(outcome)
+
+    def refuse(self, job: Job, code: ResultCode) -> None:
+        """Finish a job without a reply."""
+        self.finish(job, Outcome(code=code))
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -119,7 +119,7 @@
     def note_failed_open(self, state: ReplicaState, now_seconds: float) -> None:
         """Take in that no connection could be opened in time.
 
-        A second time without a reply in between, the replica gets no work
+        A second time without a reply in between, the replica gets no job
         until its status can be read.
         """
         state.failed_opens += 1
--- a/dragonflyramp/backends/_reports.py
+++ b/dragonflyramp/backends/_reports.py
@@ -10,7 +10,7 @@
 from dragonflyramp.models import LeaseState, MemberId, Snapshot
 
 
-class ReportBoard:
+class ReportPublisher:
     """Hold the latest report, and who has taken which one.
 
     Several tasks take reports, one for each front. Each waits for a report
@@ -68,7 +68,7 @@
 
 
 def _shard_report(shard: Shard, now_seconds: float) -> ShardReport:
-    current = shard.admission.standing(now_seconds)
+    current = shard.admission.lease_rights(now_seconds)
     found: dict[str, Snapshot] = {}
     for pool in shard.queue.pools.values():
         replica = pool.replica
--- a/dragonflyramp/backends/_senders.py
+++ b/dragonflyramp/backends/_senders.py
@@ -1,4 +1,4 @@
-"""Send works over one connection, with a second try when it is silent."""
+"""Send jobs over one connection, with a second try when it is silent."""
 
 import asyncio
 import math
@@ -12,10 +12,10 @@
     SubmitCall,
 )
 from dragonflyramp.backends._contexts import TierContext
+from dragonflyramp.backends._jobs import Job, Send
 from dragonflyramp.backends._latencies import RequestKind
 from dragonflyramp.backends._replicas import ReplicaState
 from dragonflyramp.backends._statuses import StatusReader
-from dragonflyramp.backends._works import Send, Work
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
@@ -29,7 +29,7 @@
 
 
 class Sender:
-    """Send works over one client, which it opens and closes."""
+    """Send jobs over one client, which it opens and closes."""
 
     def __init__(
         self, client: BackendClient, admission: Admission, context: TierContext
@@ -42,13 +42,13 @@
         self._used_seconds = -math.inf
 
     async def send(self, send: Send) -> Reply:
-        """Send a work; at most once when it must not be repeated.
+        """Send a job; at most once when it must not be repeated.
 
         A read on a silent connection is sent a second time on a fresh one,
         which tells a silent connection from a dead server. A request that
         met a lost connection was not sent, so it may be sent.
         """
-        is_submit = send.work.kind is RequestKind.submit
+        is_submit = send.job.kind is RequestKind.submit
         if is_submit:
             await self._drop_unless_recent()
         reply = await self._attempt(send, again=False)
@@ -82,7 +82,7 @@
             'sends', 'fresh_connection' if again else send.purpose.name
         )
         send.called_seconds = now_seconds
-        send.patience_seconds = permit.patience_seconds
+        send.blame_after_seconds = permit.blame_after_seconds
         return await self._call(send, permit, now_seconds)
 
     async def _open(self, replica: ReplicaState) -> bool:
@@ -105,42 +105,40 @@
     async def _call(
         self, send: Send, permit: Permit, now_seconds: float
     ) -> Reply:
-        work = send.work
+        job = send.job
         left_seconds = permit.deadline_seconds - now_seconds
         limit_seconds = left_seconds
-        if work.kind is RequestKind.search:
+        if job.kind is RequestKind.search:
             limit_seconds = min(left_seconds, permit.silence_seconds)
         send.due_seconds = now_seconds + limit_seconds
         try:
             async with asyncio.timeout(limit_seconds):
-                return await _post(self._client, work, left_seconds)
+                return await _post(self._client, job, left_seconds)
         except TimeoutError:
             await self.aclose()
-        if send.due_seconds < work.deadline_seconds:
+        if send.due_seconds < job.deadline_seconds:
             return _SILENT
         return _TOO_LATE
 
 
-async def _post(
-    client: BackendClient, work: Work, left_seconds: float
-) -> Reply:
+async def _post(client: BackendClient, job: Job, left_seconds: float) -> Reply:
     deadline_ms = max(1, int(left_seconds * _MS_PER_SECOND))
-    if work.kind is RequestKind.submit:
+    if job.kind is RequestKind.submit:
         return await client.submit(
             SubmitCall(
-                idempotency_key=work.idempotency_key,
+                idempotency_key=job.idempotency_key,
                 deadline_ms=deadline_ms,
-                attempt_id=work.attempt_id,
-                request_id=work.request_id,
-                body=work.body,
+                attempt_id=job.attempt_id,
+                request_id=job.request_id,
+                body=job.body,
             )
         )
     return await client.search(
         SearchCall(
-            snapshot_id=work.snapshot_id,
+            snapshot_id=job.snapshot_id,
             deadline_ms=deadline_ms,
-            attempt_id=work.attempt_id,
-            request_id=work.request_id,
-            body=work.body,
+            attempt_id=job.attempt_id,
+            request_id=job.request_id,
+            body=job.body,
         )
     )
--- a/dragonflyramp/backends/_shard_pools.py
+++ b/dragonflyramp/backends/_shard_pools.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from dragonflyramp.backends._admissions import Admission
-from dragonflyramp.backends._connections import Connection, Ended
+from dragonflyramp.backends._connections import Connection, EndedSend
 from dragonflyramp.backends._contexts import TierContext
 from dragonflyramp.backends._pools import ConnectionPool
 from dragonflyramp.backends._queues import ShardQueue
@@ -59,7 +59,7 @@
         return connection
 
     def _on_end(
-        self, pool: ConnectionPool, connection: Connection, ended: Ended
+        self, pool: ConnectionPool, connection: Connection, ended: EndedSend
     ) -> None:
         pool.give_back(connection)
         self._queue.ended.append(ended)
--- a/dragonflyramp/backends/_serving.py
+++ b/dragonflyramp/backends/_shard_table.py
@@ -13,7 +13,7 @@
 from dragonflyramp.models import SliceId
 
 
-class Serving:
+class ShardTable:
     """Hold the shards that the relay serves now."""
 
     def __init__(
--- a/dragonflyramp/backends/_statuses.py
+++ b/dragonflyramp/backends/_statuses.py
@@ -26,7 +26,7 @@
 
 
 @attrs.frozen
-class _Outline:
+class _VisibleState:
     """Hold what of a replica matters to its shard and to the reports."""
 
     instance_id: str
@@ -108,19 +108,19 @@
 
     async def _read(self) -> None:
         """Read once, and once more if the connection may have been silent."""
-        former = self._outline()
+        former = self._visible_state()
         was_open = self._client.is_open()
         limit_seconds = self._context.settings.status_timeout_seconds
         failure = await self._reader.read(self._replica, limit_seconds)
         if failure is StatusFailure.lost and was_open:
             await self._reader.read(self._replica, limit_seconds)
-        if self._outline() != former:
+        if self._visible_state() != former:
             self._on_change()
 
-    def _outline(self) -> _Outline:
+    def _visible_state(self) -> _VisibleState:
         replica = self._replica
         leaving = self._context.policies.leaving.is_leaving(replica.leaving)
-        return _Outline(
+        return _VisibleState(
             replica.instance_id,
             replica.snapshots.listed(),
             replica.ramp.warmth,
--- a/dragonflyramp/backends/_tier.py
+++ b/dragonflyramp/backends/_tier.py
@@ -15,9 +15,9 @@
 from dragonflyramp.backends._followers import Follower
 from dragonflyramp.backends._intake import Intake
 from dragonflyramp.backends._policies import PolicySet
-from dragonflyramp.backends._reports import ReportBoard, build_report
-from dragonflyramp.backends._serving import Serving
+from dragonflyramp.backends._reports import ReportPublisher, build_report
 from dragonflyramp.backends._settings import BackendSettings
+from dragonflyramp.backends._shard_table import ShardTable
 from dragonflyramp.backends._tasks import TaskTable
 from dragonflyramp.backends._warmths import WarmthTables
 from dragonflyramp.members import ConfigurationSource, LeaseTable
@@ -51,9 +51,9 @@
     _context: TierContext = attrs.field(init=False)
     _tasks: TaskTable = attrs.field(init=False, factory=TaskTable)
     _warmths: WarmthTables = attrs.field(init=False)
-    _serving: Serving = attrs.field(init=False)
+    _shard_table: ShardTable = attrs.field(init=False)
     _intake: Intake = attrs.field(init=False)
-    _board: ReportBoard = attrs.field(init=False)
+    _publisher: ReportPublisher = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Connect the parts."""
@@ -68,15 +68,15 @@
             rng=self.rng,
         )
         self._warmths = WarmthTables(self._context)
-        self._board = ReportBoard(self._build_report)
-        self._serving = Serving(
-            self._context, self._tasks, self._warmths, self._board.touch
+        self._publisher = ReportPublisher(self._build_report)
+        self._shard_table = ShardTable(
+            self._context, self._tasks, self._warmths, self._publisher.touch
         )
-        self._intake = Intake(self._context, self._serving)
+        self._intake = Intake(self._context, self._shard_table)
 
     async def run(self) -> None:
         """Run all tasks until cancelled."""
-        follower = Follower(self._context, self._serving, self.vm_list)
+        follower = Follower(self._context, self._shard_table, self.vm_list)
         async with asyncio.TaskGroup() as group:
             self._tasks.group = group
             self._tasks.start('configuration', follower.follow_configuration)
@@ -99,7 +99,7 @@
 
         The parts that are still open follow with the code `cancelled`.
         """
-        for shard in self._serving.shards.values():
+        for shard in self._shard_table.shards.values():
             shard.cancel(query_id)
 
     async def run_submit(self, submit: Submit) -> SubmitOutcome:
@@ -108,16 +108,16 @@
 
     def report(self) -> Report:
         """Describe what the relay can serve now."""
-        return self._board.take()
+        return self._publisher.take()
 
     async def wait_report_change(self) -> None:
         """Wait until the report differs from the one this task took last."""
-        await self._board.wait_change()
+        await self._publisher.wait_change()
 
     def warmth(self, slice_id: SliceId) -> tuple[WarmthEntry, ...]:
         """Export what is known of the replicas of a slice."""
         return self._warmths.export(
-            self._serving.replicas_of(slice_id), self.clock()
+            self._shard_table.replicas_of(slice_id), self.clock()
         )
 
     def load_warmth(
@@ -128,22 +128,22 @@
         lease = self.lease_table.lease(slice_id, now_seconds)
         self._warmths.keep(slice_id, entries, now_seconds)
         by_id = {entry.replica_id: entry for entry in entries}
-        for state in self._serving.replicas_of(slice_id):
+        for state in self._shard_table.replicas_of(slice_id):
             entry = by_id.get(state.replica.replica_id)
             if entry is not None:
                 held = lease.state is LeaseState.held
                 self._warmths.adopt(entry, state, now_seconds, held=held)
-        self._serving.wake_all()
+        self._shard_table.wake_all()
 
     def describe(self) -> tuple[ReplicaDescription, ...]:
         """Describe every replica for the status page."""
         now_seconds = self.clock()
         return tuple(
             describe_replica(pool.replica, self._context, now_seconds)
-            for shard in self._serving.shards.values()
+            for shard in self._shard_table.shards.values()
             for pool in shard.queue.pools.values()
         )
 
     def _build_report(self) -> Report:
-        shards = self._serving.shards.values()
+        shards = self._shard_table.shards.values()
         return build_report(self.relay_id, self._context, shards)
--- a/dragonflyramp/backends/_alarms.py
+++ b/dragonflyramp/backends/_timed_events.py
@@ -7,7 +7,7 @@
 _SHORTEST_WAIT_SECONDS = 0.001
 
 
-class Alarm:
+class TimedEvent:
     """Wake one task."""
 
     def __init__(self) -> None:
--- a/tests/backend_rig.py
+++ b/tests/backend_harness.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from dragonflyramp import models
 from dragonflyramp.backends import (
     BackendSettings,
     BackendTier,
@@ -34,7 +35,6 @@
     SliceId,
     VmState,
 )
-from dragonflyramp.models import Warmth, WarmthEntry
 from dragonflyramp.platform import VirtualMachine
 from dragonflyramp.results import ResultCode
 from tests.standins.backend_models import ServerSpec
@@ -105,7 +105,7 @@
 
 
 @attrs.define(kw_only=True)
-class Rig:
+class Harness:
     """Hold a running tier and everything around it."""
 
     fleet: Fleet
@@ -138,10 +138,10 @@
     def make_warm(self) -> None:
         """Load a table that says that every replica is warm."""
         entries = [
-            WarmthEntry(
+            models.WarmthEntry(
                 replica_id=replica.replica_id,
                 instance_id=replica.instance_id,
-                warmth=Warmth.warm,
+                warmth=models.Warmth.warm,
                 limit=3,
                 latency_ms=5,
             )
@@ -220,7 +220,7 @@
     settings: BackendSettings | None = None,
     policies: PolicySet | None = None,
     **service_fields: Any,
-) -> AsyncIterator[Rig]:
+) -> AsyncIterator[Harness]:
     """Run servers and a tier whose lease holds all of them."""
     chosen = settings or quick_settings()
     shards = tuple(dict.fromkeys(spec.shard for spec in specs))
@@ -244,7 +244,7 @@
             rng=random.Random(1),
         )
         task = asyncio.create_task(tier.run())
-        rig = Rig(
+        harness = Harness(
             fleet=fleet,
             tier=tier,
             leases=leases,
@@ -254,8 +254,8 @@
         )
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(_cancel, task)
-            await rig.until_ready()
-            yield rig
+            await harness.until_ready()
+            yield harness
 
 
 async def _cancel(task: asyncio.Task[None]) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -27,10 +27,10 @@
     VmState,
 )
 from dragonflyramp.results import ResultCode, RunState
-from tests.backend_rig import (
+from tests.backend_harness import (
     GUARD_SECONDS,
     SLICE,
-    Rig,
+    Harness,
     configuration,
     machines,
     quick_settings,
@@ -61,7 +61,7 @@
 
 
 @contextlib.asynccontextmanager
-async def warm(*replica_ids: str, **fields: Any) -> AsyncIterator[Rig]:
+async def warm(*replica_ids: str, **fields: Any) -> AsyncIterator[Harness]:
     """Run servers whose replicas are known as warm, with a proven body."""
     both = {'slots', 'cold_requests_per_second'}
     names = attrs.fields_dict(ServerSpec).keys() & fields.keys()
@@ -72,16 +72,16 @@
         if name not in names or name in both
     }
     described = specs(*replica_ids, **server_fields)
-    async with running(described, **service_fields) as rig:
-        rig.make_warm()
-        assert await rig.codes(1) == OK
-        yield rig
+    async with running(described, **service_fields) as harness:
+        harness.make_warm()
+        assert await harness.codes(1) == OK
+        yield harness
 
 
 async def test_search_gives_one_part_per_attempt() -> None:
     """A lost or doubled part would leave a search open or miscounted."""
-    async with warm('x-1', 'x-2', 'y-1', 'y-2') as rig:
-        parts = await rig.search(rig.query('x', 'y'))
+    async with warm('x-1', 'x-2', 'y-1', 'y-2') as harness:
+        parts = await harness.search(harness.query('x', 'y'))
         assert {part.code for part in parts.values()} == OK
         assert {part.documents for part in parts.values()} == {100}
         assert json.loads(parts['x'].body)['hits'][0]['id'] == 'x/1'
@@ -90,11 +90,11 @@
 async def test_cold_servers_get_warm_without_overload() -> None:
     """Invariant 3, while all callers come at once and all servers are cold."""
     cold = specs('x-1', 'x-2', cold=True, **RATE)
-    async with running(cold, **RATE) as rig:
+    async with running(cold, **RATE) as harness:
         async with asyncio.timeout(20):
-            while {rig.state('x-1'), rig.state('x-2')} != {'warm'}:
-                await rig.codes(8)
-        records = [server.records for server in rig.fleet.servers.values()]
+            while {harness.state('x-1'), harness.state('x-2')} != {'warm'}:
+                await harness.codes(8)
+        records = [server.records for server in harness.fleet.servers.values()]
         assert [record.violations for record in records] == [0, 0]
         assert max(record.largest_connections for record in records) <= 4
 
@@ -102,19 +102,19 @@
 @pytest.mark.parametrize('away', ['restart', 'crash', 'hold'])
 async def test_replica_returns_cold_and_gets_warm(away: str) -> None:
     """A server that comes back has to bear probes only, but must get them."""
-    async with warm('x-1', 'x-2', service_ms=2, **RATE) as rig:
-        server = rig.fleet['x-1']
+    async with warm('x-1', 'x-2', service_ms=2, **RATE) as harness:
+        server = harness.fleet['x-1']
         if away == 'hold':
-            rig.source.adopt(held('x-1'))
-            await rig.until(lambda: rig.state('x-1') == 'leaving')
+            harness.source.adopt(held('x-1'))
+            await harness.until(lambda: harness.state('x-1') == 'leaving')
             server.turn_cold()
-            rig.source.adopt(configuration(('x',), 3, **RATE))
+            harness.source.adopt(configuration(('x',), 3, **RATE))
         else:
             getattr(server, away)()
-        await rig.until(lambda: rig.state('x-1') == 'cold')
+        await harness.until(lambda: harness.state('x-1') == 'cold')
         async with asyncio.timeout(20):
-            while rig.state('x-1') != 'warm':
-                assert await rig.codes(2) == OK
+            while harness.state('x-1') != 'warm':
+                assert await harness.codes(2) == OK
         assert server.records.violations == 0
 
 
@@ -134,14 +134,14 @@
 @pytest.mark.parametrize('mode', ['shed', 'stall'])
 async def test_server_turns_cold_without_a_sign(mode: str) -> None:
     """The first shed reply has to end the load of a warm replica."""
-    async with warm('x-1', 'x-2', collapse_mode=mode, **RATE) as rig:
-        rig.fleet['x-1'].turn_cold()
+    async with warm('x-1', 'x-2', collapse_mode=mode, **RATE) as harness:
+        harness.fleet['x-1'].turn_cold()
         async with asyncio.timeout(20):
-            while rig.state('x-1') == 'warm':
-                await rig.codes(4)
-            while rig.state('x-1') != 'warm':
-                await rig.codes(4)
-        assert rig.fleet['x-1'].records.violations == 1
+            while harness.state('x-1') == 'warm':
+                await harness.codes(4)
+            while harness.state('x-1') != 'warm':
+                await harness.codes(4)
+        assert harness.fleet['x-1'].records.violations == 1
 
 
 @pytest.mark.parametrize(
@@ -161,12 +161,14 @@
 ) -> None:
     """Without a lease another relay may use the cold replicas."""
     quick = quick_settings(cold_pause_seconds=0)
-    async with running(specs('x-1'), settings=quick, **RATE) as rig:
+    async with running(specs('x-1'), settings=quick, **RATE) as harness:
         if make_warm:
-            rig.make_warm()
-        rig.leases.state = state
-        assert await rig.codes(1) == {code}
-        assert rig.fleet['x-1'].records.searches == int(code is ResultCode.ok)
+            harness.make_warm()
+        harness.leases.state = state
+        assert await harness.codes(1) == {code}
+        assert harness.fleet['x-1'].records.searches == int(
+            code is ResultCode.ok
+        )
 
 
 @pytest.mark.parametrize(
@@ -182,53 +184,53 @@
     state: LeaseState, slots: int, largest: int
 ) -> None:
     """Relays that share a replica must together stay within its slots."""
-    async with warm('x-1', slots=slots, service_ms=10) as rig:
-        rig.leases.state = state
-        assert await rig.codes(12, ms=2000) == OK
-        assert rig.fleet['x-1'].records.largest_concurrency == largest
+    async with warm('x-1', slots=slots, service_ms=10) as harness:
+        harness.leases.state = state
+        assert await harness.codes(12, ms=2000) == OK
+        assert harness.fleet['x-1'].records.largest_concurrency == largest
 
 
 async def test_gained_shard_waits_until_settled() -> None:
     """The relay that held the shard before may still use cold replicas."""
     quick = quick_settings(cold_pause_seconds=0)
-    async with running(specs('x-1'), settings=quick, **RATE) as rig:
-        rig.leases.settled = 0
-        assert await rig.codes(1) == {ResultCode.no_lease}
-        rig.leases.settled = 1
-        assert await rig.codes(1) == OK
+    async with running(specs('x-1'), settings=quick, **RATE) as harness:
+        harness.leases.settled = 0
+        assert await harness.codes(1) == {ResultCode.no_lease}
+        harness.leases.settled = 1
+        assert await harness.codes(1) == OK
 
 
 async def test_cold_request_ends_before_the_lease() -> None:
     """A paused holder must not leave a request running past its lease."""
     quick = quick_settings(cold_pause_seconds=0)
     slow = specs('x-1', service_ms=10_000)
-    async with running(slow, settings=quick, **RATE) as rig:
-        rig.leases.until_seconds = rig.clock() + 0.2
-        codes = await rig.codes(1, ms=5000)
+    async with running(slow, settings=quick, **RATE) as harness:
+        harness.leases.until_seconds = harness.clock() + 0.2
+        codes = await harness.codes(1, ms=5000)
         assert codes <= {ResultCode.connection_silent, ResultCode.no_lease}
-        records = rig.fleet['x-1'].records
+        records = harness.fleet['x-1'].records
         assert 0 < records.largest_deadline_ms <= 200
-        await rig.until(
+        await harness.until(
             lambda: records.cancelled + records.expired == records.searches
         )
 
 
 async def test_resumed_process_trusts_nothing() -> None:
     """A paused relay does not know what happened to its replicas."""
-    async with warm('x-1') as rig:
-        rig.leases.until_seconds = rig.clock() + 3
-        rig.clock.offset_seconds = 60
-        assert await rig.codes(1) == {ResultCode.no_replica}
-        await rig.until(lambda: rig.state('x-1') == 'cold')
-        assert await rig.codes(1) == {ResultCode.no_lease}
+    async with warm('x-1') as harness:
+        harness.leases.until_seconds = harness.clock() + 3
+        harness.clock.offset_seconds = 60
+        assert await harness.codes(1) == {ResultCode.no_replica}
+        await harness.until(lambda: harness.state('x-1') == 'cold')
+        assert await harness.codes(1) == {ResultCode.no_lease}
 
 
 async def test_refusals_have_their_own_codes() -> None:
     """A caller can only react to a refusal whose reason it knows."""
-    async with running(specs('x-1')) as rig:
-        assert await rig.codes(1, ms=50) == {ResultCode.replica_cold}
-        assert await rig.codes(1, ms=0) == {ResultCode.queue_expired}
-        parts = await rig.search(rig.query('elsewhere'))
+    async with running(specs('x-1')) as harness:
+        assert await harness.codes(1, ms=50) == {ResultCode.replica_cold}
+        assert await harness.codes(1, ms=0) == {ResultCode.queue_expired}
+        parts = await harness.search(harness.query('elsewhere'))
         assert parts['elsewhere'].code is ResultCode.not_owner
 
 
@@ -239,9 +241,9 @@
     )
     async with warm(
         'x-1', settings=patient, slots=1, queue_length=2, hedge_budget=0
-    ) as rig:
-        rig.fleet['x-1'].faults.straggle_ms = 1000
-        assert await rig.codes(8, ms=200) == {
+    ) as harness:
+        harness.fleet['x-1'].faults.straggle_ms = 1000
+        assert await harness.codes(8, ms=200) == {
             ResultCode.deadline_exceeded,
             ResultCode.queue_full,
             ResultCode.queue_expired,
@@ -250,142 +252,146 @@
 
 async def test_unusable_replicas_have_their_own_codes() -> None:
     """A front goes to another relay only when that can help."""
-    async with warm('x-1') as rig:
-        rig.source.isolated = True
-        assert await rig.codes(1) == {ResultCode.isolated}
-        rig.source.isolated = False
-        rig.source.adopt(held('x-1'))
-        await rig.until(lambda: rig.state('x-1') == 'leaving')
-        assert await rig.codes(1) == {ResultCode.no_replica}
+    async with warm('x-1') as harness:
+        harness.source.isolated = True
+        assert await harness.codes(1) == {ResultCode.isolated}
+        harness.source.isolated = False
+        harness.source.adopt(held('x-1'))
+        await harness.until(lambda: harness.state('x-1') == 'leaving')
+        assert await harness.codes(1) == {ResultCode.no_replica}
 
 
 async def test_drain_waits_for_what_runs() -> None:
     """Invariant 9: a planned stop must not interrupt a request."""
-    async with warm('x-1', service_ms=50) as rig:
-        search = asyncio.create_task(rig.search(rig.query('x')))
+    async with warm('x-1', service_ms=50) as harness:
+        search = asyncio.create_task(harness.search(harness.query('x')))
         await asyncio.sleep(0)
-        await rig.tier.drain()
+        await harness.tier.drain()
         assert (await search)['x'].code is ResultCode.ok
-        assert await rig.codes(1) == {ResultCode.stopping}
+        assert await harness.codes(1) == {ResultCode.stopping}
 
 
 @pytest.mark.parametrize('signal', ['drain', 'hold', 'vm_list', 'refused'])
 async def test_leaving_replica_gets_no_new_work(signal: str) -> None:
     """Invariants 4 and 8: the other replicas have to serve everything."""
-    async with warm('x-1', 'x-2') as rig:
-        server = rig.fleet['x-1']
+    async with warm('x-1', 'x-2') as harness:
+        server = harness.fleet['x-1']
         match signal:
             case 'drain':
                 server.faults.draining = True
             case 'hold':
-                rig.source.adopt(held('x-1'))
+                harness.source.adopt(held('x-1'))
             case 'vm_list':
-                rig.vm_list.list_machines(machines(rig.fleet, VmState.leaving))
+                harness.vm_list.list_machines(
+                    machines(harness.fleet, VmState.leaving)
+                )
             case _:
                 server.stop_listening()
                 server.reset_connections()
-        await rig.until(lambda: rig.state('x-1') == 'leaving')
+        await harness.until(lambda: harness.state('x-1') == 'leaving')
         received = server.records.received
         if signal != 'vm_list':
-            assert await rig.codes(20) <= OK
+            assert await harness.codes(20) <= OK
         assert server.records.received == received
         await server.start_listening()
         server.restart()
         if signal != 'hold':
-            await rig.until(lambda: rig.state('x-1') == 'cold')
+            await harness.until(lambda: harness.state('x-1') == 'cold')
 
 
 async def test_vm_list_adds_and_removes_replicas() -> None:
     """A list that is down or lags must not take good replicas away."""
-    async with running(specs('x-1', 'x-2')) as rig:
-        both = rig.vm_list.machines
-        rig.vm_list.list_machines(both[:1])
-        await rig.until(lambda: len(rig.tier.describe()) == 1)
-        rig.vm_list.list_machines(both)
-        await rig.until(lambda: len(rig.tier.describe()) == 2)
-        rig.vm_list.down = True
-        rig.vm_list.list_machines(())
+    async with running(specs('x-1', 'x-2')) as harness:
+        both = harness.vm_list.machines
+        harness.vm_list.list_machines(both[:1])
+        await harness.until(lambda: len(harness.tier.describe()) == 1)
+        harness.vm_list.list_machines(both)
+        await harness.until(lambda: len(harness.tier.describe()) == 2)
+        harness.vm_list.down = True
+        harness.vm_list.list_machines(())
         await asyncio.sleep(0.2)
-        assert len(rig.tier.describe()) == 2
+        assert len(harness.tier.describe()) == 2
 
 
 async def test_retry_goes_to_another_replica() -> None:
     """A server that sheds must cost a retry, not the shard's part."""
-    async with warm('x-1', 'x-2', 'x-3') as rig:
-        rig.fleet['x-1'].faults.shed = True
-        rig.fleet['x-2'].faults.error = True
+    async with warm('x-1', 'x-2', 'x-3') as harness:
+        harness.fleet['x-1'].faults.shed = True
+        harness.fleet['x-2'].faults.error = True
         for _ in range(5):
-            assert await rig.codes(1) == OK
+            assert await harness.codes(1) == OK
 
 
 async def test_hedge_cancels_the_loser() -> None:
     """A straggler must cost a hedge, and its connection is closed."""
-    async with warm('x-1', 'x-2') as rig:
+    async with warm('x-1', 'x-2') as harness:
         for _ in range(30):
-            assert await rig.codes(2) == OK
-        rig.fleet['x-1'].faults.straggle_ms = 5000
-        rig.fleet['x-2'].faults.straggle_ms = 0
-        records = rig.fleet['x-1'].records
+            assert await harness.codes(2) == OK
+        harness.fleet['x-1'].faults.straggle_ms = 5000
+        harness.fleet['x-2'].faults.straggle_ms = 0
+        records = harness.fleet['x-1'].records
         searches = records.searches
         while records.searches == searches:
-            assert await rig.codes(2) == OK
-        await rig.until(lambda: records.cancelled >= 1)
+            assert await harness.codes(2) == OK
+        await harness.until(lambda: records.cancelled >= 1)
 
 
 async def test_silent_connections_blame_no_server() -> None:
     """Connections that go silent while new ones work need a fresh one."""
-    async with warm('x-1', hedge_budget=0) as rig:
+    async with warm('x-1', hedge_budget=0) as harness:
         for _ in range(10):
-            assert await rig.codes(3) == OK
-        rig.fleet['x-1'].freeze()
-        assert await rig.codes(3) == OK
-        assert rig.state('x-1') == 'warm'
+            assert await harness.codes(3) == OK
+        harness.fleet['x-1'].freeze()
+        assert await harness.codes(3) == OK
+        assert harness.state('x-1') == 'warm'
 
 
 async def test_crash_is_reported_and_not_repeated() -> None:
     """A request that crashes servers must not go through all of them."""
-    async with warm('x-1', 'x-2', 'x-3', 'y-1') as rig:
-        for server in rig.fleet.servers.values():
+    async with warm('x-1', 'x-2', 'x-3', 'y-1') as harness:
+        for server in harness.fleet.servers.values():
             server.faults.crash_text = 'poison'
-        poison = rig.query('x', 'y', body=b'"poison"', ms=300)
-        parts = await rig.search(poison)
-        servers = rig.fleet.servers.values()
+        poison = harness.query('x', 'y', body=b'"poison"', ms=300)
+        parts = await harness.search(poison)
+        servers = harness.fleet.servers.values()
         assert sum(each.records.crashes for each in servers) == 1
         codes = {part.code for part in parts.values()}
         assert codes == {ResultCode.connection_reset, ResultCode.queue_expired}
-        assert await rig.codes(1) == OK
+        assert await harness.codes(1) == OK
 
 
-async def test_parked_body_runs_after_the_next_try() -> None:
+async def test_held_back_body_runs_after_the_next_try() -> None:
     """A server that died by itself must not cost the other shards."""
-    async with warm('x-1', 'x-2', 'y-1', service_ms=20) as rig:
-        query = rig.query('x', 'y', body=b'"new"', ms=3000)
+    async with warm('x-1', 'x-2', 'y-1', service_ms=20) as harness:
+        query = harness.query('x', 'y', body=b'"new"', ms=3000)
         outbox: asyncio.Queue[Part] = asyncio.Queue()
-        rig.tier.start_query(query, outbox)
-        await rig.until(lambda: bool(busy(rig)))
-        busy(rig)[0].crash()
+        harness.tier.start_query(query, outbox)
+        await harness.until(lambda: bool(busy(harness)))
+        busy(harness)[0].crash()
         first = await outbox.get()
         assert first.code is ResultCode.connection_reset
-        again = rig.query(first.shard, body=b'"new"', ms=3000)
-        assert (await rig.search(again))[first.shard].code is ResultCode.ok
+        again = harness.query(first.shard, body=b'"new"', ms=3000)
+        assert (await harness.search(again))[first.shard].code is ResultCode.ok
         assert (await outbox.get()).code is ResultCode.ok
 
 
-def busy(rig: Rig) -> list[Any]:
+def busy(harness: Harness) -> list[Any]:
     """List the servers on which a request runs."""
-    servers = rig.fleet.servers.values()
+    servers = harness.fleet.servers.values()
     return [server for server in servers if server.load.running]
 
 
 async def test_unproven_body_runs_alone() -> None:
     """A body that may crash servers runs once before it runs everywhere."""
     shards = [f's{number}' for number in range(6)]
-    async with warm(*(f'{name}-1' for name in shards), 'x-1') as rig:
+    async with warm(*(f'{name}-1' for name in shards), 'x-1') as harness:
         largest = 0
-        task = asyncio.create_task(rig.search(rig.query(*shards, body=b'1')))
-        servers = [rig.fleet[f'{name}-1'] for name in shards]
+        task = asyncio.create_task(
+            harness.search(harness.query(*shards, body=b'1'))
+        )
+        servers = [harness.fleet[f'{name}-1'] for name in shards]
         while not any(server.records.searches for server in servers):
-            largest = max(largest, len(busy(rig)))
+            largest = max(largest, len(busy(harness)))
             await asyncio.sleep(0)
         assert largest <= 1
         assert {part.code for part in (await task).values()} == OK
@@ -405,12 +411,12 @@
     fault: str, code: ResultCode, runs: int
 ) -> None:
     """Invariants 6 and 7: a second send would book a second time."""
-    async with warm('x-1', 'x-2') as rig:
-        servers = rig.fleet.servers.values()
+    async with warm('x-1', 'x-2') as harness:
+        servers = harness.fleet.servers.values()
         for server in servers:
             if fault:
                 setattr(server.faults, fault, True)
-        outcome = await rig.submit('k')
+        outcome = await harness.submit('k')
         records = [each.records for each in servers]
         assert outcome.code is code
         assert sum(record.runs_by_key['k'] for record in records) == runs
@@ -421,16 +427,16 @@
 @pytest.mark.parametrize('fault', ['crash', 'straggle', 'freeze'])
 async def test_submit_of_unknown_outcome(fault: str) -> None:
     """A submit that may have run must never be reported as not run."""
-    async with warm('x-1', hedge_budget=0) as rig:
-        assert (await rig.submit('first')).code is ResultCode.ok
-        server = rig.fleet['x-1']
+    async with warm('x-1', hedge_budget=0) as harness:
+        assert (await harness.submit('first')).code is ResultCode.ok
+        server = harness.fleet['x-1']
         if fault == 'crash':
             server.faults.crash_text = '{}'
         elif fault == 'straggle':
             server.faults.straggle_ms = 1000
         else:
             server.freeze()
-        outcome = await rig.submit('k', ms=200)
+        outcome = await harness.submit('k', ms=200)
         assert outcome.code.meaning.run is RunState.unknown
         assert server.records.runs_by_key['k'] <= 1
         await asyncio.sleep(0.3)
@@ -440,46 +446,46 @@
 async def test_submit_that_reaches_nobody_is_not_run() -> None:
     """Nothing was sent, so the claim of the key can be freed."""
     settings = quick_settings(submit_recent_seconds=0, status_period_seconds=60)
-    async with warm('x-1', 'x-2', settings=settings) as rig:
-        for server in rig.fleet.servers.values():
+    async with warm('x-1', 'x-2', settings=settings) as harness:
+        for server in harness.fleet.servers.values():
             server.stop_listening()
-        outcome = await rig.submit('k')
+        outcome = await harness.submit('k')
         assert outcome.code is ResultCode.no_replica
 
 
 async def test_snapshot_moves_to_another_replica() -> None:
     """Invariant 1: a replica that lost the snapshot must not be used."""
-    async with warm('x-1', 'x-2') as rig:
+    async with warm('x-1', 'x-2') as harness:
         newer = SnapshotSpec(id='s2', generation=2)
-        rig.fleet['x-1'].hold_snapshots((newer,))
+        harness.fleet['x-1'].hold_snapshots((newer,))
         for _ in range(5):
-            assert await rig.codes(2) == OK
-        rig.fleet['x-2'].hold_snapshots((newer,))
-        assert await rig.codes(2) == {ResultCode.snapshot_gone}
+            assert await harness.codes(2) == OK
+        harness.fleet['x-2'].hold_snapshots((newer,))
+        assert await harness.codes(2) == {ResultCode.snapshot_gone}
 
 
 async def test_reply_from_another_snapshot_is_never_ok() -> None:
     """Invariant 1: a reply from another snapshot would mix two states."""
-    async with warm('x-1', 'x-2') as rig:
-        for server in rig.fleet.servers.values():
+    async with warm('x-1', 'x-2') as harness:
+        for server in harness.fleet.servers.values():
             server.faults.wrong_snapshot = 's0'
-        parts = await rig.search(rig.query('x'))
+        parts = await harness.search(harness.query('x'))
         assert parts['x'].code is ResultCode.bad_reply
         assert not parts['x'].body
 
 
 async def test_cancel_closes_what_runs() -> None:
-    """Work for a caller who went away takes slots from the others."""
-    async with warm('x-1', hedge_budget=0) as rig:
-        records = rig.fleet['x-1'].records
+    """Job for a caller who went away takes slots from the others."""
+    async with warm('x-1', hedge_budget=0) as harness:
+        records = harness.fleet['x-1'].records
         records.searches = 0
-        rig.fleet['x-1'].faults.straggle_ms = 5000
-        query = rig.query('x', ms=5000)
-        search = asyncio.create_task(rig.search(query))
-        await rig.until(lambda: records.searches > 0)
-        rig.tier.cancel_query(query.query_id)
+        harness.fleet['x-1'].faults.straggle_ms = 5000
+        query = harness.query('x', ms=5000)
+        search = asyncio.create_task(harness.search(query))
+        await harness.until(lambda: records.searches > 0)
+        harness.tier.cancel_query(query.query_id)
         assert (await search)['x'].code is ResultCode.cancelled
-        await rig.until(lambda: records.cancelled == 1)
+        await harness.until(lambda: records.cancelled == 1)
 
 
 async def test_each_front_sees_each_report_change() -> None:
@@ -487,14 +493,14 @@
 
     async def follow(seen: list[Report]) -> None:  # noqa: WPS430 - a front
         while True:
-            seen.append(rig.tier.report())
-            await rig.tier.wait_report_change()
+            seen.append(harness.tier.report())
+            await harness.tier.wait_report_change()
 
-    async with warm('x-1') as rig:
+    async with warm('x-1') as harness:
         fronts: list[list[Report]] = [[], []]
         tasks = [asyncio.create_task(follow(seen)) for seen in fronts]
-        rig.fleet['x-1'].hold_snapshots((SnapshotSpec(id='s2'),))
-        await rig.until(
+        harness.fleet['x-1'].hold_snapshots((SnapshotSpec(id='s2'),))
+        await harness.until(
             lambda: all(seen and holds(seen[-1], 's2') for seen in fronts)
         )
         for task in tasks:
@@ -513,22 +519,22 @@
 
 async def test_warmth_is_handed_over() -> None:
     """A successor without the table would start every replica cold."""
-    async with warm('x-1', 'x-2') as rig:
-        table = rig.tier.warmth(SLICE)
+    async with warm('x-1', 'x-2') as harness:
+        table = harness.tier.warmth(SLICE)
         assert {entry.replica_id for entry in table} == {'x-1', 'x-2'}
-        rig.fleet['x-1'].restart()
-        await rig.until(lambda: rig.state('x-1') == 'cold')
-        rig.tier.load_warmth(SLICE, table)
-        assert rig.state('x-1') == 'cold'
-        assert rig.state('x-2') == 'warm'
+        harness.fleet['x-1'].restart()
+        await harness.until(lambda: harness.state('x-1') == 'cold')
+        harness.tier.load_warmth(SLICE, table)
+        assert harness.state('x-1') == 'cold'
+        assert harness.state('x-2') == 'warm'
 
 
 async def test_naive_policies_serve() -> None:
     """The benchmarks compare with the naive set, which must work."""
     naive = PolicySet.naive(relays=3)
-    async with running(specs('x-1', 'x-2'), policies=naive) as rig:
-        assert await rig.codes(12, ms=2000) == OK
-        servers = rig.fleet.servers.values()
+    async with running(specs('x-1', 'x-2'), policies=naive) as harness:
+        assert await harness.codes(12, ms=2000) == OK
+        servers = harness.fleet.servers.values()
         largest = {each.records.largest_concurrency for each in servers}
         assert largest == {1}
 
@@ -536,14 +542,14 @@
 async def test_faults_never_cost_or_double_a_part() -> None:
     """Exactly one part, of the right request, whatever servers do at once."""
     rng = random.Random(20)
-    async with warm('x-1', 'x-2', 'x-3', service_ms=2, **RATE) as rig:
-        servers = list(rig.fleet.servers.values())
+    async with warm('x-1', 'x-2', 'x-3', service_ms=2, **RATE) as harness:
+        servers = list(harness.fleet.servers.values())
         for number in range(150):
-            upset(rng.choice(servers), rng)
+            change_faults(rng.choice(servers), rng)
             body = f'"{number}"'.encode()
             found, outcome = await asyncio.gather(
-                rig.search(rig.query('x', body=body, ms=100)),
-                rig.submit(f'k{number}', ms=100),
+                harness.search(harness.query('x', body=body, ms=100)),
+                harness.submit(f'k{number}', ms=100),
             )
             check_part(found['x'], body)
             runs = sum(
@@ -552,7 +558,7 @@
             assert runs <= int(outcome.code.meaning.run is not RunState.not_run)
 
 
-def upset(server: BackendServer, rng: random.Random) -> None:
+def change_faults(server: BackendServer, rng: random.Random) -> None:
     """Change the faults of a server at random."""
     server.faults.straggle_ms = rng.choice([0, 0, 20, 300])
     server.faults.shed = rng.randrange(10) == 0
--- a/tests/test_backends_decisions.py
+++ b/tests/test_backends_decisions.py
@@ -12,7 +12,7 @@
 from dragonflyramp.backends._budgets import Budget
 from dragonflyramp.backends._choice import (
     Candidate,
-    Choosing,
+    ChoiceContext,
     LeastLoadedChoice,
     RandomChoice,
 )
@@ -24,11 +24,16 @@
     ServiceLatency,
     lower_median,
 )
+from dragonflyramp.backends._lease_rights import (
+    LeaseRights,
+    Ownership,
+    lease_rights,
+)
 from dragonflyramp.backends._leaving import (
     LeavingSignal,
     LeavingState,
-    UntilNewInstance,
-    UntilNextReply,
+    LeavingUntilReply,
+    LeavingUntilRestart,
 )
 from dragonflyramp.backends._ramp import (
     Capacity,
@@ -45,10 +50,9 @@
 )
 from dragonflyramp.backends._settings import BackendSettings
 from dragonflyramp.backends._slices import GainedNumbers
-from dragonflyramp.backends._standings import Standing, Tenure, standing
 from dragonflyramp.models import Lease, LeaseState, SliceId, Warmth
 from dragonflyramp.results import ResultCode
-from tests.backend_rig import configuration
+from tests.backend_harness import configuration
 from tests.standins.backend_loads import LoadModel
 from tests.standins.backend_models import Records, ServerSpec
 
@@ -209,7 +213,7 @@
 
 
 @pytest.mark.parametrize(
-    ('first', 'second', 'careful', 'chosen'),
+    ('first', 'second', 'avoid_probes', 'chosen'),
     [
         (candidate('a'), candidate('b', running=1), False, 'a'),
         (candidate('a', 0.05), candidate('b'), False, 'b'),
@@ -224,15 +228,19 @@
     ],
 )
 def test_choice(
-    first: Candidate, second: Candidate, careful: bool, chosen: str
+    first: Candidate, second: Candidate, avoid_probes: bool, chosen: str
 ) -> None:
     """Without probes a cold or once slow replica would never be used."""
     both = (first, second)
-    choosing = Choosing(failure_domain='near', careful=careful)
+    choice_context = ChoiceContext(
+        failure_domain='near', avoid_probes=avoid_probes
+    )
     policy = LeastLoadedChoice()
-    found = policy.choose(both, choosing, now_seconds=100, rng=RNG)
+    found = policy.choose(both, choice_context, now_seconds=100, rng=RNG)
     assert found.replica_id == chosen
-    naive = RandomChoice().choose(both, choosing, now_seconds=100, rng=RNG)
+    naive = RandomChoice().choose(
+        both, choice_context, now_seconds=100, rng=RNG
+    )
     assert naive in both
 
 
@@ -313,7 +321,7 @@
     signal: LeavingSignal, known: str, seen: tuple[str, ...], leaving: bool
 ) -> None:
     """Invariant 8: a server that answers again is still on its way out."""
-    policy = UntilNewInstance()
+    policy = LeavingUntilRestart()
     state = LeavingState()
     policy.note_signal(state, signal, known)
     for instance_id in seen:
@@ -326,16 +334,16 @@
 @pytest.mark.parametrize('signal', SIGNALS)
 def test_leaving_of_an_unknown_instance(signal: LeavingSignal) -> None:
     """A drain sign is about the first instance seen, a refusal is not."""
-    policy = UntilNewInstance()
+    policy = LeavingUntilRestart()
     state = LeavingState()
     policy.note_signal(state, signal, '')
     policy.note_instance(state, 'a')
     refused = signal is LeavingSignal.refused_connection
     assert policy.is_leaving(state) is not refused
     naive = LeavingState()
-    UntilNextReply().note_signal(naive, signal, 'a')
-    UntilNextReply().note_instance(naive, 'a')
-    assert not UntilNextReply().is_leaving(naive)
+    LeavingUntilReply().note_signal(naive, signal, 'a')
+    LeavingUntilReply().note_instance(naive, 'a')
+    assert not LeavingUntilReply().is_leaving(naive)
 
 
 @pytest.mark.parametrize(
@@ -357,9 +365,9 @@
     lease = Lease(
         slice_id=SliceId('s'), epoch=1, state=state, until_seconds=until
     )
-    found = standing(
+    found = lease_rights(
         lease,
-        Tenure(gained_number=5, settled_number=settled),
+        Ownership(gained_number=5, settled_number=settled),
         margin_seconds=0.02,
         now_seconds=1,
     )
@@ -370,7 +378,7 @@
 
 def test_half_of_one_slot_is_one() -> None:
     """A lapsed holder with one slot would serve nothing."""
-    lapsed = Standing(
+    lapsed = LeaseRights(
         state=LeaseState.lapsed, cold_allowed=False, until_seconds=0
     )
     assert lapsed.slots(1, warm=True) == 1
@@ -417,7 +425,7 @@
     assert [body in bodies for body in 'fgh'] == [False, True, True]
 
 
-def test_crash_parks_what_arrived_before_it() -> None:
+def test_crash_holds_back_what_arrived_before() -> None:
     """After a crash only the front's own later try may run the body."""
     bodies = fingerprints()
     bodies.end('f', completed=True)
@@ -432,7 +440,7 @@
 
 
 def test_suspects_are_forgotten() -> None:
-    """A body that met a server's own crash must not be parked for ever."""
+    """A body that met a server's own crash must not be held back for ever."""
     bodies = fingerprints()
     bodies.crash('f', 'r1', 5)
     bodies.crash('g', 'r2', 50)
@@ -467,7 +475,7 @@
         now_seconds=10,
     )
     assert permit.silence_seconds == pytest.approx(silence)
-    assert permit.patience_seconds >= permit.silence_seconds
+    assert permit.blame_after_seconds >= permit.silence_seconds
 
 
 def test_usual_latency_is_forgotten() -> None:
