--- a/dragonflyramp/backends/_replica_table.py
+++ b/dragonflyramp/backends/_replica_table.py
@@ -1,7 +1,7 @@
 """Hold the replicas of a relay, each with the task that reads its status."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -37,10 +37,6 @@
         self._on_change = on_change
         self._entries: dict[Replica, _Entry] = {}
 
-    def states(self) -> Iterable[ReplicaState]:
-        """List the states."""
-        return [entry.state for entry in self._entries.values()]
-
     def update(self, served: ServedReplica, now_seconds: float) -> ReplicaState:
         """Create or update a replica as configuration and VM list say."""
         entry = self._entries.get(served.replica)
--- a/tests/backend_harness.py
+++ b/tests/backend_harness.py
@@ -26,15 +26,6 @@
     Submit,
     SubmitOutcome,
 )
-from dragonflyramp.models import (
-    Configuration,
-    FailureDomain,
-    MemberId,
-    Replica,
-    Service,
-    SliceId,
-    VmState,
-)
 from dragonflyramp.platform import VirtualMachine
 from dragonflyramp.results import ResultCode
 from tests.standins.backend_models import ServerSpec
@@ -48,7 +39,7 @@
 #: Bounds waits that only guard against hanging.
 GUARD_SECONDS = 20
 SERVICE = 'desk'
-SLICE = SliceId(f'{SERVICE}/0')
+SLICE = models.SliceId(f'{SERVICE}/0')
 _query_numbers = itertools.count(1)
 
 
@@ -60,28 +51,28 @@
 
 def configuration(
     shards: tuple[str, ...], number: int = 1, **service_fields: Any
-) -> Configuration:
+) -> models.Configuration:
     """Make a configuration of one searched service over the shards."""
-    services = {SERVICE: Service(name=SERVICE, depends_on=shards)}
+    services = {SERVICE: models.Service(name=SERVICE, depends_on=shards)}
     for shard in shards:
         fields = {'slots': 3, 'cold_requests_per_second': 2, **service_fields}
-        services[shard] = Service(name=shard, **fields)
-    return Configuration(
+        services[shard] = models.Service(name=shard, **fields)
+    return models.Configuration(
         number=number,
         user='test',
-        failure_domains={'a': FailureDomain('a', 'r')},
+        failure_domains={'a': models.FailureDomain('a', 'r')},
         services=services,
         holds={},
     )
 
 
 def machines(
-    fleet: Fleet, state: VmState = VmState.live
+    fleet: Fleet, state: models.VmState = models.VmState.live
 ) -> list[VirtualMachine]:
     """List the servers of a fleet as VMs."""
     return [
         VirtualMachine(
-            replica=Replica(
+            replica=models.Replica(
                 replica_id=server.spec.replica_id,
                 shard=server.spec.shard,
                 address=server.address,
@@ -237,7 +228,7 @@
             source=source,
             vm_list=vm_list,
             policies=policies or PolicySet.ours(),
-            relay_id=MemberId('relay'),
+            relay_id=models.MemberId('relay'),
             failure_domain='a',
             settings=chosen,
             clock=clock,
