--- a/tests/backend_harness.py
+++ b/tests/backend_harness.py
@@ -15,6 +15,7 @@
 from dragonflyramp.backends import (
     BackendSettings,
     BackendTier,
+    ClientFactory,
     PolicySet,
     ReplicaDescription,
     http_client_factory,
@@ -206,47 +207,55 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    specs: list[ServerSpec],
+    specs: list[ServerSpec], **fields: Any
+) -> AsyncIterator[Harness]:
+    """Run servers and a relay whose lease holds all of them."""
+    async with Fleet(specs) as fleet, relay(fleet, **fields) as harness:
+        yield harness
+
+
+@contextlib.asynccontextmanager
+async def relay(
+    fleet: Fleet,
     *,
     settings: BackendSettings | None = None,
     policies: PolicySet | None = None,
+    make: ClientFactory | None = None,
     **service_fields: Any,
 ) -> AsyncIterator[Harness]:
-    """Run servers and a tier whose lease holds all of them."""
+    """Run the backend side of a relay for the servers of a fleet."""
     chosen = settings or quick_settings()
-    shards = tuple(dict.fromkeys(spec.shard for spec in specs))
-    async with Fleet(specs) as fleet:
-        leases = FakeLeaseTable((SLICE,))
-        source = FakeConfigurationSource(
-            configuration(shards, **service_fields)
-        )
-        vm_list = FakeVmList(machines(fleet))
-        clock = JumpingClock()
-        tier = BackendTier(
-            client_factory=http_client_factory(chosen),
-            lease_table=leases,
-            source=source,
-            vm_list=vm_list,
-            policies=policies or PolicySet.ours(),
-            relay_id=models.MemberId('relay'),
-            failure_domain='a',
-            settings=chosen,
-            clock=clock,
-            rng=random.Random(1),
-        )
+    servers = fleet.servers.values()
+    shards = tuple(dict.fromkeys(server.spec.shard for server in servers))
+    leases = FakeLeaseTable((SLICE,))
+    source = FakeConfigurationSource(configuration(shards, **service_fields))
+    vm_list = FakeVmList(machines(fleet))
+    clock = JumpingClock()
+    tier = BackendTier(
+        client_factory=make or http_client_factory(chosen),
+        lease_table=leases,
+        source=source,
+        vm_list=vm_list,
+        policies=policies or PolicySet.ours(),
+        relay_id=models.MemberId('relay'),
+        failure_domain='a',
+        settings=chosen,
+        clock=clock,
+        rng=random.Random(1),
+    )
+    harness = Harness(
+        fleet=fleet,
+        tier=tier,
+        leases=leases,
+        source=source,
+        vm_list=vm_list,
+        clock=clock,
+    )
+    async with contextlib.AsyncExitStack() as stack:
         task = asyncio.create_task(tier.run())
-        harness = Harness(
-            fleet=fleet,
-            tier=tier,
-            leases=leases,
-            source=source,
-            vm_list=vm_list,
-            clock=clock,
-        )
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(_cancel, task)
-            await harness.until_ready()
-            yield harness
+        stack.push_async_callback(_cancel, task)
+        await harness.until_ready()
+        yield harness
 
 
 async def _cancel(task: asyncio.Task[None]) -> None:
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -1,16 +1,25 @@
 """Fake the links, leases and lists that the backend side of a relay needs."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 import attrs
 from returns.result import Failure, Result, Success
 
+from dragonflyramp.backends import (
+    ClientFactory,
+    Reply,
+    SearchCall,
+    Status,
+    StatusFailure,
+    SubmitCall,
+)
 from dragonflyramp.models import (
     Configuration,
     Lease,
     LeaseState,
     SliceId,
+    Snapshot,
 )
 from dragonflyramp.platform import VirtualMachine, VmListing
 from dragonflyramp.results import ResultCode
@@ -112,3 +121,62 @@
                 ),
             )
         )
+
+
+@attrs.define
+class ScriptedClient:
+    """Answer calls from a script that all clients share, then with ok."""
+
+    address: str
+    replies: Iterator[Reply]
+    calls: list[ResultCode]
+    opened: bool = False
+
+    def is_open(self) -> bool:
+        """Tell whether a status was read since the last close."""
+        return self.opened
+
+    async def status(self) -> Result[Status, StatusFailure]:
+        """Show one snapshot and an instance named after the address."""
+        self.opened = True
+        return Success(
+            Status(
+                instance_id=self.address,
+                load=None,
+                draining=False,
+                snapshots=(
+                    Snapshot(
+                        snapshot_id='s1',
+                        generation=1,
+                        documents=1,
+                        total_documents=1,
+                    ),
+                ),
+            )
+        )
+
+    async def search(self, call: SearchCall) -> Reply:
+        """Give the next reply, from the snapshot that was asked."""
+        return attrs.evolve(self._next(), snapshot_id=call.snapshot_id)
+
+    async def submit(self, call: SubmitCall) -> Reply:
+        """Give the next reply."""
+        return self._next()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self.opened = False
+
+    def _next(self) -> Reply:
+        reply = next(self.replies, Reply(code=ResultCode.ok))
+        if not reply.sent:
+            return Reply(code=ResultCode.connection_reset, sent=False)
+        self.calls.append(reply.code)
+        return reply
+
+
+def scripted_clients(
+    replies: Iterator[Reply], calls: list[ResultCode]
+) -> ClientFactory:
+    """Make clients that share a script, and note what they answered."""
+    return lambda address: ScriptedClient(address, replies, calls)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -16,8 +16,10 @@
 import attrs
 import pytest
 import uvloop
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from dragonflyramp.backends import PolicySet, http_client_factory
+from dragonflyramp.backends import PolicySet, Reply, http_client_factory
 from dragonflyramp.messages import Part, Report
 from dragonflyramp.models import (
     Configuration,
@@ -34,11 +36,13 @@
     configuration,
     machines,
     quick_settings,
+    relay,
     running,
 )
 from tests.standins.backend_models import ServerSpec, SnapshotSpec
 from tests.standins.backend_servers import BackendServer
 from tests.standins.backends import Fleet
+from tests.standins.fakes import scripted_clients
 
 OK = frozenset((ResultCode.ok,))
 
@@ -47,6 +51,17 @@
     {'cold_requests_per_second': 20}
 )
 
+#: What a scripted server answers; an answer with the flag False was not sent.
+ANSWERS = (
+    ResultCode.ok,
+    ResultCode.shed,
+    ResultCode.draining,
+    ResultCode.snapshot_gone,
+    ResultCode.backend_error,
+    ResultCode.bad_reply,
+    ResultCode.connection_reset,
+)
+
 
 def specs(*replica_ids: str, **fields: Any) -> list[ServerSpec]:
     """Describe servers whose shard is the first part of the id."""
@@ -91,7 +106,7 @@
     """Invariant 3, while all callers come at once and all servers are cold."""
     cold = specs('x-1', 'x-2', cold=True, **RATE)
     async with running(cold, **RATE) as harness:
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(GUARD_SECONDS):
             while {harness.state('x-1'), harness.state('x-2')} != {'warm'}:
                 await harness.codes(8)
         records = [server.records for server in harness.fleet.servers.values()]
@@ -112,7 +127,7 @@
         else:
             getattr(server, away)()
         await harness.until(lambda: harness.state('x-1') == 'cold')
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(GUARD_SECONDS):
             while harness.state('x-1') != 'warm':
                 assert await harness.codes(2) == OK
         assert server.records.violations == 0
@@ -136,7 +151,7 @@
     """The first shed reply has to end the load of a warm replica."""
     async with warm('x-1', 'x-2', collapse_mode=mode, **RATE) as harness:
         harness.fleet['x-1'].turn_cold()
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(GUARD_SECONDS):
             while harness.state('x-1') == 'warm':
                 await harness.codes(4)
             while harness.state('x-1') != 'warm':
@@ -331,8 +346,9 @@
         harness.fleet['x-2'].faults.straggle_ms = 0
         records = harness.fleet['x-1'].records
         searches = records.searches
-        while records.searches == searches:
-            assert await harness.codes(2) == OK
+        async with asyncio.timeout(GUARD_SECONDS):
+            while records.searches == searches:
+                assert await harness.codes(2) == OK
         await harness.until(lambda: records.cancelled >= 1)
 
 
@@ -390,9 +406,10 @@
             harness.search(harness.query(*shards, body=b'1'))
         )
         servers = [harness.fleet[f'{name}-1'] for name in shards]
-        while not any(server.records.searches for server in servers):
-            largest = max(largest, len(busy(harness)))
-            await asyncio.sleep(0)
+        async with asyncio.timeout(GUARD_SECONDS):
+            while not any(server.records.searches for server in servers):
+                largest = max(largest, len(busy(harness)))
+                await asyncio.sleep(0)
         assert largest <= 1
         assert {part.code for part in (await task).values()} == OK
 
@@ -453,6 +470,44 @@
         assert outcome.code is ResultCode.no_replica
 
 
+async def test_lease_changes_hands_without_overload() -> None:
+    """Invariant 3: cold servers bear one relay at a time, warm ones both."""
+    cold = specs('x-1', 'x-2', cold=True, service_ms=2, **RATE)
+    async with Fleet(cold) as fleet, relay(fleet, **RATE) as first:
+        async with relay(fleet, **RATE) as second:
+            second.leases.state = LeaseState.deputy
+            callers = [
+                asyncio.create_task(call_for_ever(each))
+                for each in (first, second)
+            ]
+            for epoch in (2, 3):
+                await asyncio.sleep(1.2)
+                await change_hands(first, second, epoch)
+                first, second = second, first
+            for caller in callers:
+                caller.cancel()
+        servers = fleet.servers.values()
+        assert sum(server.records.searches for server in servers) > 20
+        assert sum(server.records.violations for server in servers) == 0
+
+
+async def call_for_ever(harness: Harness) -> None:
+    """Send searches to a relay one after another."""
+    while True:
+        await harness.codes(1, ms=100)
+
+
+async def change_hands(old: Harness, new: Harness, epoch: int) -> None:
+    """Let a lease end before another relay gets it."""
+    old.leases.until_seconds = old.clock() + 0.2
+    await asyncio.sleep(0.3)
+    new.leases.until_seconds = new.clock() + 1e6
+    new.leases.epoch = epoch
+    new.leases.state = LeaseState.held
+    old.leases.state = LeaseState.deputy
+    new.tier.load_warmth(SLICE, old.tier.warmth(SLICE))
+
+
 async def test_snapshot_moves_to_another_replica() -> None:
     """Invariant 1: a replica that lost the snapshot must not be used."""
     async with warm('x-1', 'x-2') as harness:
@@ -539,6 +594,45 @@
         assert largest == {1}
 
 
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    script=st.lists(
+        st.tuples(st.sampled_from(ANSWERS), st.booleans()), max_size=9
+    ),
+    is_submit=st.booleans(),
+)
+def test_any_answers_give_one_true_outcome(
+    script: list[tuple[ResultCode, bool]], is_submit: bool
+) -> None:
+    """Invariants 6 and 7, whatever the servers answer in whatever order."""
+    calls: list[ResultCode] = []
+    outcome = asyncio.run(run_script(script, calls, is_submit=is_submit))
+    ran = [code for code in calls if code.meaning.run is not RunState.not_run]
+    if outcome is ResultCode.ok:
+        assert ran[-1] is ResultCode.ok
+    if outcome.meaning.run is RunState.not_run:
+        assert not ran
+    assert len(calls) <= 1 or not is_submit
+    if ResultCode.connection_reset in calls:
+        assert calls[-1] is ResultCode.connection_reset
+
+
+async def run_script(
+    script: list[tuple[ResultCode, bool]],
+    calls: list[ResultCode],
+    *,
+    is_submit: bool,
+) -> ResultCode:
+    """Run one job against three replicas that answer from a script."""
+    replies = [Reply(code=code, sent=sent) for code, sent in script]
+    make = scripted_clients(iter(replies), calls)
+    async with relay(Fleet(specs('x-1', 'x-2', 'x-3')), make=make) as harness:
+        harness.make_warm()
+        if is_submit:
+            return (await harness.submit('k')).code
+        return (await harness.search(harness.query('x')))['x'].code
+
+
 async def test_faults_never_cost_or_double_a_part() -> None:
     """Exactly one part, of the right request, whatever servers do at once."""
     rng = random.Random(20)
