--- a/dragonflyramp/backends/_followers.py
+++ b/dragonflyramp/backends/_followers.py
@@ -5,10 +5,10 @@
 import attrs
 from returns.pipeline import is_successful
 
-from dragonflyramp.backends._alarms import Alarm
 from dragonflyramp.backends._contexts import TierContext
-from dragonflyramp.backends._serving import Serving
+from dragonflyramp.backends._shard_table import ShardTable, available_replicas
 from dragonflyramp.backends._slices import GainedNumbers, served_shards
+from dragonflyramp.backends._timed_events import TimedEvent
 from dragonflyramp.metrics import counters
 from dragonflyramp.models import Configuration, LeaseState, SliceId
 from dragonflyramp.platform import VirtualMachine, VmList
@@ -18,24 +18,25 @@
 
 @attrs.frozen(kw_only=True)
 class _Seen:
-    """Hold what the leases allowed at the last look."""
+    """Hold what changes with time alone, at the last look."""
 
     leases: tuple[tuple[SliceId, int, LeaseState], ...]
     settled_number: int
     isolated: bool
+    available: tuple[str, ...]
 
 
-class Inputs:
+class ServingInputs:
     """Hold what decides which shards and replicas are served."""
 
-    def __init__(self, context: TierContext, serving: Serving) -> None:
+    def __init__(self, context: TierContext, shard_table: ShardTable) -> None:
         """Start without a configuration."""
         self._context = context
-        self._serving = serving
+        self._shard_table = shard_table
         self._gained = GainedNumbers()
         self._configuration: Configuration | None = None
         self._machines: tuple[VirtualMachine, ...] = ()
-        self.shards_changed = Alarm()
+        self.shards_changed = TimedEvent()
 
     def adopt_configuration(self, configuration: Configuration) -> None:
         """Serve as a configuration with a higher number says."""
@@ -57,8 +58,8 @@
             self._context.lease_table.slice_ids(),
             self._machines,
         )
-        changed = served.keys() != self._serving.shards.keys()
-        self._serving.apply(served, self._gained.by_shard())
+        changed = served.keys() != self._shard_table.shards.keys()
+        self._shard_table.apply(served, self._gained.by_shard())
         if changed:
             self.shards_changed.wake()
 
@@ -67,13 +68,13 @@
     """Follow the configuration, the VM list and the leases."""
 
     def __init__(
-        self, context: TierContext, serving: Serving, vm_list: VmList
+        self, context: TierContext, shard_table: ShardTable, vm_list: VmList
     ) -> None:
         """Start without a configuration."""
         self._context = context
-        self._serving = serving
+        self._shard_table = shard_table
         self._vm_list = vm_list
-        self._inputs = Inputs(context, serving)
+        self._inputs = ServingInputs(context, shard_table)
 
     async def follow_configuration(self) -> None:
         """Adopt each configuration; its number only grows."""
@@ -88,7 +89,7 @@
         version = _NO_VERSION
         listed: tuple[str, ...] = ()
         while True:
-            services = tuple(self._serving.shards)
+            services = tuple(self._shard_table.shards)
             if services != listed:
                 version = _NO_VERSION
                 listed = services
@@ -98,14 +99,14 @@
             await self._inputs.shards_changed.wait(period_seconds)
 
     async def watch_leases(self) -> None:
-        """Look at the leases once a period, and act on what changed."""
+        """Look once a period at what changes with time, and act on it."""
         seen: object = None
         while True:
             found = self._look(self._context.clock())
             if found != seen:
                 seen = found
                 self._inputs.refresh()
-                self._serving.wake_all()
+                self._shard_table.wake_all()
             await asyncio.sleep(self._context.settings.lease_check_seconds)
 
     async def _list_vms(self, services: tuple[str, ...], version: str) -> str:
@@ -134,4 +135,7 @@
             ),
             settled_number=table.settled_number(now_seconds),
             isolated=self._context.source.is_isolated(now_seconds),
+            available=available_replicas(
+                self._shard_table.shards.values(), now_seconds
+            ),
         )
--- a/dragonflyramp/backends/_leaving.py
+++ b/dragonflyramp/backends/_leaving.py
@@ -42,7 +42,7 @@
 
 
 @attrs.frozen
-class UntilNewInstance:
+class LeavingUntilRestart:
     """Keep a leaving replica out until another instance appears.
 
     An operator's hold is independent of the instance and ends with the hold.
@@ -58,7 +58,7 @@
 
     def note_instance(self, state: LeavingState, instance_id: str) -> None:
         """End the state for an instance that the signal was not about."""
-        if state.signal is None or instance_id == state.instance_id:
+        if state.signal is None or instance_id in {'', state.instance_id}:
             return
         refused = state.signal is LeavingSignal.refused_connection
         if not state.instance_id and not refused:
@@ -74,7 +74,7 @@
 
 
 @attrs.frozen
-class UntilNextReply:
+class LeavingUntilReply:
     """Forget a signal as soon as the server answers again."""
 
     def note_signal(
--- a/dragonflyramp/backends/_replica_table.py
+++ b/dragonflyramp/backends/_replica_table.py
@@ -1,7 +1,7 @@
 """Hold the replicas of a relay, each with the task that reads its status."""
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -31,16 +31,12 @@
         tasks: TaskTable,
         on_change: Callable[[ReplicaState], None],
     ) -> None:
-        """Start empty; `on_change` follows each reading of a status."""
+        """Start empty; `on_change` follows what a status changed."""
         self._context = context
         self._tasks = tasks
         self._on_change = on_change
         self._entries: dict[Replica, _Entry] = {}
 
-    def states(self) -> Iterable[ReplicaState]:
-        """List the states."""
-        return [entry.state for entry in self._entries.values()]
-
     def update(self, served: ServedReplica, now_seconds: float) -> ReplicaState:
         """Create or update a replica as configuration and VM list say."""
         entry = self._entries.get(served.replica)
@@ -54,7 +50,7 @@
         state.listed = served.listed
         if state.leaving.held and not served.held:
             # What was out of service has returned, and starts cold.
-            self._context.policies.ramp.restart(state.ramp, now_seconds)
+            self._context.observer.turn_cold(state, 'returned', now_seconds)
         state.leaving.held = served.held
         return state
 
--- a/tests/backend_rig.py
+++ b/tests/backend_harness.py
@@ -11,9 +11,11 @@
 
 import attrs
 
+from dragonflyramp import models
 from dragonflyramp.backends import (
     BackendSettings,
     BackendTier,
+    ClientFactory,
     PolicySet,
     ReplicaDescription,
     http_client_factory,
@@ -25,17 +27,6 @@
     Submit,
     SubmitOutcome,
 )
-from dragonflyramp.models import (
-    Configuration,
-    FailureDomain,
-    MemberId,
-    Replica,
-    Service,
-    SliceId,
-    VmState,
-    Warmth,
-    WarmthEntry,
-)
 from dragonflyramp.platform import VirtualMachine
 from dragonflyramp.results import ResultCode
 from tests.standins.backend_models import ServerSpec
@@ -49,7 +40,7 @@
 #: Bounds waits that only guard against hanging.
 GUARD_SECONDS = 20
 SERVICE = 'desk'
-SLICE = SliceId(f'{SERVICE}/0')
+SLICE = models.SliceId(f'{SERVICE}/0')
 _query_numbers = itertools.count(1)
 
 
@@ -61,28 +52,28 @@
 
 def configuration(
     shards: tuple[str, ...], number: int = 1, **service_fields: Any
-) -> Configuration:
+) -> models.Configuration:
     """Make a configuration of one searched service over the shards."""
-    services = {SERVICE: Service(name=SERVICE, depends_on=shards)}
+    services = {SERVICE: models.Service(name=SERVICE, depends_on=shards)}
     for shard in shards:
         fields = {'slots': 3, 'cold_requests_per_second': 2, **service_fields}
-        services[shard] = Service(name=shard, **fields)
-    return Configuration(
+        services[shard] = models.Service(name=shard, **fields)
+    return models.Configuration(
         number=number,
         user='test',
-        failure_domains={'a': FailureDomain('a', 'r')},
+        failure_domains={'a': models.FailureDomain('a', 'r')},
         services=services,
         holds={},
     )
 
 
 def machines(
-    fleet: Fleet, state: VmState = VmState.live
+    fleet: Fleet, state: models.VmState = models.VmState.live
 ) -> list[VirtualMachine]:
     """List the servers of a fleet as VMs."""
     return [
         VirtualMachine(
-            replica=Replica(
+            replica=models.Replica(
                 replica_id=server.spec.replica_id,
                 shard=server.spec.shard,
                 address=server.address,
@@ -106,7 +97,7 @@
 
 
 @attrs.define(kw_only=True)
-class Rig:
+class Harness:
     """Hold a running tier and everything around it."""
 
     fleet: Fleet
@@ -139,10 +130,10 @@
     def make_warm(self) -> None:
         """Load a table that says that every replica is warm."""
         entries = [
-            WarmthEntry(
+            models.WarmthEntry(
                 replica_id=replica.replica_id,
                 instance_id=replica.instance_id,
-                warmth=Warmth.warm,
+                warmth=models.Warmth.warm,
                 limit=3,
                 latency_ms=5,
             )
@@ -216,47 +207,55 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    specs: list[ServerSpec],
+    specs: list[ServerSpec], **fields: Any
+) -> AsyncIterator[Harness]:
+    """Run servers and a relay whose lease holds all of them."""
+    async with Fleet(specs) as fleet, relay(fleet, **fields) as harness:
+        yield harness
+
+
+@contextlib.asynccontextmanager
+async def relay(
+    fleet: Fleet,
     *,
     settings: BackendSettings | None = None,
     policies: PolicySet | None = None,
+    make: ClientFactory | None = None,
     **service_fields: Any,
-) -> AsyncIterator[Rig]:
-    """Run servers and a tier whose lease holds all of them."""
+) -> AsyncIterator[Harness]:
+    """Run the backend side of a relay for the servers of a fleet."""
     chosen = settings or quick_settings()
-    shards = tuple(dict.fromkeys(spec.shard for spec in specs))
-    async with Fleet(specs) as fleet:
-        leases = FakeLeaseTable((SLICE,))
-        source = FakeConfigurationSource(
-            configuration(shards, **service_fields)
-        )
-        vm_list = FakeVmList(machines(fleet))
-        clock = JumpingClock()
-        tier = BackendTier(
-            client_factory=http_client_factory(chosen),
-            lease_table=leases,
-            source=source,
-            vm_list=vm_list,
-            policies=policies or PolicySet.ours(),
-            relay_id=MemberId('relay'),
-            failure_domain='a',
-            settings=chosen,
-            clock=clock,
-            rng=random.Random(1),
-        )
+    servers = fleet.servers.values()
+    shards = tuple(dict.fromkeys(server.spec.shard for server in servers))
+    leases = FakeLeaseTable((SLICE,))
+    source = FakeConfigurationSource(configuration(shards, **service_fields))
+    vm_list = FakeVmList(machines(fleet))
+    clock = JumpingClock()
+    tier = BackendTier(
+        client_factory=make or http_client_factory(chosen),
+        lease_table=leases,
+        source=source,
+        vm_list=vm_list,
+        policies=policies or PolicySet.ours(),
+        relay_id=models.MemberId('relay'),
+        failure_domain='a',
+        settings=chosen,
+        clock=clock,
+        rng=random.Random(1),
+    )
+    harness = Harness(
+        fleet=fleet,
+        tier=tier,
+        leases=leases,
+        source=source,
+        vm_list=vm_list,
+        clock=clock,
+    )
+    async with contextlib.AsyncExitStack() as stack:
         task = asyncio.create_task(tier.run())
-        rig = Rig(
-            fleet=fleet,
-            tier=tier,
-            leases=leases,
-            source=source,
-            vm_list=vm_list,
-            clock=clock,
-        )
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(_cancel, task)
-            await rig.until_ready()
-            yield rig
+        stack.push_async_callback(_cancel, task)
+        await harness.until_ready()
+        yield harness
 
 
 async def _cancel(task: asyncio.Task[None]) -> None:
