--- a/tests/standins/lease_world.py
+++ b/tests/standins/lease_world.py
@@ -192,9 +192,11 @@
 
     def make_process(self, index: int) -> Process:
         """Start a process; rates differ by less than the allowed drift."""
+        number = next(self.ids)
+        member_id = MemberId(f'{index}.{number}')
         return Process(
             MemberDescription(
-                member_id=MemberId(f'{index}.{next(self.ids)}'),
+                member_id=member_id,
                 role=Role.relay,
                 address=f'host-{index}:1',
                 status_address='',
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -38,6 +38,9 @@
 
 WELL = (Mode.well,) * 4
 
+#: Longer than the period between promises, far shorter than the lapse.
+EARLY_SECONDS = 1.2
+
 indexes = st.integers(0, RELAYS - 1)
 counts = st.integers(1, 6)
 # Members that are well keep the group working between the faults.
@@ -166,9 +169,10 @@
 def renounce_early(
     promises: DeputyPromises, longest_seconds: float, now_seconds: float
 ) -> None:
-    """Renounce what was promised more than a second ago."""
+    """Renounce what was promised more than EARLY_SECONDS ago."""
     for tenure in promises._named:
-        if now_seconds - promises._last_seconds(tenure) > 1:
+        silent_seconds = now_seconds - promises._last_seconds(tenure)
+        if silent_seconds > EARLY_SECONDS:
             promises._renounced[tenure.slice_id] = tenure.epoch
 
 
