--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -123,11 +123,9 @@
     keepers = {
         name: make_keeper(name, platform, links, tuple(names)) for name in names
     }
-    for keeper in keepers.values():
-        keeper.view.adopt(group_record(names))
-    tasks = [
-        asyncio.create_task(member.keeper.run()) for member in keepers.values()
-    ]
+    for started in keepers.values():
+        started.view.adopt(group_record(names))
+    tasks = [asyncio.create_task(one.keeper.run()) for one in keepers.values()]
     try:
         yield Cluster(keepers, platform, links)
     finally:
