--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -7,6 +7,7 @@
 import json
 import random
 import sys
+import time
 import types
 import warnings
 from collections.abc import AsyncIterator, Mapping
@@ -146,6 +147,32 @@
     return attrs.evolve(adopted, holds={replica_id: hold})
 
 
+async def test_restarted_server_is_met_cold() -> None:
+    """Work on a new connection would meet a server that just restarted."""
+    unseen = quick_settings(status_period_seconds=60)
+    async with warm('x-1', settings=unseen, hedge_budget=0) as harness:
+        assert await harness.codes(3) == OK
+        harness.fleet['x-1'].restart()
+        await asyncio.sleep(0.05)
+        await harness.codes(3, ms=100)
+        assert harness.state('x-1') == 'cold'
+        assert harness.fleet['x-1'].records.violations == 0
+
+
+async def test_stalled_relay_blames_no_server() -> None:
+    """A relay that was paused must not turn all its replicas cold."""
+    no_extra = {'hedge_budget': 0, 'retry_budget': 0}
+    async with warm('x-1', **no_extra) as harness:
+        for _ in range(5):
+            assert await harness.codes(2) == OK
+        harness.fleet['x-1'].faults.straggle_ms = 30
+        search = asyncio.create_task(harness.codes(1))
+        await harness.until(lambda: bool(busy(harness)))
+        time.sleep(0.3)
+        await search
+        assert harness.state('x-1') == 'warm'
+
+
 @pytest.mark.parametrize('mode', ['shed', 'stall'])
 async def test_server_turns_cold_without_a_sign(mode: str) -> None:
     """The first shed reply has to end the load of a warm replica."""
