--- a/dragonflyramp/backends/_completions.py
+++ b/dragonflyramp/backends/_completions.py
@@ -80,6 +80,7 @@
             return
         delay_seconds = self._retry_delay(ended, now_seconds)
         if delay_seconds is None:
+            counters.add('not_retried', reply.code.name)
             self._queue.refuse(job, reply.code)
             return
         counters.add('retries', reply.code.name)
