--- a/dragonflyramp/backends/_completions.py
+++ b/dragonflyramp/backends/_completions.py
@@ -64,7 +64,7 @@
 
     def _put_back(self, job: Job, send: Send) -> None:
         """Place a job anew whose send was not allowed to start."""
-        counters.add('not_permitted', send.replica.replica.shard)
+        counters.add('not_permitted', send.purpose.name)
         if not job.sends:
             job.tried.discard(send.replica.replica.replica_id)
             self._queue.put_back(job)
--- a/dragonflyramp/backends/_senders.py
+++ b/dragonflyramp/backends/_senders.py
@@ -56,7 +56,7 @@
             await self.aclose()
             reply = await self._attempt(send, again=False)
         if reply.code is ResultCode.connection_silent and not is_submit:
-            counters.add('silent_connections', send.replica.replica.shard)
+            counters.add('silent_connections', send.purpose.name)
             second = await self._attempt(send, again=True)
             reply = second if second.sent else reply
         self._used_seconds = self._context.clock()
--- a/dragonflyramp/backends/_settings.py
+++ b/dragonflyramp/backends/_settings.py
@@ -46,11 +46,11 @@
     silence_floor_seconds: float = 0.02
     #: ... and after this fraction of the time that is left.
     silence_deadline_fraction: float = 0.3
-    #: Patience with a service whose latency is not known yet.
-    silence_unknown_seconds: float = 0.5
     #: The same for a replica not known to be warm, which may be slower.
     cold_silence_factor: float = 10
     cold_silence_deadline_fraction: float = 0.45
+    #: Silence time of a service whose latency is not known yet.
+    silence_unknown_seconds: float = 0.5
 
     #: Bodies that completed once are remembered up to this number.
     proven_fingerprints: int = 10_000
