--- a/dragonflyramp/members/_desks.py
+++ b/dragonflyramp/members/_desks.py
@@ -1,14 +1,15 @@
 """Collect the heartbeats that wait for the write that covers them."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
 from dragonflyramp.members._group_json import encode_record
 from dragonflyramp.members._group_views import GroupView
-from dragonflyramp.members._hooks import MembershipHooks
+from dragonflyramp.members._hooks import MembershipHooks, bounded_quarantine
 from dragonflyramp.members._messages import Heartbeat, HeartbeatReply
+from dragonflyramp.members._writer_views import ConfigurationFacts
 from dragonflyramp.metrics import counters
 from dragonflyramp.models import MemberId
 from dragonflyramp.results import ResultCode
@@ -24,6 +25,7 @@
 
     _view: GroupView
     _hooks: MembershipHooks
+    _facts: Callable[[], ConfigurationFacts]
     _encoded_renewal: int = 0
     _encoded: bytes = b''
 
@@ -39,8 +41,10 @@
             record=record,
             renewal=self._view.renewal,
             writer=self._view.record.writer,
-            configuration_number=self._view.record.configuration_number,
-            quarantined=tuple(self._hooks.list_quarantined()),
+            configuration_number=max(
+                self._view.record.configuration_number, self._facts().number
+            ),
+            quarantined=bounded_quarantine(self._hooks),
         )
 
     def _encode(self) -> bytes:
--- a/dragonflyramp/members/_heartbeats.py
+++ b/dragonflyramp/members/_heartbeats.py
@@ -8,7 +8,11 @@
 
 from dragonflyramp.members._group_json import decode_record
 from dragonflyramp.members._group_views import GroupView
-from dragonflyramp.members._hooks import AdoptedConfiguration, MembershipHooks
+from dragonflyramp.members._hooks import (
+    AdoptedConfiguration,
+    MembershipHooks,
+    bounded_quarantine,
+)
 from dragonflyramp.members._lease_tables import MemberLeaseTable
 from dragonflyramp.members._leases import tenure_of
 from dragonflyramp.members._member_links import MemberCalls
@@ -18,8 +22,6 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
-_MAX_QUARANTINED = 256
-
 
 @attrs.define(eq=False)
 class HeartbeatSender:
@@ -44,7 +46,6 @@
         table = self.table
         table.update_surrenders(now_seconds)
         self._renounce(now_seconds)
-        quarantined = self.hooks.list_quarantined()
         return Heartbeat(
             member=self.view.own,
             configuration_number=self.facts().number,
@@ -52,7 +53,7 @@
             held=tuple(map(tenure_of, table.holder.held())),
             released=table.surrenders.released,
             renounced=table.deputy.renounced(),
-            quarantined=tuple(quarantined)[:_MAX_QUARANTINED],
+            quarantined=bounded_quarantine(self.hooks),
             leaving=self.leaving,
         )
 
--- a/dragonflyramp/members/_hooks.py
+++ b/dragonflyramp/members/_hooks.py
@@ -8,6 +8,9 @@
 from dragonflyramp.members._messages import Quarantined
 from dragonflyramp.models import Configuration, SliceId, WarmthEntry
 
+#: Fingerprints in one message; a front quarantines few at a time.
+_MAX_QUARANTINED = 256
+
 
 class AdoptedConfiguration(Protocol):
     """Give the adopted configuration and look for a newer one."""
@@ -52,3 +55,8 @@
     )
     list_quarantined: Callable[[], Sequence[Quarantined]] = _no_quarantine
     add_quarantined: Callable[[Sequence[Quarantined]], None] = _add_nothing
+
+
+def bounded_quarantine(hooks: MembershipHooks) -> tuple[Quarantined, ...]:
+    """List the fingerprints that one message carries."""
+    return tuple(hooks.list_quarantined())[:_MAX_QUARANTINED]
--- a/dragonflyramp/members/_membership_parts.py
+++ b/dragonflyramp/members/_membership_parts.py
@@ -52,7 +52,7 @@
         hooks=inputs.hooks,
         facts=facts.facts,
     )
-    replies = ReplyBuilder(view, inputs.hooks)
+    replies = ReplyBuilder(view, inputs.hooks, facts.facts)
     desk = HeartbeatDesk(view, replies)
     vm_watch = VmWatch(inputs.vm_list, view, settings)
     writer = RecordWriter(
--- a/dragonflyramp/members/_pieces_grpc.py
+++ b/dragonflyramp/members/_pieces_grpc.py
@@ -12,6 +12,7 @@
 from dragonflyramp.models import SliceId, Warmth, WarmthEntry
 
 _MAX_NAME_CHARACTERS = 256
+_MAX_UINT32 = 0xFFFFFFFF
 
 
 def checked_name(name: str) -> str:
@@ -45,7 +46,8 @@
     """Encode quarantined fingerprints."""
     return [
         pb.Quarantined(
-            fingerprint=one.fingerprint, remaining_ms=one.remaining_ms
+            fingerprint=one.fingerprint,
+            remaining_ms=min(max(one.remaining_ms, 0), _MAX_UINT32),
         )
         for one in quarantined
     ]
--- a/dragonflyramp/members/_promise_requests.py
+++ b/dragonflyramp/members/_promise_requests.py
@@ -57,6 +57,8 @@
             deputy.address, request, self._settings.renewal_period_seconds
         )
         if is_successful(reply):
+            number = reply.unwrap().configuration_number
+            self._sender.configuration.hint(number, deputy.address)
             self._note(deputy_id, reply.unwrap(), started_seconds)
 
     def _note(
--- a/dragonflyramp/members/_services.py
+++ b/dragonflyramp/members/_services.py
@@ -15,6 +15,7 @@
     SliceWarmth,
 )
 from dragonflyramp.members._writers import RecordWriter
+from dragonflyramp.models import MemberId
 from dragonflyramp.results import ResultCode
 
 
@@ -42,6 +43,7 @@
         """Promise not to renounce tenures and load their warmth."""
         view = self._sender.view
         view.contacts.note_member()
+        self._hint(request.configuration_number, request.holder_id)
         now_seconds = view.clock()
         promised = []
         for one in request.slices:
@@ -69,6 +71,12 @@
                 self._load(one)
         return HandoverReply(code=ResultCode.ok, accepted=tuple(accepted))
 
+    def _hint(self, number: int, member_id: MemberId) -> None:
+        record = self._sender.view.record
+        member = record.members.get(member_id)
+        if member is not None:
+            self._sender.configuration.hint(number, member.address)
+
     def _load(self, table: SliceWarmth) -> None:
         self._sender.hooks.load_warmth(
             table.slice_id, table.epoch, table.replicas
--- a/dragonflyramp/members/_writers.py
+++ b/dragonflyramp/members/_writers.py
@@ -48,6 +48,11 @@
         if not is_successful(found):
             return
         stored = found.unwrap()
+        number = stored.record.configuration_number
+        self._sender.configuration.hint(number, '')
+        if stored.record.renewal < self._view.renewal:
+            counters.add('stale_answers', 'group')
+            return
         is_named = stored.record.writer == self._view.own.member_id
         has_progressed = stored.record.renewal > self._view.renewal
         self._view.adopt(stored.record)
--- a/tests/standins/lease_world.py
+++ b/tests/standins/lease_world.py
@@ -36,6 +36,7 @@
 SETTINGS = MembershipSettings()
 SLICES = (SliceId('s/0'), SliceId('s/1'))
 SHARD = 'shard'
+DOMAINS = ('centro', 'fatima', 'mercedes')
 RELAYS = 5
 STEP_SECONDS = 0.25
 
@@ -200,7 +201,7 @@
                 role=Role.relay,
                 address=f'host-{index}:1',
                 status_address='',
-                failure_domain=f'domain-{index % 3}',
+                failure_domain=DOMAINS[index % len(DOMAINS)],
             ),
             rate=(1.0, 1.04)[index % 2],
             number=self.number,
