Test membership over loopback with faults of platform and links

asyncio.wait_for of Python 3.11 lost a cancellation in one of these tests, so that a stopped member never ended; all waits now use asyncio.timeout.

--- a/dragonflyramp/members/_cycles.py
+++ b/dragonflyramp/members/_cycles.py
@@ -11,6 +11,7 @@
     writer_rank,
 )
 from dragonflyramp.members._heartbeats import HeartbeatSender
+from dragonflyramp.members._repeats import wait_at_most
 from dragonflyramp.members._settings import MembershipSettings
 from dragonflyramp.members._writers import RecordWriter
 
@@ -77,11 +78,8 @@
         if not self._writer.is_active:
             pause_seconds = period_seconds * _PAUSE_FRACTION
             rest_seconds = max(rest_seconds, pause_seconds)
-        try:
-            await asyncio.wait_for(self._sender.wake.wait(), rest_seconds)
-        except TimeoutError:
-            return
-        self._sender.wake.clear()
+        if await wait_at_most(self._sender.wake.wait(), rest_seconds):
+            self._sender.wake.clear()
 
     def _period_seconds(self) -> float:
         return self._settings.renewal_period_seconds
--- a/dragonflyramp/members/_group_stores.py
+++ b/dragonflyramp/members/_group_stores.py
@@ -31,7 +31,8 @@
     Any answer, a refusal too, counts as contact with the platform.
     """
     try:
-        reply = await asyncio.wait_for(call, timeout_seconds)
+        async with asyncio.timeout(timeout_seconds):
+            reply = await call
     except TimeoutError:
         reply = Failure(ResultCode.platform_down)
     if reply == Failure(ResultCode.platform_down):
--- a/dragonflyramp/members/_handovers.py
+++ b/dragonflyramp/members/_handovers.py
@@ -1,6 +1,5 @@
 """Hand slices over to the relays that the record names as successors."""
 
-import asyncio
 import collections
 from collections.abc import Sequence
 
@@ -13,6 +12,7 @@
 from dragonflyramp.members._leases import tenure_of
 from dragonflyramp.members._messages import Handover
 from dragonflyramp.members._rendezvous import NOBODY
+from dragonflyramp.members._repeats import wait_at_most
 from dragonflyramp.members._settings import MembershipSettings
 from dragonflyramp.members._warmths import warmth_tables
 from dragonflyramp.metrics import counters
@@ -40,12 +40,9 @@
         for successor, entries in self._ready(now_seconds).items():
             if successor == NOBODY or await self._give(successor, entries):
                 self.release(entries)
-        try:
-            await asyncio.wait_for(
-                view.wait_record_change(record), self._pause_seconds()
-            )
-        except TimeoutError:
-            return
+        await wait_at_most(
+            view.wait_record_change(record), self._pause_seconds()
+        )
 
     def release(self, entries: Sequence[SliceEntry]) -> None:
         """Give tenures up for good and tell the writer at once."""
--- a/dragonflyramp/members/_membership.py
+++ b/dragonflyramp/members/_membership.py
@@ -15,7 +15,7 @@
     build_parts,
     build_view,
 )
-from dragonflyramp.members._repeats import repeat
+from dragonflyramp.members._repeats import repeat, wait_at_most
 from dragonflyramp.members._services import MembershipService
 from dragonflyramp.metrics import counters
 from dragonflyramp.models import MemberId, SliceId
@@ -96,11 +96,9 @@
         self._parts.sender.leaving = True
         self._parts.sender.wake.set()
         logger.info('{} leaves the group', self.view.own.member_id)
-        try:
-            await asyncio.wait_for(
-                self._hand_over_duties(), self._settings.leave_timeout_seconds
-            )
-        except TimeoutError:
+        if not await wait_at_most(
+            self._hand_over_duties(), self._settings.leave_timeout_seconds
+        ):
             counters.add('leave_timeouts', self._settings.group)
         await asyncio.sleep(self._settings.renewal_period_seconds)
 
--- a/dragonflyramp/members/_repeats.py
+++ b/dragonflyramp/members/_repeats.py
@@ -1,4 +1,4 @@
-"""Repeat the steps of a task for as long as the daemon runs."""
+"""Repeat the steps of a task and bound its waits."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -23,3 +23,19 @@
             logger.exception('task {} failed and goes on', name)
             counters.add('task_errors', name)
             await asyncio.sleep(pause_seconds)
+
+
+async def wait_at_most(
+    awaited: Awaitable[object], timeout_seconds: float
+) -> bool:
+    """Wait for something; False after the timeout.
+
+    asyncio.wait_for of Python 3.11 loses a cancellation that comes
+    together with the result, and the task would then never end.
+    """
+    try:
+        async with asyncio.timeout(timeout_seconds):
+            await awaited
+    except TimeoutError:
+        return False
+    return True
--- a/dragonflyramp/members/_spread_loops.py
+++ b/dragonflyramp/members/_spread_loops.py
@@ -11,6 +11,7 @@
     is_watcher,
     other_addresses,
 )
+from dragonflyramp.members._repeats import wait_at_most
 from dragonflyramp.members._settings import MembershipSettings
 from dragonflyramp.members._text_adoption import TextAdoption
 from dragonflyramp.members._text_fetches import MemberTexts
@@ -70,13 +71,10 @@
         return is_alone or is_watcher(self._view)
 
     async def _wait_for_change_of_job(self) -> None:
-        try:
-            await asyncio.wait_for(
-                self._view.wait_record_change(self._view.record),
-                self._settings.renewal_period_seconds,
-            )
-        except TimeoutError:
-            return
+        await wait_at_most(
+            self._view.wait_record_change(self._view.record),
+            self._settings.renewal_period_seconds,
+        )
 
     def _pause_seconds(self) -> float:
         period_seconds = self._settings.renewal_period_seconds
@@ -105,13 +103,10 @@
         self._pause_periods = min(self._pause_periods * 2, _MAX_PAUSE_PERIODS)
         if _RETRIED_EACH_PERIOD.issuperset(codes):
             self._pause_periods = 1
-        try:
-            await asyncio.wait_for(
-                hints.wait_raised(),
-                self._pause_periods * self._settings.renewal_period_seconds,
-            )
-        except TimeoutError:
-            return
+        await wait_at_most(
+            hints.wait_raised(),
+            self._pause_periods * self._settings.renewal_period_seconds,
+        )
 
     async def _try_sources(self) -> list[ResultCode]:
         hints = self._adoption.texts.hints
--- a/tests/standins/memory_objects.py
+++ b/tests/standins/memory_objects.py
@@ -6,6 +6,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from dragonflyramp.members._repeats import wait_at_most
 from dragonflyramp.platform import VersionedObject
 from dragonflyramp.results import ResultCode
 
@@ -105,9 +106,4 @@
     async def _wait_change(self, timeout_seconds: float) -> None:
         # An outage that starts during a watch ends it within this time.
         timeout_seconds = min(timeout_seconds, 0.05)
-        try:
-            await asyncio.wait_for(
-                self.platform.changed.wait(), timeout_seconds
-            )
-        except TimeoutError:
-            return
+        await wait_at_most(self.platform.changed.wait(), timeout_seconds)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,51 +7,64 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 
 import attrs
+import grpc
+import pytest
 from returns.result import Result, Success
 
-from dragonflyramp.members._groups import MemberDescription, Role
+from dragonflyramp.members import (
+    GroupRecord,
+    MemberDescription,
+    Membership,
+    MembershipInputs,
+    MembershipSettings,
+    Quarantined,
+    Role,
+)
+from dragonflyramp.members import _messages as messages
+from dragonflyramp.members import members_pb2 as pb
+from dragonflyramp.members._channels_grpc import MAX_MESSAGE_BYTES
+from dragonflyramp.members._hooks import MembershipHooks
 from dragonflyramp.members._members_grpc import (
-    GrpcMemberCalls,
     add_members_service,
     create_server,
 )
-from dragonflyramp.members._membership import Membership
-from dragonflyramp.members._membership_inputs import MembershipInputs
-from dragonflyramp.members._messages import (
-    Fetch,
-    FetchReply,
-    Offer,
-    OfferReply,
+from dragonflyramp.models import (
+    Configuration,
+    LeaseState,
+    MemberId,
+    SliceId,
+    Warmth,
+    WarmthEntry,
 )
-from dragonflyramp.members._settings import MembershipSettings
-from dragonflyramp.models import Configuration, LeaseState, MemberId, Service
 from dragonflyramp.platform import VmListing
 from dragonflyramp.results import ResultCode
+from tests.standins.member_calls import CutCalls, Links
+from tests.standins.member_texts import configuration
 from tests.standins.memory_objects import MemoryObjects, MemoryPlatform
 
 SETTINGS = MembershipSettings(
-    renewal_period_seconds=0.1, lease_term_seconds=0.5, isolation_seconds=0.5
+    renewal_period_seconds=0.1,
+    lease_term_seconds=0.5,
+    isolation_seconds=0.5,
+    platform_timeout_seconds=0.1,
+    leave_timeout_seconds=20,
+)
+SERVICES = ('alpha', 'beta', 'gamma')
+SLICES = frozenset(f'{name}/0' for name in SERVICES)
+WARMTH = WarmthEntry(
+    replica_id='r1',
+    instance_id='i1',
+    warmth=Warmth.warm,
+    limit=3,
+    latency_ms=2,
 )
-
-
-def configuration(number: int, services: Sequence[str]) -> Configuration:
-    """Make a configuration in which each service is one slice."""
-    return Configuration(
-        number=number,
-        user='tests',
-        failure_domains={},
-        services={
-            name: Service(name=name, deadline_ms=50) for name in services
-        },
-        holds={},
-    )
 
 
 @attrs.define
 class FixedConfiguration:
     """Give a configuration that the test sets."""
 
-    current: Configuration | None = None
+    current: Configuration | None
     hints: list[tuple[int, str]] = attrs.field(factory=list)
 
     def hint(self, number: int, address: str) -> None:
@@ -62,13 +75,13 @@
 class NoSpread:
     """Answer no calls on configuration."""
 
-    async def offer(self, request: Offer) -> OfferReply:
+    async def offer(self, request: messages.Offer) -> messages.OfferReply:
         """Refuse an offer."""
-        return OfferReply(code=ResultCode.not_ready, number=0)
+        return messages.OfferReply(code=ResultCode.not_ready, number=0)
 
-    async def fetch(self, request: Fetch) -> FetchReply:
+    async def fetch(self, request: messages.Fetch) -> messages.FetchReply:
         """Refuse a fetch."""
-        return FetchReply(code=ResultCode.not_ready, number=0)
+        return messages.FetchReply(code=ResultCode.not_ready, number=0)
 
 
 class NoVms:
@@ -81,17 +94,94 @@
         return Success(None)
 
 
+@attrs.define
+class Memory:
+    """Remember what membership hands to the rest of a daemon."""
+
+    warmed: set[tuple[str, int]] = attrs.field(factory=set)
+    quarantined: list[Quarantined] = attrs.field(factory=list)
+
+    def hooks(self) -> MembershipHooks:
+        """Connect to membership."""
+        return MembershipHooks(
+            warmth_of=lambda _: (WARMTH,),
+            load_warmth=self.load,
+            list_quarantined=lambda: self.quarantined,
+            add_quarantined=self.add,
+        )
+
+    def load(
+        self, slice_id: SliceId, epoch: int, replicas: Sequence[WarmthEntry]
+    ) -> None:
+        """Load a warmth table."""
+        assert tuple(replicas) == (WARMTH,)
+        self.warmed.add((slice_id, epoch))
+
+    def add(self, quarantined: Sequence[Quarantined]) -> None:
+        """Add fingerprints that are new."""
+        known = {one.fingerprint for one in self.quarantined}
+        self.quarantined += [
+            one for one in quarantined if one.fingerprint not in known
+        ]
+
+
 @attrs.define
 class Daemon:
     """Run one member with its server."""
 
     membership: Membership
     store: MemoryObjects
-    stack: contextlib.AsyncExitStack
-
-    async def stop(self) -> None:
-        """Stop as a killed process does."""
-        await self.stack.aclose()
+    memory: Memory
+    calls: CutCalls
+    server: grpc.aio.Server
+    task: asyncio.Task[None]
+
+    @property
+    def address(self) -> str:
+        """Return where the member listens."""
+        return self.membership.view.own.address
+
+    @property
+    def record(self) -> GroupRecord:
+        """Return the record that the member knows."""
+        return self.membership.record
+
+    @property
+    def renewal(self) -> int:
+        """Return the newest renewal that the member knows."""
+        return self.membership.view.renewal
+
+    def slices(self) -> set[str]:
+        """List the slices that the record gives to this member."""
+        slices = self.record.slices.values()
+        return {one.slice_id for one in slices if one.holder == self.name}
+
+    def is_warm(self, slice_id: str) -> bool:
+        """Tell whether the warmth of the tenure before this one came."""
+        epoch = self.record.slices[SliceId(slice_id)].epoch
+        return (slice_id, epoch - 1) in self.memory.warmed
+
+    @property
+    def name(self) -> str:
+        """Return the member's id."""
+        return self.membership.view.own.member_id
+
+    async def kill(self) -> None:
+        """End without a word to anybody."""
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        await self.server.stop(None)
+        await self.calls.close()
+
+    def held(self) -> set[str]:
+        """List the slices whose lease this member holds now."""
+        table = self.membership.lease_table
+        now_seconds = time.monotonic()
+        return {
+            one
+            for one in table.slice_ids()
+            if table.lease(one, now_seconds).state is LeaseState.held
+        }
 
 
 @attrs.define
@@ -99,24 +189,26 @@
     """Start the members of one group in this process."""
 
     platform: MemoryPlatform = attrs.field(factory=MemoryPlatform)
-    services: tuple[str, ...] = ('alpha', 'beta', 'gamma')
-    daemons: list[Daemon] = attrs.field(factory=list)
+    links: Links = attrs.field(factory=Links)
+    daemons: dict[str, Daemon] = attrs.field(factory=dict)
 
     async def start(
-        self, name: str, role: Role = Role.relay, seeds: Sequence[str] = ()
+        self, name: str, *, is_down: bool = False, seeds: Sequence[str] = ()
     ) -> Daemon:
-        """Start one member at a port that the kernel chooses."""
+        """Start a member, a front if its name starts with f."""
         server = create_server()
         port = server.add_insecure_port('127.0.0.1:0')
         own = MemberDescription(
             member_id=MemberId(name),
-            role=role,
+            role=Role.front if name.startswith('f') else Role.relay,
             address=f'127.0.0.1:{port}',
             status_address='',
-            failure_domain=f'domain-{name}',
+            failure_domain=name,
         )
         store = MemoryObjects(self.platform)
-        calls = GrpcMemberCalls()
+        store.faults.is_down = is_down
+        memory = Memory()
+        calls = CutCalls(own=own.address, links=self.links)
         membership = Membership(
             MembershipInputs(
                 own=own,
@@ -124,40 +216,92 @@
                 settings=SETTINGS,
                 store=store,
                 calls=calls,
-                configuration=FixedConfiguration(
-                    configuration(1, self.services)
-                ),
+                configuration=FixedConfiguration(configuration(1, SERVICES)),
                 vm_list=NoVms(),
                 clock=time.monotonic,
                 rng=random.Random(name),
+                hooks=memory.hooks(),
             )
         )
         add_members_service(server, membership.service, NoSpread())
         await server.start()
-        stack = contextlib.AsyncExitStack()
-        stack.push_async_callback(server.stop, None)
-        stack.push_async_callback(calls.close)
         task = asyncio.create_task(membership.run())
-        stack.push_async_callback(_cancel, task)
-        daemon = Daemon(membership, store, stack)
-        self.daemons.append(daemon)
+        daemon = Daemon(membership, store, memory, calls, server, task)
+        self.daemons[name] = daemon
         return daemon
 
+    async def kill(self, name: str) -> None:
+        """End a member without a word to anybody."""
+        await self.daemons.pop(name).kill()
 
-async def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    await asyncio.wait([task])
+    async def stop(self) -> None:
+        """End all members."""
+        for name in tuple(self.daemons):
+            await self.kill(name)
+
+    def switch_platform(self, *, is_down: bool) -> None:
+        """Let the platform be down or up for all."""
+        for daemon in self.daemons.values():
+            daemon.store.faults.is_down = is_down
+
+    def cut_off(self, name: str) -> None:
+        """Cut a member off from all others."""
+        addresses = {daemon.address for daemon in self.daemons.values()}
+        self.links.isolate(self.daemons[name].address, addresses)
+
+    def holders(self) -> list[str]:
+        """List the holders of all leases in use, once for each slice."""
+        return sorted(
+            daemon.name
+            for daemon in self.daemons.values()
+            for _ in daemon.held()
+        )
+
+    def are_all_held(self) -> bool:
+        """Tell whether each slice is in use by exactly one relay."""
+        held = [
+            one for daemon in self.daemons.values() for one in daemon.held()
+        ]
+        return sorted(held) == sorted(SLICES)
+
+    def writers(self) -> set[str]:
+        """List who writes by the records of all members."""
+        return {daemon.record.writer for daemon in self.daemons.values()}
 
 
 @contextlib.asynccontextmanager
-async def a_group() -> AsyncIterator[Group]:
-    """Start a group and stop whatever of it still runs."""
+async def running(*names: str) -> AsyncIterator[Group]:
+    """Run a group whose slices are held."""
     group = Group()
-    try:
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(group.stop)
+        for name in names:
+            await group.start(name)
+        await eventually(group.are_all_held)
+        await eventually(lambda: is_complete(group))
         yield group
-    finally:
-        for daemon in group.daemons:
-            await daemon.stop()
+
+
+def is_complete(group: Group) -> bool:
+    """Tell whether all members know all members and nothing moves."""
+    return all(
+        daemon.record.members.keys() == group.daemons.keys()
+        and not any(
+            entry.successor or entry.former or not entry.deputies
+            for entry in daemon.record.slices.values()
+        )
+        for daemon in group.daemons.values()
+    )
+
+
+def are_deputies_warm(group: Group) -> bool:
+    """Tell whether each relay got the warmth of what it deputises for."""
+    return all(
+        (entry.slice_id, entry.epoch) in daemon.memory.warmed
+        for daemon in group.daemons.values()
+        for entry in daemon.record.slices.values()
+        if daemon.name in entry.deputies
+    )
 
 
 async def eventually(condition: Callable[[], bool]) -> None:
@@ -167,44 +311,204 @@
             await asyncio.sleep(0.01)
 
 
-def holds_all(daemon: Daemon, services: Sequence[str]) -> bool:
-    """Tell whether one daemon holds the slices of all services."""
-    return set(held(daemon)) == {f'{name}/0' for name in services}
-
-
-def held(daemon: Daemon) -> list[str]:
-    """List the slices whose lease a daemon holds now."""
-    table = daemon.membership.lease_table
-    now = time.monotonic()
-    return [
-        one
-        for one in table.slice_ids()
-        if table.lease(one, now).state is LeaseState.held
-    ]
+async def after_terms(count: int) -> None:
+    """Wait for some lease terms."""
+    await asyncio.sleep(SETTINGS.lease_term_seconds * count)
 
 
-async def test_a_first_relay_gets_all_slices() -> None:
+async def test_one_relay_holds_all_slices() -> None:
     """A group that nobody created must not stay without a writer."""
-    async with a_group() as group:
-        relay = await group.start('a')
-        await eventually(lambda: holds_all(relay, group.services))
-        assert relay.membership.record.writer == 'a'
-
-
-async def test_members_share_one_record() -> None:
-    """A member that only heartbeats must learn of all others."""
-    async with a_group() as group:
-        for name in ('a', 'b', 'c'):
-            await group.start(name)
-        await group.start('f', Role.front)
+    async with running('f1', 'r1') as group:
+        assert group.daemons['r1'].held() == SLICES
+        record = group.daemons['f1'].record
+        assert record.writer == 'f1'
+        assert record.candidates(SliceId('alpha/0')) == ('r1', 'f1')
+
+
+async def test_a_killed_relay_is_replaced_by_a_deputy() -> None:
+    """Its slices must go to a relay that knows their replicas."""
+    async with running('f1', 'r1', 'r2', 'r3') as group:
+        victim = group.holders()[0]
+        lost = group.daemons[victim].held()
+        await eventually(lambda: are_deputies_warm(group))
+        await group.kill(victim)
+        await eventually(group.are_all_held)
+        for daemon in group.daemons.values():
+            assert all(map(daemon.is_warm, daemon.held() & lost))
+
+
+async def test_a_killed_writer_is_replaced() -> None:
+    """Renewals must go on without the member that wrote them."""
+    async with running('f1', 'r1', 'r2') as group:
+        await group.kill('f1')
+        await eventually(lambda: 'f1' not in group.writers())
+        await eventually(group.are_all_held)
+        await eventually(lambda: len(group.writers()) == 1)
+
+
+async def test_deputies_extend_leases_in_an_outage() -> None:
+    """A platform that is down must not stop the use of cold replicas."""
+    async with running('f1', 'r1', 'r2') as group:
+        group.switch_platform(is_down=True)
+        await after_terms(3)
+        await eventually(group.are_all_held)
+        holders = group.holders()
+        group.switch_platform(is_down=False)
+        renewal = group.daemons['r1'].renewal
+        await eventually(lambda: group.daemons['r1'].renewal > renewal)
+        assert group.holders() == holders
+
+
+async def test_leases_lapse_without_both_deputies() -> None:
+    """One deputy alone must not extend what the other may give away."""
+    async with running('r1', 'r2', 'r3') as group:
+        group.switch_platform(is_down=True)
+        victim = group.holders()[0]
+        await group.kill(victim)
+        await eventually(lambda: not group.holders())
+        group.switch_platform(is_down=False)
+        await eventually(group.are_all_held)
+
+
+async def test_lost_replies_are_settled_by_reading() -> None:
+    """A write that took effect must not look like a failure."""
+    async with running('r1', 'r2') as group:
+        writer = group.daemons['r1']
+        writer.store.faults.lose_replies = 20
+        await eventually(lambda: not writer.store.faults.lose_replies)
+        assert group.writers() == {'r1'}
+        await eventually(group.are_all_held)
+
+
+async def test_older_answers_change_nothing() -> None:
+    """A platform that answers with an old record must not undo a new one."""
+    async with running('r1', 'r2') as group:
+        for daemon in group.daemons.values():
+            daemon.store.faults.stale_reads = 20
+        await group.kill('r1')
+        await eventually(lambda: group.daemons['r2'].held() == SLICES)
+
+
+async def test_a_slow_platform_keeps_the_group() -> None:
+    """Calls that time out must not end the tasks of a daemon."""
+    async with running('r1', 'r2') as group:
+        for daemon in group.daemons.values():
+            daemon.store.faults.delay_seconds = 1
+        await after_terms(2)
+        await eventually(group.are_all_held)
+        for daemon in group.daemons.values():
+            daemon.store.faults.delay_seconds = 0
+        renewal = group.daemons['r2'].renewal
+        await eventually(lambda: group.daemons['r2'].renewal > renewal)
+
+
+async def test_a_daemon_starts_without_the_platform() -> None:
+    """A front that starts in an outage must learn whom to ask."""
+    async with running('r1', 'r2') as group:
+        group.switch_platform(is_down=True)
+        seeds = [daemon.address for daemon in group.daemons.values()]
+        front = await group.start('f1', is_down=True, seeds=seeds)
         await eventually(
-            lambda: all(
-                len(one.membership.record.members) == 4 for one in group.daemons
-            )
+            lambda: bool(front.membership.candidates(SliceId('alpha/0')))
+        )
+        assert len(front.membership.peers(Role.relay)) == 2
+        group.switch_platform(is_down=False)
+        front.store.faults.is_down = True
+        await eventually(lambda: is_complete(group))
+
+
+async def test_peers_replace_the_platform_for_one() -> None:
+    """A daemon cut off from the platform only must keep its leases."""
+    async with running('f1', 'r1', 'r2') as group:
+        relay = group.daemons[group.holders()[0]]
+        relay.store.faults.is_down = True
+        held = relay.held()
+        await after_terms(3)
+        await eventually(lambda: relay.held() == held)
+        entry = relay.record.members[MemberId(relay.name)]
+        assert relay.record.writer == 'f1'
+        assert not entry.leaving
+
+
+async def test_a_writer_without_platform_is_replaced() -> None:
+    """Members that still reach it must find the new writer."""
+    async with running('f1', 'r1', 'r2') as group:
+        writer = group.daemons['f1']
+        writer.store.faults.is_down = True
+        await eventually(
+            lambda: len(group.writers()) == 1 and 'f1' not in group.writers()
         )
+        await eventually(group.are_all_held)
+
+
+async def test_an_isolated_relay_is_replaced() -> None:
+    """It must stop using its slices before another relay gets them."""
+    async with running('f1', 'r1', 'r2', 'r3') as group:
+        name = group.holders()[0]
+        isolated = group.daemons[name]
+        group.cut_off(name)
+        isolated.store.faults.is_down = True
+        await eventually(lambda: not isolated.held())
+        await eventually(group.are_all_held)
+        contact = isolated.membership.last_contact_seconds
+        await after_terms(1)
+        assert isolated.membership.last_contact_seconds == contact
+        group.links.heal()
+        isolated.store.faults.is_down = False
+        await eventually(lambda: is_complete(group))
+        await eventually(group.are_all_held)
+
+
+async def test_a_planned_stop_hands_over() -> None:
+    """A stop must neither lose warmth nor wait for leases to lapse."""
+    async with running('r1', 'r2', 'r3') as group:
+        leaving = group.daemons['r1']
+        lost = leaving.held()
+        await leaving.membership.leave()
+        assert not leaving.slices()
+        assert leaving.record.writer != 'r1'
+        await group.kill('r1')
+        await eventually(group.are_all_held)
+        for daemon in group.daemons.values():
+            assert all(map(daemon.is_warm, daemon.held() & lost))
+
+
+async def test_the_last_relay_releases_its_slices() -> None:
+    """A stop without a successor must end, and the next relay start."""
+    async with running('f1', 'r1') as group:
+        leaving = group.daemons['r1']
+        await leaving.membership.leave()
+        assert not leaving.slices()
+        await group.kill('r1')
+        relay = await group.start('r2')
+        await eventually(lambda: relay.held() == SLICES)
+
+
+async def test_quarantine_reaches_every_member() -> None:
+    """A request that crashes servers must be refused at every front."""
+    async with running('f1', 'f2', 'r1') as group:
+        group.daemons['f2'].memory.quarantined.append(Quarantined('q', 5000))
         await eventually(
-            lambda: (
-                sorted(sum(map(held, group.daemons), []))
-                == ['alpha/0', 'beta/0', 'gamma/0']
+            lambda: all(
+                daemon.memory.quarantined for daemon in group.daemons.values()
             )
         )
+
+
+async def test_malformed_messages_get_a_code() -> None:
+    """A message of a broken peer must not end the daemon."""
+    async with running('f1', 'r1') as group:
+        channel = grpc.aio.insecure_channel(group.daemons['r1'].address)
+        for method in ('Heartbeat', 'Promise', 'Handover', 'Offer', 'Fetch'):
+            call = channel.unary_unary(
+                f'/dragonflyramp.v1.Members/{method}',
+                request_serializer=bytes,
+                response_deserializer=pb.OfferReply.FromString,
+            )
+            for raw in (b'\xff\xff', b'', b'\x0a\x00'):
+                reply = await call(raw, timeout=10)
+                assert reply.code == ResultCode.bad_message
+            with pytest.raises(grpc.aio.AioRpcError):
+                await call(bytes(MAX_MESSAGE_BYTES + 1), timeout=10)
+        await channel.close(None)
+        await eventually(group.are_all_held)
