--- a/dragonflyramp/members/_offers.py
+++ b/dragonflyramp/members/_offers.py
@@ -44,8 +44,13 @@
         offered = self._offered.setdefault(member_id, self._texts.number)
         text = await self._texts.wait_text(offered)
         self._offered[member_id] = text.facts.number
+        if text.source is not Source.member:
+            await self.send(member_id, text)
+
+    async def send(self, member_id: MemberId, text: Text) -> None:
+        """Offer a text to a member that the record names."""
         member = self._view.record.members.get(member_id)
-        if text.source is Source.member or member is None:
+        if member is None:
             return
         reply = await self._calls.offer(
             member.address,
--- a/dragonflyramp/members/_spread_loops.py
+++ b/dragonflyramp/members/_spread_loops.py
@@ -97,7 +97,7 @@
         """Wait until something newer is known and try to get it."""
         hints = self._adoption.texts.hints
         await hints.wait_due()
-        codes = await self._try_sources()
+        codes = await self.try_sources()
         if not hints.is_due:
             return
         self._pause_periods = min(self._pause_periods * 2, _MAX_PAUSE_PERIODS)
@@ -108,7 +108,8 @@
             self._pause_periods * self._settings.renewal_period_seconds,
         )
 
-    async def _try_sources(self) -> list[ResultCode]:
+    async def try_sources(self) -> list[ResultCode]:
+        """Ask members that showed numbers, the platform, then one member."""
         hints = self._adoption.texts.hints
         codes = []
         for hinted in hints.take_addresses()[:_MAX_ASKED]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -193,11 +193,16 @@
     daemons: dict[str, Daemon] = attrs.field(factory=dict)
 
     async def start(
-        self, name: str, *, is_down: bool = False, seeds: Sequence[str] = ()
+        self,
+        name: str,
+        *,
+        port: int = 0,
+        is_down: bool = False,
+        seeds: Sequence[str] = (),
     ) -> Daemon:
         """Start a member, a front if its name starts with f."""
         server = create_server()
-        port = server.add_insecure_port('127.0.0.1:0')
+        port = server.add_insecure_port(f'127.0.0.1:{port}')
         own = MemberDescription(
             member_id=MemberId(name),
             role=Role.front if name.startswith('f') else Role.relay,
@@ -484,10 +489,22 @@
         await eventually(lambda: relay.held() == SLICES)
 
 
+async def test_a_group_restarts_at_its_addresses() -> None:
+    """No deputy is left to renounce, but all old processes have ended."""
+    async with running('r1', 'r2', 'r3') as group:
+        addresses = [daemon.address for daemon in group.daemons.values()]
+        await group.stop()
+        for number, address in enumerate(addresses, 4):
+            port = int(address.rpartition(':')[2])
+            await group.start(f'r{number}', port=port)
+        await eventually(group.are_all_held)
+
+
 async def test_quarantine_reaches_every_member() -> None:
     """A request that crashes servers must be refused at every front."""
     async with running('f1', 'f2', 'r1') as group:
-        group.daemons['f2'].memory.quarantined.append(Quarantined('q', 5000))
+        front = group.daemons['f2']
+        front.memory.add([Quarantined('q', 5000)])
         await eventually(
             lambda: all(
                 daemon.memory.quarantined for daemon in group.daemons.values()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,22 +4,34 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 
 import attrs
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
 
 from dragonflyramp.members import (
     AdoptedTexts,
     ConfigurationKeeper,
     MemberDescription,
     MembershipSettings,
+    PartContent,
     Role,
     SpreadInputs,
 )
 from dragonflyramp.members._group_views import GroupView
 from dragonflyramp.members._groups import GroupRecord, MemberEntry
 from dragonflyramp.members._lease_tables import MemberLeaseTable
+from dragonflyramp.members._messages import Offer
+from dragonflyramp.members._texts import Source
 from dragonflyramp.members._writer_views import ConfigurationFacts
+from dragonflyramp.metrics import counters
 from dragonflyramp.models import MemberId
 from dragonflyramp.results import ResultCode
 from tests.standins.member_calls import DirectCalls, Links
@@ -32,6 +44,14 @@
 )
 from tests.standins.memory_objects import MemoryObjects, MemoryPlatform
 
+MISSING = ResultCode.object_missing.name
+
+NAMES = 'abc'
+names = st.sampled_from(NAMES)
+texts = st.sampled_from(
+    (['alpha'], ['alpha', 'beta'], ['beta'], ['gamma'], [BROKEN.decode()])
+)
+
 SETTINGS = MembershipSettings(
     renewal_period_seconds=0.02,
     lease_term_seconds=0.06,
@@ -189,3 +209,165 @@
         assert cluster.numbers() == {1}
         publish(cluster.platform, 3, ['gamma'])
         await eventually(lambda: cluster.numbers() == {3})
+
+
+async def test_missing_parts_are_awaited() -> None:
+    """A root whose parts cannot be read yet must not be adopted."""
+    async with running('a') as cluster:
+        earlier = counters.get('refused_texts', MISSING)
+        root = root_of(1, ['alpha'])
+        cluster.platform.write('texts/root', root, 0)
+        adopted = cluster.keepers['a'].texts
+        await eventually(
+            lambda: counters.get('refused_texts', MISSING) > earlier
+        )
+        assert adopted.current is None
+        for part in parts_of(['alpha']):
+            cluster.platform.write(f'parts/{part.sha256}', part.body, 0)
+        await eventually(lambda: adopted.number == 1)
+
+
+async def test_older_numbers_are_ignored() -> None:
+    """A source that is behind must not revert an accepted change."""
+    platform = MemoryPlatform()
+    publish(platform, 1, ['alpha'])
+    publish(platform, 2, ['beta'])
+    one = make_keeper('a', platform, Links(), ())
+    newest = root_of(2, ['beta'])
+    await one.keeper.take_operator_offer(newest, parts_of(['beta']))
+    one.store.faults.stale_reads = 1
+    await one.keeper._catch_up.try_sources()
+    older = root_of(1, ['alpha'])
+    parts = parts_of(['alpha'])
+    await one.keeper.take_operator_offer(older, parts)
+    await one.keeper.service.offer(
+        Offer(
+            member_id=MemberId('b'),
+            number=3,
+            base_number=0,
+            root=older,
+            whole=True,
+            parts=tuple(parts),
+        )
+    )
+    assert one.number == 2
+    assert all(
+        counters.get('older_configurations', source.value) for source in Source
+    )
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    """Let three keepers exchange texts over links that break."""
+
+    def __init__(self) -> None:
+        """Build keepers whose tasks the rules run step by step."""
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.platform = MemoryPlatform()
+        self.links = Links()
+        self.keepers = {
+            name: make_keeper(name, self.platform, self.links, tuple(NAMES))
+            for name in NAMES
+        }
+        for one in self.keepers.values():
+            one.view.adopt(group_record(NAMES))
+        self.published = 0
+        self.seen = dict.fromkeys(NAMES, 0)
+
+    def run(self, step: Coroutine[object, object, object]) -> None:
+        """Run one step to its end."""
+        self.loop.run_until_complete(step)
+
+    @invariant()
+    def never_goes_back(self) -> None:
+        """Check numbers against the highest ones seen."""
+        for name, one in self.keepers.items():
+            assert one.number >= self.seen[name]
+            self.seen[name] = one.number
+            assert one.keeper.current is None or (
+                one.keeper.current.number == one.number
+            )
+
+    @rule(services=texts)
+    def publish(self, services: list[str]) -> None:
+        """Accept a change at the platform."""
+        self.published += 1
+        publish(self.platform, self.published, services)
+
+    @rule(name=names, stale_reads=st.integers(0, 1))
+    def read(self, name: str, stale_reads: int) -> None:
+        """Let a keeper try all its sources, the platform maybe stale."""
+        one = self.keepers[name]
+        one.store.faults.stale_reads = stale_reads
+        self.run(one.keeper._catch_up.try_sources())
+
+    @rule(name=names)
+    def notify(self, name: str) -> None:
+        """Let an operator send the newest text to one keeper."""
+        if self.published:
+            root = self.platform.read('texts/root').unwrap().body
+            parts = [
+                PartContent(stored.rpartition('/')[2], versions[0].body)
+                for stored, versions in self.platform.versions.items()
+                if stored.startswith('parts/') and versions
+            ]
+            keeper = self.keepers[name].keeper
+            self.run(keeper.take_operator_offer(root, parts))
+
+    @rule(name=names, other=names)
+    def offer(self, name: str, other: str) -> None:
+        """Let a keeper offer its text to another one."""
+        one = self.keepers[name]
+        if one.texts.text:
+            offers = one.keeper._offers
+            self.run(offers.send(MemberId(other), one.texts.text))
+
+    @rule(name=names, other=names)
+    def show_number(self, name: str, other: str) -> None:
+        """Let a heartbeat show a number."""
+        self.keepers[other].texts.hint(self.keepers[name].number, name)
+
+    @rule(name=names, is_down=st.booleans())
+    def switch_platform(self, name: str, is_down: bool) -> None:
+        """Cut a keeper off from the platform, or connect it again."""
+        faults = self.keepers[name].store.faults
+        faults.is_down = is_down
+
+    @rule(name=names)
+    def isolate(self, name: str) -> None:
+        """Cut a keeper off from the others."""
+        self.links.isolate(name, set(NAMES))
+
+    @rule()
+    def heal(self) -> None:
+        """Restore all links."""
+        self.links.heal()
+
+    def teardown(self) -> None:
+        """Check that all keepers reach the newest text once links heal."""
+        self.heal()
+        self.publish(['healed'])
+        self.switch_platform(NAMES[0], is_down=False)
+        # One look ends with the first number that is higher, so a keeper
+        # may need one more for each keeper that it hears of.
+        for name in NAMES * len(NAMES):
+            self.show_number(NAMES[0], name)
+            self.read(name, 0)
+        numbers = {one.number for one in self.keepers.values()}
+        self.loop.close()
+        assert numbers == {self.published}
+
+
+def test_no_member_goes_back() -> None:
+    """An operator's accepted change must never be reverted."""
+    run_state_machine_as_test(
+        SpreadMachine,
+        settings=settings(
+            max_examples=100,
+            stateful_step_count=30,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
