--- a/dragonflyramp/members/_promises.py
+++ b/dragonflyramp/members/_promises.py
@@ -9,6 +9,11 @@
 from dragonflyramp.models import MemberId, SliceId
 
 
+#: Promises for slices that no record names any more are kept this long,
+#: which is longer than any lapse.
+_KEPT_SECONDS = 3600
+
+
 @attrs.frozen
 class _Made:
     epoch: int
@@ -37,6 +42,12 @@
             tenure: self._named.get(tenure, now_seconds)
             for tenure in _named_tenures(record, self._own_id)
         }
+        self._made = {
+            slice_id: made
+            for slice_id, made in self._made.items()
+            if slice_id in record.slices
+            or now_seconds - made.made_seconds < _KEPT_SECONDS
+        }
 
     def promise(
         self, holder_id: MemberId, tenure: SliceEpoch, now_seconds: float
--- a/dragonflyramp/members/_settled.py
+++ b/dragonflyramp/members/_settled.py
@@ -6,6 +6,10 @@
 from dragonflyramp.members._settings import MembershipSettings
 
 
+#: Sights kept in a burst of changes; a daemon that never asks drops more.
+_MAX_SIGHTS = 64
+
+
 @attrs.frozen
 class _Sight:
     number: int
@@ -30,6 +34,8 @@
         number = reflected_number(record)
         if not self._sights or number > self._sights[-1].number:
             self._sights.append(_Sight(number, now_seconds))
+        if len(self._sights) > _MAX_SIGHTS:
+            self._sights.pop(1)
 
     def settled(
         self, longest_deadline_seconds: float, now_seconds: float
--- /dev/null
+++ b/tests/test_members_grpc.py
@@ -0,0 +1,109 @@
+"""Test the connections between members."""
+
+import asyncio
+import contextlib
+
+import attrs
+from returns.result import Failure
+
+from dragonflyramp.members import (
+    GrpcMemberCalls,
+    add_members_service,
+    create_server,
+)
+from dragonflyramp.members import _messages as messages
+from dragonflyramp.models import MemberId
+from dragonflyramp.results import ResultCode
+
+FETCH = messages.Fetch(member_id=MemberId('a'), known_number=0, known_parts=())
+
+
+class Empty:
+    """Answer every call with the code ok."""
+
+    async def heartbeat(
+        self, request: messages.Heartbeat
+    ) -> messages.HeartbeatReply:
+        """Answer a heartbeat."""
+        raise NotImplementedError
+
+    async def promise(self, request: messages.Promise) -> messages.PromiseReply:
+        """Answer a request for promises."""
+        raise NotImplementedError
+
+    async def handover(
+        self, request: messages.Handover
+    ) -> messages.HandoverReply:
+        """Answer a handover."""
+        raise NotImplementedError
+
+    async def offer(self, request: messages.Offer) -> messages.OfferReply:
+        """Answer an offer."""
+        raise NotImplementedError
+
+    async def fetch(self, request: messages.Fetch) -> messages.FetchReply:
+        """Answer a fetch."""
+        return messages.FetchReply(code=ResultCode.ok, number=7)
+
+
+@attrs.define
+class SilentProxy:
+    """Forward connections until told to silence those that are open."""
+
+    port: int
+    silenced: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    open_writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one connection in both directions."""
+        back, forth = await asyncio.open_connection('127.0.0.1', self.port)
+        self.open_writers |= {writer, forth}
+        await asyncio.gather(self.copy(reader, forth), self.copy(back, writer))
+
+    async def copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one direction; drop what comes once it is silenced."""
+        with contextlib.suppress(ConnectionError):
+            while chunk := await reader.read(65536):
+                if writer not in self.silenced:
+                    writer.write(chunk)
+
+    def silence(self) -> None:
+        """Silence the open connections for good."""
+        self.silenced |= self.open_writers
+
+
+async def test_a_silent_connection_is_replaced() -> None:
+    """A connection can go silent for good while new ones work."""
+    server = create_server()
+    port = server.add_insecure_port('127.0.0.1:0')
+    add_members_service(server, Empty(), Empty())
+    await server.start()
+    proxy = SilentProxy(port)
+    listener = await asyncio.start_server(proxy.serve, '127.0.0.1', 0)
+    address = '127.0.0.1:{}'.format(listener.sockets[0].getsockname()[1])
+    calls = GrpcMemberCalls()
+    first = await calls.fetch(address, FETCH, 10)
+    assert first.unwrap().number == 7
+    proxy.silence()
+    silent = await calls.fetch(address, FETCH, 0.2)
+    assert silent == Failure(ResultCode.member_unreachable)
+    again = await calls.fetch(address, FETCH, 10)
+    assert again.unwrap().number == 7
+    await calls.close()
+    listener.close()
+    await server.stop(None)
+
+
+async def test_one_process_listens_at_an_address() -> None:
+    """A newer member at an address must prove that the older one ended."""
+    server = create_server()
+    port = server.add_insecure_port('127.0.0.1:0')
+    await server.start()
+    other = create_server()
+    with contextlib.suppress(RuntimeError):
+        assert not other.add_insecure_port(f'127.0.0.1:{port}')
+    await server.stop(None)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -195,6 +195,22 @@
         await eventually(lambda: cluster.numbers() == {2})
 
 
+async def test_a_daemon_without_contact_is_isolated() -> None:
+    """It cannot know whether a failure domain was taken out."""
+    async with running() as cluster:
+        publish(cluster.platform, 1, ['alpha'])
+        await eventually(lambda: cluster.numbers() == {1})
+        one = cluster.keepers['a']
+        assert not one.keeper.is_isolated(time.monotonic())
+        cluster.links.isolate('a', set(cluster.keepers))
+        one.store.faults.is_down = True
+        await eventually(lambda: one.keeper.is_isolated(time.monotonic()))
+        publish(cluster.platform, 2, ['beta'])
+        one.store.faults.is_down = False
+        await eventually(lambda: one.number == 2)
+        assert not one.keeper.is_isolated(time.monotonic())
+
+
 async def test_a_broken_text_changes_nothing() -> None:
     """The last good configuration must stay in force."""
     async with running() as cluster:
