Move slices away from relays that do not adopt the configuration

Their leases lapse because a renewal counts only with the newest number, so without this their cold replicas would not be used until a restart.

--- a/dragonflyramp/members/_observations.py
+++ b/dragonflyramp/members/_observations.py
@@ -54,6 +54,16 @@
         """Give for how long a slice's tenure has not been renewed."""
         return self._unchanged(_slice_key(entry), _tenure(entry), now_seconds)
 
+    def behind_seconds(
+        self, entry: MemberEntry, record: GroupRecord, now_seconds: float
+    ) -> float:
+        """Give for how long a member has adopted nothing that it should."""
+        if entry.configuration_number >= record.configuration_number:
+            return 0
+        return self._unchanged(
+            _number_key(entry), entry.configuration_number, now_seconds
+        )
+
     def _unchanged(self, key: str, seen: Hashable, now_seconds: float) -> float:
         sight = self._sights.get(key)
         if sight is None or sight.seen != seen:
@@ -64,6 +74,8 @@
 def _counters(record: GroupRecord) -> Iterator[tuple[str, Hashable]]:
     for member in record.members.values():
         yield _member_key(member), member.renewal
+        if member.configuration_number < record.configuration_number:
+            yield _number_key(member), member.configuration_number
     for entry in record.slices.values():
         yield _slice_key(entry), _tenure(entry)
 
@@ -72,6 +84,10 @@
     return f'member {entry.member_id}'
 
 
+def _number_key(entry: MemberEntry) -> str:
+    return f'number {entry.member_id}'
+
+
 def _slice_key(entry: SliceEntry) -> str:
     return f'slice {entry.slice_id}'
 
--- a/dragonflyramp/members/_writer_views.py
+++ b/dragonflyramp/members/_writer_views.py
@@ -111,8 +111,9 @@
     def relays(self, record: GroupRecord) -> list[MemberId]:
         """List the relays that may get a slice.
 
-        A relay in a failure domain that operators took out gets slices
-        only when there is no other; a relay that never had a
+        A relay in a failure domain that operators took out, or one that
+        for a term has not adopted the configuration that its leases need,
+        gets slices only when there is no other; a relay that never had a
         configuration gets none.
         """
         relays = [
@@ -120,9 +121,19 @@
             for entry in self.usable(record)
             if entry.role is Role.relay and entry.configuration_number > 0
         ]
-        outside = [
+        good = [
             entry
             for entry in relays
             if entry.failure_domain not in self.facts.held_domains
+            and not _is_behind(self, entry, record)
         ]
-        return [entry.member_id for entry in outside or relays]
+        return [entry.member_id for entry in good or relays]
+
+
+def _is_behind(
+    view: WriterView, entry: MemberEntry, record: GroupRecord
+) -> bool:
+    behind_seconds = view.observations.behind_seconds(
+        entry, record, view.now_seconds
+    )
+    return behind_seconds >= view.settings.lease_term_seconds
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -308,6 +308,25 @@
     assert 'a1' not in released.named
 
 
+@pytest.mark.parametrize(
+    ('number', 'now_seconds', 'successor'),
+    [(2, 3, ''), (1, 2.9, ''), (1, 3, 'b1')],
+)
+def test_a_relay_without_configuration_hands_over(
+    number: int, now_seconds: float, successor: str
+) -> None:
+    """Its leases lapse, because they need the newest configuration."""
+    behind = attrs.evolve(HOLDER, configuration_number=number)
+    current = attrs.evolve(DEPUTY, configuration_number=2)
+    record = attrs.evolve(
+        group(held_slice('a1', 'b1'), behind, current), configuration_number=2
+    )
+    facts = attrs.evolve(FACTS, number=2)
+    reports = [beat(behind, configuration_number=number), beat(current)]
+    view = view_of(record, reports, now_seconds=now_seconds, facts=facts)
+    assert alpha(decide(view, record)).successor == successor
+
+
 def test_a_joining_relay_gets_slices_by_handover() -> None:
     """A move without handover would make warm replicas cold."""
     ids = [SliceId(f's/{index}') for index in range(40)]
