--- a/dragonflyramp/members/_channels_grpc.py
+++ b/dragonflyramp/members/_channels_grpc.py
@@ -9,7 +9,7 @@
 
 # A message between the two limits is counted and skipped by the codec. gRPC
 # ends the stream of a longer one without telling the relay the reason.
-_RECEIVE_LIMIT_BYTES = 2 * MAX_MESSAGE_BYTES
+RECEIVE_LIMIT_BYTES = 2 * MAX_MESSAGE_BYTES
 
 # With relays that send every second, pings start only when a connection has
 # gone silent, and the connection is closed 3 s after its last byte.
@@ -18,7 +18,7 @@
 
 _SIZES = (
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.max_receive_message_length', _RECEIVE_LIMIT_BYTES),
+    ('grpc.max_receive_message_length', RECEIVE_LIMIT_BYTES),
 )
 _KEEPALIVE = (
     ('grpc.keepalive_time_ms', _KEEPALIVE_MS),
