Replace a canary that did not run at once

Cause: while one canary waited for its answer, each canary that was refused as not run still used up the patience, because the patience counted from the last canary sent, whatever became of it. With cold replicas the second canary goes to a deputy, which answers no_lease; at 40 to 60 ms for each refusal the deadline passed after 4 to 8 shards, and the rest was canary_incomplete with coverage 0.

Ruled out: the order of relays for a second canary (the deputy first) only decides which shards are refused, and a refusal costs 1 ms without the patience. Releasing the rest after a refusal would break the rule that at most two servers can crash; a refused attempt is no longer counted as one that may crash, so the rule holds as before.

Answers with coverage 0 and replica_cold for every shard remain: there the cold replicas have no rate left.

The test of the bound of two crashes now also mixes refusals in. Its stand-in crashed a server after the deadline that the relay was given; it now does so within it, as a relay answers within its deadline.

--- a/dragonflyramp/callers/_outcomes.py
+++ b/dragonflyramp/callers/_outcomes.py
@@ -1,5 +1,7 @@
 """Decide what follows from each event of a query."""
 
+import math
+
 import attrs
 
 from dragonflyramp.callers._attempts import Attempt
@@ -10,7 +12,7 @@
 from dragonflyramp.callers._suspects import Suspects
 from dragonflyramp.members import RelayEvent, RelayLost
 from dragonflyramp.messages import Part
-from dragonflyramp.results import ResultCode
+from dragonflyramp.results import ResultCode, RunState
 
 #: The relay did not run the shard, another relay may.
 _ASK_NEXT = frozenset(
@@ -70,6 +72,7 @@
             attempt = round_.attempts.pop(asked.attempt_id)
             if attempt:
                 self.suspects.resolve(attempt.exposure, now_seconds)
+                _note_not_run(round_, attempt)
                 _ask_next(round_, asked.shard, ResultCode.no_relay)
 
     def _take_part(self, round_: Round, part: Part, now_seconds: float) -> None:
@@ -99,11 +102,19 @@
             self.suspects.complete(exposure, now_seconds)
         else:
             self.suspects.resolve(exposure, now_seconds)
+        if code.meaning.run is RunState.not_run:
+            _note_not_run(round_, attempt)
         if code is ResultCode.ok:
             latency_seconds = now_seconds - exposure.sent_seconds
             self.medians.add(round_.job.service.name, latency_seconds)
 
 
+def _note_not_run(round_: Round, attempt: Attempt) -> None:
+    """Let another canary go at once: this one can have crashed nothing."""
+    if attempt.is_canary:
+        round_.canary_sent_seconds = -math.inf
+
+
 def _follow_up(round_: Round, shard: str, code: ResultCode) -> None:
     if code is ResultCode.connection_reset:
         _ask_again(round_, shard)
--- a/dragonflyramp/callers/_rounds.py
+++ b/dragonflyramp/callers/_rounds.py
@@ -50,6 +50,7 @@
     resent: set[str] = attrs.field(factory=set)
     #: Shards whose replicas no longer hold the snapshot.
     gone: set[str] = attrs.field(factory=set)
+    #: When the last canary was sent, unless it was certainly not run.
     canary_sent_seconds: float = -math.inf
     sent: int = 0
     is_restart: bool = False
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -33,16 +33,21 @@
 
     delays_ms: Callable[[], float] = lambda: 5
     body: bytes = b'{}'
+    is_refused: Callable[[], bool] = bool
     crashes: int = 0
 
     def __call__(self, asked: Asked) -> Reply:
-        """Crash after a delay."""
+        """Crash after a delay, or refuse after it without running.
+
+        Both happen in time: a relay answers within its deadline.
+        """
         if asked.query.body != self.body:
             return Reply()
+        delay_ms = min(self.delays_ms(), asked.query.remaining_ms)
+        if self.is_refused():
+            return Reply(code=ResultCode.replica_cold, delay_ms=delay_ms)
         self.crashes += 1
-        return Reply(
-            code=ResultCode.connection_reset, delay_ms=self.delays_ms()
-        )
+        return Reply(code=ResultCode.connection_reset, delay_ms=delay_ms)
 
 
 async def resend(case: Case, gaps_ms: list[float]) -> set[ResultCode]:
@@ -62,11 +67,20 @@
 @given(
     gaps_ms=st.lists(st.sampled_from([0, 1, 7, 40, 300]), min_size=2),
     seed=st.integers(0, 1000),
+    refused=st.sampled_from([0, 0.5]),
 )
-def test_canary_bounds_crashes_to_two(gaps_ms: list[float], seed: int) -> None:
-    """A caller that resends a fatal request could take every server down."""
+def test_canary_bounds_crashes_to_two(
+    gaps_ms: list[float], seed: int, refused: float
+) -> None:
+    """A caller that resends a fatal request could take every server down.
+
+    Refused canaries are replaced at once, which must not add crashes.
+    """
     rng = random.Random(seed)
-    killer = Killer(lambda: rng.uniform(1, 150))
+    killer = Killer(
+        lambda: rng.uniform(1, 150),
+        is_refused=lambda: rng.random() < refused,
+    )
     case = Case(killer, desk=CANARY)
     run_virtual(resend(case, gaps_ms))
     assert killer.crashes <= 2
@@ -198,3 +212,22 @@
     case = Case(lambda one: replies[one.relay_id], desk=CANARY)
     assert tuple(codes(case.answer()).values()) == missing
     assert case.links.asked() == asked.split()
+
+
+@pytest.mark.parametrize(
+    'code', [ResultCode.replica_cold, ResultCode.no_lease, NO_REPLICA]
+)
+def test_refused_canary_costs_no_patience(code: ResultCode) -> None:
+    """While one canary waits, each refused one used up the patience.
+
+    The deadline then passed before a shard was asked that could run.
+    """
+    replies = {'s0': None, 's3': Reply()}
+    refused = Reply(code=code)
+    case = Case(lambda one: replies.get(one.shard, refused), desk=CANARY)
+    assert case.answer().coverage.merged == 10
+    left_ms = {
+        query.attempts[0].shard: query.remaining_ms
+        for _, query in reversed(case.links.queries)
+    }
+    assert left_ms['s1'] - left_ms['s3'] <= 3
