Read the status over a new connection every 2.5 s

Cause: a backend server that closes its listener keeps its open connections. The status task kept one connection for ever, so a refused connection was seen only if load happened to need a new connection.

Before: the new case "closed listener" of test_leaving_replica_gets_no_new_work waited its 20 s guard in vain. After: the server counts as leaving; the other cases are unchanged.

Ruled out: a new connection for each status (one a second for each replica, of 6 ms on Forrozeira's servers) costs more than the bound of 5 s needs. With a period of 1 s and its jitter the sign is seen after at most 3.6 s.

--- a/dragonflyramp/backends/_settings.py
+++ b/dragonflyramp/backends/_settings.py
@@ -13,6 +13,9 @@
     status_period_seconds: float = 1
     #: Longest wait for a status that is read once a period.
     status_timeout_seconds: float = 0.5
+    #: The status is read over a new connection after this time: only a new
+    #: connection shows that a server no longer listens.
+    status_reconnect_seconds: float = 2.5
     #: Longest wait for a connection that a request needs.
     open_timeout_seconds: float = 0.2
     #: Period of looking at the slices that the lease table lists.
--- a/dragonflyramp/backends/_statuses.py
+++ b/dragonflyramp/backends/_statuses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 
 import attrs
@@ -91,6 +92,7 @@
         self._context = context
         self._on_change = on_change
         self._client = context.client_factory(replica.replica.address)
+        self._opened_seconds = -math.inf
         self._reader = StatusReader(self._client, context)
 
     async def run(self) -> None:
@@ -109,6 +111,7 @@
     async def _read(self) -> None:
         """Read once, and once more if the connection may have been silent."""
         former = self._visible_state()
+        await self._renew_connection()
         was_open = self._client.is_open()
         limit_seconds = self._context.settings.status_timeout_seconds
         failure = await self._reader.read(self._replica, limit_seconds)
@@ -117,6 +120,14 @@
         if self._visible_state() != former:
             self._on_change()
 
+    async def _renew_connection(self) -> None:
+        now_seconds = self._context.clock()
+        open_seconds = now_seconds - self._opened_seconds
+        if open_seconds >= self._context.settings.status_reconnect_seconds:
+            await self._client.close()
+        if not self._client.is_open():
+            self._opened_seconds = now_seconds
+
     def _visible_state(self) -> _VisibleState:
         replica = self._replica
         leaving = self._context.policies.leaving.is_leaving(replica.leaving)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -286,10 +286,16 @@
         assert await harness.codes(1) == {ResultCode.stopping}
 
 
-@pytest.mark.parametrize('signal', ['drain', 'hold', 'vm_list', 'refused'])
+@pytest.mark.parametrize(
+    'signal', ['drain', 'hold', 'vm_list', 'refused', 'closed listener']
+)
 async def test_leaving_replica_gets_no_new_work(signal: str) -> None:
-    """Invariants 4 and 8: the other replicas have to serve everything."""
-    async with warm('x-1', 'x-2') as harness:
+    """Invariants 4 and 8: the other replicas have to serve everything.
+
+    Connections that are open already stay open when a listener is closed.
+    """
+    settings = quick_settings(status_reconnect_seconds=0.2)
+    async with warm('x-1', 'x-2', settings=settings) as harness:
         server = harness.fleet['x-1']
         match signal:
             case 'drain':
@@ -300,9 +306,11 @@
                 harness.vm_list.list_machines(
                     machines(harness.fleet, VmState.leaving)
                 )
-            case _:
+            case 'refused':
                 server.stop_listening()
                 server.reset_connections()
+            case _:
+                server.stop_listening()
         await harness.until(lambda: harness.state('x-1') == 'leaving')
         received = server.records.received
         if signal != 'vm_list':
