--- a/dragonflyramp/backends/_contexts.py
+++ b/dragonflyramp/backends/_contexts.py
@@ -36,6 +36,7 @@
         return Fingerprints(
             max_proven=self.settings.proven_fingerprints,
             suspects=Suspects(self.settings.suspect_seconds),
+            alone=self.settings.unproven_alone,
         )
 
     @observer.default
--- a/dragonflyramp/backends/_fingerprints.py
+++ b/dragonflyramp/backends/_fingerprints.py
@@ -62,11 +62,12 @@
     A body that has not completed yet runs on one server at a time. After a
     crash the jobs that waited with it stay waiting until the body completes
     somewhere; only a job that arrives later, which is the front's decision,
-    may run it again.
+    may run it again. Without `alone` any body may run at any time.
     """
 
     max_proven: int
     suspects: Suspects
+    alone: bool = True
     _proven: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     _running: set[str] = attrs.field(factory=set)
     _waiting: dict[str, list[Wake]] = attrs.field(factory=dict)
@@ -77,7 +78,7 @@
 
     def may_run(self, fingerprint: str, arrived_seconds: float) -> bool:
         """Tell whether a job that arrived then may run the body now."""
-        if fingerprint in self._proven:
+        if fingerprint in self._proven or not self.alone:
             return True
         if fingerprint in self._running:
             return False
--- a/dragonflyramp/backends/_settings.py
+++ b/dragonflyramp/backends/_settings.py
@@ -54,5 +54,7 @@
 
     #: Bodies that completed once are remembered up to this number.
     proven_fingerprints: int = 10_000
+    #: A body that has not completed yet runs on one server at a time.
+    unproven_alone: bool = True
     #: A body that crashed a backend server is remembered for this time.
     suspect_seconds: float = 60
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -32,6 +32,7 @@
     ScatterService,
 )
 from dragonflyramp.members._settings import MembershipSettings
+from dragonflyramp.members._shared_slices import SharedSlices
 from dragonflyramp.members._spread import ConfigurationKeeper, SpreadInputs
 from dragonflyramp.members._texts import AdoptedTexts, RootFacts, TextCodec
 
@@ -68,6 +69,7 @@
     'Role',
     'RootFacts',
     'ScatterService',
+    'SharedSlices',
     'SpreadInputs',
     'TextCodec',
     'open_channel',
--- a/dragonflyramp/setting_kinds.py
+++ b/dragonflyramp/setting_kinds.py
@@ -95,6 +95,25 @@
         return by_name[text]
 
 
+@attrs.frozen
+class Choices(Generic[_Choice]):
+    """Accept any number of members of an enumeration, by name."""
+
+    choices: type[_Choice]
+    unit: str = ''
+
+    @property
+    def allowed(self) -> str:
+        """List the names."""
+        names = ', '.join(choice.name for choice in self.choices)
+        return f'any of {names}, separated by commas'
+
+    def parse(self, text: str) -> tuple[_Choice, ...]:
+        """Find each member by its name."""
+        one = Choice(self.choices)
+        return tuple(map(one.parse, filter(None, text.split(','))))
+
+
 @attrs.frozen
 class Name:
     """Accept a short name, as in the operators' configuration file."""
--- a/dragonflyramp/settings.py
+++ b/dragonflyramp/settings.py
@@ -10,6 +10,7 @@
     Address,
     Addresses,
     Choice,
+    Choices,
     Kind,
     Name,
     Number,
@@ -28,6 +29,19 @@
     naive = 'naive'
 
 
+class Policy(enum.Enum):
+    """Name the policies that have a naive variant."""
+
+    choice = 'choice'
+    ramp = 'ramp'
+    hedging = 'hedging'
+    retries = 'retries'
+    leaving = 'leaving'
+    stragglers = 'stragglers'
+    canary = 'canary'
+    slices = 'slices'
+
+
 class LogFormat(enum.Enum):
     """Name the formats of log lines."""
 
@@ -69,6 +83,7 @@
 _HOUR = 60 * _MINUTE
 _DAY = 24 * _HOUR
 _MIB = 1024 * 1024
+_MAX_MEMBERS = 32
 _LISTEN = Address(first_port=0)
 _LISTEN_ANYWHERE = Address(first_port=0, any_interface=True)
 
@@ -131,6 +146,16 @@
     policy: PolicySet = _optional(
         Choice(PolicySet), PolicySet.ours, 'The set of policies to run.'
     )
+    naive_policies: tuple[Policy, ...] = _optional(
+        Choices(Policy),
+        (),
+        'Single policies to run in their naive variant, for measurements.',
+    )
+    naive_relays: int = _optional(
+        Whole(1, _MAX_MEMBERS, 'relays'),
+        1,
+        'Relays among which the naive ramp splits the slots of each replica.',
+    )
     log_format: LogFormat = _optional(
         Choice(LogFormat),
         LogFormat.text,
@@ -183,6 +208,10 @@
         Choice(Trace), Trace.off, 'Whether decisions are traced.'
     )
 
+    def is_naive(self, policy: Policy) -> bool:
+        """Tell whether a policy runs in its naive variant."""
+        return self.policy is PolicySet.naive or policy in self.naive_policies
+
 
 @attrs.frozen
 class SettingRow:
--- a/dragonflyramp/tools/front.py
+++ b/dragonflyramp/tools/front.py
@@ -7,11 +7,9 @@
 
 from dragonflyramp import logs, metrics
 from dragonflyramp.callers import (
-    NAIVE_POLICIES,
     ClaimSettings,
     Front,
     FrontParts,
-    FrontPolicies,
     FrontSettings,
     Quarantine,
     QuarantineSettings,
@@ -29,8 +27,9 @@
 from dragonflyramp.results import ResultCode
 from dragonflyramp.runtime import run_daemon, run_until_first
 from dragonflyramp.setting_flags import load_or_exit
-from dragonflyramp.settings import PolicySet, Settings
+from dragonflyramp.settings import Settings
 from dragonflyramp.tools._cores import Core, log_start, open_core, wait_stop
+from dragonflyramp.tools._policies import front_policies, slice_members
 from dragonflyramp.tools._quarantines import quarantine_hooks
 from dragonflyramp.tools._sockets import split, with_port
 
@@ -97,13 +96,12 @@
         rng=core.rng,
         limits=LinkLimits(peer_silence_seconds=silence_seconds),
     )
-    return PeerLinks(RelayPeers(tools), core.membership.candidates)
+    return PeerLinks(RelayPeers(tools), slice_members(core))
 
 
 def _create_front(
     core: Core, links: PeerLinks, quarantine: Quarantine
 ) -> Front:
-    is_naive = core.settings.policy is PolicySet.naive
     return Front(
         FrontParts(
             links=links,
@@ -111,7 +109,7 @@
             store=core.platform.store,
             rng=core.rng,
             settings=_front_settings(core.settings),
-            policies=NAIVE_POLICIES if is_naive else FrontPolicies(),
+            policies=front_policies(core.settings),
             quarantine=quarantine,
             clock=core.clock,
         )
--- a/dragonflyramp/tools/relay.py
+++ b/dragonflyramp/tools/relay.py
@@ -13,7 +13,6 @@
 from dragonflyramp.backends import (
     BackendSettings,
     BackendTier,
-    PolicySet,
     http_client_factory,
 )
 from dragonflyramp.callers import Quarantine
@@ -21,9 +20,9 @@
 from dragonflyramp.models import LeaseState, SliceId, WarmthEntry
 from dragonflyramp.runtime import run_daemon, run_until_first
 from dragonflyramp.setting_flags import load_or_exit
-from dragonflyramp.settings import PolicySet as PolicyName
-from dragonflyramp.settings import Settings
+from dragonflyramp.settings import Policy, Settings
 from dragonflyramp.tools._cores import Core, log_start, open_core, wait_stop
+from dragonflyramp.tools._policies import lease_table, relay_policies
 from dragonflyramp.tools._quarantines import quarantine_hooks
 
 _LAST_CALLS_SECONDS = 1
@@ -107,13 +106,14 @@
         vm_poll_seconds=core.settings.vm_list_period_seconds,
         status_period_seconds=core.settings.status_period_seconds,
         connection_idle_seconds=core.settings.connection_idle_seconds,
+        unproven_alone=not core.settings.is_naive(Policy.canary),
     )
     return BackendTier(
         client_factory=http_client_factory(settings),
-        lease_table=core.membership.lease_table,
+        lease_table=lease_table(core),
         source=core.keeper,
         vm_list=core.platform.vms,
-        policies=_policies(core.settings),
+        policies=relay_policies(core.settings),
         relay_id=core.own.member_id,
         failure_domain=core.own.failure_domain,
         settings=settings,
@@ -122,15 +122,9 @@
     )
 
 
-def _policies(settings: Settings) -> PolicySet:
-    if settings.policy is PolicyName.naive:
-        return PolicySet.naive()
-    return PolicySet.ours()
-
-
 def _describe(core: Core, tier: BackendTier) -> dict[str, Any]:
     now_seconds = core.clock()
-    table = core.membership.lease_table
+    table = lease_table(core)
     leases = [table.lease(one, now_seconds) for one in table.slice_ids()]
     return {
         'held': [
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,9 +7,13 @@
 import pytest
 from returns.result import Success
 
+from dragonflyramp.backends._choice import LeastLoadedChoice, RandomChoice
+from dragonflyramp.backends._ramp import SlowStartRamp, StaticSplitRamp
+from dragonflyramp.callers._canary import FirstShardsCanary, NoCanary
 from dragonflyramp.setting_flags import load_settings
 from dragonflyramp.setting_pages import render
-from dragonflyramp.settings import PolicySet, Settings
+from dragonflyramp.settings import Policy, PolicySet, Settings
+from dragonflyramp.tools._policies import front_policies, relay_policies
 
 _PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'settings.md'
 _PROGRAM = """
@@ -46,6 +50,29 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('argument', 'naive'),
+    [
+        ('--policy=ours', set()),
+        ('--naive_policies=ramp,canary', {Policy.ramp, Policy.canary}),
+        ('--policy=naive', set(Policy)),
+    ],
+)
+def test_policies_are_exchanged(argument: str, naive: set[Policy]) -> None:
+    """Guards against a measurement that runs other policies than it says."""
+    settings = load_with(argument, '--naive_relays=2')
+    assert isinstance(settings, Settings)
+    assert {one for one in Policy if settings.is_naive(one)} == naive
+    relay = relay_policies(settings)
+    ramps = {False: SlowStartRamp(), True: StaticSplitRamp(relays=2)}
+    choices = {False: LeastLoadedChoice(), True: RandomChoice()}
+    canaries = {False: FirstShardsCanary(), True: NoCanary()}
+    assert relay.ramp == ramps[Policy.ramp in naive]
+    assert relay.choice == choices[Policy.choice in naive]
+    front = front_policies(settings)
+    assert front.canary == canaries[Policy.canary in naive]
+
+
 def test_flag_wins_over_environment() -> None:
     """Guards against a variable of the VM that overrides an operator."""
     environment = {'DRAGONFLYRAMP_GROUP': 'other', 'OTHER': '1'}
@@ -72,6 +99,7 @@
         ('--region=São', "--region='São'", '1 to 63'),
         ('--group=a\nb', r"--group='a\nb'", '1 to 63'),
         ('--policy=best', "='best'", 'one of ours, naive'),
+        ('--naive_policies=ramp,all', "='ramp,all'", 'any of choice, ramp'),
         ('--log_level=all', "='all'", 'one of debug'),
         ('--max_body_bytes=2000.5', "='2000.5'", 'whole number from 1024 to'),
         ('--max_body_bytes=1023', "='1023'", 'from 1024 to 3145728'),
