--- a/tests/outside.py
+++ b/tests/outside.py
@@ -18,10 +18,15 @@
 
 @attrs.frozen(kw_only=True)
 class ServerOptions:
-    """Give fields of all backend servers, and of single replicas."""
+    """Give fields of all backend servers, and of single replicas.
+
+    The servers are spread over a number of processes of one module.
+    """
 
     common: Mapping[str, object] = attrs.field(factory=dict)
     single: Mapping[str, Mapping[str, object]] = attrs.field(factory=dict)
+    processes: int = 1
+    module: str = 'tests.standins.backends'
 
 
 @attrs.define(eq=False)
@@ -44,24 +49,55 @@
         await self.calls.post(self.address, '/control', {'vms': vms})
 
 
+@attrs.frozen(eq=False)
+class BackendProcess:
+    """Describe one process of the stand-in and the servers in it."""
+
+    address: str
+    machines: tuple[VirtualMachine, ...]
+    program: Program
+
+    def runs(self, replica: str) -> bool:
+        """Tell whether a server is in this process."""
+        return any(
+            machine.replica.replica_id == replica for machine in self.machines
+        )
+
+
 @attrs.define(eq=False)
 class Backends:
     """Drive the stand-in for the backend servers."""
 
     calls: HttpCalls
-    address: str
-    machines: tuple[VirtualMachine, ...]
+    processes: tuple[BackendProcess, ...]
+
+    @property
+    def machines(self) -> tuple[VirtualMachine, ...]:
+        """List the VMs of all backend servers."""
+        return tuple(
+            machine
+            for process in self.processes
+            for machine in process.machines
+        )
 
     async def control(
         self, replica: str, action: str, **extra: object
-    ) -> Reply:
+    ) -> list[Reply]:
         """Do an action at one backend server, or at all with `*`."""
         body = {'replica': replica, 'action': action, **extra}
-        return await self.calls.post(self.address, '/control', body)
+        return [
+            await self.calls.post(process.address, '/control', body)
+            for process in self.processes
+            if replica == '*' or process.runs(replica)
+        ]
 
-    async def records(self) -> dict[str, dict[str, Any]]:
-        """Read what the backend servers recorded."""
-        return (await self.calls.get(self.address, '/records')).body
+    async def records(self, path: str = '/records') -> dict[str, Any]:
+        """Read what the backend servers recorded; /totals has no ids."""
+        found: dict[str, Any] = {}
+        for process in self.processes:
+            reply = await self.calls.get(process.address, path)
+            found.update(reply.body)
+        return found
 
 
 async def start_platform(calls: HttpCalls, programs: list[Program]) -> Platform:
@@ -80,6 +116,21 @@
 ) -> Backends:
     """Start the stand-in for all backend servers of a configuration."""
     machines = fleet_of(configuration)
+    count = options.processes
+    shares = [machines[index::count] for index in range(count)]
+    processes = [
+        await _start_process(programs, configuration, options, share)
+        for share in shares
+    ]
+    return Backends(calls, tuple(processes))
+
+
+async def _start_process(
+    programs: list[Program],
+    configuration: Configuration,
+    options: ServerOptions,
+    machines: Sequence[VirtualMachine],
+) -> BackendProcess:
     servers = [
         {
             **_server(configuration, machine),
@@ -89,15 +140,14 @@
         for machine in machines
     ]
     program = await Program.start(
-        'tests.standins.backends',
-        stdin=json.dumps({'servers': servers}).encode(),
+        options.module, stdin=json.dumps({'servers': servers}).encode()
     )
     programs.append(program)
     found = await program.wait_json('control')
     listed = tuple(
         _at_address(machine, found['replicas']) for machine in machines
     )
-    return Backends(calls, found['control'], listed)
+    return BackendProcess(found['control'], listed, program)
 
 
 def _at_address(
--- a/tests/standins/backend_loads.py
+++ b/tests/standins/backend_loads.py
@@ -26,6 +26,11 @@
         self.cold = True
         self.clean = 0
 
+    def turn_warm(self) -> None:
+        """End the cold start, and an overload."""
+        self.cold = False
+        self.collapsed_until_seconds = 0
+
     def begin(self, now_seconds: float) -> None:
         """Count a request that starts."""
         self.running += 1
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -119,6 +119,10 @@
         """Turn cold as the same instance."""
         self.load.turn_cold()
 
+    def turn_warm(self) -> None:
+        """Turn warm, as after a long time of gentle load."""
+        self.load.turn_warm()
+
     def hold_snapshots(self, snapshots: tuple[SnapshotSpec, ...]) -> None:
         """Hold exactly these snapshots."""
         self._snapshots = {snap.id: snap for snap in snapshots}
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -64,8 +64,8 @@
 class Control:
     """Ask for one action at one server, or at all with the replica `*`.
 
-    Actions: set (with `faults`), freeze, turn_cold, crash, restart,
-    stop_listening, start_listening, snapshots (with `snapshots`).
+    Actions: set (with `faults`), freeze, turn_cold, turn_warm, crash,
+    restart, stop_listening, start_listening, snapshots (with `snapshots`).
     """
 
     replica: str
@@ -75,7 +75,7 @@
 
 
 class ControlPort:
-    """Serve POST /control and GET /records for a fleet."""
+    """Serve POST /control, GET /records and GET /totals for a fleet."""
 
     def __init__(self, fleet: Fleet) -> None:
         """Listen only after `start`."""
@@ -83,6 +83,7 @@
         app = web.Application()
         app.router.add_post('/control', self._control)
         app.router.add_get('/records', self._records)
+        app.router.add_get('/totals', self._totals)
         self._runner = web.AppRunner(app, access_log=None)
 
     async def start(self, address: str) -> str:
@@ -107,23 +108,38 @@
         return web.json_response({'servers': list(wanted)})
 
     async def _records(self, request: web.Request) -> web.Response:
+        return web.json_response(self._described())
+
+    async def _totals(self, request: web.Request) -> web.Response:
+        """Answer with the numbers only; the ids grow with each request."""
         return web.json_response(
             {
                 replica_id: {
-                    'instance': server.instance_id,
-                    'cold': server.load.cold,
-                    **server.records.as_dict(),
+                    name: number
+                    for name, number in described.items()
+                    if isinstance(number, int | float)
                 }
-                for replica_id, server in self._fleet.servers.items()
+                for replica_id, described in self._described().items()
             }
         )
 
+    def _described(self) -> dict[str, dict[str, object]]:
+        return {
+            replica_id: {
+                'instance': server.instance_id,
+                'cold': server.load.cold,
+                **server.records.as_dict(),
+            }
+            for replica_id, server in self._fleet.servers.items()
+        }
+
 
 async def apply_control(server: BackendServer, control: Control) -> None:
     """Do one action at one server."""
     actions = {
         'freeze': server.freeze,
         'turn_cold': server.turn_cold,
+        'turn_warm': server.turn_warm,
         'crash': server.crash,
         'restart': server.restart,
         'stop_listening': server.stop_listening,
