--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -1,9 +1,8 @@
 """Run a user's system with one set of policies, and put load on it."""
 
-import asyncio
 import contextlib
 import json
-import time
+import pathlib
 from collections.abc import (
     AsyncIterator,
     Awaitable,
@@ -20,7 +19,7 @@
 from benchmarks.tallies import Tally, decode_tally
 from dragonflyramp.platform import VirtualMachine
 from tests.outside import ServerOptions
-from tests.programs import Program
+from tests.programs import ROOT, Program
 from tests.systems import System, SystemSpec, running
 
 _WARM_UP_SECONDS = 4
@@ -32,13 +31,17 @@
 
 @attrs.frozen(kw_only=True)
 class Tier:
-    """Describe the policies of a system: flags, and edits of the text."""
+    """Describe the policies of a system: flags, and edits of the text.
+
+    The daemons are those of the checkout in `root`.
+    """
 
     label: str
     flags: Mapping[str, object] = attrs.field(factory=dict)
     edits: Mapping[str, str] = attrs.field(factory=dict)
     #: Without a ramp there is nothing to wait for after the start.
     has_ramp: bool = True
+    root: pathlib.Path = ROOT
 
     def text_for(self, size: sizes.UserSize) -> str:
         """Edit the operators' text of a user."""
@@ -182,6 +185,7 @@
         fronts=sizes.FRONTS,
         relays=sizes.RELAYS,
         flags=tier.flags,
+        root=tier.root,
         servers=ServerOptions(
             common={
                 'service_ms': size.service_ms,
@@ -197,8 +201,3 @@
         world = World(size=size, tier=tier, system=system)
         await world.warm_up()
         yield world
-
-
-async def wait_until(start_seconds: float, at_seconds: float) -> None:
-    """Sleep until a time after a start, both monotonic."""
-    await asyncio.sleep(start_seconds + at_seconds - time.monotonic())
--- a/tests/programs.py
+++ b/tests/programs.py
@@ -36,14 +36,15 @@
         *,
         stdin: bytes | None = None,
         environment: Mapping[str, str] | None = None,
+        root: pathlib.Path = ROOT,
     ) -> Self:
-        """Start `python -m module` in the root of the repository."""
+        """Start `python -m module` in the root of a checkout."""
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
             module,
             *arguments,
-            cwd=ROOT,
+            cwd=root,
             env={**os.environ, **(environment or {})},
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -23,7 +23,7 @@
     start_backends,
     start_platform,
 )
-from tests.programs import START_SECONDS, Program
+from tests.programs import ROOT, START_SECONDS, Program
 
 EXAMPLES = pathlib.Path(__file__).parents[1] / 'examples'
 _POLL_SECONDS = 0.05
@@ -60,13 +60,17 @@
 
 @attrs.frozen(kw_only=True)
 class SystemSpec:
-    """Describe the system to run; `flags` go to every daemon."""
+    """Describe the system to run; `flags` go to every daemon.
+
+    The daemons are those of the checkout in `root`.
+    """
 
     text: bytes
     fronts: int = 2
     relays: int = 2
     flags: Mapping[str, object] = attrs.field(factory=dict)
     servers: ServerOptions = ServerOptions()
+    root: pathlib.Path = ROOT
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -150,6 +154,7 @@
         program = await Program.start(
             f'dragonflyramp.tools.{role}',
             ['--{0}={1}'.format(*flag) for flag in chosen.items()],
+            root=self.spec.root,
         )
         self.programs.append(program)
         found = await program.wait_json('member_address')
