--- a/dragonflyramp/backends/_senders.py
+++ b/dragonflyramp/backends/_senders.py
@@ -96,6 +96,7 @@
         failure = await self._reader.read(replica, limit_seconds)
         observer = self._context.observer
         now_seconds = self._context.clock()
+        counters.add('connections', 'open' if failure is None else 'failed')
         if failure is StatusFailure.bad_reply:
             observer.turn_cold(replica, 'unknown_instance', now_seconds)
         elif failure is StatusFailure.lost:
--- a/dragonflyramp/backends/_shards.py
+++ b/dragonflyramp/backends/_shards.py
@@ -10,6 +10,7 @@
 from dragonflyramp.backends._shard_pools import ShardPools
 from dragonflyramp.backends._tasks import TaskTable
 from dragonflyramp.backends._timed_events import TimedEvent
+from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
 
@@ -54,6 +55,7 @@
             if job.query_id == query_id:
                 self.queue.refuse(job, ResultCode.cancelled)
                 for send in job.sends:
+                    counters.add('cancelled_sends', 'query')
                     send.give_up()
 
     def retire(self) -> None:
