Cancel the rest of a query before the links forget it

When a search answered early, at its deadline, or its caller went away, the front closed the inbox first. The links forget a query with its inbox, so the cancel that followed found nothing and was never sent: relays and backend servers went on working for nobody. The tests' fake of the links did not forget; now it does, and four tests failed until the order changed.

Ruled out: relays that ignore a Cancel; the message was never written.

--- a/dragonflyramp/callers/_exchanges.py
+++ b/dragonflyramp/callers/_exchanges.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -39,9 +39,11 @@
                 await self._receive(round_, inbox)
 
     def _close(self, round_: Round) -> None:
-        self.links.close_inbox(round_.query_id)
-        for relay_id in round_.attempts.relays():
-            self.background.start(self._cancel(relay_id, round_.query_id))
+        relays = round_.attempts.relays()
+        if relays:
+            self.background.start(self._cancel(round_.query_id, relays))
+        else:
+            self.links.close_inbox(round_.query_id)
 
     async def _send(self, round_: Round) -> None:
         self.outcomes.expire(round_, self.clock())
@@ -89,12 +91,18 @@
             wake_at = min(wake_at, recheck_at)
         return wake_at
 
-    async def _cancel(self, relay_id: MemberId, query_id: str) -> None:
+    async def _cancel(
+        self, query_id: str, relays: Collection[MemberId]
+    ) -> None:
+        """Cancel at the relays before the links forget the query."""
         try:
             async with asyncio.timeout(self.link_timeout_seconds):
-                await self.links.cancel_query(relay_id, query_id)
+                for relay_id in relays:
+                    await self.links.cancel_query(relay_id, query_id)
         except TimeoutError:
             return
+        finally:
+            self.links.close_inbox(query_id)
 
 
 async def _next_event(
--- a/dragonflyramp/members/_links.py
+++ b/dragonflyramp/members/_links.py
@@ -32,7 +32,10 @@
         """Create the queue that receives the events of one query."""
 
     def close_inbox(self, query_id: str) -> None:
-        """Drop the queue; what arrives later is counted as late."""
+        """Drop the queue; what arrives later is counted as late.
+
+        The query is forgotten, so that it can no longer be cancelled.
+        """
 
     async def send_query(self, relay_id: MemberId, query: Query) -> bool:
         """Send a query; False when nothing was sent."""
--- a/tests/standins/front_fakes.py
+++ b/tests/standins/front_fakes.py
@@ -166,8 +166,9 @@
         return True
 
     async def cancel_query(self, relay_id: MemberId, query_id: str) -> None:
-        """Record the cancellation."""
-        self.cancelled.append((relay_id, query_id))
+        """Record the cancellation; a query without its inbox is forgotten."""
+        if query_id in self.inboxes:
+            self.cancelled.append((relay_id, query_id))
 
     async def send_submit(
         self, relay_id: MemberId, submit: Submit
