--- a/dragonflyramp/members/_group_stores.py
+++ b/dragonflyramp/members/_group_stores.py
@@ -5,7 +5,6 @@
 from typing import TypeVar
 
 import attrs
-from loguru import logger
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
 
@@ -88,5 +87,5 @@
         self._version = found.version
         record = decode_record(found.body)
         if not is_successful(record):
-            logger.error('group record {} is malformed', found.name)
+            counters.add('malformed_records', found.name)
         return record.map(lambda one: StoredRecord(one, found.version))
--- a/tests/standins/lease_world.py
+++ b/tests/standins/lease_world.py
@@ -255,6 +255,11 @@
                 process, process.compose(now_seconds), now_seconds
             )
 
+    def probe(self, process: Process, other: Process) -> None:
+        """Ask another member for its record."""
+        if not other.is_paused:
+            process.adopt(other.record, self.clock(process))
+
     def promise(self, holder: Process, deputy: Process) -> None:
         """Ask a deputy to promise what it deputises for."""
         tenures = [
@@ -398,6 +403,8 @@
     for holder, deputy in itertools.permutations(active, 2):
         if (holder in reached) == (deputy in reached):
             world.promise(holder, deputy)
+        if holder not in reached and deputy not in reached:
+            world.probe(holder, deputy)
     deliver_all(world, modes, frozenset())
     world.advance(1.0)
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -93,6 +93,7 @@
     def exchange(self, one: int, other: int, is_late: bool) -> None:
         """Let two members act between the periods."""
         first, second = (self.world.processes[at] for at in (one, other))
+        self.world.probe(first, second)
         self.world.beat(first)
         self.world.promise(first, second)
         if second.is_writer:
