--- a/tests/test_members_grpc.py
+++ b/tests/test_members_grpc.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from typing import NoReturn
 
 import attrs
 from returns.result import Failure
@@ -18,28 +19,17 @@
 FETCH = messages.Fetch(member_id=MemberId('a'), known_number=0, known_parts=())
 
 
-class Empty:
-    """Answer every call with the code ok."""
+class Sevens:
+    """Answer every fetch with the number 7, and refuse all other calls."""
 
-    async def heartbeat(
-        self, request: messages.Heartbeat
-    ) -> messages.HeartbeatReply:
-        """Answer a heartbeat."""
+    async def refuse(self, request: object) -> NoReturn:
+        """Fail as a daemon with a fault does."""
         raise NotImplementedError
 
-    async def promise(self, request: messages.Promise) -> messages.PromiseReply:
-        """Answer a request for promises."""
-        raise NotImplementedError
-
-    async def handover(
-        self, request: messages.Handover
-    ) -> messages.HandoverReply:
-        """Answer a handover."""
-        raise NotImplementedError
-
-    async def offer(self, request: messages.Offer) -> messages.OfferReply:
-        """Answer an offer."""
-        raise NotImplementedError
+    heartbeat = refuse
+    promise = refuse
+    handover = refuse
+    offer = refuse
 
     async def fetch(self, request: messages.Fetch) -> messages.FetchReply:
         """Answer a fetch."""
@@ -80,7 +70,7 @@
     """A connection can go silent for good while new ones work."""
     server = create_server()
     port = server.add_insecure_port('127.0.0.1:0')
-    add_members_service(server, Empty(), Empty())
+    add_members_service(server, Sevens(), Sevens())
     await server.start()
     proxy = SilentProxy(port)
     listener = await asyncio.start_server(proxy.serve, '127.0.0.1', 0)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Sequence
 
 import attrs
 import grpc
@@ -43,6 +43,7 @@
 from tests.standins.member_calls import CutCalls, Links
 from tests.standins.member_texts import FakeCodec, publish
 from tests.standins.memory_objects import MemoryObjects, MemoryPlatform
+from tests.standins.waits import eventually
 
 SETTINGS = MembershipSettings(
     renewal_period_seconds=0.1,
@@ -313,13 +314,6 @@
     )
 
 
-async def eventually(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds; the bound only guards against hanging."""
-    async with asyncio.timeout(30):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 async def after_terms(count: int) -> None:
     """Wait for some lease terms."""
     await asyncio.sleep(SETTINGS.lease_term_seconds * count)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Coroutine
 
 import attrs
 from hypothesis import HealthCheck, settings
@@ -43,6 +43,7 @@
     root_of,
 )
 from tests.standins.memory_objects import MemoryObjects, MemoryPlatform
+from tests.standins.waits import eventually
 
 MISSING = ResultCode.object_missing.name
 
@@ -154,13 +155,6 @@
         await asyncio.wait(tasks)
 
 
-async def eventually(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds; the bound only guards against hanging."""
-    async with asyncio.timeout(30):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 async def test_a_push_reaches_every_member() -> None:
     """A change seen by the watchers only must reach the others."""
     async with running() as cluster:
