Send the record again to members that may have missed a change in it

A member that adopts a record equal to an older one it knew cannot tell what lay between, so it must not vouch for that time in its replies.

--- a/dragonflyramp/members/_group_views.py
+++ b/dragonflyramp/members/_group_views.py
@@ -39,8 +39,8 @@
 class GroupView:
     """Adopt records of higher renewals and tell who waits for changes.
 
-    `record` changes only when anything but its counters does, last at
-    `layout_renewal`; `renewal` is the newest renewal seen.
+    `record` changes only when anything but its counters does, and not
+    since `layout_renewal`; `renewal` is the newest renewal seen.
     """
 
     own: MemberDescription
@@ -65,15 +65,22 @@
             self.renewal = renewal
             self.progress_seconds = self.clock()
 
-    def adopt(self, record: GroupRecord) -> bool:
-        """Adopt a record of a higher renewal; tell whether it differs."""
+    def adopt(self, record: GroupRecord, *, is_next: bool = False) -> bool:
+        """Adopt a record of a higher renewal; tell whether it differs.
+
+        Only the writer knows that its write is the next one after the
+        record it had. To others, records between may have been different
+        even if this one is the same again.
+        """
         if record.renewal <= self.renewal:
             return False
         self.note_renewal(record.renewal)
-        if record.layout() == self.record.layout():
+        is_same = record.layout() == self.record.layout()
+        if not (is_same and is_next):
+            self.layout_renewal = record.renewal
+        if is_same:
             return False
         self.record = record
-        self.layout_renewal = record.renewal
         self.lease_table.see_record(record, self.clock())
         self._changed.set()
         self._changed = asyncio.Event()
--- a/dragonflyramp/members/_writers.py
+++ b/dragonflyramp/members/_writers.py
@@ -118,13 +118,13 @@
         settlement = self._group_writer.settle(
             attempt, found.unwrap(), self._view.clock()
         )
-        if settlement is Settlement.deposed:
+        if settlement in {Settlement.deposed, Settlement.not_written}:
             self._view.adopt(found.unwrap().record)
         return settlement
 
     def _note_written(self, attempt: Attempt, started_seconds: float) -> None:
         record = attempt.record
-        self._view.adopt(record)
+        self._view.adopt(record, is_next=True)
         self._view.lease_table.holder.note_renewal(
             started_seconds,
             shown=record.configuration_number,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -23,14 +23,17 @@
 )
 from dragonflyramp.members import members_pb2 as pb
 from dragonflyramp.members._channels_grpc import MAX_MESSAGE_BYTES
+from dragonflyramp.members._group_views import GroupView
 from dragonflyramp.members._groups import MemberDescription, Role
 from dragonflyramp.members._hooks import MembershipHooks
+from dragonflyramp.members._lease_tables import MemberLeaseTable
 from dragonflyramp.members._members_grpc import (
     add_members_service,
     create_server,
 )
 from dragonflyramp.members._messages import Quarantined
 from dragonflyramp.members._spread import SpreadInputs
+from dragonflyramp.members._writer_views import ConfigurationFacts
 from dragonflyramp.models import (
     LeaseState,
     MemberId,
@@ -319,6 +322,26 @@
     await asyncio.sleep(SETTINGS.lease_term_seconds * count)
 
 
+def test_replies_omit_only_what_is_known() -> None:
+    """A member that missed a change and its reversal must get the record."""
+    first = GroupRecord(renewal=1, writer=MemberId('w'))
+    changed = attrs.evolve(first, renewal=2, configuration_number=1)
+    own = MemberDescription(
+        member_id=MemberId('a'),
+        role=Role.front,
+        address='a:1',
+        status_address='',
+        failure_domain='',
+    )
+    table = MemberLeaseTable(own.member_id, SETTINGS, ConfigurationFacts)
+    for is_next, expected in ((False, 3), (True, 1)):
+        view = GroupView(own, (), time.monotonic, table)
+        view.adopt(first)
+        assert not view.adopt(attrs.evolve(first, renewal=3), is_next=is_next)
+        assert view.layout_renewal == expected
+        assert not view.adopt(changed)
+
+
 async def test_one_relay_holds_all_slices() -> None:
     """A group that nobody created must not stay without a writer."""
     async with running('f1', 'r1') as group:
