--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Sequence
 
 import attrs
 import grpc
@@ -26,13 +26,16 @@
     RECEIVE_LIMIT_BYTES,
     MemberServer,
 )
+from dragonflyramp.members._group_views import GroupView
 from dragonflyramp.members._groups import MemberDescription, Role
 from dragonflyramp.members._hooks import MembershipHooks
+from dragonflyramp.members._lease_tables import MemberLeaseTable
 from dragonflyramp.members._members_grpc import (
     MembersService,
 )
 from dragonflyramp.members._messages import Quarantined
 from dragonflyramp.members._spread import SpreadInputs
+from dragonflyramp.members._writer_views import ConfigurationFacts
 from dragonflyramp.models import (
     LeaseState,
     MemberId,
@@ -45,6 +48,7 @@
 from tests.standins.member_calls import CutCalls, Links
 from tests.standins.member_texts import FakeCodec, publish
 from tests.standins.memory_objects import MemoryObjects, MemoryPlatform
+from tests.standins.waits import eventually
 
 SETTINGS = MembershipSettings(
     renewal_period_seconds=0.1,
@@ -314,18 +318,31 @@
     )
 
 
-async def eventually(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds; the bound only guards against hanging."""
-    async with asyncio.timeout(30):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 async def after_terms(count: int) -> None:
     """Wait for some lease terms."""
     await asyncio.sleep(SETTINGS.lease_term_seconds * count)
 
 
+def test_replies_omit_only_what_is_known() -> None:
+    """A member that missed a change and its reversal must get the record."""
+    first = GroupRecord(renewal=1, writer=MemberId('w'))
+    changed = attrs.evolve(first, renewal=2, configuration_number=1)
+    own = MemberDescription(
+        member_id=MemberId('a'),
+        role=Role.front,
+        address='a:1',
+        status_address='',
+        failure_domain='',
+    )
+    table = MemberLeaseTable(own.member_id, SETTINGS, ConfigurationFacts)
+    for is_next, expected in ((False, 3), (True, 1)):
+        view = GroupView(own, (), time.monotonic, table)
+        view.adopt(first)
+        assert not view.adopt(attrs.evolve(first, renewal=3), is_next=is_next)
+        assert view.layout_renewal == expected
+        assert not view.adopt(changed)
+
+
 async def test_one_relay_holds_all_slices() -> None:
     """A group that nobody created must not stay without a writer."""
     async with running('f1', 'r1') as group:
