--- a/dragonflyramp/members/_texts.py
+++ b/dragonflyramp/members/_texts.py
@@ -155,7 +155,8 @@
         """Adopt a text unless its number is not higher."""
         number = text.facts.number
         if number <= self.number:
-            counters.add('older_configurations', text.source.value)
+            if number < self.number:
+                counters.add('older_configurations', text.source.value)
             return False
         logger.info('adopt configuration {}', number)
         self.text = text
--- a/dragonflyramp/tools/_reports.py
+++ b/dragonflyramp/tools/_reports.py
@@ -56,8 +56,9 @@
 def report_problems(problems: Iterable[Problem]) -> Report:
     """Report a check."""
     lines = tuple(map(str, problems))
-    exit_code = ExitCode.refused if lines else ExitCode.ok
-    return Report(exit_code=exit_code, problems=lines)
+    if lines:
+        return Report(exit_code=ExitCode.refused, problems=lines)
+    return Report(output='no problems found\n')
 
 
 def report_push(outcome: PushOutcome) -> Report:
--- a/tests/programs.py
+++ b/tests/programs.py
@@ -113,11 +113,5 @@
     with contextlib.suppress(ValueError):
         found = json.loads(line)
         if isinstance(found, dict):
-            return _flatten(found)
+            return found
     return {}
-
-
-def _flatten(found: dict[str, Any]) -> dict[str, Any]:
-    """Bring the extra fields of a JSON log line to the top."""
-    extra = found.get('record', {}).get('extra', {})
-    return {**found, **extra}
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -29,10 +29,10 @@
 from dragonflyramp.members._groups import GroupRecord, MemberEntry
 from dragonflyramp.members._lease_tables import MemberLeaseTable
 from dragonflyramp.members._messages import Offer
-from dragonflyramp.members._texts import Source
+from dragonflyramp.members._texts import RootFacts, Source, Text
 from dragonflyramp.members._writer_views import ConfigurationFacts
 from dragonflyramp.metrics import counters
-from dragonflyramp.models import MemberId
+from dragonflyramp.models import Configuration, MemberId
 from dragonflyramp.results import ResultCode
 from tests.standins.member_calls import DirectCalls, Links
 from tests.standins.member_texts import (
@@ -381,3 +381,27 @@
             suppress_health_check=list(HealthCheck),
         ),
     )
+
+
+_CONFIGURATION = Configuration(
+    number=3, user='tests', failure_domains={}, services={}, holds={}
+)
+
+
+def test_only_lower_numbers_count_as_older() -> None:
+    """Operators watch this counter, so a repeat may not raise it."""
+    texts = AdoptedTexts()
+    text = Text(
+        root=b'',
+        facts=RootFacts(3, ()),
+        parts={},
+        configuration=_CONFIGURATION,
+        source=Source.platform,
+    )
+    assert texts.adopt(text)
+    counted = counters.get('older_configurations', 'platform')
+    assert not texts.adopt(text)
+    assert counters.get('older_configurations', 'platform') == counted
+    older = attrs.evolve(text, facts=RootFacts(2, ()))
+    assert not texts.adopt(older)
+    assert counters.get('older_configurations', 'platform') == counted + 1
