Join short parts that wait for the same front into one message

Cause: a part cost 229 to 260 microseconds of processor time on the stream, nearly all of it gRPC's cost for each message. Ruled out: protobuf, since encoding and decoding the same parts in one message is cheap, and flow control, since the cost is the same with one query at once. A front of an older version does not know the message.

--- a/dragonflyramp/members/_codec_grpc.py
+++ b/dragonflyramp/members/_codec_grpc.py
@@ -13,6 +13,7 @@
     FrontMessage,
     Hello,
     KeepAlive,
+    Parts,
     RelayMessage,
 )
 from dragonflyramp.messages import Part, Query, Report, Submit, SubmitOutcome
@@ -65,6 +66,8 @@
             encoded = wire.RelayMessage(report=wire.Report())
         case Part():
             encoded = wire.RelayMessage(part=fields.part_to_wire(message))
+        case Parts():
+            encoded = wire.RelayMessage(parts=fields.parts_to_wire(message))
         case SubmitOutcome():
             outcome = fields.outcome_to_wire(message)
             encoded = wire.RelayMessage(outcome=outcome)
@@ -111,6 +114,8 @@
     match received.WhichOneof('kind'):
         case 'part':
             return _require(fields.part_from_wire(received.part))
+        case 'parts':
+            return _require(fields.parts_from_wire(received.parts))
         case 'outcome':
             return _require(fields.outcome_from_wire(received.outcome))
         case 'report':
--- a/dragonflyramp/members/_exchanges.py
+++ b/dragonflyramp/members/_exchanges.py
@@ -7,7 +7,12 @@
 from loguru import logger
 
 from dragonflyramp.members._connections import Connection
-from dragonflyramp.members._streams import FrontMessage, KeepAlive, RelayMessage
+from dragonflyramp.members._streams import (
+    FrontMessage,
+    KeepAlive,
+    Parts,
+    RelayMessage,
+)
 from dragonflyramp.messages import Part, Query, Report, Submit, SubmitOutcome
 from dragonflyramp.metrics import counters
 from dragonflyramp.runtime import run_until_first
@@ -62,6 +67,9 @@
     match message:
         case Part():
             _take_part(connection, message)
+        case Parts():
+            for part in message.parts:
+                _take_part(connection, part)
         case SubmitOutcome():
             connection.submits.finish(message)
         case Report():
--- a/dragonflyramp/members/_fields_grpc.py
+++ b/dragonflyramp/members/_fields_grpc.py
@@ -1,6 +1,7 @@
 """Convert the fields of scatter messages; None where one is missing."""
 
 from dragonflyramp.members import members_pb2 as wire
+from dragonflyramp.members._streams import Parts
 from dragonflyramp.messages import (
     Part,
     Query,
@@ -111,6 +112,19 @@
     )
 
 
+def parts_to_wire(message: Parts) -> wire.Parts:
+    """Convert several parts for sending."""
+    return wire.Parts(parts=map(part_to_wire, message.parts))
+
+
+def parts_from_wire(received: wire.Parts) -> Parts | None:
+    """Convert several received parts."""
+    parts = tuple(filter(None, map(part_from_wire, received.parts)))
+    if not parts or len(parts) != len(received.parts):
+        return None
+    return Parts(parts)
+
+
 def outcome_to_wire(outcome: SubmitOutcome) -> wire.SubmitOutcome:
     """Convert the outcome of a submit for sending."""
     return wire.SubmitOutcome(
--- a/dragonflyramp/members/_fronts.py
+++ b/dragonflyramp/members/_fronts.py
@@ -8,7 +8,12 @@
 from loguru import logger
 
 from dragonflyramp.members._links import QueryServer
-from dragonflyramp.members._outboxes import Outbox, OutboxLimits
+from dragonflyramp.members._outboxes import (
+    MAX_JOINED,
+    Outbox,
+    OutboxLimits,
+    join_parts,
+)
 from dragonflyramp.members._pending import Pending
 from dragonflyramp.members._streams import (
     Cancel,
@@ -110,12 +115,12 @@
         """Write what waits in the outbox until the stream closes."""
         is_open = True
         while is_open:
-            message = await self._next()
-            if self.pending.is_wanted(message):
-                is_open = await self.stream.send(message)
+            first = await self._next()
+            waiting = self.outbox.get_waiting(MAX_JOINED - 1)
+            wanted = filter(self._is_wanted, (first, *waiting))
+            for message in join_parts(wanted):
+                is_open = is_open and await self.stream.send(message)
                 self.pending.settle(message)
-            else:
-                counters.add('dropped_parts', 'cancelled')
 
     def cancel_query(self, query_id: str) -> None:
         """Cancel a query of this front if it still runs."""
@@ -138,6 +143,12 @@
                 self.front_id = message.front_id
                 logger.info('front {} connected', message.front_id)
 
+    def _is_wanted(self, message: RelayMessage) -> bool:
+        is_wanted = self.pending.is_wanted(message)
+        if not is_wanted:
+            counters.add('dropped_parts', 'cancelled')
+        return is_wanted
+
     async def _next(self) -> RelayMessage:
         if not self.outbox.empty():
             return self.outbox.get_nowait()
--- a/dragonflyramp/members/_outboxes.py
+++ b/dragonflyramp/members/_outboxes.py
@@ -1,13 +1,22 @@
 """Bound what waits to be written to a stream."""
 
 import asyncio
-from typing import TypeVar
+import itertools
+from collections.abc import Iterable, Iterator
+from typing import TypeVar, cast
 
 import attrs
 
-from dragonflyramp.members._streams import FrontMessage, RelayMessage
+from dragonflyramp.members._streams import FrontMessage, Parts, RelayMessage
 from dragonflyramp.messages import Part, Query, Submit, SubmitOutcome
 
+#: Most messages that are written as one.
+MAX_JOINED = 32
+
+#: Longest body of a part that shares a message. The largest batch then is
+#: half of the largest message that a stream carries.
+_SHORT_BODY_BYTES = 65536
+
 _Message = TypeVar('_Message', bound=FrontMessage | RelayMessage)
 
 
@@ -46,6 +55,10 @@
         else:
             self.overflowed.set()
 
+    def get_waiting(self, limit: int) -> list[_Message]:
+        """Get messages that wait now, at most as many as the limit."""
+        return [self.get_nowait() for _ in range(min(limit, self.qsize()))]
+
     def _put(self, message: _Message) -> None:
         self._body_bytes += _body_bytes(message)
         super()._put(message)
@@ -56,6 +69,21 @@
         return message
 
 
+def join_parts(messages: Iterable[RelayMessage]) -> Iterator[RelayMessage]:
+    """Join short parts that follow each other into one message."""
+    for is_short, group in itertools.groupby(messages, _is_short_part):
+        parts = tuple(group)
+        if is_short and len(parts) > 1:
+            yield Parts(cast(tuple[Part, ...], parts))
+        else:
+            yield from parts
+
+
+def _is_short_part(message: RelayMessage) -> bool:
+    is_part = isinstance(message, Part)
+    return is_part and _body_bytes(message) <= _SHORT_BODY_BYTES
+
+
 def _body_bytes(message: FrontMessage | RelayMessage) -> int:
     if isinstance(message, Part | Query | Submit | SubmitOutcome):
         return len(message.body)
--- a/dragonflyramp/members/_pending.py
+++ b/dragonflyramp/members/_pending.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from dragonflyramp.members._streams import RelayMessage
+from dragonflyramp.members._streams import Parts, RelayMessage
 from dragonflyramp.messages import Part, Query, SubmitOutcome
 
 
@@ -44,15 +44,21 @@
         if isinstance(message, SubmitOutcome):
             self._finish(message.submit_id)
         elif isinstance(message, Part):
-            self.parts[message.query_id] -= 1
-            if self.parts[message.query_id] <= 0:
-                self.forget_query(message.query_id)
+            self._settle_part(message)
+        elif isinstance(message, Parts):
+            for part in message.parts:
+                self._settle_part(part)
 
     def forget_query(self, query_id: str) -> None:
         """Expect no more parts of a query."""
         self.parts.pop(query_id, None)
         self._finish(query_id)
 
+    def _settle_part(self, part: Part) -> None:
+        self.parts[part.query_id] -= 1
+        if self.parts[part.query_id] <= 0:
+            self.forget_query(part.query_id)
+
     def _finish(self, request_id: str) -> None:
         self._accepted.discard(request_id)
         if not self._accepted:
--- a/dragonflyramp/members/_streams.py
+++ b/dragonflyramp/members/_streams.py
@@ -27,8 +27,15 @@
     """Show that a relay runs; its last report stays in force."""
 
 
+@attrs.frozen
+class Parts:
+    """Carry several parts, of the same or of different queries."""
+
+    parts: tuple[Part, ...]
+
+
 FrontMessage: TypeAlias = Hello | Query | Cancel | Submit
-RelayMessage: TypeAlias = Report | KeepAlive | Part | SubmitOutcome
+RelayMessage: TypeAlias = Report | KeepAlive | Part | Parts | SubmitOutcome
 
 
 class RelayStream(Protocol):
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -46,6 +46,29 @@
             assert inbox.empty()
 
 
+async def test_burst_of_parts_arrives_in_order() -> None:
+    """Guards against parts that get lost, or pass the limit, when joined."""
+    fake = FakeServer()
+    shards = [f'shard-{number}' for number in range(100)]
+    bodies = [b'{}'] * 100
+    bodies[50] = b'x' * 3_000_000
+    async with (
+        fakes.running_relay(fake) as relay,
+        fakes.running_front(relay.peer) as links,
+    ):
+        inbox = links.open_inbox('q1')
+        assert await links.send_query(R1, fakes.make_query('q1', *shards))
+        await eventually(lambda: fake.outboxes)
+        parts = [
+            fakes.make_part('q1', shard, body)
+            for shard, body in zip(shards, bodies, strict=True)
+        ]
+        for part in parts:
+            fake.outboxes['q1'].put_nowait(part)
+        assert [await inbox.get() for _ in parts] == parts
+        await eventually(lambda: inbox.empty())
+
+
 async def test_relay_loss_is_told_once_to_each_query() -> None:
     """Guards against searches that wait for a relay that has stopped."""
     fake = FakeServer()
--- a/tests/test_scatter_codec.py
+++ b/tests/test_scatter_codec.py
@@ -6,7 +6,7 @@
 
 from dragonflyramp import messages
 from dragonflyramp.members import _codec_grpc as codec
-from dragonflyramp.members._streams import Cancel, Hello, KeepAlive
+from dragonflyramp.members._streams import Cancel, Hello, KeepAlive, Parts
 from dragonflyramp.members.members_pb2 import Part, RelayMessage, SubmitOutcome
 from dragonflyramp.models import Snapshot
 from dragonflyramp.results import ResultCode
@@ -40,15 +40,17 @@
         body=_BODY,
     )
 )
+_PART = st.builds(
+    messages.Part,
+    query_id=_NAME,
+    attempt_id=_NAME,
+    documents=_COUNT,
+    code=st.sampled_from(ResultCode),
+)
 _RELAY_MESSAGES = (
     st.builds(KeepAlive)
-    | st.builds(
-        messages.Part,
-        query_id=_NAME,
-        attempt_id=_NAME,
-        documents=_COUNT,
-        code=st.sampled_from(ResultCode),
-    )
+    | _PART
+    | st.builds(Parts, st.lists(_PART, min_size=1).map(tuple))
     | st.builds(messages.SubmitOutcome, submit_id=_NAME)
     | st.builds(
         messages.Report,
