--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -50,8 +50,8 @@
     """Guards against parts that get lost, or pass the limit, when joined."""
     fake = FakeServer()
     shards = [f'shard-{number}' for number in range(100)]
-    bodies = [b'{}'] * 100
-    bodies[50] = b'x' * 3_000_000
+    bodies = dict.fromkeys(shards, b'{}')
+    bodies['shard-50'] = b'x' * 3_000_000
     async with (
         fakes.running_relay(fake) as relay,
         fakes.running_front(relay.peer) as links,
@@ -60,8 +60,7 @@
         assert await links.send_query(R1, fakes.make_query('q1', *shards))
         await eventually(lambda: fake.outboxes)
         parts = [
-            fakes.make_part('q1', shard, body)
-            for shard, body in zip(shards, bodies, strict=True)
+            fakes.make_part('q1', shard, body) for shard, body in bodies.items()
         ]
         for part in parts:
             fake.outboxes['q1'].put_nowait(part)
