End isolation only when an exchange shows nothing newer

A daemon that was cut off and stopped new work took it up again at the first contact of any kind: a received heartbeat, an answer to a write of the record, or a peer that had been cut off as well. It could then send to a failure domain that was taken out meanwhile. A daemon resumed from SIGSTOP did so after reading a reply that had waited in its socket. Cause: only the time of the last contact was kept. Now the longest silence is kept until a read of the root, or a fetch from a member that is not isolated and has the same number, started less than isolation_seconds ago. Replies to fetches carry the code isolated. An isolated daemon looks for such an exchange once a period.

--- a/dragonflyramp/members/_group_views.py
+++ b/dragonflyramp/members/_group_views.py
@@ -15,25 +15,50 @@
 )
 from dragonflyramp.members._lease_tables import MemberLeaseTable
 from dragonflyramp.members._rendezvous import first, order
+from dragonflyramp.members._settings import MembershipSettings
 
 
 @attrs.define
 class Contacts:
-    """Remember when exchanges last succeeded; calls received count too."""
+    """Remember when exchanges last succeeded; calls received count too.
+
+    A time of silence stays known until an exchange shows that nothing is
+    newer than the adopted configuration: a daemon that is reached again
+    does not know yet what changed in between.
+    """
 
     _clock: Callable[[], float]
     last_seconds: float = -math.inf
     last_member_seconds: float = -math.inf
+    _longest_silence_seconds: float = math.inf
 
     def note_platform(self) -> None:
         """Note an answer of the platform, a refusal too."""
-        self.last_seconds = self._clock()
+        self._note()
 
     def note_member(self) -> None:
         """Note an exchange with another member."""
-        self.last_seconds = self._clock()
+        self._note()
         self.last_member_seconds = self.last_seconds
 
+    def note_newest(self, started_seconds: float) -> None:
+        """Note that nothing newer existed at the start of an exchange."""
+        self._note()
+        self._longest_silence_seconds = min(
+            self._longest_silence_seconds, self.last_seconds - started_seconds
+        )
+
+    def silence_seconds(self, now_seconds: float) -> float:
+        """Give the longest silence after which something newer may exist."""
+        return max(
+            self._longest_silence_seconds, now_seconds - self.last_seconds
+        )
+
+    def _note(self) -> None:
+        now_seconds = self._clock()
+        self._longest_silence_seconds = self.silence_seconds(now_seconds)
+        self.last_seconds = now_seconds
+
 
 @attrs.define(eq=False)
 class GroupView:
@@ -108,6 +133,14 @@
         return attrs.evolve(self.record, renewal=self.renewal)
 
 
+def is_isolated(
+    view: GroupView, settings: MembershipSettings, now_seconds: float
+) -> bool:
+    """Tell whether something newer may exist that nobody told of."""
+    silence_seconds = view.contacts.silence_seconds(now_seconds)
+    return silence_seconds >= settings.isolation_seconds
+
+
 def other_addresses(view: GroupView) -> tuple[str, ...]:
     """List where other members may answer: the record's, then seeds."""
     known = dict.fromkeys(entry.address for entry in view.peers())
--- a/dragonflyramp/members/_spread.py
+++ b/dragonflyramp/members/_spread.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from dragonflyramp.members._group_views import GroupView
+from dragonflyramp.members._group_views import GroupView, is_isolated
 from dragonflyramp.members._member_links import MemberCalls
 from dragonflyramp.members._messages import PartContent
 from dragonflyramp.members._offers import Offers
@@ -52,7 +52,7 @@
         members = MemberTexts(
             inputs.calls, inputs.view, inputs.settings, self._adoption
         )
-        reads = RootReads(platform, self._adoption)
+        reads = RootReads(inputs.view, platform, self._adoption)
         self._watch = RootWatch(
             inputs.view,
             inputs.settings,
@@ -73,7 +73,9 @@
     @property
     def service(self) -> SpreadService:
         """Return what answers the calls of other members."""
-        return SpreadService(self._inputs.view, self._adoption)
+        return SpreadService(
+            self._inputs.view, self._inputs.settings, self._adoption
+        )
 
     @property
     def current(self) -> Configuration | None:
@@ -86,9 +88,14 @@
         return text.configuration
 
     def is_isolated(self, now_seconds: float) -> bool:
-        """Tell whether platform and members were silent for too long."""
-        silent_seconds = now_seconds - self._inputs.view.contacts.last_seconds
-        return silent_seconds >= self._inputs.settings.isolation_seconds
+        """Tell whether something newer may exist that nobody told of.
+
+        It starts with a time without contact and ends when a read of the
+        root, or a member that is not isolated, shows nothing newer.
+        """
+        return is_isolated(
+            self._inputs.view, self._inputs.settings, now_seconds
+        )
 
     async def run(self) -> None:
         """Run all tasks until cancelled."""
--- a/dragonflyramp/members/_spread_loops.py
+++ b/dragonflyramp/members/_spread_loops.py
@@ -8,6 +8,7 @@
 
 from dragonflyramp.members._group_views import (
     GroupView,
+    is_isolated,
     is_watcher,
     other_addresses,
 )
@@ -43,28 +44,34 @@
     Return ok also for a number that is not higher, or the failure.
     """
 
+    _view: GroupView
     _platform: PlatformTexts
     _adoption: TextAdoption
 
     async def read(self) -> ResultCode:
         """Read the root now."""
+        started_seconds = self._view.clock()
         found = await self._platform.read_root()
         if not is_successful(found):
             return found.failure()
-        return await self._take(found.unwrap().body)
+        return await self._take(found.unwrap().body, started_seconds)
 
     async def watch(self) -> ResultCode:
         """Wait for a change of the root, or until there is none in time."""
+        started_seconds = self._view.clock()
         found = await self._platform.watch_root()
         if not is_successful(found):
             return found.failure()
         root = found.unwrap()
         if root is None:
             return ResultCode.ok
-        return await self._take(root.body)
+        return await self._take(root.body, started_seconds)
 
-    async def _take(self, root: bytes) -> ResultCode:
-        return await self._adoption.take(root, (), Source.platform)
+    async def _take(self, root: bytes, started_seconds: float) -> ResultCode:
+        code = await self._adoption.take(root, (), Source.platform)
+        if self._adoption.is_adopted(root):
+            self._view.contacts.note_newest(started_seconds)
+        return code
 
 
 @attrs.define(eq=False)
@@ -115,7 +122,11 @@
 
 @attrs.define(eq=False)
 class CatchUp:
-    """Get a configuration whose number is known, or the first one."""
+    """Get a configuration whose number is known, or the first one.
+
+    An isolated daemon looks too: only a look that finds nothing newer ends
+    the isolation.
+    """
 
     _view: GroupView
     _settings: MembershipSettings
@@ -126,11 +137,14 @@
     _pause_periods: int = 1
 
     async def run_once(self) -> None:
-        """Wait until something newer is known and try to get it."""
+        """Wait until something newer may exist and try to get it."""
         hints = self._adoption.texts.hints
-        await hints.wait_due()
+        while not self._is_needed():
+            await wait_at_most(
+                hints.wait_due(), self._settings.renewal_period_seconds
+            )
         codes = await self.try_sources()
-        if not hints.is_due:
+        if not self._is_needed():
             return
         self._pause_periods = min(self._pause_periods * 2, _MAX_PAUSE_PERIODS)
         if _RETRIED_EACH_PERIOD.issuperset(codes):
@@ -146,12 +160,17 @@
         codes = []
         for hinted in hints.take_addresses()[:_MAX_ASKED]:
             codes.append(await self._members.fetch(hinted))
-            if not hints.is_due:
+            if not self._is_needed():
                 return codes
         codes.append(await self._reads.read())
         addresses = other_addresses(self._view)
-        if hints.is_due and addresses:
+        if self._is_needed() and addresses:
             self._turn += 1
             address = addresses[self._turn % len(addresses)]
             codes.append(await self._members.fetch(address))
         return codes
+
+    def _is_needed(self) -> bool:
+        return self._adoption.texts.hints.is_due or is_isolated(
+            self._view, self._settings, self._view.clock()
+        )
--- a/dragonflyramp/members/_spread_services.py
+++ b/dragonflyramp/members/_spread_services.py
@@ -3,13 +3,14 @@
 import attrs
 from returns.pipeline import is_successful
 
-from dragonflyramp.members._group_views import GroupView
+from dragonflyramp.members._group_views import GroupView, is_isolated
 from dragonflyramp.members._messages import (
     Fetch,
     FetchReply,
     Offer,
     OfferReply,
 )
+from dragonflyramp.members._settings import MembershipSettings
 from dragonflyramp.members._text_adoption import TextAdoption
 from dragonflyramp.members._text_fetches import answer_fetch
 from dragonflyramp.members._texts import Source
@@ -21,6 +22,7 @@
     """Implement SpreadServer for one daemon."""
 
     _view: GroupView
+    _settings: MembershipSettings
     _adoption: TextAdoption
 
     async def offer(self, request: Offer) -> OfferReply:
@@ -37,9 +39,16 @@
         return OfferReply(code=ResultCode.ok, number=texts.number)
 
     async def fetch(self, request: Fetch) -> FetchReply:
-        """Give the adopted configuration if its number is higher."""
+        """Give the adopted configuration if its number is higher.
+
+        The code tells whether this daemon itself may have missed a change.
+        """
         self._view.contacts.note_member()
-        return answer_fetch(self._adoption.texts.text, request)
+        now_seconds = self._view.clock()
+        code = ResultCode.ok
+        if is_isolated(self._view, self._settings, now_seconds):
+            code = ResultCode.isolated
+        return answer_fetch(self._adoption.texts.text, request, code)
 
     async def _take(self, request: Offer) -> None:
         root = request.root
--- a/dragonflyramp/members/_text_adoption.py
+++ b/dragonflyramp/members/_text_adoption.py
@@ -5,7 +5,7 @@
 
 import attrs
 from returns.pipeline import is_successful
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from dragonflyramp.members._messages import PartContent
 from dragonflyramp.members._text_sources import PlatformTexts, verified
@@ -56,6 +56,11 @@
         self.texts.adopt(text.unwrap())
         return ResultCode.ok
 
+    def is_adopted(self, root: bytes) -> bool:
+        """Tell whether a root has the adopted number."""
+        facts = self.codec.decode_root(root)
+        return facts.map(lambda one: one.number) == Success(self.texts.number)
+
     def missing(
         self, facts: RootFacts, gathered: Mapping[str, bytes]
     ) -> list[str]:
--- a/dragonflyramp/members/_text_fetches.py
+++ b/dragonflyramp/members/_text_fetches.py
@@ -37,21 +37,41 @@
         Return ok also when it is not, member_unreachable, or bad_message
         when the member sends a root without its parts.
         """
+        started_seconds = self._view.clock()
         gathered: dict[str, bytes] = {}
         for _ in range(_MAX_ROUNDS):
             reply = await self._ask(address, gathered)
             if not is_successful(reply):
                 return reply.failure()
             fetched = reply.unwrap()
-            if fetched.number <= self._adoption.texts.number:
-                return ResultCode.ok
-            gathered.update(verified(fetched.parts))
-            if not fetched.parts or self._is_whole(fetched, gathered):
-                return await self._adoption.take(
-                    fetched.root, _as_parts(gathered), Source.member
-                )
+            code = await self._take(fetched, gathered)
+            if code is not None:
+                self._note_newest(fetched, started_seconds)
+                return code
         return ResultCode.bad_message
 
+    async def _take(
+        self, fetched: FetchReply, gathered: dict[str, bytes]
+    ) -> ResultCode | None:
+        """Adopt what was fetched; None while parts are missing."""
+        if fetched.number <= self._adoption.texts.number:
+            return ResultCode.ok
+        gathered.update(verified(fetched.parts))
+        if fetched.parts and not self._is_whole(fetched, gathered):
+            return None
+        return await self._adoption.take(
+            fetched.root, _as_parts(gathered), Source.member
+        )
+
+    def _note_newest(self, fetched: FetchReply, started_seconds: float) -> None:
+        """Trust a member that had contact and the same number.
+
+        One that has a lower number is itself behind.
+        """
+        is_same = fetched.number == self._adoption.texts.number
+        if is_same and fetched.code is ResultCode.ok:
+            self._view.contacts.note_newest(started_seconds)
+
     async def _ask(
         self, address: str, gathered: dict[str, bytes]
     ) -> Result[FetchReply, ResultCode]:
@@ -78,11 +98,13 @@
         return missing == Success([])
 
 
-def answer_fetch(text: Text | None, request: Fetch) -> FetchReply:
+def answer_fetch(
+    text: Text | None, request: Fetch, code: ResultCode
+) -> FetchReply:
     """Give the root, and what one message holds of the missing parts."""
     if text is None or text.facts.number <= request.known_number:
         number = text.facts.number if text else 0
-        return FetchReply(code=ResultCode.ok, number=number)
+        return FetchReply(code=code, number=number)
     known = frozenset(request.known_parts)
     missing = [
         PartContent(sha256, body)
@@ -90,7 +112,7 @@
         if sha256 not in known
     ]
     return FetchReply(
-        code=ResultCode.ok,
+        code=code,
         number=text.facts.number,
         root=text.root,
         parts=tuple(_first_of(missing)),
