--- a/dragonflyramp/members/_spread_loops.py
+++ b/dragonflyramp/members/_spread_loops.py
@@ -8,6 +8,7 @@
 
 from dragonflyramp.members._group_views import (
     GroupView,
+    is_isolated,
     is_watcher,
     other_addresses,
 )
@@ -36,6 +37,43 @@
 )
 
 
+@attrs.define(eq=False)
+class RootReads:
+    """Read or watch the root and adopt it if its number is higher.
+
+    Return ok also for a number that is not higher, or the failure.
+    """
+
+    _view: GroupView
+    _platform: PlatformTexts
+    _adoption: TextAdoption
+
+    async def read(self) -> ResultCode:
+        """Read the root now."""
+        started_seconds = self._view.clock()
+        found = await self._platform.read_root()
+        if not is_successful(found):
+            return found.failure()
+        return await self._take(found.unwrap().body, started_seconds)
+
+    async def watch(self) -> ResultCode:
+        """Wait for a change of the root, or until there is none in time."""
+        started_seconds = self._view.clock()
+        found = await self._platform.watch_root()
+        if not is_successful(found):
+            return found.failure()
+        root = found.unwrap()
+        if root is None:
+            return ResultCode.ok
+        return await self._take(root.body, started_seconds)
+
+    async def _take(self, root: bytes, started_seconds: float) -> ResultCode:
+        code = await self._adoption.take(root, (), Source.platform)
+        if self._adoption.is_adopted(root):
+            self._view.contacts.note_newest(started_seconds)
+        return code
+
+
 @attrs.define(eq=False)
 class RootWatch:
     """Hold the platform's watch of the root while that is this member's job.
@@ -46,22 +84,23 @@
 
     _view: GroupView
     _settings: MembershipSettings
-    _platform: PlatformTexts
-    _adoption: TextAdoption
+    _reads: RootReads
     _rng: random.Random
 
     async def run_once(self) -> None:
-        """Wait for one change of the root, or of who holds the watch."""
+        """Wait for one change of the root, or of who holds the watch.
+
+        A platform can accept a watch and never answer it, so a watch that
+        is not answered in time is followed by a read.
+        """
         if not self._is_needed():
             await self._wait_for_change_of_job()
             return
-        found = await self._platform.watch_root()
-        if not is_successful(found):
+        code = await self._reads.watch()
+        if code is not ResultCode.ok:
+            code = await self._reads.read()
+        if code is not ResultCode.ok:
             await asyncio.sleep(self._pause_seconds())
-            return
-        root = found.unwrap()
-        if root is not None:
-            await self._adoption.take(root.body, (), Source.platform)
 
     def _is_needed(self) -> bool:
         silent_seconds = (
@@ -83,22 +122,29 @@
 
 @attrs.define(eq=False)
 class CatchUp:
-    """Get a configuration whose number is known, or the first one."""
+    """Get a configuration whose number is known, or the first one.
+
+    An isolated daemon looks too: only a look that finds nothing newer ends
+    the isolation.
+    """
 
     _view: GroupView
     _settings: MembershipSettings
-    _platform: PlatformTexts
+    _reads: RootReads
     _members: MemberTexts
     _adoption: TextAdoption
     _turn: int = 0
     _pause_periods: int = 1
 
     async def run_once(self) -> None:
-        """Wait until something newer is known and try to get it."""
+        """Wait until something newer may exist and try to get it."""
         hints = self._adoption.texts.hints
-        await hints.wait_due()
+        while not self._is_needed():
+            await wait_at_most(
+                hints.wait_due(), self._settings.renewal_period_seconds
+            )
         codes = await self.try_sources()
-        if not hints.is_due:
+        if not self._is_needed():
             return
         self._pause_periods = min(self._pause_periods * 2, _MAX_PAUSE_PERIODS)
         if _RETRIED_EACH_PERIOD.issuperset(codes):
@@ -114,20 +160,17 @@
         codes = []
         for hinted in hints.take_addresses()[:_MAX_ASKED]:
             codes.append(await self._members.fetch(hinted))
-            if not hints.is_due:
+            if not self._is_needed():
                 return codes
-        codes.append(await self._read_platform())
+        codes.append(await self._reads.read())
         addresses = other_addresses(self._view)
-        if hints.is_due and addresses:
+        if self._is_needed() and addresses:
             self._turn += 1
             address = addresses[self._turn % len(addresses)]
             codes.append(await self._members.fetch(address))
         return codes
 
-    async def _read_platform(self) -> ResultCode:
-        found = await self._platform.read_root()
-        if not is_successful(found):
-            return found.failure()
-        return await self._adoption.take(
-            found.unwrap().body, (), Source.platform
+    def _is_needed(self) -> bool:
+        return self._adoption.texts.hints.is_due or is_isolated(
+            self._view, self._settings, self._view.clock()
         )
