Keep a holder for a slice whose successor stops during the handover

Cause: a holder hands a slice over, releases it, and the successor announces in the same period that it stops. The writer looked for a new holder among the other relays only, found none in a group of two relays, and wrote the slice without a holder. No relay reports the shards of such a slice, so fronts refuse every search with no_replica (HTTP 503) until the next write, and the next holder starts with cold replicas. In the demonstration a zone comes back one second before its relay is stopped, and slices are on their way to that relay at that moment.

Ruled out: the stop of a front at the same time.

Conclusion: a holder that released a slice gets it back under a new epoch when no other relay stays. The released tenure is still never used again.

--- a/dragonflyramp/members/_assignments.py
+++ b/dragonflyramp/members/_assignments.py
@@ -94,13 +94,18 @@
     """Give a free slice to the relay that knows its replicas best.
 
     The successor got the warmth table by handover and relay deputies got
-    it with their promises; any other relay starts with cold replicas.
+    it with their promises; any other relay starts with cold replicas. A
+    holder that released the slice gets it back when no other relay stays,
+    for example because its successor stops: fronts refuse the searches of a
+    slice without a holder.
     """
     relays = [relay for relay in view.relays(record) if relay != entry.holder]
     warm = [relay for relay in relays if relay in entry.deputies]
     if entry.successor in relays:
         warm = [entry.successor]
     holder = first(entry.slice_id, warm or relays)
+    if holder == NOBODY and view.is_released(entry):
+        holder = first(entry.slice_id, view.relays(record))
     if holder == NOBODY:
         return attrs.evolve(entry, holder=NOBODY, successor=NOBODY)
     assigned = attrs.evolve(
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -308,6 +308,31 @@
     assert 'a1' not in released.named
 
 
+@pytest.mark.parametrize(
+    ('successor_changes', 'deputies', 'holder'),
+    [
+        ({'leaving': True}, (), 'a1'),
+        ({'leaving': True}, ('c1',), 'c1'),
+        ({}, (), 'b1'),
+    ],
+)
+def test_a_released_slice_has_a_holder(
+    successor_changes: dict[str, bool], deputies: tuple[str, ...], holder: str
+) -> None:
+    """A successor that stops before the slice is its own must cost nothing.
+
+    A slice without a holder is reported by no relay, and fronts refuse.
+    """
+    members = [HOLDER, DEPUTY, member('c1')][: 2 + len(deputies)]
+    entry = held_slice('a1', *deputies, successor=MemberId('b1'))
+    record = group(entry, *members)
+    reports = [beat(one) for one in members]
+    reports[0] = beat(HOLDER, released=(TENURE,))
+    reports[1] = beat(DEPUTY, **successor_changes)
+    decided = alpha(decide(view_of(record, reports), record))
+    assert (decided.holder, decided.epoch) == (holder, 4)
+
+
 @pytest.mark.parametrize(
     ('number', 'now_seconds', 'successor'),
     [(2, 3, ''), (1, 2.9, ''), (1, 3, 'b1')],
