Use the usual terms for waiting heartbeats, released leases and canary waits

HeartbeatDesk becomes HeartbeatQueue, Surrenders becomes Releases, heir becomes next_writer, and patience_seconds becomes wait_seconds. test_the_search_finds_two_users then failed: hypothesis derives the seed of a derandomized search from the source of its rules, and with the seed that the new name gave, 60 examples did not reach the fault. Both searches now have a fixed seed and 120 examples instead of 60, so neither depends on names and both search more.

--- a/dragonflyramp/callers/_canary.py
+++ b/dragonflyramp/callers/_canary.py
@@ -15,7 +15,7 @@
     ) -> tuple[str, ...]:
         """List the shards to ask before the rest; empty asks all at once."""
 
-    def patience_seconds(
+    def wait_seconds(
         self, service: Service, median_seconds: float | None
     ) -> float:
         """Return how long to wait for one canary before asking another."""
@@ -38,7 +38,7 @@
         """List as many shards as the service's canary_shards."""
         return shards[: service.canary_shards]
 
-    def patience_seconds(
+    def wait_seconds(
         self, service: Service, median_seconds: float | None
     ) -> float:
         """Return a multiple of the service's median part latency."""
@@ -58,7 +58,7 @@
         """List no shard."""
         return ()
 
-    def patience_seconds(
+    def wait_seconds(
         self, service: Service, median_seconds: float | None
     ) -> float:
         """Return the whole deadline; it is not used without canaries."""
--- a/dragonflyramp/callers/_dispatch.py
+++ b/dragonflyramp/callers/_dispatch.py
@@ -49,11 +49,11 @@
 
     def recheck_at(self, round_: Round, now_seconds: float) -> float:
         """Return when shards that are held back deserve another look."""
-        patience = self._patience(round_)
-        until_seconds = round_.canary_sent_seconds + patience
+        wait_seconds = self._wait_seconds(round_)
+        until_seconds = round_.canary_sent_seconds + wait_seconds
         if until_seconds > now_seconds:
             return until_seconds
-        return now_seconds + patience
+        return now_seconds + wait_seconds
 
     def _choose(self, round_: Round, now_seconds: float) -> list[Attempt]:
         chosen: list[Attempt] = []
@@ -71,10 +71,10 @@
         round_.waiting.extendleft(reversed(held))
         return chosen
 
-    def _patience(self, round_: Round) -> float:
+    def _wait_seconds(self, round_: Round) -> float:
         service = round_.job.service
         median_seconds = self.medians.median(service.name)
-        return self.canary.patience_seconds(service, median_seconds)
+        return self.canary.wait_seconds(service, median_seconds)
 
     def _canary_limit(self, round_: Round, now_seconds: float) -> int | None:
         """Limit what is sent now; None when the request is not limited."""
@@ -84,7 +84,7 @@
             has_canary=round_.job.has_canary,
         ):
             return None
-        until_seconds = round_.canary_sent_seconds + self._patience(round_)
+        until_seconds = round_.canary_sent_seconds + self._wait_seconds(round_)
         is_fresh = now_seconds < until_seconds
         return 0 if is_fresh and _canary_relays(round_) else 1
 
--- a/dragonflyramp/members/_handovers.py
+++ b/dragonflyramp/members/_handovers.py
@@ -36,7 +36,7 @@
         view = self._sender.view
         record = view.record
         now_seconds = view.clock()
-        view.lease_table.update_surrenders(now_seconds)
+        view.lease_table.update_releases(now_seconds)
         for successor, entries in self._ready(now_seconds).items():
             if successor == NOBODY or await self._give(successor, entries):
                 self.release(entries)
@@ -48,12 +48,12 @@
         """Give tenures up for good and tell the writer at once."""
         for entry in entries:
             logger.info('release {} epoch {}', entry.slice_id, entry.epoch)
-        self._sender.table.surrenders.release(map(tenure_of, entries))
+        self._sender.table.releases.release(map(tenure_of, entries))
         self._sender.wake.set()
 
     def _ready(self, now_seconds: float) -> dict[MemberId, list[SliceEntry]]:
         table = self._sender.table
-        ready = table.surrenders.ready(self._drain_seconds(), now_seconds)
+        ready = table.releases.ready(self._drain_seconds(), now_seconds)
         by_successor = collections.defaultdict(list)
         for entry in table.holder.held():
             if tenure_of(entry) in ready:
@@ -85,7 +85,7 @@
 
     def _pause_seconds(self) -> float:
         view = self._sender.view
-        wait_seconds = view.lease_table.surrenders.next_ready_seconds(
+        wait_seconds = view.lease_table.releases.next_ready_seconds(
             self._drain_seconds(), view.clock()
         )
         return min(wait_seconds, self._settings.renewal_period_seconds)
--- a/dragonflyramp/members/_desks.py
+++ b/dragonflyramp/members/_heartbeat_queues.py
@@ -61,7 +61,7 @@
 
 
 @attrs.define(eq=False)
-class HeartbeatDesk:
+class HeartbeatQueue:
     """Hold the heartbeats at the writer until a write covers them."""
 
     _view: GroupView
--- a/dragonflyramp/members/_heartbeats.py
+++ b/dragonflyramp/members/_heartbeats.py
@@ -44,14 +44,14 @@
     def compose(self, now_seconds: float) -> Heartbeat:
         """Describe this member as it is now."""
         table = self.table
-        table.update_surrenders(now_seconds)
+        table.update_releases(now_seconds)
         self._renounce(now_seconds)
         return Heartbeat(
             member=self.view.own,
             configuration_number=self.facts().number,
             renewal=self.view.renewal,
             held=tuple(map(tenure_of, table.holder.held())),
-            released=table.surrenders.released,
+            released=table.releases.released,
             renounced=table.deputy.renounced(),
             quarantined=bounded_quarantine(self.hooks),
             leaving=self.leaving,
--- a/dragonflyramp/members/_lease_tables.py
+++ b/dragonflyramp/members/_lease_tables.py
@@ -13,7 +13,7 @@
 from dragonflyramp.members._promises import DeputyPromises
 from dragonflyramp.members._settings import MembershipSettings
 from dragonflyramp.members._settled import SettledNumbers
-from dragonflyramp.members._surrenders import Surrenders
+from dragonflyramp.members._releases import Releases
 from dragonflyramp.members._writer_views import ConfigurationFacts
 from dragonflyramp.models import Lease, LeaseState, MemberId, SliceId
 
@@ -26,10 +26,10 @@
     settings: MembershipSettings
     facts: Callable[[], ConfigurationFacts]
     record: GroupRecord = EMPTY_RECORD
-    is_surrendering_all: bool = False
+    is_releasing_all: bool = False
     holder: HolderLeases = attrs.field(init=False)
     deputy: DeputyPromises = attrs.field(init=False)
-    surrenders: Surrenders = attrs.field(init=False, factory=Surrenders)
+    releases: Releases = attrs.field(init=False, factory=Releases)
     settled: SettledNumbers = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -44,17 +44,17 @@
         self.holder.see_record(record)
         self.deputy.see_record(record, now_seconds)
         self.settled.see_record(record, now_seconds)
-        self.update_surrenders(now_seconds)
+        self.update_releases(now_seconds)
 
-    def update_surrenders(self, now_seconds: float) -> None:
+    def update_releases(self, now_seconds: float) -> None:
         """Stop using what the record or the configuration takes away."""
         facts = self.facts()
         configured: frozenset[SliceId] | None = facts.slice_ids
         if facts.number < self.record.configuration_number:
             configured = None
-        if self.is_surrendering_all:
+        if self.is_releasing_all:
             configured = frozenset()
-        self.surrenders.update(self.holder.held(), configured, now_seconds)
+        self.releases.update(self.holder.held(), configured, now_seconds)
 
     def lease(self, slice_id: SliceId, now_seconds: float) -> Lease:
         """Give the lease of a slice; state foreign when there is none."""
@@ -83,7 +83,7 @@
 
     def _held_lease(self, entry: SliceEntry, now_seconds: float) -> Lease:
         until_seconds = self.holder.until_seconds(entry)
-        if self.surrenders.is_stopped(tenure_of(entry)):
+        if self.releases.is_stopped(tenure_of(entry)):
             until_seconds = NEVER
         state = LeaseState.lapsed
         if now_seconds < until_seconds:
--- a/dragonflyramp/members/_membership.py
+++ b/dragonflyramp/members/_membership.py
@@ -110,7 +110,7 @@
         """
         while self.lease_table.holder.held() and self._others(Role.relay):
             await self.wait_record_change(self.record)
-        self.lease_table.is_surrendering_all = True
+        self.lease_table.is_releasing_all = True
         while self.lease_table.holder.held():
             await self.wait_record_change(self.record)
         while self._parts.writer.is_active and self._others():
--- a/dragonflyramp/members/_membership_parts.py
+++ b/dragonflyramp/members/_membership_parts.py
@@ -3,7 +3,7 @@
 import attrs
 
 from dragonflyramp.members._cycles import MemberCycles, PeerProbe
-from dragonflyramp.members._desks import HeartbeatDesk, ReplyBuilder
+from dragonflyramp.members._heartbeat_queues import HeartbeatQueue, ReplyBuilder
 from dragonflyramp.members._facts import CachedFacts
 from dragonflyramp.members._group_stores import GroupStore
 from dragonflyramp.members._group_views import GroupView
@@ -53,20 +53,20 @@
         facts=facts.facts,
     )
     replies = ReplyBuilder(view, inputs.hooks, facts.facts)
-    desk = HeartbeatDesk(view, replies)
+    queue = HeartbeatQueue(view, replies)
     vm_watch = VmWatch(inputs.vm_list, view, settings)
     writer = RecordWriter(
         view,
         GroupStore(inputs.store, view, settings),
         sender,
-        desk,
+        queue,
         GroupWriter(inputs.own.member_id, settings),
         vm_watch.evidence,
     )
     requests = DeputyPromiseRequests(sender, settings)
     return MembershipParts(
         sender=sender,
-        service=MembershipService(sender, desk, replies, writer),
+        service=MembershipService(sender, queue, replies, writer),
         writer=writer,
         vm_watch=vm_watch,
         cycles=MemberCycles(view, sender, writer, settings, inputs.rng),
--- a/dragonflyramp/members/_surrenders.py
+++ b/dragonflyramp/members/_releases.py
@@ -13,7 +13,7 @@
 
 
 @attrs.define
-class Surrenders:
+class Releases:
     """Keep the tenures that this holder stopped using or released.
 
     A holder stops, waits until nothing that it sent can still run, hands
@@ -35,7 +35,7 @@
         `configured` is None while the adopted configuration is older than
         the one that the record was written with.
         """
-        surrendered = {
+        given_up = {
             tenure_of(entry)
             for entry in held
             if entry.successor != NOBODY
@@ -44,7 +44,7 @@
         self._released &= {tenure_of(entry) for entry in held}
         self._stopped = {
             tenure: self._stopped.get(tenure, now_seconds)
-            for tenure in surrendered | self._released
+            for tenure in given_up | self._released
         }
 
     def is_stopped(self, tenure: SliceEpoch) -> bool:
--- a/dragonflyramp/members/_services.py
+++ b/dragonflyramp/members/_services.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from dragonflyramp.members._desks import HeartbeatDesk, ReplyBuilder
+from dragonflyramp.members._heartbeat_queues import HeartbeatQueue, ReplyBuilder
 from dragonflyramp.members._heartbeats import HeartbeatSender
 from dragonflyramp.members._messages import (
     Handover,
@@ -24,7 +24,7 @@
     """Implement MembershipServer for one daemon."""
 
     _sender: HeartbeatSender
-    _desk: HeartbeatDesk
+    _queue: HeartbeatQueue
     _replies: ReplyBuilder
     _writer: RecordWriter
 
@@ -36,7 +36,7 @@
             request.configuration_number, request.member.address
         )
         if self._writer.is_active:
-            return await self._desk.wait_covered(request)
+            return await self._queue.wait_covered(request)
         return self._replies.build(request, ResultCode.not_writer)
 
     async def promise(self, request: Promise) -> PromiseReply:
--- a/dragonflyramp/members/_writers.py
+++ b/dragonflyramp/members/_writers.py
@@ -5,7 +5,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
-from dragonflyramp.members._desks import HeartbeatDesk
+from dragonflyramp.members._heartbeat_queues import HeartbeatQueue
 from dragonflyramp.members._group_stores import GroupStore
 from dragonflyramp.members._group_views import GroupView
 from dragonflyramp.members._groups import GroupRecord
@@ -32,7 +32,7 @@
     _view: GroupView
     _store: GroupStore
     _sender: HeartbeatSender
-    _desk: HeartbeatDesk
+    _queue: HeartbeatQueue
     _group_writer: GroupWriter
     _vm_evidence: VmEvidence
     is_active: bool = False
@@ -64,7 +64,7 @@
         """Write once; name another writer when this member can leave."""
         hand_to = NOBODY
         if self._sender.leaving and not self._sender.table.holder.held():
-            hand_to = heir(self._group_writer.record, self._view)
+            hand_to = next_writer(self._group_writer.record, self._view)
         await self.write(hand_to)
 
     async def write(self, hand_to: MemberId = NOBODY) -> None:
@@ -83,14 +83,14 @@
         elif settlement is Settlement.deposed:
             self.step_down()
         else:
-            self._desk.answer_failed(ResultCode.platform_down)
+            self._queue.answer_failed(ResultCode.platform_down)
 
     def step_down(self) -> None:
         """Stop writing and refuse the heartbeats that wait."""
         if self.is_active:
             logger.info('{} no longer writes', self._view.own.member_id)
         self.is_active = False
-        self._desk.refuse_all()
+        self._queue.refuse_all()
 
     def _prepare(self, own: Heartbeat, now_seconds: float) -> Attempt:
         facts = self._sender.facts()
@@ -98,7 +98,7 @@
             facts.longest_deadline_seconds
         )
         return self._group_writer.prepare(
-            {**self._desk.take(), own.member.member_id: own},
+            {**self._queue.take(), own.member.member_id: own},
             facts,
             self._vm_evidence.absent(lapse_seconds, now_seconds),
             now_seconds,
@@ -133,12 +133,12 @@
         if not self.is_active:
             logger.info('{} writes the group record', record.writer)
         self.is_active = record.writer == self._view.own.member_id
-        self._desk.answer_covered()
+        self._queue.answer_covered()
         if not self.is_active:
             self.step_down()
 
 
-def heir(record: GroupRecord, view: GroupView) -> MemberId:
+def next_writer(record: GroupRecord, view: GroupView) -> MemberId:
     """Choose who writes next among those that reported just now."""
     present = [
         entry.member_id
--- a/tests/standins/lease_world.py
+++ b/tests/standins/lease_world.py
@@ -86,15 +86,15 @@
 
     def compose(self, now_seconds: float) -> Heartbeat:
         """Describe this member as it is now."""
-        self.table.update_surrenders(now_seconds)
+        self.table.update_releases(now_seconds)
         self.table.deputy.renounce(DEADLINE_SECONDS, now_seconds)
         return Heartbeat(
             member=self.member,
             configuration_number=self.number,
             renewal=self.renewal,
-            released=self.table.surrenders.released,
+            released=self.table.releases.released,
             renounced=self.table.deputy.renounced(),
-            leaving=self.table.is_surrendering_all,
+            leaving=self.table.is_releasing_all,
         )
 
     def used_until(self, now_seconds: float) -> Iterator[tuple[str, float]]:
@@ -294,11 +294,11 @@
     def release(self, process: Process) -> None:
         """Release what the process stopped using for long enough."""
         now_seconds = self.clock(process)
-        process.table.update_surrenders(now_seconds)
-        ready = process.table.surrenders.ready(
+        process.table.update_releases(now_seconds)
+        ready = process.table.releases.ready(
             SETTINGS.drain_seconds(DEADLINE_SECONDS), now_seconds
         )
-        process.table.surrenders.release(ready)
+        process.table.releases.release(ready)
 
     def start_writer(self, process: Process) -> None:
         """Let a process read the record and write itself in as writer."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -217,8 +217,8 @@
 @pytest.mark.parametrize(
     'code', [ResultCode.replica_cold, ResultCode.no_lease, NO_REPLICA]
 )
-def test_refused_canary_costs_no_patience(code: ResultCode) -> None:
-    """While one canary waits, each refused one used up the patience.
+def test_refused_canary_costs_no_wait(code: ResultCode) -> None:
+    """While one canary waits, each refused one cost a whole wait.
 
     The deadline then passed before a shard was asked that could run.
     """
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,7 +5,7 @@
 
 import attrs
 import pytest
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -113,7 +113,7 @@
     def leave(self, index: int, is_leaving: bool) -> None:
         """Let a process release its slices."""
         table = self.world.processes[index].table
-        table.is_surrendering_all = is_leaving
+        table.is_releasing_all = is_leaving
 
     @rule(index=indexes)
     def contend(self, index: int) -> None:
@@ -128,8 +128,10 @@
         self.world.number += 1
 
 
+#: Without it the names in this file would decide what is searched.
+SEED = 1
 SEARCH = settings(
-    max_examples=60,
+    max_examples=120,
     stateful_step_count=40,
     derandomize=True,
     database=None,
@@ -140,7 +142,7 @@
 
 def test_no_two_relays_use_one_slice() -> None:
     """Two owners would load a cold replica with more than it can handle."""
-    run_state_machine_as_test(LeaseMachine, settings=SEARCH)
+    run_state_machine_as_test(seed(SEED)(LeaseMachine), settings=SEARCH)
 
 
 def test_the_search_finds_two_users(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -148,7 +150,7 @@
     monkeypatch.setattr(_takeovers, '_extension_lapsed', lambda *_: True)
     naive = settings(SEARCH, phases=(Phase.generate,), print_blob=False)
     with pytest.raises(TwoUsers):
-        run_state_machine_as_test(LeaseMachine, settings=naive)
+        run_state_machine_as_test(seed(SEED)(LeaseMachine), settings=naive)
 
 
 @attrs.frozen
@@ -257,7 +259,7 @@
     world = World(ids=itertools.count(scenario.first_id))
     run_periods(world, 6, WELL)
     world.number += scenario.is_changed
-    world.processes[2].table.is_surrendering_all = scenario.is_leaving
+    world.processes[2].table.is_releasing_all = scenario.is_leaving
     letters = {mode.name[0]: mode for mode in Mode if mode is not Mode.stale}
     for count, modes in scenario.modes:
         by_process = [letters[letter] for letter in modes]
