Test zone outs and leaving servers with real processes and faults

The stand-in for backend servers records when each request arrived and can show each drain sign alone.

--- a/tests/standins/backend_models.py
+++ b/tests/standins/backend_models.py
@@ -56,6 +56,9 @@
     straggle_ms: float = 0
     shed: bool = False
     draining: bool = False
+    #: The same in replies only, and in the status only.
+    draining_replies: bool = False
+    draining_status: bool = False
     #: Answer with status 500.
     error: bool = False
     #: Answer with a body that is not JSON.
@@ -79,6 +82,10 @@
     #: Requests that arrived, refused or not.
     received: int = 0
     last_received_seconds: float = 0
+    #: When each request arrived, in monotonic seconds.
+    arrival_seconds: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=_KEPT_IDS)
+    )
     #: Requests that were run.
     searches: int = 0
     submits: int = 0
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -169,6 +169,7 @@
         body = await request.read()
         self.records.received += 1
         self.records.last_received_seconds = time.monotonic()
+        self.records.arrival_seconds.append(time.monotonic())
         if self.spec.collapse_mode == 'stall':
             await self._wait_until_borne()
         refusal = self._refusal(request)
@@ -191,7 +192,7 @@
         await asyncio.sleep(max(0, left))
 
     def _refusal(self, request: web.BaseRequest) -> web.Response | None:
-        if self.faults.draining:
+        if self.faults.draining or self.faults.draining_replies:
             return self._refused('draining')
         collapsed = self.load.is_collapsed(time.monotonic())
         full = self.load.running >= self.spec.slots
@@ -289,7 +290,9 @@
             {
                 'instance': self.instance_id,
                 'load': self._current_load(),
-                'draining': self.faults.draining,
+                'draining': (
+                    self.faults.draining or self.faults.draining_status
+                ),
                 'snapshots': [
                     attrs.asdict(snapshot)
                     for snapshot in self._snapshots.values()
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -29,6 +29,11 @@
 _POLL_SECONDS = 0.05
 _ANY_PORT = '127.0.0.1:0'
 _OK = 200
+_OPERATOR = operators.Operator(
+    author='test',
+    now=lambda: '2026-01-01T00:00:00Z',
+    new_write_id=lambda: os.urandom(8).hex(),
+)
 
 
 @attrs.define(eq=False)
@@ -111,18 +116,25 @@
 
     async def push(self, text: bytes, base: int | None = None) -> None:
         """Push a text, which must be accepted."""
-        async with open_platform(self.platform.address, 5) as platform:
-            retries = operators.Retries(rng=random.Random(0))
-            texts = operators.TextStore(store=platform.store, retries=retries)
-            outcome = await operators.push(
-                operators.Pusher(texts, platform.vms),
-                operators.Operator(
-                    author='test',
-                    now=lambda: '2026-01-01T00:00:00Z',
-                    new_write_id=lambda: os.urandom(8).hex(),
-                ),
-                operators.PushRequest(text=text, base=base),
-            )
+        request = operators.PushRequest(text=text, base=base)
+        async with self._pusher() as pusher:
+            outcome = await operators.push(pusher, _OPERATOR, request)
+        assert isinstance(outcome, operators.Accepted), outcome
+
+    async def take_out(self, name: str) -> None:
+        """Hold a failure domain or a replica, which must be accepted.
+
+        A command takes some time to start; this returns at the acceptance.
+        """
+        request = operators.HoldRequest(name=name, reason='test')
+        async with self._pusher() as pusher:
+            outcome = await operators.take_out(pusher, _OPERATOR, request)
+        assert isinstance(outcome, operators.Accepted), outcome
+
+    async def bring_in(self, name: str) -> None:
+        """End a hold, which must be accepted."""
+        async with self._pusher() as pusher:
+            outcome = await operators.bring_in(pusher, _OPERATOR, name)
         assert isinstance(outcome, operators.Accepted), outcome
 
     async def wait_warm(self, count: int) -> None:
@@ -138,6 +150,13 @@
 
         await eventually(is_warm)
 
+    @contextlib.asynccontextmanager
+    async def _pusher(self) -> AsyncIterator[operators.Pusher]:
+        retries = operators.Retries(rng=random.Random(0))
+        async with open_platform(self.platform.address, 5) as platform:
+            texts = operators.TextStore(store=platform.store, retries=retries)
+            yield operators.Pusher(texts, platform.vms)
+
     async def _start(
         self, role: str, failure_domain: str, flags: Mapping[str, object]
     ) -> Daemon:
