--- a/tests/systems.py
+++ b/tests/systems.py
@@ -116,10 +116,16 @@
 
     async def push(self, text: bytes, base: int | None = None) -> None:
         """Push a text, which must be accepted."""
+        outcome = await self.try_push(text, base)
+        assert isinstance(outcome, operators.Accepted), outcome
+
+    async def try_push(
+        self, text: bytes, base: int | None = None
+    ) -> operators.PushOutcome:
+        """Push a text and return the outcome."""
         request = operators.PushRequest(text=text, base=base)
         async with self._pusher() as pusher:
-            outcome = await operators.push(pusher, _OPERATOR, request)
-        assert isinstance(outcome, operators.Accepted), outcome
+            return await operators.push(pusher, _OPERATOR, request)
 
     async def take_out(self, name: str) -> None:
         """Hold a failure domain or a replica, which must be accepted.
