Start no request on a cold replica that is about to reach its deadline

Cause: while all replicas of a shard are cold, a relay queues more jobs than their rate admits, and the job that has waited longest goes first. Under sustained overload each send started shortly before its deadline, was cancelled there, and closed its connection. Such an end counts neither for nor against the replica, so servers stayed cold while callers kept calling.

Conclusion: a request starts on a replica not known to be warm only while four times the replica's latency is left, at most half of its whole time. Others are refused as replica_cold (not run), as soon as that is known.

--- a/dragonflyramp/backends/_assignments.py
+++ b/dragonflyramp/backends/_assignments.py
@@ -13,6 +13,7 @@
 from dragonflyramp.backends._pools import ConnectionPool
 from dragonflyramp.backends._queues import ShardQueue
 from dragonflyramp.backends._replicas import ReplicaState
+from dragonflyramp.backends._settings import BackendSettings
 
 
 @attrs.frozen
@@ -71,18 +72,27 @@
         ]
 
     def free_now(
-        self, untried: Iterable[LimitedPool], now_seconds: float
+        self, job: Job, untried: Iterable[LimitedPool], now_seconds: float
     ) -> list[LimitedPool]:
-        """List the replicas whose limit and rate admit a request now."""
+        """List the replicas whose limit and rate admit a job now."""
         return [
             entry
             for entry in untried
-            if entry.has_slot() and self.free_from_seconds(entry) <= now_seconds
+            if entry.has_slot()
+            and self._admission.free_from_seconds(entry.replica) <= now_seconds
+            and now_seconds
+            <= _latest_start_seconds(job, entry, self._context.settings)
         ]
 
-    def free_from_seconds(self, entry: LimitedPool) -> float:
-        """Give the time from which the rate admits a request."""
-        return self._admission.free_from_seconds(entry.replica)
+    def is_free_in_time(
+        self, job: Job, untried: Iterable[LimitedPool], now_seconds: float
+    ) -> bool:
+        """Tell whether the rate of a replica admits a job early enough."""
+        return any(
+            max(now_seconds, self._admission.free_from_seconds(entry.replica))
+            < _latest_start_seconds(job, entry, self._context.settings)
+            for entry in untried
+        )
 
     def assign(
         self,
@@ -120,6 +130,18 @@
         return by_id[chosen.replica_id]
 
 
+def cold_reserve_seconds(
+    whole_seconds: float,
+    latency_seconds: float | None,
+    settings: BackendSettings,
+) -> float:
+    """Give the time that a job needs left to start on a cold replica."""
+    longest_seconds = settings.cold_reserve_fraction * whole_seconds
+    if latency_seconds is None:
+        return longest_seconds
+    return min(settings.cold_reserve_factor * latency_seconds, longest_seconds)
+
+
 def holders(usable: Iterable[LimitedPool], job: Job) -> list[LimitedPool]:
     """List the replicas that hold the snapshot of a job."""
     if job.kind is RequestKind.submit:
@@ -140,3 +162,17 @@
         warm=replica.is_warm,
         last_start_seconds=replica.ramp.last_start_seconds,
     )
+
+
+def _latest_start_seconds(
+    job: Job, entry: LimitedPool, settings: BackendSettings
+) -> float:
+    """Give the time after which a job must not start on a replica."""
+    if entry.replica.is_warm:
+        return job.deadline_seconds
+    reserve_seconds = cold_reserve_seconds(
+        job.deadline_seconds - job.arrived_seconds,
+        entry.replica.latencies[job.kind].seconds,
+        settings,
+    )
+    return job.deadline_seconds - reserve_seconds
--- a/dragonflyramp/backends/_dispatches.py
+++ b/dragonflyramp/backends/_dispatches.py
@@ -76,9 +76,9 @@
                 code = self._code_without(usable, holding, now_seconds)
             self._queue.refuse(job, code)
             return
-        free = self._assigner.free_now(untried, now_seconds)
+        free = self._assigner.free_now(job, untried, now_seconds)
         if not free:
-            self._wait_for_slot(job, untried)
+            self._wait_for_slot(job, untried, now_seconds)
             return
         fingerprints = self._context.fingerprints
         if fingerprints.may_run(job.fingerprint, job.arrived_seconds):
@@ -104,16 +104,15 @@
             return ResultCode.no_lease
         return ResultCode.no_replica
 
-    def _wait_for_slot(self, job: Job, untried: Sequence[LimitedPool]) -> None:
+    def _wait_for_slot(
+        self, job: Job, untried: Sequence[LimitedPool], now_seconds: float
+    ) -> None:
         """Let a job wait, unless cold replicas have no capacity in time."""
         job.waits_code = ResultCode.queue_expired
         if any(entry.replica.is_warm for entry in untried):
             return
         job.waits_code = ResultCode.replica_cold
-        earliest_seconds = min(
-            self._assigner.free_from_seconds(entry) for entry in untried
-        )
-        if earliest_seconds >= job.deadline_seconds:
+        if not self._assigner.is_free_in_time(job, untried, now_seconds):
             self._queue.refuse(job, ResultCode.replica_cold)
 
     def _start(
--- a/dragonflyramp/backends/_hedges.py
+++ b/dragonflyramp/backends/_hedges.py
@@ -52,7 +52,7 @@
         self, job: Job, warm: Sequence[LimitedPool], now_seconds: float
     ) -> None:
         untried = self._assigner.untried(job, holders(warm, job))
-        free = self._assigner.free_now(untried, now_seconds)
+        free = self._assigner.free_now(job, untried, now_seconds)
         if not free:
             return
         job.hedge_seconds = math.inf
--- a/dragonflyramp/backends/_settings.py
+++ b/dragonflyramp/backends/_settings.py
@@ -55,6 +55,14 @@
     #: Silence time of a service whose latency is not known yet.
     silence_unknown_seconds: float = 0.5
 
+    #: A request to a replica not known to be warm starts only while this
+    #: multiple of the replica's latency is left. Under overload the longest
+    #: waiting request goes first, and one that is given up proves nothing.
+    cold_reserve_factor: float = 4
+    #: At most this fraction of the request's whole time is asked for, so that
+    #: a replica that was slow gets requests again.
+    cold_reserve_fraction: float = 0.5
+
     #: Bodies that completed once are remembered up to this number.
     proven_fingerprints: int = 10_000
     #: A body that has not completed yet runs on one server at a time.
--- a/tests/test_backends_decisions.py
+++ b/tests/test_backends_decisions.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from dragonflyramp.backends._admissions import make_permit
+from dragonflyramp.backends._assignments import cold_reserve_seconds
 from dragonflyramp.backends._budgets import Budget
 from dragonflyramp.backends._choice import (
     Candidate,
@@ -478,6 +479,21 @@
     assert permit.blame_after_seconds >= permit.silence_seconds
 
 
+@pytest.mark.parametrize(
+    ('latency_seconds', 'reserve_seconds'),
+    [(None, 0.15), (0.01, 0.04), (0.5, 0.15)],
+)
+def test_reserve_of_a_cold_send(
+    latency_seconds: float | None, reserve_seconds: float
+) -> None:
+    """Sends that are given up at their deadline keep a server cold.
+
+    A replica that was slow once must still get requests.
+    """
+    found = cold_reserve_seconds(0.3, latency_seconds, BackendSettings())
+    assert found == pytest.approx(reserve_seconds)
+
+
 def test_usual_latency_is_forgotten() -> None:
     """A baseline that never ends keeps every replica of a slower index cold."""
     latency = ServiceLatency()
