--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -396,8 +396,8 @@
     """
     async with running('r1', 'r2', 'r3') as group:
         group.switch_platform(is_down=True)
-        entries = group.daemons['r1'].record.slices.values()
-        victim = next(iter(entries)).deputies[0]
+        record = group.daemons['r1'].record
+        victim = record.candidates(SliceId('alpha/0'))[1]
         port = int(group.daemons[victim].address.rpartition(':')[2])
         await group.kill(victim)
         if is_restarted:
