--- a/tests/outside.py
+++ b/tests/outside.py
@@ -51,11 +51,15 @@
 
 @attrs.frozen(eq=False)
 class BackendProcess:
-    """Describe one process of the stand-in and the servers in it."""
+    """Describe one process of the stand-in and the servers in it.
+
+    `specs` describe the servers as the process was told of them.
+    """
 
     address: str
     machines: tuple[VirtualMachine, ...]
     program: Program
+    specs: tuple[Mapping[str, object], ...]
 
     def runs(self, replica: str) -> bool:
         """Tell whether a server is in this process."""
@@ -131,23 +135,33 @@
     options: ServerOptions,
     machines: Sequence[VirtualMachine],
 ) -> BackendProcess:
-    servers = [
+    servers = tuple(
         {
             **_server(configuration, machine),
             **options.common,
             **options.single.get(machine.replica.replica_id, {}),
         }
         for machine in machines
-    ]
+    )
+    return await run_servers(programs, options.module, servers, machines)
+
+
+async def run_servers(
+    programs: list[Program],
+    module: str,
+    servers: Sequence[Mapping[str, object]],
+    machines: Sequence[VirtualMachine],
+) -> BackendProcess:
+    """Start one process of the stand-in, on ports of the kernel's choice."""
     program = await Program.start(
-        options.module, stdin=json.dumps({'servers': servers}).encode()
+        module, stdin=json.dumps({'servers': servers}).encode()
     )
     programs.append(program)
     found = await program.wait_json('control')
     listed = tuple(
         _at_address(machine, found['replicas']) for machine in machines
     )
-    return BackendProcess(found['control'], listed, program)
+    return BackendProcess(found['control'], listed, program, tuple(servers))
 
 
 def _at_address(
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -269,15 +269,21 @@
     def _search_answer(
         self, request: web.BaseRequest, body: bytes
     ) -> dict[str, object]:
-        """Answer with hits that name the shard and echo the request."""
+        """Answer with hits that name their origin and echo the request."""
         snapshot = self._snapshots[request.headers['X-Snapshot-Id']]
         echo = hashlib.sha256(body).hexdigest()[:16]
         shard = self.spec.shard
+        origin = {
+            'snapshot': snapshot.id,
+            'shard': shard,
+            'documents': snapshot.documents,
+            'echo': echo,
+        }
         return {
             'snapshot': self.faults.wrong_snapshot or snapshot.id,
             'documents': snapshot.documents,
             'hits': [
-                {'id': f'{shard}/{rank}', 'score': 1 / rank, 'echo': echo}
+                {'id': f'{shard}/{rank}', 'score': 1 / rank, **origin}
                 for rank in (1, 2, 3)
             ],
         }
