Do not remember the version of a malformed object

Cause: a daemon remembered the version of an answer of the platform before it decoded the answer. After one malformed answer with a high version, every later answer counted as older: a watcher never saw another change of the root, and a member never could become the writer.

Ruled out: the numbers on the status page.

Conclusion: the version is kept only with a root or record that decodes. A malformed root is read again once per period by the two watchers of a group. A reply to a write that states a wrong version is still trusted.

--- a/dragonflyramp/members/_group_stores.py
+++ b/dragonflyramp/members/_group_stores.py
@@ -6,7 +6,7 @@
 
 import attrs
 from returns.pipeline import is_successful
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from dragonflyramp.members._group_json import decode_record, encode_record
 from dragonflyramp.members._group_views import GroupView
@@ -84,8 +84,11 @@
         if found.version < self._version:
             counters.add('stale_answers', 'group')
             return Failure(ResultCode.platform_down)
-        self._version = found.version
         record = decode_record(found.body)
         if not is_successful(record):
+            # The version of a malformed answer is not to be trusted either:
+            # a high one would make every later answer count as older.
             counters.add('malformed_records', found.name)
-        return record.map(lambda one: StoredRecord(one, found.version))
+            return Failure(record.failure())
+        self._version = found.version
+        return Success(StoredRecord(record.unwrap(), found.version))
--- a/dragonflyramp/members/_spread.py
+++ b/dragonflyramp/members/_spread.py
@@ -43,7 +43,9 @@
     def __init__(self, inputs: SpreadInputs) -> None:
         """Build the parts; nothing runs before `run`."""
         self._inputs = inputs
-        platform = PlatformTexts(inputs.store, inputs.view, inputs.settings)
+        platform = PlatformTexts(
+            inputs.store, inputs.view, inputs.settings, inputs.codec
+        )
         self._adoption = TextAdoption(inputs.codec, inputs.texts, platform)
         members = MemberTexts(
             inputs.calls, inputs.view, inputs.settings, self._adoption
--- a/dragonflyramp/members/_text_sources.py
+++ b/dragonflyramp/members/_text_sources.py
@@ -12,6 +12,7 @@
 from dragonflyramp.members._group_views import GroupView
 from dragonflyramp.members._messages import PartContent
 from dragonflyramp.members._settings import MembershipSettings
+from dragonflyramp.members._texts import TextCodec
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import ObjectStore, VersionedObject
 from dragonflyramp.results import ResultCode
@@ -38,16 +39,21 @@
     """Read the root, wait for its changes, and read parts.
 
     The version of the root never goes back: an older answer counts as
-    none.
+    none. The version of a malformed root is not remembered, because a high
+    one would make every later answer count as older.
     """
 
     _store: ObjectStore
     _view: GroupView
     _settings: MembershipSettings
+    _codec: TextCodec
     _version: int = 0
 
     async def read_root(self) -> Result[VersionedObject, ResultCode]:
-        """Read the root; fail with object_missing or platform_down."""
+        """Read the root.
+
+        Fail with object_missing, platform_down, or why it is malformed.
+        """
         found = await ask_platform(
             self._store.read(ROOT_OBJECT),
             self._view,
@@ -91,5 +97,9 @@
         if found is None or found.version < self._version:
             counters.add('stale_answers', 'root')
             return Failure(ResultCode.platform_down)
+        facts = self._codec.decode_root(found.body)
+        if not is_successful(facts):
+            counters.add('refused_texts', facts.failure().name)
+            return Failure(facts.failure())
         self._version = found.version
         return Success(found)
--- a/tests/standins/backend_models.py
+++ b/tests/standins/backend_models.py
@@ -60,6 +60,10 @@
     error: bool = False
     #: Answer with a body that is not JSON.
     garbage: bool = False
+    #: Answer with this text instead of the reply.
+    reply_text: str = ''
+    #: Answer with a JSON string of this length instead of the reply.
+    reply_bytes: int = 0
     #: Answer the status with status 500.
     status_down: bool = False
     #: Load that status and replies claim, whatever it is.
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -252,14 +252,22 @@
                 status=HTTPStatus.INTERNAL_SERVER_ERROR,
                 headers=self._headers(),
             )
-        if self.faults.garbage:
-            return web.Response(body=b'not JSON', headers=self._headers())
+        malformed = self._malformed_reply()
+        if malformed:
+            return web.Response(body=malformed, headers=self._headers())
         if request.path == '/submit':
             answer = self._submit_answer(request)
         else:
             answer = self._search_answer(request, body)
         return web.json_response(answer, headers=self._headers())
 
+    def _malformed_reply(self) -> bytes:
+        if self.faults.garbage:
+            return b'not JSON'
+        if self.faults.reply_bytes:
+            return b'"%b"' % (b'x' * self.faults.reply_bytes)
+        return self.faults.reply_text.encode()
+
     def _submit_answer(self, request: web.BaseRequest) -> dict[str, object]:
         return {
             'key': request.headers['Idempotency-Key'],
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -13,6 +13,7 @@
 
 import attrs
 from aiohttp import web
+from aiohttp.typedefs import Handler
 from returns.result import Failure, Result, Success
 
 from dragonflyramp.models import Replica, VmState
@@ -27,6 +28,9 @@
 )
 from dragonflyramp.results import ResultCode
 
+#: No object of a test reaches it.
+_HIGH_VERSION = 10**9
+
 
 @attrs.define(kw_only=True)
 class Faults:
@@ -44,6 +48,9 @@
     #: Reads and watches see the version before the last one.
     stale: bool = False
     watch_delay_ms: float = 0
+    #: Answer every call with this text, and every read with a high version;
+    #: waiting watches end.
+    garbage: str = ''
 
 
 class MemoryPlatform(ObjectStore, VmList):
@@ -147,7 +154,7 @@
         return kept[0] if self.faults.stale else kept[-1]
 
     async def _wait_above(self, name: str, version: int) -> None:
-        while not self.faults.down:
+        while not self.faults.down and not self.faults.garbage:
             found = self._visible(name)
             if found and found.version > version:
                 return
@@ -170,7 +177,10 @@
     async def start(self, port: int = 0) -> str:
         """Listen and return `IP:port`; port 0 lets the kernel choose."""
         # Objects are bounded by the platform itself, whose limit is exact.
-        app = web.Application(client_max_size=2 * MAX_OBJECT_BYTES)
+        app = web.Application(
+            client_max_size=2 * MAX_OBJECT_BYTES,
+            middlewares=[self._answer_garbage],
+        )
         app.add_routes(
             [
                 web.get('/objects/{name:.+}', self._get),
@@ -192,6 +202,21 @@
         if self._runner:
             await self._runner.cleanup()
 
+    @web.middleware
+    async def _answer_garbage(
+        self,
+        request: web.Request,
+        handler: Handler,  # noqa: WPS110 - aiohttp passes it by this name
+    ) -> web.StreamResponse:
+        reply = await handler(request)
+        garbage = self.platform.faults.garbage
+        if not garbage or request.path == '/control':
+            return reply
+        if request.method == 'PUT':
+            return web.Response(text=garbage)
+        headers = {'X-Object-Version': str(_HIGH_VERSION)}
+        return web.Response(text=garbage, headers=headers)
+
     async def _get(self, request: web.Request) -> web.Response:
         name = request.match_info['name']
         if 'watch' not in request.query:
