--- a/tests/layout_worlds.py
+++ b/tests/layout_worlds.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import signal
+import types
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
@@ -23,13 +25,15 @@
 #: The shorter ones let parts arrive late.
 _DEADLINES_MS = (400, 400, 25)
 _ABANDON_SECONDS = 0.004
-_FLAGS = {
-    'renewal_period_seconds': 0.25,
-    'lease_term_seconds': 1,
-    'isolation_seconds': 1,
-    'status_period_seconds': 0.1,
-    'vm_list_period_seconds': 0.25,
-}
+_FLAGS = types.MappingProxyType(
+    {
+        'renewal_period_seconds': 0.25,
+        'lease_term_seconds': 1,
+        'isolation_seconds': 1,
+        'status_period_seconds': 0.1,
+        'vm_list_period_seconds': 0.25,
+    }
+)
 
 Heal = Callable[[], Awaitable[None]]
 
@@ -70,12 +74,12 @@
     async def recovered(self) -> None:
         """Wait until each front answers from the whole present layout."""
         for front in self.system.fronts:
-            await eventually(lambda: self._is_whole(front))  # noqa: B023
+            await eventually(functools.partial(self._is_whole, front))
 
-    def wrong(self) -> list[tuple[set[str], Answer]]:
-        """List the answers that are not true, and why."""
+    def wrong(self) -> list[str]:
+        """Describe the answers that are not true, and why."""
         checked = ((one.wrong(self.layouts), one) for one in self.answers)
-        return [(names, answer) for names, answer in checked if names]
+        return [f'{names}: {answer}' for names, answer in checked if names]
 
     async def search(self, deadline_ms: int, front: Daemon) -> Answer:
         """Search with a body that no other request has."""
@@ -97,7 +101,8 @@
         """
         old = self.held[-1]
         new = make_layout(
-            old.generation + 1, old.partition if partition is None else partition
+            old.generation + 1,
+            old.partition if partition is None else partition,
         )
         self.layouts[new.snapshot_id] = new
         await self._hold([old, new])
@@ -114,13 +119,15 @@
                 await self._hold_in(process)
 
     async def kill_relay(self) -> Heal:
-        """Kill the relay that holds most; a new one replaces it."""
+        """Kill the relay that holds most; it restarts at the same address."""
         relay = await self._holder()
         self.system.relays.remove(relay)
         await relay.program.kill()
 
         async def replace() -> None:  # noqa: WPS430 - heals this relay
-            await self.system.start_relay(relay.failure_domain)
+            await self.system.start_relay(
+                relay.failure_domain, member_address=relay.member_address
+            )
 
         return replace
 
@@ -237,14 +244,18 @@
             turn = next(self._turns)
             front = self.system.fronts[turn % len(self.system.fronts)]
             if turn % 7 == 0:
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(_ABANDON_SECONDS):
-                        await self.search(400, front)
+                await self._abandon(front)
                 continue
             deadline_ms = _DEADLINES_MS[turn % len(_DEADLINES_MS)]
             self.answers.append(await self.search(deadline_ms, front))
             await asyncio.sleep(0.005)
 
+    async def _abandon(self, front: Daemon) -> None:
+        """Search and go away before the answer."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_ABANDON_SECONDS):
+                await self.search(400, front)
+
 
 @contextlib.asynccontextmanager
 async def running_world() -> AsyncIterator[LayoutWorld]:
--- a/tests/standins/layouts.py
+++ b/tests/standins/layouts.py
@@ -137,7 +137,8 @@
     return {
         'merged': coverage['merged'] != covered,
         'total': coverage['total'] not in {None, layout.total},
-        'overstated': fraction is not None and fraction > covered / layout.total,
+        'overstated': fraction is not None
+        and fraction > covered / layout.total,
         'understated': fraction is not None
         and fraction < covered / layout.total - _STEP,
         'parts': len(hits) != _HITS_OF_A_SHARD * len(shards),
