--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -254,14 +254,22 @@
                 status=HTTPStatus.INTERNAL_SERVER_ERROR,
                 headers=self._headers(),
             )
-        if self.faults.garbage:
-            return web.Response(body=b'not JSON', headers=self._headers())
+        malformed = self._malformed_reply()
+        if malformed:
+            return web.Response(body=malformed, headers=self._headers())
         if request.path == '/submit':
             answer = self._submit_answer(request)
         else:
             answer = self._search_answer(request, body)
         return web.json_response(answer, headers=self._headers())
 
+    def _malformed_reply(self) -> bytes:
+        if self.faults.garbage:
+            return b'not JSON'
+        if self.faults.reply_bytes:
+            return b'"%b"' % (b'x' * self.faults.reply_bytes)
+        return self.faults.reply_text.encode()
+
     def _submit_answer(self, request: web.BaseRequest) -> dict[str, object]:
         return {
             'key': request.headers['Idempotency-Key'],
@@ -271,15 +279,21 @@
     def _search_answer(
         self, request: web.BaseRequest, body: bytes
     ) -> dict[str, object]:
-        """Answer with hits that name the shard and echo the request."""
+        """Answer with hits that name their origin and echo the request."""
         snapshot = self._snapshots[request.headers['X-Snapshot-Id']]
         echo = hashlib.sha256(body).hexdigest()[:16]
         shard = self.spec.shard
+        origin = {
+            'snapshot': snapshot.id,
+            'shard': shard,
+            'documents': snapshot.documents,
+            'echo': echo,
+        }
         return {
             'snapshot': self.faults.wrong_snapshot or snapshot.id,
             'documents': snapshot.documents,
             'hits': [
-                {'id': f'{shard}/{rank}', 'score': 1 / rank, 'echo': echo}
+                {'id': f'{shard}/{rank}', 'score': 1 / rank, **origin}
                 for rank in (1, 2, 3)
             ],
         }
