Test submits with signals and cuts at each step of their way

The stand-ins get traps: a call of a chosen step and name sends a signal, resets its connection, starts an outage or waits.

--- a/tests/http_calls.py
+++ b/tests/http_calls.py
@@ -64,9 +64,12 @@
         *,
         key: str,
         deadline_ms: int = 400,
+        request_id: str = '',
     ) -> Reply:
         """Send a submit to a front."""
         headers = {'X-Deadline-Ms': str(deadline_ms), 'Idempotency-Key': key}
+        if request_id:
+            headers['X-Request-Id'] = request_id
         return await self.post(address, f'/submit/{service}', body, headers)
 
     async def _send(
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -19,6 +19,7 @@
     ServerSpec,
     SnapshotSpec,
 )
+from tests.standins.traps import Traps, reset
 
 _MS = 1000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -35,9 +36,10 @@
 class BackendServer:
     """Serve searches and submits, with faults that tests switch."""
 
-    def __init__(self, spec: ServerSpec) -> None:
+    def __init__(self, spec: ServerSpec, traps: Traps | None = None) -> None:
         """Listen only after `start`."""
         self.spec = spec
+        self.traps = traps or Traps()
         self.address = spec.address
         self.faults = Faults()
         self.records = Records()
@@ -213,7 +215,17 @@
     async def _run(self, request: web.BaseRequest, body: bytes) -> web.Response:
         if self.load.is_collapsed(time.monotonic()):
             return self._refused('shed')
+        key = request.headers.get('Idempotency-Key', '')
+        trap = await self.traps.spring('arrived', key)
+        if trap and trap.refuse:
+            return self._refused('shed')
+        if trap and trap.drop:
+            reset(request)
+            return web.Response()
         self._record_run(request)
+        trap = await self.traps.spring('ran', key)
+        if trap and trap.drop:
+            reset(request)
         if self.faults.crash_text and self.faults.crash_text in body.decode():
             self.crash()
             await asyncio.Event().wait()
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -19,6 +19,7 @@
 
 from tests.standins.backend_models import ServerSpec, SnapshotSpec
 from tests.standins.backend_servers import BackendServer
+from tests.standins.traps import Traps
 
 
 @attrs.frozen(kw_only=True)
@@ -34,7 +35,10 @@
 
     def __init__(self, specs: Iterable[ServerSpec]) -> None:
         """Listen only when entered."""
-        self.servers = {spec.replica_id: BackendServer(spec) for spec in specs}
+        self.traps = Traps()
+        self.servers = {
+            spec.replica_id: BackendServer(spec, self.traps) for spec in specs
+        }
 
     async def __aenter__(self) -> Self:
         """Start all servers."""
@@ -84,6 +88,7 @@
         app.router.add_post('/control', self._control)
         app.router.add_get('/records', self._records)
         app.router.add_get('/totals', self._totals)
+        app.add_routes([fleet.traps.route()])
         self._runner = web.AppRunner(app, access_log=None)
 
     async def start(self, address: str) -> str:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -26,6 +26,7 @@
     VmListing,
 )
 from dragonflyramp.results import ResultCode
+from tests.standins.traps import Traps, reset
 
 
 @attrs.define(kw_only=True)
@@ -164,6 +165,7 @@
     def __init__(self, platform: MemoryPlatform | None = None) -> None:
         """Serve the given platform or an empty one."""
         self.platform = platform or MemoryPlatform()
+        self.traps = Traps()
         self.address = ''
         self._runner: web.AppRunner | None = None
 
@@ -177,6 +179,7 @@
                 web.put('/objects/{name:.+}', self._put),
                 web.get('/vms', self._vms),
                 web.post('/control', self._control),
+                self.traps.route(),
             ]
         )
         # A slow write takes effect even when its caller has given up.
@@ -195,6 +198,7 @@
     async def _get(self, request: web.Request) -> web.Response:
         name = request.match_info['name']
         if 'watch' not in request.query:
+            await self._spring('read', request)
             return _object_reply(request, await self.platform.read(name))
         found = await self.platform.watch(
             name,
@@ -208,13 +212,28 @@
     async def _put(self, request: web.Request) -> web.Response:
         name = request.match_info['name']
         version = int(request.headers['If-Match'])
-        written = await self.platform.write(name, await request.read(), version)
+        body = await request.read()
+        if await self._spring('write', request):
+            return web.Response()
+        written = await self.platform.write(name, body, version)
+        await self._spring('written', request)
         if isinstance(written, Failure):
             now = self.platform.versions().get(name, ABSENT)
             return _refusal(request, written.failure(), now)
         headers = {'X-Object-Version': str(written.unwrap())}
         return web.Response(headers=headers)
 
+    async def _spring(self, step: str, request: web.Request) -> bool:
+        """Tell whether a trap dropped the call before it took effect."""
+        trap = await self.traps.spring(step, request.match_info['name'])
+        if trap is None:
+            return False
+        if trap.down:
+            self.platform.change_faults(down=True)
+        if trap.drop:
+            reset(request)
+        return trap.drop
+
     async def _vms(self, request: web.Request) -> web.Response:
         found = await self.platform.list_vms(
             request.query.getall('service', []),
@@ -277,9 +296,9 @@
 def _refusal(
     request: web.Request, code: ResultCode, version: int = ABSENT
 ) -> web.Response:
-    if code is ResultCode.platform_down and request.transport:
+    if code is ResultCode.platform_down:
         # An outage shows as a closed connection, not as an answer.
-        request.transport.abort()
+        reset(request)
     headers = {'X-Object-Version': str(version)}
     return web.Response(status=code.meaning.http_status, headers=headers)
 
