Restart killed relays at their address in the submit tests

A slice whose holder and deputies have all died stays dark until the VM list or a newer member at the address says so; ephemeral ports hid the latter.

--- a/tests/submit_worlds.py
+++ b/tests/submit_worlds.py
@@ -184,7 +184,11 @@
             start = system.start_front(_DOMAIN)
         else:
             system.relays.remove(daemon)
-            start = system.start_relay(_DOMAIN)
+            # A newer member at the address tells that the old one is gone,
+            # without which a slice whose deputies died too stays dark.
+            start = system.start_relay(
+                _DOMAIN, member_address=daemon.member_address
+            )
         self._starts.append(asyncio.create_task(start))
 
     async def serving(self, front: Daemon) -> Daemon:
