Send a submit to the next relay when the first one did not take it

Cause: a submit went to one relay only. A relay that has just handed its slice over, or that stops, refuses it with not_owner or stopping, and the caller got HTTP 503, although the new holder could have run it.

Ruled out: the stop of the front, since the refusals came through the front that stayed, and a lost claim, since the claims were recorded as not run.

The new cases of test_claims fail without the second send.

A relay refuses with these codes only what it has not sent to any backend server, so a submit still runs at most once. The next relay is asked once.

--- a/dragonflyramp/callers/_outcomes.py
+++ b/dragonflyramp/callers/_outcomes.py
@@ -15,7 +15,7 @@
 from dragonflyramp.results import ResultCode, RunState
 
 #: The relay did not run the shard, another relay may.
-_ASK_NEXT = frozenset(
+ASK_NEXT = frozenset(
     (
         ResultCode.not_owner,
         ResultCode.no_lease,
@@ -120,7 +120,7 @@
         _ask_again(round_, shard)
     elif code in _GONE:
         round_.gone.add(shard)
-    elif code in _ASK_NEXT:
+    elif code in ASK_NEXT:
         _ask_next(round_, shard, code)
 
 
--- a/dragonflyramp/callers/_submits.py
+++ b/dragonflyramp/callers/_submits.py
@@ -10,6 +10,7 @@
 
 from dragonflyramp.callers._claim_records import ClaimKey, claim_key
 from dragonflyramp.callers._claims import Claims
+from dragonflyramp.callers._outcomes import ASK_NEXT
 from dragonflyramp.callers._planning import (
     DeadlineSplit,
     Planner,
@@ -95,6 +96,8 @@
             )
         # No await lies between the checks above and the send.
         outcome = await self._send(job, relay_ids[0], now_seconds)
+        if _is_untaken(outcome):
+            outcome = await self._send_to_next(job, relay_ids[0], outcome)
         exposure = _exposure(job, now_seconds)
         if outcome.code is ResultCode.connection_reset:
             self.suspects.crash(exposure, self.clock())
@@ -102,6 +105,18 @@
             self.suspects.complete(exposure, self.clock())
         return outcome
 
+    async def _send_to_next(
+        self, job: _Job, asked: MemberId, outcome: SubmitOutcome
+    ) -> SubmitOutcome:
+        """Ask the next relay, once, after one that sent nothing itself."""
+        now_seconds = self.clock()
+        candidates = self.planner.candidates(job.request.service)
+        others = [relay_id for relay_id in candidates if relay_id != asked]
+        if not others or self._refusal(job, now_seconds):
+            return outcome
+        counters.add('resends', outcome.code.name)
+        return await self._send(job, others[0], now_seconds)
+
     def _refusal(self, job: _Job, now_seconds: float) -> ResultCode | None:
         if not job.split.remaining_ms(now_seconds):
             # The claim came too late, for example after a pause.
@@ -150,6 +165,15 @@
         )
 
 
+def _is_untaken(outcome: SubmitOutcome) -> bool:
+    """Tell whether a relay refused a submit that another one may take.
+
+    A slice that moves while a submit is on its way costs no refusal then.
+    """
+    is_not_run = outcome.code.meaning.run is RunState.not_run
+    return is_not_run and outcome.code in ASK_NEXT
+
+
 def _unknown(job: _Job) -> SubmitOutcome:
     return SubmitOutcome(
         submit_id=job.submit_id, code=ResultCode.outcome_unknown, body=b''
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -79,11 +79,14 @@
     claims: ClaimSettings = ClaimSettings(settle_seconds=600)
     faults: Iterator[Fault] = attrs.field(factory=lambda: iter(()))
     lag_seconds: float = 0
+    relays: tuple[str, ...] = ('r1',)
     front: Front = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the front."""
-        links = FakeRelays((report('r1', ('s0',), snapshot('A')),))
+        links = FakeRelays(
+            tuple(report(one, ('s0',), snapshot('A')) for one in self.relays)
+        )
         links.on_submit = self.world.on_submit
         self.front = Front(
             FrontParts(
@@ -328,6 +331,31 @@
     assert largest <= 1000
 
 
+@pytest.mark.parametrize(
+    ('first', 'codes'),
+    [
+        (ResultCode.not_owner, (OK, REPLAYED)),
+        (ResultCode.stopping, (OK, REPLAYED)),
+        (ResultCode.queue_full, (ResultCode.queue_full, OK)),
+        (UNKNOWN, (UNKNOWN, UNKNOWN)),
+    ],
+)
+def test_next_relay_gets_what_was_not_taken(
+    first: ResultCode, codes: tuple[ResultCode, ...]
+) -> None:
+    """A slice that moves must cost no refusal, and nothing may run twice."""
+    sends = itertools.chain(
+        [Send(code=first, run_ms=None)], itertools.repeat(Send())
+    )
+    node = Node(World(sends=sends), relays=('r1', 'r2'))
+
+    async def twice() -> list[ResultCode]:  # noqa: WPS430 - one use
+        return [outcome(await node.submit(one)) for one in ('a', 'b')]
+
+    assert tuple(run_virtual(twice())) == codes
+    assert len(node.world.ran) <= 1
+
+
 def test_claims_of_one_bucket_share_writes() -> None:
     """One write per order would run into the platform's limit."""
     node = Node(World())
