Refuse a request at the relay after the second crash that it saw

Cause: each front counts the crashes of its own attempts and tells the others of a quarantine with the next heartbeat. A caller that resent a fatal request through two fronts crashed two servers by each of them.

Ruled out: the bound of a single front, which test_crashes.py proves; and the relay's rule that an unproven body runs alone, which held: the crashes came one after another.

A replica that lost a failure domain's worth of sends at once is not refused: a crash counts only when its send began after the first crash was seen.

Conclusion: the relay of a shard sees the attempts of all fronts, so that the bound of two crashes of a shard holds there. A front that is refused for this reason quarantines the request at once. Canaries that run at the same time on two shards of two relays are still counted by each relay.

--- a/dragonflyramp/backends/_dispatches.py
+++ b/dragonflyramp/backends/_dispatches.py
@@ -7,6 +7,7 @@
 from dragonflyramp.backends._assignments import Assigner, LimitedPool, holders
 from dragonflyramp.backends._contexts import TierContext
 from dragonflyramp.backends._fingerprints import Wake
+from dragonflyramp.backends._fingerprints import is_refused
 from dragonflyramp.backends._jobs import Job, SendPurpose
 from dragonflyramp.backends._queues import ShardQueue
 from dragonflyramp.models import LeaseState
@@ -68,6 +69,10 @@
     def _place(
         self, job: Job, usable: Sequence[LimitedPool], now_seconds: float
     ) -> None:
+        fingerprints = self._context.fingerprints
+        if is_refused(fingerprints, job.fingerprint, now_seconds):
+            self._queue.refuse(job, ResultCode.quarantined)
+            return
         holding = holders(usable, job)
         untried = self._assigner.untried(job, holding)
         if not untried:
@@ -80,7 +85,6 @@
         if not free:
             self._wait_for_slot(job, untried)
             return
-        fingerprints = self._context.fingerprints
         if fingerprints.may_run(job.fingerprint, job.arrived_seconds):
             self._start(job, free, now_seconds)
         else:
--- a/dragonflyramp/backends/_fingerprints.py
+++ b/dragonflyramp/backends/_fingerprints.py
@@ -15,8 +15,11 @@
 class _Crashes:
     """Remember where and when a body crashed a backend server."""
 
+    first_seconds: float
     latest_seconds: float
     replica_ids: set[str] = attrs.field(factory=set)
+    #: A send that began after the first crash was seen crashed as well.
+    is_repeated: bool = False
 
 
 @attrs.define
@@ -27,17 +30,26 @@
     _crashes: dict[str, _Crashes] = attrs.field(factory=dict)
 
     def add(
-        self, fingerprint: str, replica_id: str, now_seconds: float
+        self,
+        fingerprint: str,
+        replica_id: str,
+        now_seconds: float,
+        *,
+        sent_seconds: float,
     ) -> None:
-        """Add a crash and forget old ones."""
+        """Add a crash of a send that began then, and forget old ones."""
         oldest = now_seconds - self.keep_seconds
         self._crashes = {
             known: crashes
             for known, crashes in self._crashes.items()
             if crashes.latest_seconds > oldest
         }
-        crashes = self._crashes.setdefault(fingerprint, _Crashes(now_seconds))
+        crashes = self._crashes.setdefault(
+            fingerprint, _Crashes(now_seconds, now_seconds)
+        )
         crashes.latest_seconds = now_seconds
+        if sent_seconds > crashes.first_seconds:
+            crashes.is_repeated = True
         crashes.replica_ids.add(replica_id)
 
     def clear(self, fingerprint: str) -> None:
@@ -49,6 +61,17 @@
         crashes = self._crashes.get(fingerprint)
         return frozenset(crashes.replica_ids if crashes else ())
 
+    def is_repeated(self, fingerprint: str, now_seconds: float) -> bool:
+        """Tell whether the body crashed a second server after the first.
+
+        Sends that were running when the first crash was seen do not count:
+        the death of a failure domain resets many at once.
+        """
+        crashes = self._crashes.get(fingerprint)
+        if crashes is None or not crashes.is_repeated:
+            return False
+        return now_seconds < crashes.latest_seconds + self.keep_seconds
+
     def crashed_since(self, fingerprint: str, since_seconds: float) -> bool:
         """Tell whether the body crashed a server at that time or later."""
         crashes = self._crashes.get(fingerprint)
@@ -62,7 +85,9 @@
     A body that has not completed yet runs on one server at a time. After a
     crash the jobs that waited with it stay waiting until the body completes
     somewhere; only a job that arrives later, which is the front's decision,
-    may run it again. Without `alone` any body may run at any time.
+    may run it again. After a second crash no job may: each front counts the
+    crashes of its own attempts only, and all fronts together could crash
+    two servers each. Without `alone` any body may run at any time.
     """
 
     max_proven: int
@@ -108,12 +133,19 @@
             wake()
 
     def crash(
-        self, fingerprint: str, replica_id: str, now_seconds: float
+        self,
+        fingerprint: str,
+        replica_id: str,
+        now_seconds: float,
+        *,
+        sent_seconds: float,
     ) -> None:
         """Note that a server's connection reset while it ran the body."""
         counters.add('crash_suspects', 'connection_reset')
         self._proven.pop(fingerprint, None)
-        self.suspects.add(fingerprint, replica_id, now_seconds)
+        self.suspects.add(
+            fingerprint, replica_id, now_seconds, sent_seconds=sent_seconds
+        )
         self.end(fingerprint, completed=False)
         self._forget_unused_wakes()
 
@@ -123,3 +155,12 @@
             suspected = self.suspects.replica_ids(fingerprint)
             if not suspected and fingerprint not in self._running:
                 self._waiting.pop(fingerprint)
+
+
+def is_refused(
+    fingerprints: Fingerprints, fingerprint: str, now_seconds: float
+) -> bool:
+    """Tell whether the body crashed a second server."""
+    return fingerprints.alone and fingerprints.suspects.is_repeated(
+        fingerprint, now_seconds
+    )
--- a/dragonflyramp/backends/_observations.py
+++ b/dragonflyramp/backends/_observations.py
@@ -1,5 +1,7 @@
 """Learn from the end of each send: ramp, latencies, snapshots, crashes."""
 
+import math
+
 from dragonflyramp.backends._connections import EndedSend
 from dragonflyramp.backends._contexts import TierContext
 from dragonflyramp.backends._jobs import Send
@@ -62,8 +64,16 @@
         fingerprint = ended.send.job.fingerprint
         code = ended.reply.code
         if code is ResultCode.connection_reset:
-            replica_id = ended.send.replica.replica.replica_id
-            fingerprints.crash(fingerprint, replica_id, now_seconds)
+            send = ended.send
+            sent_seconds = send.called_seconds
+            fingerprints.crash(
+                fingerprint,
+                send.replica.replica.replica_id,
+                now_seconds,
+                sent_seconds=-math.inf
+                if sent_seconds is None
+                else sent_seconds,
+            )
         else:
             fingerprints.end(fingerprint, completed=code in _RAN)
 
--- a/dragonflyramp/callers/_outcomes.py
+++ b/dragonflyramp/callers/_outcomes.py
@@ -100,6 +100,8 @@
             self.suspects.crash(exposure, now_seconds)
         elif code in _COMPLETED:
             self.suspects.complete(exposure, now_seconds)
+        elif code is ResultCode.quarantined:
+            self.suspects.refuse(exposure, now_seconds)
         else:
             self.suspects.resolve(exposure, now_seconds)
         if code.meaning.run is RunState.not_run:
--- a/dragonflyramp/callers/_quarantine.py
+++ b/dragonflyramp/callers/_quarantine.py
@@ -55,6 +55,11 @@
         counters.add('quarantine', 'added')
         logger.warning('fingerprint {} is quarantined', fingerprint)
 
+    def start(self, fingerprint: str, now_seconds: float) -> None:
+        """Quarantine a fingerprint for the whole time."""
+        limit_ms = self.settings.quarantine_seconds * 1000
+        self.add(fingerprint, limit_ms, now_seconds)
+
     def entries(self, now_seconds: float) -> tuple[QuarantineEntry, ...]:
         """List the entries to pass on to other members."""
         listed = (
--- a/dragonflyramp/callers/_suspects.py
+++ b/dragonflyramp/callers/_suspects.py
@@ -93,10 +93,17 @@
         suspicion.crash(exposure, now_seconds)
         self._proven.discard(fingerprint)
         if suspicion.crashes >= MAX_CRASHES:
-            limit_ms = self.quarantine.settings.quarantine_seconds * 1000
-            self.quarantine.add(fingerprint, limit_ms, now_seconds)
+            self.quarantine.start(fingerprint, now_seconds)
         self._table.settle(fingerprint)
 
+    def refuse(self, exposure: Exposure, now_seconds: float) -> None:
+        """Quarantine a request that a relay saw crash two servers.
+
+        The relay also counts the crashes of other fronts' attempts.
+        """
+        self.quarantine.start(exposure.fingerprint, now_seconds)
+        self.resolve(exposure, now_seconds)
+
     async def wait_change(
         self, fingerprint: str, now_seconds: float, timeout_seconds: float
     ) -> None:
--- a/tests/test_backends_decisions.py
+++ b/tests/test_backends_decisions.py
@@ -17,7 +17,11 @@
     RandomChoice,
 )
 from dragonflyramp.backends._decoding import decode_search, decode_status
-from dragonflyramp.backends._fingerprints import Fingerprints, Suspects
+from dragonflyramp.backends._fingerprints import (
+    Fingerprints,
+    Suspects,
+    is_refused,
+)
 from dragonflyramp.backends._hedging import NoHedge, QuantileHedge
 from dragonflyramp.backends._latencies import (
     LatencyWindow,
@@ -430,7 +434,7 @@
     bodies = fingerprints()
     bodies.end('f', completed=True)
     bodies.begin('f')
-    bodies.crash('f', 'r1', 5)
+    bodies.crash('f', 'r1', 5, sent_seconds=4)
     assert 'f' not in bodies
     assert not bodies.may_run('f', 4)
     assert bodies.may_run('f', 6)
@@ -442,12 +446,29 @@
 def test_suspects_are_forgotten() -> None:
     """A body that met a server's own crash must not be held back for ever."""
     bodies = fingerprints()
-    bodies.crash('f', 'r1', 5)
-    bodies.crash('g', 'r2', 50)
+    bodies.crash('f', 'r1', 5, sent_seconds=4)
+    bodies.crash('g', 'r2', 50, sent_seconds=4)
     assert bodies.may_run('f', 4)
     assert not bodies.may_run('g', 4)
 
 
+def test_second_crash_refuses_the_body() -> None:
+    """Each of several fronts could let the body crash two servers.
+
+    Sends that ran when the first crash was seen may have met the death of
+    a failure domain, which must not refuse what ran there.
+    """
+    bodies = fingerprints()
+    bodies.crash('f', 'r1', 5, sent_seconds=4)
+    bodies.crash('f', 'r2', 6, sent_seconds=4.5)
+    assert not is_refused(bodies, 'f', 6)
+    bodies.crash('f', 'r3', 7, sent_seconds=6.5)
+    assert is_refused(bodies, 'f', 7)
+    assert not is_refused(bodies, 'f', 17)
+    bodies.end('f', completed=True)
+    assert not is_refused(bodies, 'f', 7)
+
+
 @pytest.mark.parametrize(
     ('usual', 'warm', 'left', 'silence'),
     [
