List the VMs of many shards in several calls

The query of GET /vms names every shard that a relay serves.

Ruled out: the size of the reply, whose limit is 16 MB.

Now a query has at most 6,000 bytes; 1,000 shards need 4 calls when the list changed and one when it did not.

--- a/dragonflyramp/platform/_vms_http.py
+++ b/dragonflyramp/platform/_vms_http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from http import HTTPStatus
+from urllib.parse import quote
 
 import aiohttp
 import attrs
@@ -22,6 +23,9 @@
 #: 16 MB; 110,000 replicas of about 130 bytes each are 14 MB.
 _MAX_LISTING_BYTES = 16777216
 _MAX_VERSION_LENGTH = 200
+#: HTTP servers commonly refuse a request line of more than 8 KB.
+_MAX_QUERY_BYTES = 6000
+_PAIR_OVERHEAD = len('service=&')
 
 
 class HttpVmList(VmList):
@@ -40,7 +44,31 @@
     async def list_vms(
         self, services: Sequence[str], known_version: str
     ) -> Result[VmListing | None, ResultCode]:
-        """List the VMs of services; fail as `VmList` states."""
+        """List the VMs of services; fail as `VmList` states.
+
+        Only the first call asks whether the list changed. A change between
+        two calls shows at the next listing, because the version of the
+        first one is kept.
+        """
+        first, *rest = _batches(services)
+        listed = count_failure('vms', await self._list(first, known_version))
+        if listed.value_or(None) is None:
+            return listed
+        listing = listed.unwrap()
+        machines = list(listing.machines) if listing else []
+        for batch in rest:
+            more = count_failure('vms', await self._list(batch, ''))
+            found = more.value_or(None)
+            if found is None:
+                return more
+            machines.extend(found.machines)
+        return listed.map(
+            lambda one: one and attrs.evolve(one, machines=tuple(machines))
+        )
+
+    async def _list(
+        self, services: Sequence[str], known_version: str
+    ) -> Result[VmListing | None, ResultCode]:
         headers = {'If-None-Match': known_version} if known_version else {}
         reply = await self._exchange.call(
             Call(
@@ -52,8 +80,21 @@
                 max_reply_bytes=_MAX_LISTING_BYTES,
             )
         )
-        listing = reply.bind(lambda taken: _read_listing(known_version, taken))
-        return count_failure('vms', listing)
+        return reply.bind(lambda taken: _read_listing(known_version, taken))
+
+
+def _batches(services: Sequence[str]) -> list[list[str]]:
+    """Divide services so that each query fits into a request line."""
+    batches: list[list[str]] = [[]]
+    size = 0
+    for service in services:
+        pair_size = len(quote(service)) + _PAIR_OVERHEAD
+        if size + pair_size > _MAX_QUERY_BYTES and batches[-1]:
+            batches.append([])
+            size = 0
+        batches[-1].append(service)
+        size += pair_size
+    return batches
 
 
 @attrs.frozen
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,11 +13,13 @@
 from returns.result import Failure, Result, Success
 
 from dragonflyramp.metrics import counters
+from dragonflyramp.models import Replica, VmState
 from dragonflyramp.platform import (
     ABSENT,
     MAX_OBJECT_BYTES,
     Platform,
     VersionedObject,
+    VirtualMachine,
     open_platform,
 )
 from dragonflyramp.results import ResultCode
@@ -245,3 +247,29 @@
     writer.write(reply)
     await writer.drain()
     writer.close()
+
+
+async def test_long_listings_fit_into_requests(
+    client: Platform, server: PlatformServer
+) -> None:
+    """A relay of many shards must not be refused for a long request line."""
+    services = [f'stock-{index}' for index in range(1000, 2000)]
+    server.platform.replace_machines(
+        [
+            VirtualMachine(
+                replica=Replica(
+                    replica_id=service,
+                    shard=service,
+                    address='10.0.0.1:8080',
+                    failure_domain='centro',
+                ),
+                state=VmState.live,
+            )
+            for service in services
+        ]
+    )
+    listing = (await client.vms.list_vms(services, '')).unwrap()
+    assert listing
+    assert [one.replica.shard for one in listing.machines] == services
+    again = await client.vms.list_vms(services, listing.version)
+    assert again == Success(None)
