Compute slices and deltas once for each change

With 22,000 services a change cost a relay 281 ms of processor time (spread 274 to 361) to find facts, slices and shards, and a front 205 ms (201 to 287), because each asked for the same slices anew. The member that offers a change made the same delta of 12 ms for each of 31 members, which is 362 ms.

After: relay 152 ms (150 to 159), front 106 ms (102 to 127), one delta for all members that know the same base. Measured with benchmarks.control_texts at 22,000 services, 5 runs each, the delta by 31 times its median.

--- a/dragonflyramp/members/_offers.py
+++ b/dragonflyramp/members/_offers.py
@@ -34,6 +34,7 @@
     _codec: TextCodec
     _offered: dict[MemberId, int] = attrs.field(factory=dict)
     _known: dict[MemberId, int] = attrs.field(factory=dict)
+    _latest: Offer | None = None
 
     def members(self) -> frozenset[MemberId]:
         """List the other members."""
@@ -67,8 +68,17 @@
         known = self._known.get(member_id, self._texts.previous_number)
         base = self._texts.root_of(known)
         if base is None or known >= number:
-            return self._offer(text, b'', 0)
-        return self._offer(text, base, known)
+            base, known = b'', 0
+        # Nearly all members know the same base. At 22,000 services a delta
+        # takes about 12 ms, which 31 members would cost each time.
+        latest = self._latest
+        if latest is None or (latest.number, latest.base_number) != (
+            number,
+            known,
+        ):
+            latest = self._offer(text, base, known)
+            self._latest = latest
+        return latest
 
     def _offer(self, text: Text, base: bytes, base_number: int) -> Offer:
         root = text.root
--- a/dragonflyramp/slices.py
+++ b/dragonflyramp/slices.py
@@ -16,7 +16,34 @@
     by_shard: Mapping[str, SliceId]
 
 
+@attrs.define(eq=False)
+class SliceMaps:
+    """Keep the slices of the configuration that was asked for last.
+
+    Membership, planning and the backend tier ask for the same one; at
+    22,000 services each computation takes about 55 ms.
+    """
+
+    _configuration: Configuration | None = None
+    _computed: SliceMap = SliceMap((), {})
+
+    def of(self, configuration: Configuration) -> SliceMap:
+        """Return the slices of a configuration."""
+        if configuration is not self._configuration:
+            self._computed = _compute(configuration)
+            self._configuration = configuration
+        return self._computed
+
+
+_maps = SliceMaps()
+
+
 def slice_map(configuration: Configuration) -> SliceMap:
+    """Return the slices of a configuration, computed once for the latest."""
+    return _maps.of(configuration)
+
+
+def _compute(configuration: Configuration) -> SliceMap:
     """Assign shards to slices by a hash of the shard's name.
 
     An edit of the text that adds or removes shards moves no other shard to
