--- a/benchmarks/meters.py
+++ b/benchmarks/meters.py
@@ -122,10 +122,10 @@
 
 
 def _processor(pids: Iterable[int]) -> tuple[float, ...]:
-    return tuple(map(_processor_seconds, pids))
+    return tuple(map(read_processor_seconds, pids))
 
 
-def _processor_seconds(pid: int) -> float:
+def read_processor_seconds(pid: int) -> float:
     """Read user and system time; the name in brackets may hold spaces."""
     text = pathlib.Path(f'/proc/{pid}/stat').read_text()
     fields = text.rpartition(')')[2].split()
--- a/tests/outside.py
+++ b/tests/outside.py
@@ -20,12 +20,14 @@
 class ServerOptions:
     """Give fields of all backend servers, and of single replicas.
 
-    The servers are spread over a number of processes of one module.
+    The servers are spread over a number of processes of one module. Shards
+    below a service that neither user has get `other_replicas`.
     """
 
     common: Mapping[str, object] = attrs.field(factory=dict)
     single: Mapping[str, Mapping[str, object]] = attrs.field(factory=dict)
     processes: int = 1
+    other_replicas: int = 3
     module: str = 'tests.standins.backends'
 
 
@@ -115,7 +117,7 @@
     options: ServerOptions,
 ) -> Backends:
     """Start the stand-in for all backend servers of a configuration."""
-    machines = fleet_of(configuration)
+    machines = fleet_of(configuration, other_replicas=options.other_replicas)
     count = options.processes
     shares = [machines[index::count] for index in range(count)]
     processes = [
--- a/tests/standins/fleets.py
+++ b/tests/standins/fleets.py
@@ -32,13 +32,18 @@
 def fleet_of(
     configuration: Configuration,
     address_of: Callable[[int], str] = fake_address,
+    *,
+    other_replicas: int = _OTHER_REPLICAS,
 ) -> tuple[VirtualMachine, ...]:
     """List the VMs of all shards; `address_of` gets the index of each.
 
+    Shards below a service that neither user has get `other_replicas`.
+
     Replicas of a shard are in different failure domains as far as there are
     enough, and the first domain varies between shards.
     """
-    replicas = list(_replicas(configuration, address_of))
+    counts = _counts(configuration, other_replicas)
+    replicas = list(_replicas(configuration, counts, address_of))
     return tuple(
         VirtualMachine(replica=replica, state=VmState.live)
         for replica in replicas
@@ -46,11 +51,13 @@
 
 
 def _replicas(
-    configuration: Configuration, address_of: Callable[[int], str]
+    configuration: Configuration,
+    counts: dict[str, int],
+    address_of: Callable[[int], str],
 ) -> Iterator[Replica]:
     domains = tuple(configuration.failure_domains)
     total = 0
-    for turn, (shard, count) in enumerate(_counts(configuration).items()):
+    for turn, (shard, count) in enumerate(counts.items()):
         for position in range(count):
             yield Replica(
                 replica_id=f'{shard}-{position}',
@@ -61,11 +68,13 @@
             total += 1
 
 
-def _counts(configuration: Configuration) -> dict[str, int]:
+def _counts(
+    configuration: Configuration, other_replicas: int
+) -> dict[str, int]:
     counts: dict[str, int] = {}
     for service in configuration.services.values():
         if _is_searched(configuration, service):
-            count = _REPLICAS.get(service.name, _OTHER_REPLICAS)
+            count = _REPLICAS.get(service.name, other_replicas)
             for shard in configuration.shards_of(service.name):
                 counts.setdefault(shard, count)
     return counts
