Check a send again when its first byte is written

A relay frozen with SIGSTOP during a zone out sent one to four requests to the failure domain when it was resumed. Cause: isolation, holds and lease are checked when a send is handed to aiohttp, which writes the request in a later step of the event loop. A process paused in between wrote it on resuming. Ruled out: work taken up too early after the isolation. The requests arrived 7 to 133 ms after the resumption and had been permitted before the pause. What remains: a pause between that check and the write of the event loop at the end of its iteration. No check in the process can exclude it.

--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -11,26 +11,39 @@
 from dragonflyramp.results import ResultCode
 
 
+def always() -> bool:
+    """Allow every call."""
+    return True
+
+
 @attrs.frozen(kw_only=True)
 class SearchCall:
-    """Ask a backend server for the hits of one snapshot."""
+    """Ask a backend server for the hits of one snapshot.
+
+    `is_allowed` is asked once more immediately before the first byte.
+    """
 
     snapshot_id: str
     deadline_ms: int
     attempt_id: str
     request_id: str
     body: bytes
+    is_allowed: Callable[[], bool] = always
 
 
 @attrs.frozen(kw_only=True)
 class SubmitCall:
-    """Ask a backend server to run a request that must not be repeated."""
+    """Ask a backend server to run a request that must not be repeated.
+
+    `is_allowed` is asked once more immediately before the first byte.
+    """
 
     idempotency_key: str
     deadline_ms: int
     attempt_id: str
     request_id: str
     body: bytes
+    is_allowed: Callable[[], bool] = always
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/backends/_http.py
+++ b/dragonflyramp/backends/_http.py
@@ -72,7 +72,7 @@
     async def search(self, call: SearchCall) -> Reply:
         """Search on the open connection; unsent when it was lost."""
         headers = {**_headers(call), 'X-Snapshot-Id': call.snapshot_id}
-        request = _post_request('/search', headers, call.body)
+        request = _post_request('/search', headers, call)
         max_bytes = self._settings.max_reply_bytes
         raw = await _post(self._session, request, max_bytes)
         return raw if isinstance(raw, Reply) else _search_reply(raw)
@@ -80,7 +80,7 @@
     async def submit(self, call: SubmitCall) -> Reply:
         """Submit on the open connection; unsent when it was lost."""
         headers = {**_headers(call), 'Idempotency-Key': call.idempotency_key}
-        request = _post_request('/submit', headers, call.body)
+        request = _post_request('/submit', headers, call)
         max_bytes = self._settings.max_reply_bytes
         raw = await _post(self._session, request, max_bytes)
         return raw if isinstance(raw, Reply) else _submit_reply(raw)
@@ -127,10 +127,15 @@
 
 
 def _post_request(
-    path: str, headers: Mapping[str, str], body: bytes
+    path: str, headers: Mapping[str, str], call: SearchCall | SubmitCall
 ) -> WireRequest:
     return WireRequest(
-        method='POST', path=path, headers=headers, body=body, may_open=False
+        method='POST',
+        path=path,
+        headers=headers,
+        body=call.body,
+        may_open=False,
+        is_allowed=call.is_allowed,
     )
 
 
--- a/dragonflyramp/backends/_senders.py
+++ b/dragonflyramp/backends/_senders.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import math
+from collections.abc import Callable
+
+import attrs
 
 from dragonflyramp.backends._admissions import Admission, Permit
 from dragonflyramp.backends._clients import (
@@ -112,9 +115,16 @@
         if job.kind is RequestKind.search:
             limit_seconds = min(left_seconds, permit.silence_seconds)
         send.due_seconds = now_seconds + limit_seconds
+        outgoing = _Outgoing(
+            job=job,
+            left_seconds=left_seconds,
+            is_allowed=lambda: _is_allowed(
+                self._context, self._admission, send, permit
+            ),
+        )
         try:
             async with asyncio.timeout(limit_seconds):
-                return await _post(self._client, job, left_seconds)
+                return await _post(self._client, outgoing)
         except TimeoutError:
             await self.aclose()
         if send.due_seconds < job.deadline_seconds:
@@ -122,8 +132,32 @@
         return _TOO_LATE
 
 
-async def _post(client: BackendClient, job: Job, left_seconds: float) -> Reply:
-    deadline_ms = max(1, int(left_seconds * _MS_PER_SECOND))
+def _is_allowed(
+    context: TierContext, admission: Admission, send: Send, permit: Permit
+) -> bool:
+    """Tell whether a send that was permitted may still start.
+
+    The deadline of a send to a cold replica ends before the lease.
+    """
+    now_seconds = context.clock()
+    if context.source.is_isolated(now_seconds):
+        return False
+    is_due = now_seconds < permit.deadline_seconds
+    return is_due and admission.is_available(send.replica, now_seconds)
+
+
+@attrs.frozen(kw_only=True)
+class _Outgoing:
+    """Hold what a request is made of."""
+
+    job: Job
+    left_seconds: float
+    is_allowed: Callable[[], bool]
+
+
+async def _post(client: BackendClient, outgoing: _Outgoing) -> Reply:
+    job = outgoing.job
+    deadline_ms = max(1, int(outgoing.left_seconds * _MS_PER_SECOND))
     if job.kind is RequestKind.submit:
         return await client.submit(
             SubmitCall(
@@ -132,6 +166,7 @@
                 attempt_id=job.attempt_id,
                 request_id=job.request_id,
                 body=job.body,
+                is_allowed=outgoing.is_allowed,
             )
         )
     return await client.search(
@@ -141,5 +176,6 @@
             attempt_id=job.attempt_id,
             request_id=job.request_id,
             body=job.body,
+            is_allowed=outgoing.is_allowed,
         )
     )
--- a/dragonflyramp/backends/_wire_http.py
+++ b/dragonflyramp/backends/_wire_http.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import SimpleNamespace
 from typing import Any, TypeAlias
 
 import aiohttp
 import attrs
 
+from dragonflyramp.backends._clients import always
+
 _READ_BYTES = 65536
 # The kernel gives up connecting after about 3 s, and not after 2 minutes.
 _CONNECT_REPEATS = 1
@@ -18,6 +20,10 @@
     """Stop a request before aiohttp opens another connection for it."""
 
 
+class NotAllowedError(Exception):
+    """Stop a request whose permission ended before its first byte."""
+
+
 class TooLargeError(Exception):
     """Stop reading a body above the limit."""
 
@@ -38,6 +44,7 @@
     # A malformed address.
     ValueError,
     ConnectionLostError,
+    NotAllowedError,
     TooLargeError,
 )
 
@@ -51,6 +58,7 @@
     headers: Mapping[str, str] = attrs.field(factory=dict)
     body: bytes = b''
     may_open: bool
+    is_allowed: Callable[[], bool] = always
     connected: asyncio.Event = attrs.field(factory=asyncio.Event)
     sent: bool = False
 
@@ -70,7 +78,8 @@
     hooks.on_connection_create_start.append(_check_may_open)
     hooks.on_connection_create_end.append(_note_connected)
     hooks.on_connection_reuseconn.append(_note_connected)
-    hooks.on_request_headers_sent.append(_note_sent)
+    hooks.on_request_headers_sent.append(_note_headers)
+    hooks.on_request_chunk_sent.append(_note_chunk)
     return aiohttp.ClientSession(
         root,
         connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=idle_seconds),
@@ -143,12 +152,33 @@
     context.trace_request_ctx.connected.set()
 
 
-async def _note_sent(
+async def _note_headers(
     session: aiohttp.ClientSession,
     context: SimpleNamespace,
     event: aiohttp.TraceRequestHeadersSentParams,
 ) -> None:
-    context.trace_request_ctx.sent = True
+    """Note a request without a body, which is written at once."""
+    if not context.trace_request_ctx.body:
+        _begin(context.trace_request_ctx)
+
+
+async def _note_chunk(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    event: aiohttp.TraceRequestChunkSentParams,
+) -> None:
+    """Note the body, with whose first bytes the headers are written.
+
+    That happens in a later step of the event loop than the call, and the
+    process may have been paused in between.
+    """
+    _begin(context.trace_request_ctx)
+
+
+def _begin(request: WireRequest) -> None:
+    if not request.sent and not request.is_allowed():
+        raise NotAllowedError
+    request.sent = True
 
 
 async def _read(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
