--- a/benchmarks/control_promises.py
+++ b/benchmarks/control_promises.py
@@ -107,6 +107,7 @@
     """Ask for slices whose replicas are all warm."""
     return Promise(
         holder_id=MemberId('0123456789abcdef'),
+        deputy_id=MemberId('fedcba9876543210'),
         configuration_number=8900,
         slices=tuple(
             SliceWarmth(
--- a/tests/test_backends_decisions.py
+++ b/tests/test_backends_decisions.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dragonflyramp.backends import _fingerprints
 from dragonflyramp.backends._admissions import make_permit
 from dragonflyramp.backends._assignments import cold_reserve_seconds
 from dragonflyramp.backends._budgets import Budget
@@ -18,11 +19,6 @@
     RandomChoice,
 )
 from dragonflyramp.backends._decoding import decode_search, decode_status
-from dragonflyramp.backends._fingerprints import (
-    Fingerprints,
-    Suspects,
-    is_refused,
-)
 from dragonflyramp.backends._hedging import NoHedge, QuantileHedge
 from dragonflyramp.backends._latencies import (
     LatencyWindow,
@@ -401,9 +397,11 @@
     assert gained.by_shard() == {'x': 7, 'y': 7}
 
 
-def fingerprints() -> Fingerprints:
+def fingerprints() -> _fingerprints.Fingerprints:
     """Remember few bodies, and suspects for 10 s."""
-    return Fingerprints(max_proven=2, suspects=Suspects(10))
+    return _fingerprints.Fingerprints(
+        max_proven=2, suspects=_fingerprints.Suspects(10)
+    )
 
 
 def test_unproven_body_runs_once_at_a_time() -> None:
@@ -462,12 +460,12 @@
     bodies = fingerprints()
     bodies.crash('f', 'r1', 5, sent_seconds=4)
     bodies.crash('f', 'r2', 6, sent_seconds=4.5)
-    assert not is_refused(bodies, 'f', 6)
+    assert not _fingerprints.is_refused(bodies, 'f', 6)
     bodies.crash('f', 'r3', 7, sent_seconds=6.5)
-    assert is_refused(bodies, 'f', 7)
-    assert not is_refused(bodies, 'f', 17)
+    assert _fingerprints.is_refused(bodies, 'f', 7)
+    assert not _fingerprints.is_refused(bodies, 'f', 17)
     bodies.end('f', completed=True)
-    assert not is_refused(bodies, 'f', 7)
+    assert not _fingerprints.is_refused(bodies, 'f', 7)
 
 
 @pytest.mark.parametrize(
