--- a/benchmarks/control_failures.py
+++ b/benchmarks/control_failures.py
@@ -41,7 +41,7 @@
         found = await asyncio.gather(*runs)
         settled = sum(one['is_settled'] for one in found)
         print_figures(case.title, _figures(found))
-        say(f'all slices held by survivors after the span: {settled} of {RUNS}')
+        say(f'record with survivors alone after the span: {settled} of {RUNS}')
 
 
 async def _measure(case: Case) -> dict[str, Any]:
