--- a/tests/layout_worlds.py
+++ b/tests/layout_worlds.py
@@ -52,6 +52,7 @@
     answers: list[Answer] = attrs.field(factory=list)
     _turns: 'itertools.count[int]' = attrs.field(factory=itertools.count)
     _suspended: set[BackendProcess] = attrs.field(factory=set)
+    _frozen: set[Daemon] = attrs.field(factory=set)
 
     @contextlib.asynccontextmanager
     async def callers(self) -> AsyncIterator[None]:
@@ -159,10 +160,12 @@
     async def freeze_relay(self) -> Heal:
         """Stop the relay that holds most until it is continued."""
         relay = await self._holder()
+        self._frozen.add(relay)
         relay.program.send_signal(signal.SIGSTOP)
 
         async def resume() -> None:  # noqa: WPS430 - heals this relay
             relay.program.send_signal(signal.SIGCONT)
+            self._frozen.remove(relay)
 
         return resume
 
@@ -234,10 +237,11 @@
         await self.system.platform.list_machines(backends.machines)
 
     async def _holder(self) -> Daemon:
-        held = [
-            len((await relay.status())['held']) for relay in self.system.relays
+        relays = [
+            relay for relay in self.system.relays if relay not in self._frozen
         ]
-        return self.system.relays[held.index(max(held))]
+        held = [len((await relay.status())['held']) for relay in relays]
+        return relays[held.index(max(held))]
 
     async def _is_whole(self, front: Daemon) -> bool:
         answer = await self.search(_LONG_DEADLINE_MS, front)
