--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -14,6 +14,7 @@
 from dragonflyramp.backends._policies import PolicySet
 from dragonflyramp.backends._settings import BackendSettings
 from dragonflyramp.backends._tier import BackendTier
+from dragonflyramp.backends._traced_ramp import TracedRamp
 
 __all__ = (
     'BackendClient',
@@ -27,5 +28,6 @@
     'Status',
     'StatusFailure',
     'SubmitCall',
+    'TracedRamp',
     'http_client_factory',
 )
--- a/dragonflyramp/backends/_shards.py
+++ b/dragonflyramp/backends/_shards.py
@@ -1,5 +1,6 @@
 """Run one task for each shard: queue, dispatch, hedges, expiry."""
 
+from dragonflyramp import traces
 from dragonflyramp.backends._admissions import Admission
 from dragonflyramp.backends._completions import Completions
 from dragonflyramp.backends._contexts import ShardTerms, TierContext
@@ -10,6 +11,7 @@
 from dragonflyramp.backends._shard_pools import ShardPools
 from dragonflyramp.backends._tasks import TaskTable
 from dragonflyramp.backends._timed_events import TimedEvent
+from dragonflyramp.backends._traced_admissions import TracedAdmission
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
@@ -23,7 +25,8 @@
         """Start without replicas."""
         wake_event = TimedEvent()
         queue = ShardQueue(terms=terms)
-        admission = Admission(context, terms)
+        kind = TracedAdmission if traces.decisions.is_on else Admission
+        admission = kind(context, terms)
         self.queue = queue
         self.admission = admission
         self.wake = wake_event.wake
--- a/dragonflyramp/callers/_claim_buckets.py
+++ b/dragonflyramp/callers/_claim_buckets.py
@@ -9,9 +9,11 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from dragonflyramp import traces
 from dragonflyramp.callers._claim_records import Bucket, decode_bucket
 from dragonflyramp.callers._claim_steps import (
     ClaimReply,
+    Decision,
     Ledger,
     Operation,
     Step,
@@ -149,7 +151,7 @@
         )
         decided: list[_Decided] = []
         for operation in tuple(self.waiting):
-            decision = decide(operation, ledger)
+            decision = _decide(operation, ledger, self.clocks.clock())
             if decision.needs_write:
                 operation.unsettled_version = ledger.version
                 decided.append(
@@ -190,3 +192,34 @@
         )
         limit_ms = min(limit_ms, self.settings.backoff_max_ms)
         return self.clocks.rng.uniform(0, limit_ms) / 1000
+
+
+def _decide(
+    operation: Operation, ledger: Ledger, now_seconds: float
+) -> Decision:
+    if not traces.decisions.is_on:
+        return decide(operation, ledger)
+    found = ledger.bucket.lines.get(operation.key.digest)
+    decision = decide(operation, ledger)
+    traces.decisions.write(
+        'claim',
+        now_seconds,
+        {
+            'step': operation.step,
+            'key': operation.key,
+            'token': operation.token,
+            'code': operation.code,
+            'unsettled_version': operation.unsettled_version,
+            'found': found and found.decode(),
+            'version': ledger.version,
+            'unix_seconds': ledger.now_unix_seconds,
+            'is_own': _is_own(found or b'', ledger),
+            'reply': decision.reply.code,
+            'needs_write': decision.needs_write,
+        },
+    )
+    return decision
+
+
+def _is_own(line: bytes, ledger: Ledger) -> bool:
+    return any(token.encode() in line for token in ledger.own_tokens)
--- a/dragonflyramp/callers/_outcomes.py
+++ b/dragonflyramp/callers/_outcomes.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from dragonflyramp import traces
 from dragonflyramp.callers._attempts import Attempt
 from dragonflyramp.callers._dispatch import Addressed
 from dragonflyramp.callers._gather import Verdict
@@ -96,6 +97,10 @@
         now_seconds: float,
     ) -> None:
         exposure = attempt.exposure
+        if attempt.is_canary and traces.decisions.is_on:
+            traces.decisions.write(
+                'canary', now_seconds, {'exposure': exposure, 'code': code}
+            )
         if code is ResultCode.connection_reset:
             self.suspects.crash(exposure, now_seconds)
         elif code in _COMPLETED:
--- a/dragonflyramp/members/_texts.py
+++ b/dragonflyramp/members/_texts.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import enum
+import time
 from collections.abc import Mapping
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from loguru import logger
 from returns.result import Result
 
+from dragonflyramp import traces
 from dragonflyramp.metrics import counters
 from dragonflyramp.models import Configuration
 from dragonflyramp.results import ResultCode
@@ -154,6 +156,12 @@
     def adopt(self, text: Text) -> bool:
         """Adopt a text unless its number is not higher."""
         number = text.facts.number
+        if traces.decisions.is_on:
+            traces.decisions.write(
+                'adopt',
+                time.monotonic(),
+                {'held': self.number, 'number': number},
+            )
         if number <= self.number:
             if number < self.number:
                 counters.add('older_configurations', text.source.value)
--- a/dragonflyramp/tools/_policies.py
+++ b/dragonflyramp/tools/_policies.py
@@ -1,15 +1,16 @@
 """Choose the policies of a daemon, each ours or naive."""
 
 import functools
+import time
 from collections.abc import Callable
 
 import attrs
 
-from dragonflyramp.backends import PolicySet
+from dragonflyramp.backends import PolicySet, TracedRamp
 from dragonflyramp.callers import NAIVE_POLICIES, FrontPolicies
 from dragonflyramp.members import LeaseTable, Role, SharedSlices
 from dragonflyramp.models import MemberId, SliceId
-from dragonflyramp.settings import Policy, Settings
+from dragonflyramp.settings import Policy, Settings, Trace
 from dragonflyramp.tools._cores import Core
 
 _FRONT_POLICIES = (Policy.stragglers, Policy.canary)
@@ -40,7 +41,11 @@
         for policy in _RELAY_POLICIES
         if settings.is_naive(policy)
     }
-    return attrs.evolve(PolicySet.ours(), **naive)
+    policies = attrs.evolve(PolicySet.ours(), **naive)
+    if settings.trace is Trace.off:
+        return policies
+    traced = TracedRamp(policies.ramp, time.monotonic)
+    return attrs.evolve(policies, ramp=traced)
 
 
 def lease_table(core: Core) -> LeaseTable:
--- a/dragonflyramp/tools/front.py
+++ b/dragonflyramp/tools/front.py
@@ -5,7 +5,7 @@
 import os
 import sys
 
-from dragonflyramp import logs, metrics
+from dragonflyramp import logs, metrics, traces
 from dragonflyramp.callers import (
     ClaimSettings,
     Front,
@@ -40,6 +40,7 @@
     """Start the program; exit code 2 after a bad setting."""
     settings = load_or_exit(sys.argv, os.environ)
     logs.set_up(settings)
+    traces.set_up(settings)
     metrics.start_export()
     run_daemon(functools.partial(run_front, settings))
 
--- a/dragonflyramp/tools/relay.py
+++ b/dragonflyramp/tools/relay.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from dragonflyramp import logs, metrics
+from dragonflyramp import logs, metrics, traces
 from dragonflyramp.backends import (
     BackendSettings,
     BackendTier,
@@ -32,6 +32,7 @@
     """Start the program; exit code 2 after a bad setting."""
     settings = load_or_exit(sys.argv, os.environ)
     logs.set_up(settings)
+    traces.set_up(settings)
     metrics.start_export()
     run_daemon(functools.partial(run_relay, settings))
 
--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -39,7 +39,7 @@
     def __init__(self, spec: ServerSpec, traps: Traps | None = None) -> None:
         """Listen only after `start`."""
         self.spec = spec
-        self.traps = traps or Traps()
+        self._traps = traps or Traps()
         self.address = spec.address
         self.faults = Faults()
         self.records = Records()
@@ -216,14 +216,14 @@
         if self.load.is_collapsed(time.monotonic()):
             return self._refused('shed')
         key = request.headers.get('Idempotency-Key', '')
-        trap = await self.traps.spring('arrived', key)
+        trap = await self._traps.spring('arrived', key)
         if trap and trap.refuse:
             return self._refused('shed')
         if trap and trap.drop:
             reset(request)
             return web.Response()
         self._record_run(request)
-        trap = await self.traps.spring('ran', key)
+        trap = await self._traps.spring('ran', key)
         if trap and trap.drop:
             reset(request)
         if self.faults.crash_text and self.faults.crash_text in body.decode():
