--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -186,7 +186,9 @@
         ),
         ResultCode.claim_failed: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            'The platform did not record the claim of the key.',
+            'This request was not run, because the platform did not record the '
+            'claim of its key. Send it again with the same key: an earlier '
+            'request with the key may have run.',
         ),
         ResultCode.claims_full: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE,
