--- a/tests/standins/backend_servers.py
+++ b/tests/standins/backend_servers.py
@@ -20,7 +20,7 @@
     ServerSpec,
     SnapshotSpec,
 )
-from tests.standins.traps import Traps, reset
+from tests.standins.hooks import Hooks, reset
 
 _MS = 1000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -37,10 +37,10 @@
 class BackendServer:
     """Serve searches and submits, with faults that tests switch."""
 
-    def __init__(self, spec: ServerSpec, traps: Traps | None = None) -> None:
+    def __init__(self, spec: ServerSpec, hooks: Hooks | None = None) -> None:
         """Listen only after `start`."""
         self.spec = spec
-        self._traps = traps or Traps()
+        self._hooks = hooks or Hooks()
         self.address = spec.address
         self.faults = Faults()
         self.records = Records()
@@ -218,15 +218,15 @@
         if self.load.is_collapsed(time.monotonic()):
             return self._refused('shed')
         key = request.headers.get('Idempotency-Key', '')
-        trap = await self._traps.spring('arrived', key)
-        if trap and trap.refuse:
+        hook = await self._hooks.run('arrived', key)
+        if hook and hook.refuse:
             return self._refused('shed')
-        if trap and trap.drop:
+        if hook and hook.drop:
             reset(request)
             return web.Response()
         self._record_run(request)
-        trap = await self._traps.spring('ran', key)
-        if trap and trap.drop:
+        hook = await self._hooks.run('ran', key)
+        if hook and hook.drop:
             reset(request)
         if self.faults.crash_text and self.faults.crash_text in body.decode():
             self.crash()
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -19,7 +19,7 @@
 
 from tests.standins.backend_models import ServerSpec, SnapshotSpec
 from tests.standins.backend_servers import BackendServer
-from tests.standins.traps import Traps
+from tests.standins.hooks import Hooks
 
 
 @attrs.frozen(kw_only=True)
@@ -35,9 +35,9 @@
 
     def __init__(self, specs: Iterable[ServerSpec]) -> None:
         """Listen only when entered."""
-        self.traps = Traps()
+        self.hooks = Hooks()
         self.servers = {
-            spec.replica_id: BackendServer(spec, self.traps) for spec in specs
+            spec.replica_id: BackendServer(spec, self.hooks) for spec in specs
         }
 
     async def __aenter__(self) -> Self:
@@ -88,7 +88,7 @@
         app.router.add_post('/control', self._control)
         app.router.add_get('/records', self._records)
         app.router.add_get('/totals', self._totals)
-        app.add_routes([fleet.traps.route()])
+        app.add_routes([fleet.hooks.route()])
         self._runner = web.AppRunner(app, access_log=None)
 
     async def start(self, address: str) -> str:
--- a/tests/standins/traps.py
+++ b/tests/standins/hooks.py
@@ -9,7 +9,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Trap:
+class Hook:
     """Describe one call by step and name, and what happens to it.
 
     A signal reaches its process before the call goes on. `drop` resets the
@@ -34,52 +34,52 @@
 @attrs.frozen
 class _Order:
     is_change: bool = False
-    trap: Trap | None = None
+    hook: Hook | None = None
 
 
 @attrs.define(eq=False)
-class Traps:
-    """Hold the armed trap of a stand-in and count what it caught."""
+class Hooks:
+    """Hold the armed hook of a stand-in and count what it caught."""
 
-    trap: Trap | None = None
+    hook: Hook | None = None
     passed: int = 0
     caught: int = 0
     _released: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def arm(self, trap: Trap | None) -> None:
-        """Replace the trap and release what the last one holds."""
+    def arm(self, hook: Hook | None) -> None:
+        """Replace the hook and release what the last one holds."""
         self._released.set()
         self._released = asyncio.Event()
-        self.trap = trap
+        self.hook = hook
         self.passed = 0
         self.caught = 0
 
-    async def spring(self, step: str, name: str) -> Trap | None:
-        """Return the trap if it caught this call, after signal and hold."""
-        trap = self.trap
-        if trap is None or (trap.step, trap.name) != (step, name):
+    async def run(self, step: str, name: str) -> Hook | None:
+        """Return the hook if it caught this call, after signal and hold."""
+        hook = self.hook
+        if hook is None or (hook.step, hook.name) != (step, name):
             return None
         self.passed += 1
-        if not trap.skip < self.passed <= trap.skip + trap.times:
+        if not hook.skip < self.passed <= hook.skip + hook.times:
             return None
-        if trap.process_id:
-            os.kill(trap.process_id, trap.signal_number)
+        if hook.process_id:
+            os.kill(hook.process_id, hook.signal_number)
         self.caught += 1
-        if trap.hold:
+        if hook.hold:
             await self._released.wait()
-        return trap
+        return hook
 
     def route(self) -> web.RouteDef:
-        """Serve POST /trap: arm the trap in the body, and tell the count.
+        """Serve POST /hook: arm the hook in the body, and tell the count.
 
-        The body says whether it changes the trap, and to which or none.
+        The body says whether it changes the hook, and to which or none.
         """
-        return web.post('/trap', self._control)
+        return web.post('/hook', self._control)
 
     async def _control(self, request: web.Request) -> web.Response:
         order = cattrs.structure(await request.json(), _Order)
         if order.is_change:
-            self.arm(order.trap)
+            self.arm(order.hook)
         return web.json_response({'caught': self.caught})
 
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -27,7 +27,7 @@
     VmListing,
 )
 from dragonflyramp.results import ResultCode
-from tests.standins.traps import Traps, reset
+from tests.standins.hooks import Hooks, reset
 
 #: No object of a test reaches it.
 _HIGH_VERSION = 10**9
@@ -172,7 +172,7 @@
     def __init__(self, platform: MemoryPlatform | None = None) -> None:
         """Serve the given platform or an empty one."""
         self.platform = platform or MemoryPlatform()
-        self.traps = Traps()
+        self.hooks = Hooks()
         self.address = ''
         self._runner: web.AppRunner | None = None
 
@@ -189,7 +189,7 @@
                 web.put('/objects/{name:.+}', self._put),
                 web.get('/vms', self._vms),
                 web.post('/control', self._control),
-                self.traps.route(),
+                self.hooks.route(),
             ]
         )
         # A slow write takes effect even when its caller has given up.
@@ -223,7 +223,7 @@
     async def _get(self, request: web.Request) -> web.Response:
         name = request.match_info['name']
         if 'watch' not in request.query:
-            await self._spring('read', request)
+            await self._run_hook('read', request)
             return _object_reply(request, await self.platform.read(name))
         found = await self.platform.watch(
             name,
@@ -238,26 +238,26 @@
         name = request.match_info['name']
         version = int(request.headers['If-Match'])
         body = await request.read()
-        if await self._spring('write', request):
+        if await self._run_hook('write', request):
             return web.Response()
         written = await self.platform.write(name, body, version)
-        await self._spring('written', request)
+        await self._run_hook('written', request)
         if isinstance(written, Failure):
             now = self.platform.versions().get(name, ABSENT)
             return _refusal(request, written.failure(), now)
         headers = {'X-Object-Version': str(written.unwrap())}
         return web.Response(headers=headers)
 
-    async def _spring(self, step: str, request: web.Request) -> bool:
-        """Tell whether a trap dropped the call before it took effect."""
-        trap = await self.traps.spring(step, request.match_info['name'])
-        if trap is None:
+    async def _run_hook(self, step: str, request: web.Request) -> bool:
+        """Tell whether a hook dropped the call before it took effect."""
+        hook = await self.hooks.run(step, request.match_info['name'])
+        if hook is None:
             return False
-        if trap.down:
+        if hook.down:
             self.platform.change_faults(down=True)
-        if trap.drop:
+        if hook.drop:
             reset(request)
-        return trap.drop
+        return hook.drop
 
     async def _vms(self, request: web.Request) -> web.Response:
         found = await self.platform.list_vms(
--- a/tests/submit_worlds.py
+++ b/tests/submit_worlds.py
@@ -15,7 +15,7 @@
 from tests.http_calls import HttpCalls, Reply
 from tests.outside import ServerOptions
 from tests.programs import START_SECONDS
-from tests.standins.traps import Trap
+from tests.standins.hooks import Hook
 from tests.systems import Daemon, System, SystemSpec, eventually, running
 
 SERVICE = 'orders'
@@ -117,20 +117,23 @@
 
 
 @attrs.define(eq=False)
-class TrapSite:
-    """Arm the traps of one stand-in process."""
+class HookSite:
+    """Arm the hooks of one stand-in process."""
 
     calls: HttpCalls
     address: str
 
-    async def arm(self, trap: Trap | None) -> None:
-        """Arm a trap in place of the last one, whose calls go on."""
-        order = {'is_change': True, 'trap': trap and attrs.asdict(trap)}
-        await self.calls.post(self.address, '/trap', order)
+    async def arm(self, hook: Hook | None) -> None:
+        """Arm a hook in place of the last one, whose calls go on."""
+        order = {
+            'is_change': True,
+            'hook': hook and attrs.asdict(hook),
+        }
+        await self.calls.post(self.address, '/hook', order)
 
     async def caught(self) -> int:
-        """Return how many calls were caught since the trap was armed."""
-        reply = await self.calls.post(self.address, '/trap', {})
+        """Return how many calls were caught since the hook was armed."""
+        reply = await self.calls.post(self.address, '/hook', {})
         return int(reply.body['caught'])
 
 
@@ -143,15 +146,15 @@
     _starts: list[asyncio.Task[Daemon]] = attrs.field(factory=list)
 
     @property
-    def platform(self) -> TrapSite:
-        """Return the traps of the platform."""
-        return TrapSite(self.system.calls, self.system.platform.address)
+    def platform(self) -> HookSite:
+        """Return the hooks of the platform."""
+        return HookSite(self.system.calls, self.system.platform.address)
 
     @property
-    def servers(self) -> TrapSite:
-        """Return the traps of the backend servers."""
+    def servers(self) -> HookSite:
+        """Return the hooks of the backend servers."""
         processes = self.system.backends.processes
-        return TrapSite(self.system.calls, processes[0].address)
+        return HookSite(self.system.calls, processes[0].address)
 
     def new_case(self, order: str = '') -> Case:
         """Take a key that no other test uses, by default with its own body."""
@@ -284,9 +287,9 @@
 
 
 async def poll(
-    site: TrapSite, is_over: Callable[[], bool], count: int = 1
+    site: HookSite, is_over: Callable[[], bool], count: int = 1
 ) -> bool:
-    """Wait until a trap caught a number of calls; False if over before."""
+    """Wait until a hook caught a number of calls; False if over before."""
     async with asyncio.timeout(30):
         while await site.caught() < count:
             if is_over():
--- a/tests/test_submit_faults.py
+++ b/tests/test_submit_faults.py
@@ -12,8 +12,15 @@
 import pytest_asyncio
 
 from tests.programs import START_SECONDS
-from tests.standins.traps import Trap
-from tests.submit_worlds import Attempt, Case, TrapSite, World, open_world, poll
+from tests.standins.hooks import Hook
+from tests.submit_worlds import (
+    Attempt,
+    Case,
+    HookSite,
+    World,
+    open_world,
+    poll,
+)
 from tests.systems import Daemon, eventually
 
 pytestmark = pytest.mark.asyncio(loop_scope='module')
@@ -157,7 +164,7 @@
     for _ in range(5):
         case = world.new_case()
         fronts = await world.ready_fronts(count)
-        hold = Trap(step='read', name=case.bucket, times=count, hold=True)
+        hold = Hook(step='read', name=case.bucket, times=count, hold=True)
         await world.platform.arm(hold)
         tasks = [asyncio.create_task(case.submit(one)) for one in fronts]
         await poll(world.platform, functools.partial(all_done, tasks), count)
@@ -222,22 +229,22 @@
     world: World, case: Case, fault: Fault, daemons: tuple[Daemon, Daemon]
 ) -> tuple[bool, asyncio.Task[Attempt]]:
     """Submit, again after "not run", until the fault meets its step."""
-    once = queue_up if fault.step == 'queued' else spring
+    once = queue_up if fault.step == 'queued' else meet_hook
     is_met, task = await once(world, case, fault, daemons)
     while not is_met and (await task).is_not_run:
         is_met, task = await once(world, case, fault, daemons)
     return is_met, task
 
 
-async def spring(
+async def meet_hook(
     world: World, case: Case, fault: Fault, daemons: tuple[Daemon, Daemon]
 ) -> tuple[bool, asyncio.Task[Attempt]]:
-    """Submit with an armed trap, and wait until it caught the step."""
+    """Submit with an armed hook, and wait until it caught the step."""
     front, victim = daemons
     is_claim = fault.step in {'read', 'write', 'written'}
     site = world.platform if is_claim else world.servers
     await site.arm(
-        Trap(
+        Hook(
             step=fault.step,
             name=case.bucket if is_claim else case.key,
             skip=fault.skip,
@@ -279,9 +286,9 @@
 
 
 async def hold_another(world: World, front: Daemon, order: str) -> None:
-    """Let a submit of the same body run until the traps are disarmed."""
+    """Let a submit of the same body run until the hooks are disarmed."""
     ahead = world.new_case(order)
-    await world.servers.arm(Trap(step='ran', name=ahead.key, hold=True))
+    await world.servers.arm(Hook(step='ran', name=ahead.key, hold=True))
     is_held = False
     while not is_held:
         # A relay that has just taken over refuses while replicas are cold.
@@ -292,7 +299,7 @@
 
 async def disarm(world: World) -> None:
     """End outages and let held calls go on."""
-    sites: tuple[TrapSite, ...] = (world.platform, world.servers)
+    sites: tuple[HookSite, ...] = (world.platform, world.servers)
     for site in sites:
         await site.arm(None)
     await world.system.platform.switch(down=False)
