--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -9,18 +9,23 @@
 _budgets          how many extra sends a service may get
 _latencies        how long a route's parts usually take
 _connections_http one task for each connection
+_protocols_http   the exchange of bytes on a connection
+_readings_http    one reply out of bytes
+_sends            one request on its way, and how it ends
+_attempts         the sends of one fetch, and what they say of its end
+_senders          when a fetch sends, hedges and sends again
 _codecs           what encodes and decodes for a connection
 _asks             what the tier is asked and answers
 """
 
 from dragonflyramp.backends._asks import Ask, Fetched, SendRecord
-from dragonflyramp.backends._budgets import Budget, BudgetBounds
+from dragonflyramp.backends._budgets import Budget, BudgetBounds, Budgets
 from dragonflyramp.backends._choice import FastestChoice, RandomChoice
 from dragonflyramp.backends._codecs import Codec
-from dragonflyramp.backends._connections_http import Connection
+from dragonflyramp.backends._connections_http import Connection, ConnectionHooks
 from dragonflyramp.backends._fetches import Fetch
-from dragonflyramp.backends._fleets import Fleet
-from dragonflyramp.backends._hedging import NoHedging, QuantileHedging
+from dragonflyramp.backends._fleets import ColdGate, Fleet
+from dragonflyramp.backends._hedging import Hedging, NoHedging, QuantileHedging
 from dragonflyramp.backends._latencies import RouteLatencies
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.backends._tiers import Policies, Tier
@@ -29,13 +34,17 @@
     'Ask',
     'Budget',
     'BudgetBounds',
+    'Budgets',
     'Codec',
+    'ColdGate',
     'Connection',
+    'ConnectionHooks',
     'ConnectionPool',
     'FastestChoice',
     'Fetch',
     'Fetched',
     'Fleet',
+    'Hedging',
     'NoHedging',
     'Policies',
     'QuantileHedging',
--- a/dragonflyramp/backends/_budgets.py
+++ b/dragonflyramp/backends/_budgets.py
@@ -21,6 +21,12 @@
     slack: float
 
 
+@attrs.define
+class _Step:
+    started_seconds: float
+    requests: int = 0
+
+
 @attrs.define(eq=False)
 class Budget:
     """Count the first and extra sends of one service at this daemon.
@@ -31,25 +37,22 @@
 
     _bounds: BudgetBounds
     _extra: collections.deque[float] = attrs.field(factory=collections.deque)
-    _steps: collections.deque[list[float]] = attrs.field(
-        factory=collections.deque
-    )
-    _requests: float = 0
+    _steps: collections.deque[_Step] = attrs.field(factory=collections.deque)
 
     def note_request(self, now_seconds: float) -> None:
         """Count a caller's request."""
-        if not self._steps or now_seconds - self._steps[-1][0] > _STEP_SECONDS:
-            self._steps.append([now_seconds, 0])
-        self._steps[-1][1] += 1
-        self._requests += 1
-
-    def left(self, daemons: int, now_seconds: float) -> float:
-        """Tell how many extra sends are allowed now."""
-        return self._allowed(daemons, now_seconds) - len(self._extra)
+        last = self._steps[-1] if self._steps else None
+        if last is None or now_seconds - last.started_seconds > _STEP_SECONDS:
+            last = _Step(now_seconds)
+            self._steps.append(last)
+        last.requests += 1
 
     def take(self, daemons: int, now_seconds: float, *, is_hedge: bool) -> bool:
         """Take one extra send if the budget allows it."""
-        allowed = self._allowed(daemons, now_seconds)
+        self._forget(now_seconds - self._bounds.window_seconds)
+        requests = sum(step.requests for step in self._steps)
+        shared = self._bounds.slack / max(1, daemons)
+        allowed = _SAFETY_SHARE * (self._bounds.ratio * requests + shared)
         if is_hedge:
             allowed *= _HEDGE_SHARE
         if len(self._extra) + 1 > allowed:
@@ -57,11 +60,24 @@
         self._extra.append(now_seconds)
         return True
 
-    def _allowed(self, daemons: int, now_seconds: float) -> float:
-        start_seconds = now_seconds - self._bounds.window_seconds
+    def _forget(self, start_seconds: float) -> None:
         while self._extra and self._extra[0] < start_seconds:
             self._extra.popleft()
-        while self._steps and self._steps[0][0] < start_seconds:
-            self._requests -= self._steps.popleft()[1]
-        shared = self._bounds.slack / max(1, daemons)
-        return _SAFETY_SHARE * (self._bounds.ratio * self._requests + shared)
+        while self._steps and self._steps[0].started_seconds < start_seconds:
+            self._steps.popleft()
+
+
+@attrs.define(eq=False)
+class Budgets:
+    """Keep the budget of each service by its name."""
+
+    _bounds: BudgetBounds
+    _services: dict[str, Budget] = attrs.field(factory=dict)
+
+    def of(self, service: str) -> Budget:
+        """Give the budget of a service."""
+        budget = self._services.get(service)
+        if budget is None:
+            budget = Budget(self._bounds)
+            self._services[service] = budget
+        return budget
--- a/dragonflyramp/backends/_choice.py
+++ b/dragonflyramp/backends/_choice.py
@@ -9,13 +9,13 @@
 from dragonflyramp.backends._replicas import Replica
 
 #: Cost of another failure domain: its round trip and its priced bytes.
-_REMOTE_MS = 5.0
+_REMOTE_MS = 5
 #: A new connection holds a slot of the replica for about this long.
-_CONNECT_MS = 6.0
+_CONNECT_MS = 6
 #: A cold replica takes about this many times as long.
 _COLD_FACTOR = 1.6
 #: A failed send costs the time of the next one.
-_FAILURE_FACTOR = 4.0
+_FAILURE_FACTOR = 4
 #: A send that takes this many times the usual latency tells of a pause.
 _STALL_FACTOR = 1.5
 #: Spreads sends over replicas that are expected to be equally fast.
@@ -91,8 +91,9 @@
     if replica.is_cold(now_seconds):
         work_ms *= _COLD_FACTOR
     queued = replica.queued(now_seconds)
-    expected = work_ms * (1 + max(0, queued + 1 - slots) / slots)
-    expected *= 1 + _FAILURE_FACTOR * replica.failure_rate
+    over = max(0, queued + 1 - slots)
+    expected = work_ms * (1 + over / slots)
+    expected *= 1 + _FAILURE_FACTOR * replica.health.failure_rate
     # Prefers the less loaded replica while all have free slots.
     expected += work_ms * queued / (slots * slots)
     if replica.entry.failure_domain != around.failure_domain:
@@ -104,7 +105,7 @@
 
 def _slowness(replica: Replica, around: Surroundings) -> float:
     """Count a send without an answer as a sample of what it took so far."""
-    slowness = replica.slowness(around.now_seconds)
+    slowness = replica.pace.slowness(around.now_seconds)
     waited_ms = replica.oldest_seconds(around.now_seconds) * 1000
     stalled = waited_ms / max(1, around.typical_ms)
     if stalled > _STALL_FACTOR:
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -9,11 +9,8 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.backends._replicas import (
-    ConnectionFactory,
-    ConnectionPool,
-    Replica,
-)
+from dragonflyramp.backends._connections_http import ConnectionFactory
+from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
@@ -22,44 +19,96 @@
 #: a replica lowers its cap while its queue is long.
 _CONNECTION_SHARE = 0.9
 #: A cold replica's rate is counted over one second.
-_COLD_WINDOW_SECONDS = 1.0
+_COLD_WINDOW_SECONDS = 1
 
 _NO_REPLICAS: Mapping[str, Replica] = MappingProxyType({})
 
 
+@attrs.define(eq=False, kw_only=True)
+class ColdGate:
+    """Bound the sends of this daemon to each cold replica.
+
+    All daemons together stay within the bound, because each takes its part.
+    """
+
+    slack: float = 0
+    overshoot: float = 1
+    _sends: dict[str, list[float]] = attrs.field(factory=dict)
+
+    def note_send(self, replica: Replica, now_seconds: float) -> None:
+        """Count a send if the replica is cold."""
+        if replica.is_cold(now_seconds):
+            sends = self._sends.setdefault(replica.entry.replica_id, [])
+            sends.append(now_seconds)
+
+    def bears(
+        self,
+        replica: Replica,
+        policy: ServicePolicy,
+        daemons: int,
+        now_seconds: float,
+    ) -> bool:
+        """Tell whether a replica may get one more send now."""
+        is_cold = replica.is_cold(now_seconds)
+        if not is_cold or not policy.cold_per_second:
+            return True
+        per_second = policy.cold_per_second * self.overshoot + self.slack
+        recent = [
+            sent_seconds
+            for sent_seconds in self._sends.get(replica.entry.replica_id, ())
+            if now_seconds - sent_seconds < _COLD_WINDOW_SECONDS
+        ]
+        self._sends[replica.entry.replica_id] = recent
+        share = int(per_second / max(1, daemons))
+        return len(recent) < max(1, share)
+
+    def forget(self, replica: Replica) -> None:
+        """Forget a replica that is gone."""
+        self._sends.pop(replica.entry.replica_id, None)
+
+
+@attrs.define(eq=False)
+class Rooms:
+    """Wake those who wait for a connection to a service."""
+
+    _events: dict[str, asyncio.Event] = attrs.field(factory=dict)
+
+    async def wait(self, service: str, longest_seconds: float) -> None:
+        """Wait until a connection to a service may have become free."""
+        room = self._events.setdefault(service, asyncio.Event())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest_seconds):
+                await room.wait()
+
+    def note(self, service: str) -> None:
+        """Wake all who wait for a service."""
+        room = self._events.pop(service, None)
+        if room is not None:
+            room.set()
+
+
 @attrs.define(eq=False, kw_only=True)
 class Fleet:
     """Hold the replicas by service; only `update` adds or removes them."""
 
     make_connection: ConnectionFactory
     tasks: TaskSet
-    #: Extra requests a second that a cold replica bears, and their factor.
-    cold_slack: float = 0
-    cold_overshoot: float = 1
+    cold_gate: ColdGate = attrs.field(factory=ColdGate)
+    rooms: Rooms = attrs.field(factory=Rooms)
     #: Failure domains that operators took out.
     held_domains: frozenset[str] = frozenset()
     _services: dict[str, dict[str, Replica]] = attrs.field(factory=dict)
     _by_id: dict[str, Replica] = attrs.field(factory=dict)
-    _cold_sends: dict[str, list[float]] = attrs.field(factory=dict)
-    _rooms: dict[str, asyncio.Event] = attrs.field(factory=dict)
-
-    async def wait_room(self, service: str, longest_seconds: float) -> None:
-        """Wait until a connection to a service may have become free."""
-        room = self._rooms.setdefault(service, asyncio.Event())
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(longest_seconds):
-                await room.wait()
 
     def update(
         self, replica_id: str, entry: ReplicaEntry | None, now_seconds: float
     ) -> None:
         """Take over an entry; None removes the replica."""
         known = self._by_id.get(replica_id)
-        if known is not None and _is_same(known.entry, entry):
-            assert entry is not None
-            _refresh(known, entry, now_seconds)
-            return
         if known is not None:
+            if entry is not None and _is_same(known.entry, entry):
+                _refresh(known, entry, now_seconds)
+                return
             self._remove(known)
         if entry is not None:
             self._add(entry, now_seconds)
@@ -84,31 +133,9 @@
             one
             for one in self.usable(policy.name)
             if one.connections.has_room(limit, now_seconds)
-            and self._bears(one, policy, daemons, now_seconds)
+            and self.cold_gate.bears(one, policy, daemons, now_seconds)
         ]
 
-    def note_send(self, replica: Replica, now_seconds: float) -> None:
-        """Count a send to a cold replica."""
-        if replica.is_cold(now_seconds):
-            sends = self._cold_sends.setdefault(replica.entry.replica_id, [])
-            sends.append(now_seconds)
-
-    def _bears(
-        self,
-        replica: Replica,
-        policy: ServicePolicy,
-        daemons: int,
-        now_seconds: float,
-    ) -> bool:
-        if not policy.cold_per_second or not replica.is_cold(now_seconds):
-            return True
-        per_second = policy.cold_per_second * self.cold_overshoot
-        share = max(1, int((per_second + self.cold_slack) / max(1, daemons)))
-        sends = self._cold_sends.get(replica.entry.replica_id, [])
-        start_seconds = now_seconds - _COLD_WINDOW_SECONDS
-        sends[:] = [one for one in sends if one > start_seconds]
-        return len(sends) < share
-
     def _add(self, entry: ReplicaEntry, now_seconds: float) -> None:
         replica = Replica(
             entry=entry,
@@ -117,33 +144,26 @@
                 entry.address,
                 self.make_connection,
                 self.tasks,
-                functools.partial(self._note_room, entry.service),
+                functools.partial(self.rooms.note, entry.service),
             ),
         )
         self._by_id[entry.replica_id] = replica
         service = self._services.setdefault(entry.service, {})
         service[entry.replica_id] = replica
-        self._note_room(entry.service)
+        self.rooms.note(entry.service)
         logger.bind(**_described(entry)).info('replica listed')
 
-    def _note_room(self, service: str) -> None:
-        room = self._rooms.pop(service, None)
-        if room is not None:
-            room.set()
-
     def _remove(self, replica: Replica) -> None:
         entry = replica.entry
         self._by_id.pop(entry.replica_id, None)
         self._services[entry.service].pop(entry.replica_id, None)
-        self._cold_sends.pop(entry.replica_id, None)
+        self.cold_gate.forget(replica)
         replica.connections.retire()
         logger.bind(**_described(entry)).info('replica removed')
 
 
-def _is_same(known: ReplicaEntry, entry: ReplicaEntry | None) -> bool:
+def _is_same(known: ReplicaEntry, entry: ReplicaEntry) -> bool:
     """Tell whether an entry is of the same process at the same place."""
-    if entry is None:
-        return False
     return (
         known.service == entry.service
         and known.address == entry.address
@@ -154,8 +174,7 @@
 def _refresh(replica: Replica, entry: ReplicaEntry, now_seconds: float) -> None:
     if entry.state is not replica.entry.state:
         logger.bind(**_described(entry)).info('replica changed')
-        if not replica.is_ready:
-            replica.connections.retire()
+        replica.connections.retire()
     replica.entry = entry
     replica.warm_seconds = now_seconds + entry.warmup_left_ms / 1000
 
--- a/dragonflyramp/backends/_hedging.py
+++ b/dragonflyramp/backends/_hedging.py
@@ -11,6 +11,8 @@
 _LATEST_SHARE = 0.42
 #: A part is not late before this multiple of the usual latency.
 _EARLIEST_MULTIPLE = 1.4
+#: Below this a busy event loop or a new connection looks like a late part.
+_EARLIEST_MS = 8
 
 
 class Hedging(Protocol):
@@ -32,7 +34,8 @@
         """Stay between the usual latency and what the target leaves."""
         earliest_ms = latencies.typical_ms * _EARLIEST_MULTIPLE
         latest_ms = latencies.target_ms * _LATEST_SHARE
-        return min(max(earliest_ms, latencies.late_ms), latest_ms)
+        late_ms = max(earliest_ms, latencies.late_ms, _EARLIEST_MS)
+        return min(late_ms, latest_ms)
 
 
 @attrs.frozen
--- a/dragonflyramp/backends/_latencies.py
+++ b/dragonflyramp/backends/_latencies.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from dragonflyramp.routes import Route
+
 #: Enough for a 95th percentile, and a few seconds of a small daemon's load.
 _KEPT_SAMPLES = 256
 #: The quantiles are worked out again after this many samples.
@@ -43,3 +45,18 @@
         ordered = sorted(self._samples)
         self.typical_ms = ordered[int(len(ordered) * _TYPICAL_QUANTILE)]
         self.late_ms = ordered[int(len(ordered) * _LATE_QUANTILE)]
+
+
+@attrs.define(eq=False)
+class Latencies:
+    """Keep the latencies of each route by its name."""
+
+    _routes: dict[str, RouteLatencies] = attrs.field(factory=dict)
+
+    def of(self, route: Route) -> RouteLatencies:
+        """Give what is known of a route's latencies."""
+        known = self._routes.get(route.name)
+        if known is None:
+            known = RouteLatencies(route.target_ms)
+            self._routes[route.name] = known
+        return known
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -5,7 +5,12 @@
 
 import attrs
 
-from dragonflyramp.backends._connections_http import Connection, Send
+from dragonflyramp.backends._connections_http import (
+    Connection,
+    ConnectionFactory,
+    ConnectionHooks,
+)
+from dragonflyramp.backends._sends import Send
 from dragonflyramp.messages import Load
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.runtime import TaskSet
@@ -20,80 +25,31 @@
 _LOAD_SECONDS = 0.3
 #: First and longest time for which a failed replica gets no requests.
 _FIRST_SUSPICION_SECONDS = 0.2
-_LONGEST_SUSPICION_SECONDS = 2.0
-
-ConnectionFactory = Callable[
-    [
-        str,
-        Callable[[Connection], None],
-        Callable[[Connection], None],
-    ],
-    Connection,
-]
+_LONGEST_SUSPICION_SECONDS = 2
 
 
 @attrs.define(eq=False)
-class Replica:
-    """Hold the state of one replica as this daemon sees it."""
+class Pace:
+    """Estimate how fast a replica answers, and what waits there."""
 
-    entry: ReplicaEntry
-    warm_seconds: float
-    connections: 'ConnectionPool'
     #: Latency relative to that of the route's typical request.
-    _slowness: float = 1.0
+    _slowness: float = 1
     _slowness_seconds: float = -math.inf
-    failure_rate: float = 0
-    _suspect_until_seconds: float = -math.inf
-    _suspicion_seconds: float = 0
     _load: Load | None = None
     _load_seconds: float = -math.inf
-    #: Start of each send without an outcome.
-    _running: dict[Send, float] = attrs.field(factory=dict)
-
-    @property
-    def is_ready(self) -> bool:
-        """Tell whether the replica says that it serves."""
-        return self.entry.state is ReplicaState.ready
-
-    @property
-    def running(self) -> int:
-        """Count the sends of this daemon that have no outcome."""
-        return len(self._running)
-
-    def is_suspect(self, now_seconds: float) -> bool:
-        """Tell whether recent failures speak against a send."""
-        if now_seconds < self._suspect_until_seconds:
-            return True
-        # After the time is up one real request at a time finds out.
-        return bool(self._suspicion_seconds and self._running)
-
-    def is_cold(self, now_seconds: float) -> bool:
-        """Tell whether the replica is still warming up."""
-        return now_seconds < self.warm_seconds
 
     def slowness(self, now_seconds: float) -> float:
         """Estimate latency relative to the usual one."""
         faded = (now_seconds - self._slowness_seconds) / _FADE_SECONDS
-        return 1 + (self._slowness - 1) * math.exp(-max(0, faded))
+        left = math.exp(-max(0, faded))
+        return 1 + (self._slowness - 1) * left
 
-    def oldest_seconds(self, now_seconds: float) -> float:
-        """Tell how long the oldest send without an outcome takes already."""
-        return now_seconds - min(self._running.values(), default=now_seconds)
-
-    def queued(self, now_seconds: float) -> float:
-        """Estimate how many requests run or wait at the replica."""
-        load = self._load
-        if load is None or now_seconds - self._load_seconds > _LOAD_SECONDS:
-            return self.running
-        return max(self.running, load.running + load.waiting)
-
-    def note_start(self, send: Send, now_seconds: float) -> None:
-        """Count a send."""
-        self._running[send] = now_seconds
-
-    def note_end(self, send: Send) -> None:
-        """Count a send no longer."""
-        self._running.pop(send, None)
+    def reported(self, now_seconds: float) -> int:
+        """Tell what ran and waited at the replica a moment ago."""
+        is_old = now_seconds - self._load_seconds > _LOAD_SECONDS
+        if self._load is None or is_old:
+            return 0
+        return self._load.running + self._load.waiting
 
     def note_latency(self, ratio: float, now_seconds: float) -> None:
         """Learn from the latency of a send relative to the usual one."""
@@ -106,6 +62,24 @@
         self._load = load
         self._load_seconds = now_seconds
 
+
+@attrs.define(eq=False)
+class Health:
+    """Keep a replica that fails away from requests, longer each time."""
+
+    failure_rate: float = 0
+    _suspect_until_seconds: float = -math.inf
+    _suspicion_seconds: float = 0
+
+    @property
+    def is_on_trial(self) -> bool:
+        """Tell whether no request went well since the last failure."""
+        return self._suspicion_seconds > 0
+
+    def is_suspect(self, now_seconds: float) -> bool:
+        """Tell whether a failure is too recent for another request."""
+        return now_seconds < self._suspect_until_seconds
+
     def note_success(self) -> None:
         """End all suspicion."""
         self.failure_rate *= 1 - _NEWEST_WEIGHT
@@ -117,9 +91,9 @@
         self.failure_rate += _NEWEST_WEIGHT * (1 - self.failure_rate)
 
     def note_failure(self, now_seconds: float) -> None:
-        """Suspect a replica that does not answer, longer each time."""
+        """Suspect a replica that does not answer."""
         self.note_error()
-        if now_seconds < self._suspect_until_seconds:
+        if self.is_suspect(now_seconds):
             return
         self._suspicion_seconds = min(
             _LONGEST_SUSPICION_SECONDS,
@@ -133,6 +107,45 @@
         self._suspect_until_seconds = now_seconds + _LONGEST_SUSPICION_SECONDS
 
 
+@attrs.define(eq=False)
+class Replica:
+    """Hold the state of one replica as this daemon sees it."""
+
+    entry: ReplicaEntry
+    warm_seconds: float
+    connections: 'ConnectionPool'
+    pace: Pace = attrs.field(factory=Pace)
+    health: Health = attrs.field(factory=Health)
+    #: Start of each send without an outcome.
+    running: dict[Send, float] = attrs.field(factory=dict)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the replica says that it serves."""
+        return self.entry.state is ReplicaState.ready
+
+    def is_suspect(self, now_seconds: float) -> bool:
+        """Tell whether failures speak against a send.
+
+        After the suspicion one real request at a time finds out.
+        """
+        if self.health.is_suspect(now_seconds):
+            return True
+        return self.health.is_on_trial and bool(self.running)
+
+    def is_cold(self, now_seconds: float) -> bool:
+        """Tell whether the replica is still warming up."""
+        return now_seconds < self.warm_seconds
+
+    def oldest_seconds(self, now_seconds: float) -> float:
+        """Tell how long the oldest send without an outcome takes already."""
+        return now_seconds - min(self.running.values(), default=now_seconds)
+
+    def queued(self, now_seconds: float) -> int:
+        """Estimate how many requests run or wait at the replica."""
+        return max(len(self.running), self.pace.reported(now_seconds))
+
+
 @attrs.define(eq=False)
 class ConnectionPool:
     """Hold this daemon's connections to one replica."""
@@ -162,7 +175,8 @@
         if self.has_idle(now_seconds):
             connection = self._idle.pop()
         else:
-            connection = self._make(self.address, self._keep, self._forget)
+            hooks = ConnectionHooks(on_idle=self._keep, on_end=self._forget)
+            connection = self._make(self.address, hooks)
             self._open.add(connection)
             self._tasks.start(connection.run(), 'connection')
         connection.take(send)
--- a/dragonflyramp/backends/_tiers.py
+++ b/dragonflyramp/backends/_tiers.py
@@ -7,14 +7,19 @@
 import attrs
 
 from dragonflyramp.backends._asks import Ask
-from dragonflyramp.backends._budgets import Budget, BudgetBounds
-from dragonflyramp.backends._choice import Choice, FastestChoice, Surroundings
-from dragonflyramp.backends._connections_http import Ending
-from dragonflyramp.backends._fetches import Attempt, Fetch
+from dragonflyramp.backends._attempts import FIRST, RETRY, Attempt
+from dragonflyramp.backends._budgets import Budgets
+from dragonflyramp.backends._choice import (
+    Choice,
+    FastestChoice,
+    Surroundings,
+    expected_ms,
+)
+from dragonflyramp.backends._fetches import Fetch
 from dragonflyramp.backends._fleets import Fleet
 from dragonflyramp.backends._hedging import Hedging, QuantileHedging
-from dragonflyramp.backends._latencies import RouteLatencies
-from dragonflyramp.backends._replicas import Replica
+from dragonflyramp.backends._latencies import Latencies, RouteLatencies
+from dragonflyramp.backends._sends import Ending, Send
 from dragonflyramp.messages import Reply
 from dragonflyramp.routes import Route, ServicePolicy
 
@@ -38,61 +43,73 @@
     """Send requests to the replicas of services."""
 
     fleet: Fleet
+    budgets: Budgets
     clock: Callable[[], float]
     rng: random.Random
     failure_domain: str
-    bounds: BudgetBounds
     #: Counts the daemons that may be sending, this one included.
     count_daemons: Callable[[float], int]
     policies: Policies = attrs.field(factory=Policies)
-    _budgets: dict[str, Budget] = attrs.field(factory=dict)
-    _latencies: dict[str, RouteLatencies] = attrs.field(factory=dict)
+    latencies: Latencies = attrs.field(factory=Latencies)
 
     def fetch(self, ask: Ask, service: str) -> Fetch:
         """Prepare the fetch of one service's part."""
         return Fetch(self, ask, service)
 
-    def note_request(self, ask: Ask, now_seconds: float) -> None:
-        """Count a caller's request for each service that it needs."""
-        for service in ask.route.services:
-            self._budget(service).note_request(now_seconds)
-
-    def latencies_of(self, route: Route) -> RouteLatencies:
-        """Give what is known of a route's latencies."""
-        known = self._latencies.get(route.name)
-        if known is None:
-            known = RouteLatencies(route.target_ms)
-            self._latencies[route.name] = known
-        return known
-
     def hedge_delay_ms(self, route: Route) -> float | None:
         """Tell when a part of the route is asked of a second replica."""
-        return self.policies.hedging.delay_ms(self.latencies_of(route))
-
-    def choose(
-        self, ask: Ask, service: str, tried: set[str], around: Surroundings
-    ) -> Replica | None:
-        """Choose a replica that was not tried yet."""
-        policy = ask.table.services.get(service) or ServicePolicy(
-            name=service, max_connections=_DEFAULT_CONNECTIONS
-        )
-        daemons = self.count_daemons(around.now_seconds)
-        candidates = [
-            one
-            for one in self.fleet.candidates(
-                policy, daemons, around.now_seconds
-            )
-            if one.entry.replica_id not in tried
-        ]
-        return self.policies.choice.choose(candidates, around, self.rng)
+        return self.policies.hedging.delay_ms(self.latencies.of(route))
 
     def take_budget(
         self, service: str, now_seconds: float, *, is_hedge: bool
     ) -> bool:
         """Take one send beyond the first, if the budget allows it."""
+        budget = self.budgets.of(service)
         daemons = self.count_daemons(now_seconds)
-        return self._budget(service).take(
-            daemons, now_seconds, is_hedge=is_hedge
+        return budget.take(daemons, now_seconds, is_hedge=is_hedge)
+
+    def start(
+        self,
+        ask: Ask,
+        service: str,
+        tried: set[str],
+        purpose: str,
+        now_seconds: float,
+    ) -> Attempt | None:
+        """Start a send to the best replica; a retry may go to the same one."""
+        around = Surroundings(
+            failure_domain=self.failure_domain,
+            typical_ms=self.latencies.of(ask.route).typical_ms,
+            now_seconds=now_seconds,
+        )
+        policy = ask.table.services.get(service) or ServicePolicy(
+            name=service, max_connections=_DEFAULT_CONNECTIONS
+        )
+        candidates = self.fleet.candidates(
+            policy, self.count_daemons(now_seconds), now_seconds
+        )
+        untried = [
+            one for one in candidates if one.entry.replica_id not in tried
+        ]
+        if untried or purpose != RETRY:
+            candidates = untried
+        replica = self.policies.choice.choose(candidates, around, self.rng)
+        if replica is None:
+            return None
+        send = Send(
+            request=ask.request,
+            replica_id=replica.entry.replica_id,
+            deadline_seconds=ask.deadline_seconds,
+            outcome=asyncio.get_running_loop().create_future(),
+        )
+        self.fleet.cold_gate.note_send(replica, now_seconds)
+        return Attempt(
+            send=send,
+            replica=replica,
+            expected_ms=expected_ms(replica, around),
+            connection=replica.connections.take(send, now_seconds),
+            purpose=purpose,
+            started_seconds=now_seconds,
         )
 
     def note_reply(
@@ -101,74 +118,50 @@
         """Learn from a reply."""
         replica = attempt.replica
         if reply.load is not None:
-            replica.note_load(reply.load, now_seconds)
+            replica.pace.note_load(reply.load, now_seconds)
         if reply.is_misdirected:
-            replica.note_misdirected(now_seconds)
-        elif reply.is_not_run:
-            replica.note_error()
+            replica.health.note_misdirected(now_seconds)
         elif reply.is_success:
-            replica.note_success()
-            self._note_latency(attempt, ask, now_seconds)
+            replica.health.note_success()
+            _note_latency(self.latencies.of(ask.route), attempt, now_seconds)
         else:
-            replica.note_error()
+            replica.health.note_error()
 
     def note_failure(
         self, attempt: Attempt, ending: Ending, now_seconds: float
     ) -> None:
         """Learn from a send without a reply."""
         if ending is Ending.unreachable:
-            attempt.replica.note_failure(now_seconds)
-        else:
-            attempt.replica.note_error()
+            attempt.replica.health.note_failure(now_seconds)
+        elif ending is not Ending.unsent:
+            attempt.replica.health.note_error()
 
-    def leave(
-        self,
-        attempt: Attempt,
-        ask: Ask,
-        now_seconds: float,
-        *,
-        may_linger: bool,
+    def let_linger(
+        self, attempt: Attempt, ask: Ask, now_seconds: float
     ) -> None:
-        """Give up a send, after a while if it may still answer."""
-        if attempt.send.written_seconds is None or not may_linger:
-            _close(attempt)
-            return
-        self._note_latency(attempt, ask, now_seconds)
+        """Let a send that nobody waits for go on for a while."""
+        _note_latency(self.latencies.of(ask.route), attempt, now_seconds)
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(_LINGER_SECONDS, _close, attempt)
-        attempt.replica.note_start(attempt.send, attempt.started_seconds)
+        timer = loop.call_later(_LINGER_SECONDS, attempt.close)
+        attempt.replica.running[attempt.send] = attempt.started_seconds
         attempt.send.outcome.add_done_callback(
-            lambda _: self._finish_late(attempt, timer)
+            lambda _: _end_lingering(attempt, timer)
         )
 
-    def _finish_late(
-        self, attempt: Attempt, timer: asyncio.TimerHandle
-    ) -> None:
-        timer.cancel()
-        attempt.replica.note_end(attempt.send)
 
-    def _note_latency(
-        self, attempt: Attempt, ask: Ask, now_seconds: float
-    ) -> None:
-        written_seconds = attempt.send.written_seconds
-        if written_seconds is None:
-            return
-        latency_ms = (now_seconds - written_seconds) * 1000
-        latencies = self.latencies_of(ask.route)
-        ratio = latency_ms / max(1, latencies.typical_ms)
-        attempt.replica.note_latency(ratio, now_seconds)
-        if attempt.purpose == 'first':
-            latencies.record(latency_ms)
-
-    def _budget(self, service: str) -> Budget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = Budget(self.bounds)
-            self._budgets[service] = budget
-        return budget
-
-
-def _close(attempt: Attempt) -> None:
-    """Close the connection unless it went on to another send."""
-    if not attempt.send.outcome.done():
-        attempt.connection.close()
+def _note_latency(
+    latencies: RouteLatencies, attempt: Attempt, now_seconds: float
+) -> None:
+    written_seconds = attempt.send.written_seconds
+    if written_seconds is None:
+        return
+    latency_ms = (now_seconds - written_seconds) * 1000
+    ratio = latency_ms / max(1, latencies.typical_ms)
+    attempt.replica.pace.note_latency(ratio, now_seconds)
+    if attempt.purpose == FIRST:
+        latencies.record(latency_ms)
+
+
+def _end_lingering(attempt: Attempt, timer: asyncio.TimerHandle) -> None:
+    timer.cancel()
+    attempt.replica.running.pop(attempt.send, None)
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -1,11 +1,9 @@
 """Answer callers: find the route, refuse or send, and log what happened."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import attrs
-from loguru import logger
 
-from dragonflyramp import metrics
 from dragonflyramp.backends import Ask, Fetched, Tier
 from dragonflyramp.callers._gathers import Collection, Gathering
 from dragonflyramp.callers._merging import Merger, RecordMerger
@@ -18,6 +16,7 @@
     Relayed,
 )
 from dragonflyramp.callers._splits import Splitter
+from dragonflyramp.callers._stories import Stories, refuse
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import Gather, Route, RoutingTable
 
@@ -28,8 +27,21 @@
 #: A request that waits longer for room than this share of its latency target
 #: is better refused, so that the caller can go elsewhere.
 _ROOM_SHARE = 0.2
-#: Of the requests that went well on the first try one in this many is logged.
-_SAMPLE = 64
+
+
+@attrs.define(eq=False)
+class Running:
+    """Count the queries that have no answer yet."""
+
+    count: int = 0
+
+    def __enter__(self) -> None:
+        """Count one more."""
+        self.count += 1
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Count one less."""
+        self.count -= 1
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -40,32 +52,31 @@
     clock: Callable[[], float]
     #: Gives the newest routing table; None before the first.
     table: Callable[[], RoutingTable | None]
+    #: Tells whether routes and replicas were read once.
+    knows_all: Callable[[], bool]
     patience: Patience = attrs.field(factory=TargetPatience)
     merger: Merger = attrs.field(factory=RecordMerger)
     is_stopping: bool = False
-    running: int = 0
+    running: Running = attrs.field(factory=Running)
     _splitter: Splitter = attrs.field(factory=Splitter)
-    _answered: int = 0
+    _stories: Stories = attrs.field(init=False)
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        return self.table() is not None and not self.is_stopping
+        return self.knows_all() and not self.is_stopping
 
     async def serve(self, query: Query) -> Answer:
         """Answer a query; cancelling it gives up all sends."""
         table = self.table()
         if table is None:
-            return self._refuse(
+            return refuse(
                 query, ResultCode.no_configuration, _ABSENT_RETRY_SECONDS
             )
         route = _find(table, query)
         if route is None:
-            return self._refuse(query, ResultCode.unknown_service)
-        self.running += 1
-        try:
+            return refuse(query, ResultCode.unknown_service)
+        with self.running:
             return await self._serve(query, table, route)
-        finally:
-            self.running -= 1
 
     async def _serve(
         self, query: Query, table: RoutingTable, route: Route
@@ -73,8 +84,9 @@
         ask = _ask(query, table, route)
         now_seconds = self.clock()
         if now_seconds >= ask.deadline_seconds:
-            return self._refuse(query, ResultCode.bad_deadline)
-        self.tier.note_request(ask, now_seconds)
+            return refuse(query, ResultCode.bad_deadline)
+        for service in route.services:
+            self.tier.budgets.of(service).note_request(now_seconds)
         if route.gather is None:
             return await self._relay(ask, query)
         return await self._gather(ask, query, route.gather)
@@ -82,12 +94,10 @@
     async def _relay(self, ask: Ask, query: Query) -> Answer:
         service = self._splitter.pick(ask.route)
         if not self.tier.fleet.usable(service):
-            return self._refuse(
-                query, ResultCode.no_replica, _ABSENT_RETRY_SECONDS
-            )
+            return refuse(query, ResultCode.no_replica, _ABSENT_RETRY_SECONDS)
         fetched = await self.tier.fetch(ask, service).run()
         answer = _relayed(fetched)
-        self._log(ask, answer, (fetched,))
+        self._stories.tell(ask, answer, (fetched,))
         return answer
 
     async def _gather(self, ask: Ask, query: Query, gather: Gather) -> Answer:
@@ -102,9 +112,7 @@
             min_share=gather.min_share,
         )
         if hope.is_hopeless:
-            return self._refuse(
-                query, ResultCode.no_replica, _ABSENT_RETRY_SECONDS
-            )
+            return refuse(query, ResultCode.no_replica, _ABSENT_RETRY_SECONDS)
         gathering = Gathering(
             tier=self.tier,
             ask=ask,
@@ -115,7 +123,9 @@
         )
         collection = await gathering.run()
         answer = self._merge(ask, gather, collection)
-        self._log(ask, answer, (*collection.merged, *collection.failed))
+        self._stories.tell(
+            ask, answer, (*collection.merged, *collection.failed)
+        )
         return answer
 
     def _merge(
@@ -139,43 +149,9 @@
             body=body,
         )
 
-    def _refuse(
-        self,
-        query: Query,
-        code: ResultCode,
-        retry_after_seconds: float | None = None,
-    ) -> Refusal:
-        metrics.counters.add('refusals', code.name)
-        logger.bind(
-            request=query.request.request_id,
-            host=query.host,
-            path=query.path,
-            code=code.name,
-        ).info('request refused')
-        return Refusal(code=code, retry_after_seconds=retry_after_seconds)
-
-    def _log(
-        self, ask: Ask, answer: Answer, fetched: Sequence[Fetched]
-    ) -> None:
-        """Write the story of a request that did not simply go well."""
-        elapsed_ms = (self.clock() - ask.received_seconds) * 1000
-        is_late = elapsed_ms > ask.route.target_ms
-        outcome = _outcome(answer)
-        metrics.counters.add('answers', 'late' if is_late else outcome)
-        self._answered += 1
-        is_sampled = self._answered % _SAMPLE == 0
-        if outcome == ResultCode.ok.name and not is_late and not is_sampled:
-            return
-        logger.bind(
-            request=ask.request.request_id,
-            route=ask.route.name,
-            version=ask.table.version,
-            outcome=outcome,
-            elapsed_ms=round(elapsed_ms, 1),
-            target_ms=ask.route.target_ms,
-            daemons=self.tier.count_daemons(self.clock()),
-            parts=[_part_story(one) for one in fetched if _is_telling(one)],
-        ).info('request answered')
+    @_stories.default
+    def _new_stories(self) -> Stories:
+        return Stories(self.clock, self.tier.count_daemons)
 
 
 def _find(table: RoutingTable, query: Query) -> Route | None:
@@ -219,22 +195,3 @@
     if may_have_run:
         return Refusal(code=code, may_have_run=True)
     return Refusal(code=code, retry_after_seconds=_FULL_RETRY_SECONDS)
-
-
-def _outcome(answer: Answer) -> str:
-    if isinstance(answer, Refusal):
-        return answer.code.name
-    if isinstance(answer, Gathered) and answer.missing:
-        return 'partial'
-    if isinstance(answer, Relayed) and not answer.reply.is_success:
-        return 'backend_failure'
-    return ResultCode.ok.name
-
-
-def _is_telling(fetched: Fetched) -> bool:
-    return fetched.code is not ResultCode.ok or len(fetched.records) > 1
-
-
-def _part_story(fetched: Fetched) -> list[object]:
-    sends = [list(attrs.astuple(record)) for record in fetched.records]
-    return [fetched.service, fetched.code.name, sends]
--- a/dragonflyramp/callers/_gathers.py
+++ b/dragonflyramp/callers/_gathers.py
@@ -1,11 +1,14 @@
 """Ask all shards of a search and gather what comes."""
 
 import asyncio
+import contextlib
 
 import attrs
+from loguru import logger
 
 from dragonflyramp.backends import Ask, Fetch, Fetched, Tier
 from dragonflyramp.callers._patience import Progress
+from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import Gather
 
@@ -58,20 +61,29 @@
             asyncio.create_task(self._run(fetch), name='shard')
             for fetch in fetches
         ]
-        try:
+        with contextlib.ExitStack() as cleanup:
+            for task in tasks:
+                cleanup.callback(task.cancel)
             await self._wait_until(self.answer_at_seconds)
             self._is_due = True
             self._decide()
             await self._wait_until(self.ask.deadline_seconds)
             for fetch in fetches:
                 fetch.may_linger = True
-        finally:
-            for task in tasks:
-                task.cancel()
         return self.collection
 
     async def _run(self, fetch: Fetch) -> None:
-        self.collection.add(await fetch.run())
+        try:
+            fetched = await fetch.run()
+        except Exception:
+            counters.add('task_failures', 'shard')
+            logger.exception('The fetch from {} failed', fetch.service)
+            fetched = Fetched(
+                service=fetch.service,
+                code=ResultCode.internal_error,
+                may_have_run=True,
+            )
+        self.collection.add(fetched)
         self._decide()
 
     def _decide(self) -> None:
--- a/dragonflyramp/callers/_splits.py
+++ b/dragonflyramp/callers/_splits.py
@@ -22,7 +22,7 @@
         split = route.split
         if len(split) == 1:
             return split[0].service
-        credits = self._credits.setdefault(split, [0.0 for _ in split])
+        credits = self._credits.setdefault(split, [0 for _ in split])
         total = sum(part.weight for part in split)
         for index, part in enumerate(split):
             credits[index] += part.weight
--- a/dragonflyramp/knowledge.py
+++ b/dragonflyramp/knowledge.py
@@ -27,6 +27,11 @@
     entries_kind: str
     evacuations_kind: str
 
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """List all kinds that are watched."""
+        return (self.config_kind, self.evacuations_kind, self.entries_kind)
+
     def table(self, stored: Mapping[str, Fields]) -> RoutingTable | None:
         """Decode the newest configuration."""
 
@@ -43,11 +48,16 @@
     fleet: Fleet
     clock: Callable[[], float]
     table: RoutingTable | None = None
-    #: Set when the first routing table is known.
-    is_known: asyncio.Event = attrs.field(factory=asyncio.Event)
     #: Names of removed entries and when their removal is due.
     _lapsed: dict[str, float] = attrs.field(factory=dict)
 
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every kind was read once."""
+        return self.table is not None and all(
+            view.revision for view in self.views.values()
+        )
+
     def take(self, kind: str, names: set[str]) -> None:
         """Take over the named objects of a view that changed."""
         if kind == self.decoder.config_kind:
@@ -85,7 +95,6 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
-        self.is_known.set()
         logger.bind(version=table.version, routes=len(table.routes)).info(
             'configuration in force'
         )
--- a/dragonflyramp/logs.py
+++ b/dragonflyramp/logs.py
@@ -65,7 +65,8 @@
     def write(self, message: 'Message') -> None:
         """Write one record as a JSON object."""
         record = message.record
-        if record['level'].no < _WARNING and not self.budget.take(self.clock()):
+        is_minor = record['level'].no < _WARNING
+        if is_minor and not self.budget.take(self.clock()):
             self._leave_out('rate')
             return
         fields = {
--- a/dragonflyramp/members/_books.py
+++ b/dragonflyramp/members/_books.py
@@ -1,5 +1,6 @@
 """Say what daemons tell one another, and take over what others tell."""
 
+import collections
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -66,7 +67,7 @@
         """Tell whether a peer is known to have an older revision."""
         known = self._known.get(peer_name, {})
         return any(
-            known.get(view.kind, view.revision) < view.revision
+            _is_behind(known.get(view.kind), view)
             for view in self.views.values()
         )
 
@@ -86,9 +87,7 @@
         self._note(message.sender.name, message.told)
         for told in message.told:
             self._take_told(told, now_seconds)
-        for fingerprint, count in message.crashes.items():
-            known = self.crashes.get(fingerprint, 0)
-            self.crashes[fingerprint] = max(known, count)
+        self.crashes = _merged(self.crashes, message.crashes)
 
     def _take_told(self, told: Told, now_seconds: float) -> None:
         view = self.views.get(told.kind)
@@ -110,7 +109,8 @@
     def _note(self, peer_name: str, told: Iterable[Told]) -> None:
         known = self._known.setdefault(peer_name, {})
         for one in told:
-            known[one.kind] = max(known.get(one.kind, 0), one.revision)
+            before = known.get(one.kind, 0)
+            known[one.kind] = max(before, one.revision)
 
 
 def encode_message(message: Message) -> Fields:
@@ -141,9 +141,21 @@
     )
 
 
+def _merged(
+    known: Mapping[str, int], told: Mapping[str, int]
+) -> dict[str, int]:
+    counts = collections.Counter(known)
+    return dict(counts | collections.Counter(told))
+
+
+def _is_behind(known_revision: int | None, view: View) -> bool:
+    """Tell whether a peer is known to have an older revision."""
+    return known_revision is not None and known_revision < view.revision
+
+
 def _tell(view: View, known_revision: int | None, now_seconds: float) -> Told:
     changes = None
-    if known_revision is not None and known_revision < view.revision:
+    if known_revision is not None and _is_behind(known_revision, view):
         changes = view.since(known_revision)
     return Told(
         kind=view.kind,
@@ -173,12 +185,12 @@
 def _decode_told(fields: Fields) -> Told:
     revision = int(fields['revision'])
     changes: Changes | Listing | None = None
-    if 'all' in fields:
-        changes = Listing(revision, dict(fields['all']))
-    elif 'changes' in fields:
-        pairs = tuple(
-            Change(name, stored) for name, stored in fields['changes']
-        )
+    listed = fields.get('all')
+    changed = fields.get('changes')
+    if listed is not None:
+        changes = Listing(revision, dict(listed))
+    elif changed is not None:
+        pairs = tuple(Change(name, stored) for name, stored in changed)
         changes = Changes(revision, pairs)
     return Told(
         kind=str(fields['kind']),
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -6,8 +6,12 @@
 from typing import Any
 
 import attrs
-import grpc
-from grpc import aio
+from grpc import (
+    StatusCode,
+    aio,
+    method_handlers_generic_handler,
+    unary_unary_rpc_method_handler,
+)
 from loguru import logger
 
 from dragonflyramp.members._books import (
@@ -28,8 +32,8 @@
 #: Changes that another daemon told go on after this pause, in which the
 #: others mostly hear them from the daemon that watches.
 _FORWARD_SECONDS = 0.15
-#: A text of 3.3 MB and all replicas of a large deployment.
-_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+#: All entries of a deployment with some ten thousand replicas.
+_MAX_MESSAGE_BYTES = 10 * 1024 * 1024
 
 _OPTIONS = (
     ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
@@ -53,13 +57,9 @@
     async def start(self, address: str) -> int:
         """Listen and return the port; raise RuntimeError if it is taken."""
         server = aio.server(options=_OPTIONS)
-        handler = grpc.unary_unary_rpc_method_handler(self._exchange)
+        methods = {_METHOD: unary_unary_rpc_method_handler(self._exchange)}
         server.add_generic_rpc_handlers(
-            (
-                grpc.method_handlers_generic_handler(
-                    _SERVICE, {_METHOD: handler}
-                ),
-            )
+            (method_handlers_generic_handler(_SERVICE, methods),)
         )
         port = server.add_insecure_port(address)
         await server.start()
@@ -77,7 +77,7 @@
         message = _decode(body)
         if message is None:
             counters.add('member_failures', 'bad_message')
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT)
+            await context.abort(StatusCode.INVALID_ARGUMENT)
         now_seconds = self._clock()
         self._book.take(message, now_seconds)
         answer = self._book.message(message.sender.name, now_seconds)
@@ -85,6 +85,36 @@
         return _encode(answer)
 
 
+@attrs.define
+class _Reach:
+    """Hold whether a peer answers."""
+
+    peer_name: str = ''
+    failures: int = 0
+    _is_up: bool = False
+
+    @property
+    def is_broken(self) -> bool:
+        """Tell whether a new connection should be tried."""
+        return self.failures > 1
+
+    def note_answer(self, peer_name: str) -> None:
+        self.peer_name = peer_name
+        self.failures = 0
+        if not self._is_up:
+            self._is_up = True
+            logger.bind(peer=peer_name).info('member reached')
+
+    def note_failure(self, reason: str) -> None:
+        counters.add('member_failures', reason)
+        self.failures += 1
+        if self._is_up:
+            self._is_up = False
+            logger.bind(peer=self.peer_name, reason=reason).warning(
+                'member lost'
+            )
+
+
 @attrs.define(eq=False)
 class Link:
     """Run the task that exchanges with one other daemon."""
@@ -93,9 +123,7 @@
     _book: Book
     _clock: Callable[[], float]
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _peer_name: str = ''
-    _is_up: bool = False
-    _failures: int = 0
+    _reach: _Reach = attrs.field(factory=_Reach)
 
     def wake(self) -> None:
         """Exchange now and not after the period."""
@@ -108,17 +136,13 @@
 
     async def run(self) -> None:
         """Exchange until cancelled."""
-        channel = _open_channel(self.address)
-        try:
-            while True:
-                await self._step(channel)
-                if self._failures > 1:
-                    # A connection may have gone silent for good.
-                    await channel.close()
-                    channel = _open_channel(self.address)
-                await self._pause()
-        finally:
-            await channel.close()
+        while True:  # noqa: WPS457 - ends when cancelled
+            self._reach.failures = 0
+            async with _open_channel(self.address) as channel:
+                # A connection may have gone silent for good.
+                while not self._reach.is_broken:
+                    await self._step(channel)
+                    await self._pause()
 
     async def say_goodbye(self) -> None:
         """Tell the peer once that this daemon leaves."""
@@ -126,7 +150,7 @@
             await self._step(channel)
 
     def _wake_if_lacking(self) -> None:
-        if self._book.lacks(self._peer_name):
+        if self._book.lacks(self._reach.peer_name):
             self._wake.set()
 
     async def _pause(self) -> None:
@@ -143,33 +167,24 @@
             self._wake.clear()
 
     async def _step(self, channel: aio.Channel) -> None:
-        message = self._book.message(self._peer_name, self._clock())
-        call = channel.unary_unary(f'/{_SERVICE}/{_METHOD}')
+        message = self._book.message(self._reach.peer_name, self._clock())
+        call = channel.unary_unary(
+            f'/{_SERVICE}/{_METHOD}',
+            request_serializer=None,
+            response_deserializer=None,
+        )
         try:
             body = await call(_encode(message), timeout=_CALL_SECONDS)
         except aio.AioRpcError as error:
-            self._note_failure(error)
+            self._reach.note_failure(error.code().name.lower())
             return
         answer = _decode(body)
         if answer is None:
             counters.add('member_failures', 'bad_message')
             return
-        self._peer_name = answer.sender.name
-        self._failures = 0
+        self._reach.note_answer(answer.sender.name)
         self._book.take(answer, self._clock())
-        self._book.note_sent(self._peer_name, message)
-        if not self._is_up:
-            self._is_up = True
-            logger.bind(peer=self._peer_name).info('member reached')
-
-    def _note_failure(self, error: aio.AioRpcError) -> None:
-        counters.add('member_failures', error.code().name.lower())
-        self._failures += 1
-        if self._is_up:
-            self._is_up = False
-            logger.bind(peer=self._peer_name, reason=error.code().name).warning(
-                'member lost'
-            )
+        self._book.note_sent(answer.sender.name, message)
 
 
 def _open_channel(address: str) -> aio.Channel:
@@ -184,5 +199,9 @@
 def _decode(body: bytes) -> Message | None:
     try:
         return decode_message(json.loads(body))
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except _MALFORMED:
         return None
+
+
+#: What decoding a malformed message raises.
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
--- a/dragonflyramp/members/_members.py
+++ b/dragonflyramp/members/_members.py
@@ -1,6 +1,7 @@
 """Keep a link to each other daemon of the roster."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -14,7 +15,7 @@
 #: How often the roster is compared with the links.
 _PERIOD_SECONDS = 0.25
 #: A daemon that nobody heard for this long gets no more exchanges.
-_GIVE_UP_SECONDS = 60.0
+_GIVE_UP_SECONDS = 60
 #: Longest wait for the answers to the goodbye.
 _GOODBYE_SECONDS = 0.5
 
@@ -40,12 +41,11 @@
 
     async def run(self) -> None:
         """Open and close links until cancelled, then close all."""
-        try:
+        async with contextlib.AsyncExitStack() as cleanup:
+            cleanup.push_async_callback(self._tasks.cancel)
             while True:
                 self._compare(self.clock())
                 await asyncio.sleep(_PERIOD_SECONDS)
-        finally:
-            await self._tasks.cancel()
 
     async def leave(self) -> None:
         """Tell all peers that this daemon leaves."""
--- a/dragonflyramp/members/_registry.py
+++ b/dragonflyramp/members/_registry.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import attrs
 from loguru import logger
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from dragonflyramp.members._rosters import Daemon, Roster
 from dragonflyramp.results import ResultCode
@@ -17,7 +17,7 @@
 DAEMONS_KIND = 'dragonflyramp-daemons'
 #: Pauses between tries while the store is away.
 _FIRST_PAUSE_SECONDS = 0.2
-_LONGEST_PAUSE_SECONDS = 2.0
+_LONGEST_PAUSE_SECONDS = 2
 _ADDRESS = 'address'
 _FAILURE_DOMAIN = 'failure_domain'
 
@@ -28,6 +28,9 @@
     async def list_objects(self, kind: str) -> Result[Listing, ResultCode]:
         """Read all; fail with platform_down or bad_reply."""
 
+    async def read(self, kind: str, name: str) -> Result[Fields, ResultCode]:
+        """Read one; fail with object_missing if there is none."""
+
     async def create(
         self, kind: str, name: str, spec: Any
     ) -> Result[Fields, ResultCode]:
@@ -72,34 +75,47 @@
             )
 
     async def _register(self) -> ResultCode:
-        listed = await self._store.list_objects(DAEMONS_KIND)
-        if isinstance(listed, Failure):
-            return listed.failure()
-        written = await self._write(listed.unwrap())
-        if isinstance(written, Failure):
-            return written.failure()
-        again = await self._store.list_objects(DAEMONS_KIND)
-        if isinstance(again, Failure):
-            return again.failure()
-        now_seconds = self._clock()
-        for daemon in map(_decode, again.unwrap().stored.items()):
-            if daemon is not None:
-                self._roster.hear(daemon, now_seconds)
-        return ResultCode.ok
-
-    async def _write(self, listing: Listing) -> Result[Fields, ResultCode]:
         own = self._roster.own
         spec = {
             _ADDRESS: own.address,
             _FAILURE_DOMAIN: own.failure_domain,
         }
-        present = listing.stored.get(own.name)
-        if present is None:
-            return await self._store.create(DAEMONS_KIND, own.name, spec)
-        if present.get('spec') == spec:
-            return Success(present)
-        revision = present['meta']['rev']
-        return await self._store.replace(DAEMONS_KIND, own.name, spec, revision)
+        created = await self._store.create(DAEMONS_KIND, own.name, spec)
+        code = _code(created)
+        if code is ResultCode.version_conflict:
+            code = await self._replace(spec)
+        if code is not ResultCode.ok:
+            return code
+        listed = await self._store.list_objects(DAEMONS_KIND)
+        now_seconds = self._clock()
+        for daemon in map(_decode, _stored(listed)):
+            if daemon is not None:
+                self._roster.hear(daemon, now_seconds)
+        return _code(listed)
+
+    async def _replace(self, spec: Fields) -> ResultCode:
+        """Replace the entry that an earlier process of this name left."""
+        name = self._roster.own.name
+        present = await self._store.read(DAEMONS_KIND, name)
+        if isinstance(present, Failure):
+            return _code(present)
+        found = present.unwrap()
+        if found.get('spec') == spec:
+            return ResultCode.ok
+        revision = found['meta']['rev']
+        return _code(
+            await self._store.replace(DAEMONS_KIND, name, spec, revision)
+        )
+
+
+def _code(outcome: Result[Any, ResultCode]) -> ResultCode:
+    return outcome.swap().value_or(ResultCode.ok)
+
+
+def _stored(
+    listed: Result[Listing, ResultCode],
+) -> Iterable[tuple[str, Fields]]:
+    return listed.value_or(Listing(0, {})).stored.items()
 
 
 def _decode(stored: tuple[str, Fields]) -> Daemon | None:
--- a/dragonflyramp/members/_rosters.py
+++ b/dragonflyramp/members/_rosters.py
@@ -6,9 +6,9 @@
 import attrs
 
 #: A daemon that nobody heard for this long is not counted on to watch.
-_LIVE_SECONDS = 4.0
+_LIVE_SECONDS = 4
 #: A daemon may be up behind a cut, and still send, for this long at least.
-_COUNTED_SECONDS = 60.0
+_COUNTED_SECONDS = 60
 #: Two watchers in different failure domains, so that the loss of a daemon or
 #: of a domain leaves one. Each event ends one priced call of every watcher.
 _WATCHERS = 2
@@ -76,17 +76,10 @@
         ranked = sorted(
             (self.own, *live), key=lambda daemon: _rank(kind, daemon)
         )
-        domains: set[str] = set()
+        first_of_domains: dict[str, Daemon] = {}
         for daemon in ranked:
-            if daemon.failure_domain in domains:
-                continue
-            domains.add(daemon.failure_domain)
-            if daemon is self.own:
-                return True
-            if len(domains) == _WATCHERS:
-                return False
-        # Fewer domains than watchers: the first daemon of each domain watches.
-        return daemon is self.own
+            first_of_domains.setdefault(daemon.failure_domain, daemon)
+        return self.own in tuple(first_of_domains.values())[:_WATCHERS]
 
 
 def _rank(kind: str, daemon: Daemon) -> bytes:
--- a/dragonflyramp/members/_watches.py
+++ b/dragonflyramp/members/_watches.py
@@ -86,7 +86,8 @@
         started_seconds = self.clock()
         listed = await self.store.list_objects(self.view.kind)
         if isinstance(listed, Failure):
-            return listed.failure()
+            code: ResultCode = listed.failure()
+            return code
         names = self.view.replace(listed.unwrap(), started_seconds)
         self._must_list = False
         self._announce(names)
@@ -96,7 +97,8 @@
         revision = self.view.revision
         found = await self.store.watch(self.view.kind, revision, _WAIT_SECONDS)
         if isinstance(found, Failure):
-            return found.failure()
+            code: ResultCode = found.failure()
+            return code
         changes = found.unwrap()
         names = self.view.apply(changes, self.clock())
         self._announce(names)
--- a/dragonflyramp/operators/__init__.py
+++ b/dragonflyramp/operators/__init__.py
@@ -1,37 +1,22 @@
-"""Reach operators: their text, their commands, a daemon's status."""
+"""Reach operators: their text, their commands, the daemons' metrics.
+
+_text _fragments _tables _fields _checks _statements  the text
+_parts _roots _stored                                 how the text is kept
+_push _drafts _commits _outcomes _retries             a change of the text
+_zones _holds _edits _replicas                        a hold as a change
+_commands _daemons_http                               the commands
+"""
 
-from dragonflyramp.operators._assembly import PartCache
 from dragonflyramp.operators._commands import (
     PushRequest,
     check,
     explain,
     history,
-    notify,
     push,
     show,
-    status,
-)
-from dragonflyramp.operators._daemons import (
-    DaemonAnswer,
-    DaemonClient,
-    DaemonView,
-    Offer,
-    OfferReply,
-    Status,
-)
-from dragonflyramp.operators._deltas import (
-    RootDelta,
-    apply_delta,
-    decode_delta,
-    encode_delta,
-    root_delta,
 )
+from dragonflyramp.operators._daemons_http import DaemonMetrics, read_metrics
 from dragonflyramp.operators._fields import is_ip_and_port
-from dragonflyramp.operators._http import (
-    open_daemons,
-    serve_status,
-    status_application,
-)
 from dragonflyramp.operators._outcomes import (
     Accepted,
     PushOutcome,
@@ -69,15 +54,10 @@
 __all__ = (
     'ROOT_NAME',
     'Accepted',
-    'DaemonAnswer',
-    'DaemonClient',
-    'DaemonView',
+    'DaemonMetrics',
     'HistoryEntry',
     'HoldRequest',
-    'Offer',
-    'OfferReply',
     'Operator',
-    'PartCache',
     'PartRef',
     'Problem',
     'PushOutcome',
@@ -86,32 +66,22 @@
     'Refused',
     'Retries',
     'Root',
-    'RootDelta',
-    'Status',
     'TextStore',
     'Unknown',
-    'apply_delta',
     'bring_in',
     'check',
-    'decode_delta',
     'decode_root',
     'digest',
-    'encode_delta',
     'encode_root',
     'explain',
     'history',
     'is_ip_and_port',
     'join_parts',
-    'notify',
-    'open_daemons',
     'parse_text',
     'part_name',
     'push',
-    'root_delta',
-    'serve_status',
+    'read_metrics',
     'show',
     'split_text',
-    'status',
-    'status_application',
     'take_out',
 )
--- a/dragonflyramp/operators/_commands.py
+++ b/dragonflyramp/operators/_commands.py
@@ -1,20 +1,10 @@
 """Run the operators' commands, without argument parsing or printing."""
 
-import asyncio
-from collections.abc import Sequence
-
 import attrs
 from returns.result import Failure, Result, Success
 
-from dragonflyramp.operators._daemons import (
-    DaemonAnswer,
-    DaemonClient,
-    Offer,
-    OfferReply,
-    Status,
-)
 from dragonflyramp.operators._drafts import Proposal
-from dragonflyramp.operators._outcomes import Accepted, PushOutcome, Refused
+from dragonflyramp.operators._outcomes import PushOutcome, Refused
 from dragonflyramp.operators._problems import Problem
 from dragonflyramp.operators._push import Pusher
 from dragonflyramp.operators._roots import HistoryEntry
@@ -28,9 +18,6 @@
 from dragonflyramp.operators._zones import Operator
 from dragonflyramp.results import ResultCode
 
-#: Larger changes are announced without parts, which daemons then read.
-_MAX_OFFERED_BYTES = 1048576
-
 
 @attrs.frozen(kw_only=True)
 class PushRequest:
@@ -85,30 +72,6 @@
     return Success((*root.history, root.entry) if root else ())
 
 
-async def status(
-    daemons: DaemonClient, addresses: Sequence[str]
-) -> tuple[DaemonAnswer[Status], ...]:
-    """Read the status of daemons at the same time."""
-    replies = await asyncio.gather(
-        *(daemons.status(address) for address in addresses)
-    )
-    return tuple(map(DaemonAnswer, addresses, replies))
-
-
-async def notify(
-    daemons: DaemonClient, addresses: Sequence[str], accepted: Accepted
-) -> tuple[DaemonAnswer[OfferReply], ...]:
-    """Hand an accepted change to daemons at the same time."""
-    parts = accepted.parts
-    if sum(map(len, parts.values())) > _MAX_OFFERED_BYTES:
-        parts = {}
-    offer = Offer(accepted.root, parts)
-    replies = await asyncio.gather(
-        *(daemons.offer(address, offer) for address in addresses)
-    )
-    return tuple(map(DaemonAnswer, addresses, replies))
-
-
 def explain(query: str) -> ResultCode | None:
     """Find a result code by its number or name.
 
--- /dev/null
+++ b/dragonflyramp/operators/_daemons_http.py
@@ -0,0 +1,54 @@
+"""Read the metrics of daemons over HTTP."""
+
+import asyncio
+from collections.abc import Iterator, Mapping, Sequence
+from http import HTTPStatus
+
+import aiohttp
+import attrs
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.results import ResultCode
+
+_PREFIX = 'dragonflyramp_'
+
+
+@attrs.frozen
+class DaemonMetrics:
+    """Hold the metrics of one daemon, or why there are none."""
+
+    address: str
+    outcome: Result[Mapping[str, float], ResultCode]
+
+
+async def read_metrics(
+    addresses: Sequence[str], timeout_seconds: float
+) -> tuple[DaemonMetrics, ...]:
+    """Read the metrics of daemons at `IP:port` at the same time."""
+    timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        outcomes = await asyncio.gather(
+            *(_read(session, address) for address in addresses)
+        )
+    return tuple(map(DaemonMetrics, addresses, outcomes))
+
+
+async def _read(
+    session: aiohttp.ClientSession, address: str
+) -> Result[Mapping[str, float], ResultCode]:
+    try:
+        async with session.get(f'http://{address}/metrics') as reply:
+            if reply.status != HTTPStatus.OK:
+                return Failure(ResultCode.bad_reply)
+            text = await reply.text()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return Failure(ResultCode.daemon_unreachable)
+    return Success(dict(_samples(text)))
+
+
+def _samples(text: str) -> Iterator[tuple[str, float]]:
+    """Give the samples of this system, without its prefix."""
+    for line in text.splitlines():
+        name, _, number = line.rpartition(' ')
+        if name.startswith(_PREFIX):
+            yield name.removeprefix(_PREFIX), float(number)
--- a/dragonflyramp/operators/_push.py
+++ b/dragonflyramp/operators/_push.py
@@ -22,7 +22,7 @@
 from dragonflyramp.operators._statements import with_lines
 from dragonflyramp.operators._stored import TextStore
 from dragonflyramp.operators._text import parse_text
-from dragonflyramp.platform import VmList
+from dragonflyramp.platform import ReplicaList
 from dragonflyramp.results import ResultCode
 
 
@@ -31,7 +31,7 @@
     """Push proposals to the stored text."""
 
     texts: TextStore
-    vms: VmList
+    replicas: ReplicaList
 
     async def push(self, proposal: Proposal) -> PushOutcome:
         """Push a text that was edited from the stored one."""
@@ -76,7 +76,7 @@
         names = new_holds(accepted, configuration.holds)
         if not names:
             return ()
-        fleet = await list_fleet(self.vms, configuration)
+        fleet = await list_fleet(self.replicas, configuration)
         if isinstance(fleet, Failure):
             holds = [configuration.holds[name] for name in sorted(names)]
             return _unchecked_problems(fleet.failure(), holds)
@@ -105,8 +105,8 @@
             code=code,
             key=f'holds.{hold.name}',
             sentence=(
-                'the VM list cannot be read, so it is unknown whether a shard'
-                ' stays without replicas; confirm_dark = true accepts this'
+                'the replicas cannot be listed, so it is unknown whether a'
+                ' shard stays without any; confirm_dark = true accepts this'
             ),
         )
         for hold in holds
--- a/dragonflyramp/operators/_replicas.py
+++ b/dragonflyramp/operators/_replicas.py
@@ -1,19 +1,16 @@
 """List the replicas that holds are checked against."""
 
-import itertools
 from collections.abc import Iterable, Iterator
 
 import attrs
 from returns.result import Failure, Result, Success
 
-from dragonflyramp.models import Configuration, ListedReplica, VmState
+from dragonflyramp.models import Configuration, ListedReplica
 from dragonflyramp.operators._holds import fixed_replicas
-from dragonflyramp.platform import VirtualMachine, VmList
+from dragonflyramp.platform import ReplicaList
+from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
 
-#: Keeps the request line of one call under the usual limit of 8 KB.
-_SERVICES_PER_CALL = 64
-
 
 @attrs.frozen(kw_only=True)
 class Fleet:
@@ -24,20 +21,25 @@
 
 
 async def list_fleet(
-    vms: VmList, configuration: Configuration
+    replicas: ReplicaList, configuration: Configuration
 ) -> Result[Fleet, ResultCode]:
-    """List the replicas of all shards; fail as `VmList` states.
+    """List the replicas of all shards; fail as `ReplicaList` states.
 
     A service that lists its replicas in the text has no others.
     """
-    machines: list[VirtualMachine] = []
-    for services in _batches(_unlisted_shards(configuration)):
-        listing = await vms.list_vms(services, '')
-        if isinstance(listing, Failure):
-            return listing
-        found = listing.unwrap()
-        machines.extend(found.machines if found else ())
-    return Success(_fleet(fixed_replicas(configuration), machines))
+    listed = await replicas.list_replicas()
+    if isinstance(listed, Failure):
+        return listed
+    shards = set(_unlisted_shards(configuration))
+    entries = [entry for entry in listed.unwrap() if entry.service in shards]
+    ready = [entry for entry in entries if entry.state is ReplicaState.ready]
+    fixed = fixed_replicas(configuration)
+    return Success(
+        Fleet(
+            live=(*fixed, *replicas_of(ready)),
+            known=(*fixed, *replicas_of(entries)),
+        )
+    )
 
 
 def _unlisted_shards(configuration: Configuration) -> Iterator[str]:
@@ -46,21 +48,14 @@
             yield service.name
 
 
-def _batches(services: Iterable[str]) -> Iterator[tuple[str, ...]]:
-    remaining = iter(services)
-    while batch := tuple(itertools.islice(remaining, _SERVICES_PER_CALL)):
-        yield batch
-
-
-def _fleet(
-    fixed: tuple[ListedReplica, ...], machines: list[VirtualMachine]
-) -> Fleet:
-    live = [found for found in machines if found.state is VmState.live]
-    return Fleet(
-        live=(*fixed, *_replicas_of(live)),
-        known=(*fixed, *_replicas_of(machines)),
+def replicas_of(entries: Iterable[ReplicaEntry]) -> Iterator[ListedReplica]:
+    """Describe entries as the checks of holds take them."""
+    return (
+        ListedReplica(
+            replica_id=entry.replica_id,
+            shard=entry.service,
+            address=entry.address,
+            failure_domain=entry.failure_domain,
+        )
+        for entry in entries
     )
-
-
-def _replicas_of(machines: Iterable[VirtualMachine]) -> Iterator[ListedReplica]:
-    return (machine.replica for machine in machines)
--- a/dragonflyramp/operators/_zones.py
+++ b/dragonflyramp/operators/_zones.py
@@ -19,7 +19,7 @@
 from dragonflyramp.operators._replicas import list_fleet
 from dragonflyramp.operators._stored import StoredRoot, StoredText
 from dragonflyramp.operators._text import parse_text
-from dragonflyramp.platform import VmList
+from dragonflyramp.platform import ReplicaList
 from dragonflyramp.results import ResultCode
 
 
@@ -74,7 +74,9 @@
     pusher: Pusher, operator: Operator, request: HoldRequest
 ) -> PushOutcome:
     """Add a hold; a hold of this name that is in force stays as it is."""
-    return await _run(pusher, operator, _TakeOut(pusher.vms, operator, request))
+    return await _run(
+        pusher, operator, _TakeOut(pusher.replicas, operator, request)
+    )
 
 
 async def bring_in(
@@ -128,7 +130,7 @@
 
 @attrs.frozen
 class _TakeOut(_Edit):
-    vms: VmList
+    replicas: ReplicaList
     operator: Operator
     request: HoldRequest
 
@@ -149,7 +151,7 @@
         name = self.request.name
         if name in configuration.failure_domains:
             return Success(HoldKind.failure_domain)
-        fleet = await list_fleet(self.vms, configuration)
+        fleet = await list_fleet(self.replicas, configuration)
         if isinstance(fleet, Failure):
             sentence = 'is no failure domain, and the VM list cannot be read'
             return Failure(refused(fleet.failure(), sentence, name))
--- a/dragonflyramp/platform/_configs.py
+++ b/dragonflyramp/platform/_configs.py
@@ -50,7 +50,9 @@
     return RoutingTable(
         version=_whole(spec['version']),
         routes=tuple(map(_route, spec['routes'])),
-        services={one['name']: _service(one) for one in spec['services']},
+        services={
+            service.name: service for service in map(_service, spec['services'])
+        },
         max_body_bytes=int(limits.get('max_body_bytes', _DEFAULT_BODY_BYTES)),
     )
 
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -66,7 +66,7 @@
     async def drain(self, longest_seconds: float) -> None:
         """Wait for the requests that run."""
         until_seconds = self._clock() + longest_seconds
-        while self._front.running and self._clock() < until_seconds:
+        while self._front.running.count and self._clock() < until_seconds:
             await asyncio.sleep(_DRAIN_STEP_SECONDS)
 
     async def stop(self) -> None:
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -24,7 +24,7 @@
 
 #: Headers that concern one connection, or that each sender writes itself.
 _OWN = frozenset(
-    {
+    (
         'connection',
         'keep-alive',
         'proxy-connection',
@@ -38,7 +38,7 @@
         'expect',
         DEADLINE_MS.lower(),
         EXPECT_INSTANCE.lower(),
-    }
+    )
 )
 
 
@@ -91,12 +91,12 @@
 def _named_in_connection(headers: Headers) -> frozenset[str]:
     return frozenset(
         token.strip().lower()
-        for text in _values(headers, 'connection')
+        for text in _texts_of(headers, 'connection')
         for token in text.split(',')
     )
 
 
-def _values(headers: Headers, wanted: str) -> Iterable[str]:
+def _texts_of(headers: Headers, wanted: str) -> Iterable[str]:
     return (text for name, text in headers if name.lower() == wanted)
 
 
--- a/dragonflyramp/platform/_settings_file.py
+++ b/dragonflyramp/platform/_settings_file.py
@@ -64,10 +64,14 @@
         return Failure(f'the settings file is not YAML: {error}')
     try:
         return Success(_decode(fields))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _MALFORMED as error:
         return Failure(f'the settings file lacks or spoils a field: {error!r}')
 
 
+#: What decoding a malformed file raises.
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+
+
 def _decode(fields: dict[str, Any]) -> MachineSettings:
     listen = fields['listen']
     bounds = fields.get('bounds') or {}
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -34,8 +34,18 @@
 _BASE_PATH = '/api/objects'
 
 
-class StoreClient:
-    """Call the store; failures are result codes, never exceptions."""
+@attrs.frozen(kw_only=True)
+class _Call:
+    #: Names the call in the counters.
+    purpose: str
+    method: str = 'GET'
+    path: str
+    body: Fields | None = None
+    timeout_seconds: float | None = None
+
+
+class _Calls:
+    """Make calls, each bounded in time, and count them."""
 
     def __init__(
         self,
@@ -48,6 +58,41 @@
         self._base_url = f'http://{address}{_BASE_PATH}'
         self._timeout_seconds = timeout_seconds
 
+    async def make(self, call: _Call) -> Result[Fields, ResultCode]:
+        """Make one call; failures are result codes, never exceptions."""
+        counters.add('platform_calls', call.purpose)
+        reply = await self._exchange(call)
+        if isinstance(reply, Failure):
+            code = reply.failure()
+            counters.add('platform_failures', f'{call.purpose}_{code.name}')
+        return reply
+
+    async def _exchange(self, call: _Call) -> Result[Fields, ResultCode]:
+        total_seconds = call.timeout_seconds or self._timeout_seconds
+        request = self._session.request(
+            call.method,
+            yarl.URL(f'{self._base_url}{call.path}', encoded=True),
+            data=None if call.body is None else _send_once(call.body),
+            headers=_JSON_HEADERS,
+            timeout=aiohttp.ClientTimeout(
+                total=total_seconds, sock_connect=_CONNECT_SECONDS
+            ),
+            allow_redirects=False,
+        )
+        try:
+            async with request as reply:
+                return _decode(reply.status, await reply.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return Failure(ResultCode.platform_down)
+
+
+class StoreClient:
+    """Call the store; failures are result codes, never exceptions."""
+
+    def __init__(self, calls: _Calls) -> None:
+        """Make calls through what `open_store` opened."""
+        self._calls = calls
+
     async def list_objects(self, kind: str) -> Result[Listing, ResultCode]:
         """Read all pages; fail with platform_down or bad_reply.
 
@@ -58,7 +103,9 @@
         revision: int | None = None
         query: dict[str, str] = {}
         while True:
-            page = await self._call('list', 'GET', _url_path(kind, '', query))
+            page = await self._calls.make(
+                _Call(purpose='list', path=_url_path(kind, '', query))
+            )
             if isinstance(page, Failure):
                 return page
             read = _read_page(page.unwrap())
@@ -79,72 +126,54 @@
         """
         wait_ms = int(wait_seconds * 1000)
         query = {'watch': str(revision), 'wait_ms': str(wait_ms)}
-        reply = await self._call(
-            'watch',
-            'GET',
-            _url_path(kind, '', query),
-            timeout_seconds=wait_seconds + _WATCH_SLACK_SECONDS,
+        reply = await self._calls.make(
+            _Call(
+                purpose='watch',
+                path=_url_path(kind, '', query),
+                timeout_seconds=wait_seconds + _WATCH_SLACK_SECONDS,
+            )
         )
         return reply.bind(_read_changes)
 
     async def read(self, kind: str, name: str) -> Result[Fields, ResultCode]:
         """Read one object; fail with object_missing or as other calls."""
-        return await self._call('read', 'GET', _url_path(kind, name))
+        return await self._calls.make(
+            _Call(purpose='read', path=_url_path(kind, name))
+        )
 
     async def create(
         self, kind: str, name: str, spec: Any
     ) -> Result[Fields, ResultCode]:
         """Create an object; fail with version_conflict if it exists."""
         body = {'meta': {'name': name}, 'spec': spec}
-        return await self._call('write', 'POST', _url_path(kind, ''), body)
+        return await self._calls.make(
+            _Call(
+                purpose='write',
+                method='POST',
+                path=_url_path(kind, ''),
+                body=body,
+            )
+        )
 
     async def replace(
         self, kind: str, name: str, spec: Any, revision: int
     ) -> Result[Fields, ResultCode]:
         """Replace an object's spec if the revision still stands."""
         body = {'meta': {'name': name, 'rev': revision}, 'spec': spec}
-        return await self._call('write', 'PUT', _url_path(kind, name), body)
+        return await self._calls.make(
+            _Call(
+                purpose='write',
+                method='PUT',
+                path=_url_path(kind, name),
+                body=body,
+            )
+        )
 
     async def delete(self, kind: str, name: str) -> Result[Fields, ResultCode]:
         """Remove an object; fail with object_missing if there is none."""
-        return await self._call('write', 'DELETE', _url_path(kind, name))
-
-    async def _call(
-        self,
-        purpose: str,
-        method: str,
-        path: str,
-        body: Fields | None = None,
-        *,
-        timeout_seconds: float | None = None,
-    ) -> Result[Fields, ResultCode]:
-        counters.add('platform_calls', purpose)
-        total = timeout_seconds or self._timeout_seconds
-        reply = await self._exchange(method, path, body, total)
-        if isinstance(reply, Failure):
-            code = reply.failure()
-            counters.add('platform_failures', f'{purpose}_{code.name}')
-        return reply
-
-    async def _exchange(
-        self, method: str, path: str, body: Fields | None, total: float
-    ) -> Result[Fields, ResultCode]:
-        timeout = aiohttp.ClientTimeout(
-            total=total, sock_connect=_CONNECT_SECONDS
-        )
-        request = self._session.request(
-            method,
-            yarl.URL(f'{self._base_url}{path}', encoded=True),
-            data=None if body is None else _send_once(body),
-            headers=_JSON_HEADERS,
-            timeout=timeout,
-            allow_redirects=False,
+        return await self._calls.make(
+            _Call(purpose='write', method='DELETE', path=_url_path(kind, name))
         )
-        try:
-            async with request as reply:
-                return _decode(reply.status, await reply.read())
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
-            return Failure(ResultCode.platform_down)
 
 
 @contextlib.asynccontextmanager
@@ -159,7 +188,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
     )
     async with session:
-        yield StoreClient(session, address, timeout_seconds)
+        yield StoreClient(_Calls(session, address, timeout_seconds))
 
 
 @attrs.frozen
@@ -188,7 +217,7 @@
 
 
 def _url_path(
-    kind: str, name: str, query: Mapping[str, str] = MappingProxyType({})
+    kind: str, name: str, query: Mapping[str, str] | None = None
 ) -> str:
     path = f'/{quote(kind)}'
     if name:
--- a/dragonflyramp/settings.py
+++ b/dragonflyramp/settings.py
@@ -18,6 +18,13 @@
 _KIND = 'kind'
 _MEANING = 'meaning'
 _LAST_PORT = 65535
+_METRICS_PORT = 9464
+#: Answers of the store take milliseconds; a slow day makes them 0.3 s.
+_STORE_TIMEOUT_SECONDS = 1.5
+#: Two readiness checks, one a second, and a little more.
+_STOP_NOTICE_SECONDS = 2.6
+#: Closing ports and connections takes a few tenths of a second.
+_STOP_RESERVE_SECONDS = 0.7
 
 
 class ConfigurationSource(enum.Enum):
@@ -70,24 +77,24 @@
     )
     metrics_port: int = _optional(
         Whole(0, _LAST_PORT, ''),
-        9464,
+        _METRICS_PORT,
         'Port of the metrics on the address of the frontend; 0 lets the '
         'kernel choose.',
     )
     store_timeout_seconds: float = _optional(
         _seconds(0.1, _MINUTE),
-        1.5,
+        _STORE_TIMEOUT_SECONDS,
         "Longest time of one call to the platform's store.",
     )
     stop_notice_seconds: float = _optional(
         _seconds(0, _MINUTE),
-        2.6,
+        _STOP_NOTICE_SECONDS,
         'Time between becoming not ready and closing at a planned stop; two '
         'readiness checks, one a second, take a front out.',
     )
     stop_reserve_seconds: float = _optional(
         _seconds(0, _MINUTE),
-        0.7,
+        _STOP_RESERVE_SECONDS,
         'Time kept for closing before the platform ends the process.',
     )
     log_level: LogLevel = _optional(
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -6,7 +6,14 @@
 
 import attrs
 
-from dragonflyramp.backends import BudgetBounds, Connection, Fleet, Tier
+from dragonflyramp.backends import (
+    BudgetBounds,
+    Budgets,
+    ColdGate,
+    Connection,
+    Fleet,
+    Tier,
+)
 from dragonflyramp.callers import Front
 from dragonflyramp.knowledge import Knowledge
 from dragonflyramp.members import (
@@ -94,70 +101,35 @@
     settings: Settings, machine: MachineSettings, store: StoreClient
 ) -> FrontParts:
     """Create all parts of a front; nothing runs yet."""
-    clock = time.monotonic
-    rng = random.Random()
     decoder = StoreDecoder()
-    kinds = (
-        decoder.config_kind,
-        decoder.evacuations_kind,
-        decoder.entries_kind,
-    )
-    views = {kind: View(kind) for kind in kinds}
+    views = {kind: View(kind) for kind in decoder.kinds}
     connections = TaskSet()
-    fleet = Fleet(
-        make_connection=functools.partial(_connect, ReplicaCodec()),
-        tasks=connections,
-        cold_slack=machine.cold_bounds.slack,
-        cold_overshoot=machine.cold_bounds.overshoot,
-    )
     knowledge = Knowledge(
-        views=views, decoder=decoder, fleet=fleet, clock=clock
-    )
-    roster = Roster(
-        Daemon(
-            name=machine.node,
-            address=machine.member_address,
-            failure_domain=machine.failure_domain,
-        )
+        views=views,
+        decoder=decoder,
+        fleet=_create_fleet(machine, connections),
+        clock=_CLOCK,
     )
     spread = _Spread(knowledge)
-    book = Book(roster, views, spread.from_member)
-    members = Members(book, machine.seeds, clock)
-    spread.members = members
-    tier = Tier(
-        fleet=fleet,
-        clock=clock,
-        rng=rng,
-        failure_domain=machine.failure_domain,
-        bounds=BudgetBounds(
-            ratio=machine.retry_bounds.ratio,
-            window_seconds=machine.retry_bounds.window_seconds,
-            slack=machine.retry_bounds.slack,
-        ),
-        count_daemons=roster.counted,
+    book = Book(Roster(_own_daemon(machine)), views, spread.from_member)
+    spread.members = Members(book, machine.seeds, _CLOCK)
+    front = Front(
+        tier=_create_tier(machine, knowledge.fleet, book.roster),
+        clock=_CLOCK,
+        table=lambda: knowledge.table,
+        knows_all=lambda: knowledge.is_complete,
     )
-    front = Front(tier=tier, clock=clock, table=lambda: knowledge.table)
     return FrontParts(
         settings=settings,
         machine=machine,
         front=front,
-        server=FrontServer(front, clock),
+        server=FrontServer(front, _CLOCK),
         metrics=MetricsServer(),
-        service=MemberService(book, clock),
-        members=members,
-        registry=Registry(store, roster, clock, rng),
+        service=MemberService(book, _CLOCK),
+        members=spread.members,
+        registry=Registry(store, book.roster, _CLOCK, random.Random()),
         knowledge=knowledge,
-        watches=tuple(
-            Watch(
-                store=store,
-                view=view,
-                roster=roster,
-                on_change=spread.from_store,
-                clock=clock,
-                rng=rng,
-            )
-            for view in views.values()
-        ),
+        watches=_create_watches(store, book, spread),
         connections=connections,
     )
 
@@ -181,5 +153,59 @@
             self.members.spread(is_from_store=is_from_store)
 
 
-def _connect(codec: ReplicaCodec, address: str, on_idle, on_end) -> Connection:
-    return Connection(address, codec, time.monotonic, on_idle, on_end)
+def _own_daemon(machine: MachineSettings) -> Daemon:
+    return Daemon(
+        name=machine.node,
+        address=machine.member_address,
+        failure_domain=machine.failure_domain,
+    )
+
+
+def _create_fleet(machine: MachineSettings, connections: TaskSet) -> Fleet:
+    return Fleet(
+        make_connection=functools.partial(
+            Connection, codec=ReplicaCodec(), clock=_CLOCK
+        ),
+        tasks=connections,
+        cold_gate=ColdGate(
+            slack=machine.cold_bounds.slack,
+            overshoot=machine.cold_bounds.overshoot,
+        ),
+    )
+
+
+def _create_tier(
+    machine: MachineSettings, fleet: Fleet, roster: Roster
+) -> Tier:
+    bounds = BudgetBounds(
+        ratio=machine.retry_bounds.ratio,
+        window_seconds=machine.retry_bounds.window_seconds,
+        slack=machine.retry_bounds.slack,
+    )
+    return Tier(
+        fleet=fleet,
+        budgets=Budgets(bounds),
+        clock=_CLOCK,
+        rng=random.Random(),
+        failure_domain=machine.failure_domain,
+        count_daemons=roster.counted,
+    )
+
+
+def _create_watches(
+    store: StoreClient, book: Book, spread: _Spread
+) -> tuple[Watch, ...]:
+    return tuple(
+        Watch(
+            store=store,
+            view=view,
+            roster=book.roster,
+            on_change=spread.from_store,
+            clock=_CLOCK,
+            rng=random.Random(),
+        )
+        for view in book.views.values()
+    )
+
+
+_CLOCK = time.monotonic
--- a/dragonflyramp/tools/_operator_flags.py
+++ b/dragonflyramp/tools/_operator_flags.py
@@ -32,13 +32,7 @@
         flags.DEFINE_list,
         'daemons',
         [],
-        'Status addresses that `status` reads, IP:port.',
-    ),
-    (
-        flags.DEFINE_list,
-        'notify',
-        [],
-        'Status addresses that are handed an accepted change, IP:port.',
+        'Metrics addresses that `status` reads, IP:port.',
     ),
     (
         functools.partial(flags.DEFINE_integer, lower_bound=0),
@@ -75,7 +69,6 @@
     reason: str
     release: tuple[str, ...]
     daemons: tuple[str, ...]
-    notify: tuple[str, ...]
     base: int | None
     confirm_dark: bool
     timeout_seconds: float
@@ -84,7 +77,7 @@
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses that are given."""
         platform = (self.platform,) if self.platform else ()
-        return (*platform, *self.daemons, *self.notify)
+        return (*platform, *self.daemons)
 
 
 @attrs.frozen
@@ -112,7 +105,6 @@
         reason=defined.reason,
         release=tuple(defined.release),
         daemons=tuple(defined.daemons),
-        notify=tuple(defined.notify),
         base=defined.base,
         confirm_dark=defined.confirm_dark,
         timeout_seconds=defined.timeout_seconds,
--- a/dragonflyramp/tools/_operator_sessions.py
+++ b/dragonflyramp/tools/_operator_sessions.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator
 
 from dragonflyramp import operators
-from dragonflyramp.platform import open_platform
+from dragonflyramp.platform import StoredObjects, open_store
 from dragonflyramp.tools._operator_flags import OperatorSettings
 
 
@@ -17,11 +17,12 @@
 ) -> AsyncIterator[operators.Pusher]:
     """Open the platform for the length of the context."""
     retries = operators.Retries(rng=random.Random())
-    async with open_platform(
+    async with open_store(
         settings.platform, settings.timeout_seconds
-    ) as platform:
-        texts = operators.TextStore(store=platform.store, retries=retries)
-        yield operators.Pusher(texts, platform.vms)
+    ) as client:
+        stored = StoredObjects(client)
+        texts = operators.TextStore(store=stored, retries=retries)
+        yield operators.Pusher(texts, stored)
 
 
 def create_operator(settings: OperatorSettings) -> operators.Operator:
--- a/dragonflyramp/tools/_reports.py
+++ b/dragonflyramp/tools/_reports.py
@@ -1,22 +1,18 @@
 """Turn the outcomes of commands into lines and exit codes."""
 
 import enum
-import json
 from collections.abc import Iterable, Sequence
-from typing import Any
 
 import attrs
 from returns.result import Failure, Result
 
 from dragonflyramp.operators import (
     Accepted,
-    DaemonAnswer,
+    DaemonMetrics,
     HistoryEntry,
-    OfferReply,
     Problem,
     PushOutcome,
     Refused,
-    Status,
 )
 from dragonflyramp.results import ResultCode
 
@@ -38,14 +34,6 @@
     output: str = ''
     problems: tuple[str, ...] = ()
 
-    def followed_by(self, other: 'Report') -> 'Report':
-        """Append the lines of another report, keep the exit code."""
-        return Report(
-            exit_code=self.exit_code,
-            output=f'{self.output}{other.output}',
-            problems=(*self.problems, *other.problems),
-        )
-
 
 def report_usage(sentence: str) -> Report:
     """Report a command that cannot be run as it was given."""
@@ -95,14 +83,18 @@
     return Report(output=_joined(lines))
 
 
-def report_status(answers: Sequence[DaemonAnswer[Status]]) -> Report:
-    """Report the status of daemons, one JSON object a line."""
-    problems = _unanswered(answers)
+def report_status(daemons: Sequence[DaemonMetrics]) -> Report:
+    """Report the metrics of daemons, one sample a line."""
     lines = [
-        ' '.join((one.address, _compact(one.outcome.unwrap())))
-        for one in answers
-        if not isinstance(one.outcome, Failure)
+        ' '.join((daemon.address, name, format(number, 'g')))
+        for daemon in daemons
+        for name, number in sorted(daemon.outcome.value_or({}).items())
     ]
+    problems = tuple(
+        str(_unanswered(daemon.address, daemon.outcome.failure()))
+        for daemon in daemons
+        if isinstance(daemon.outcome, Failure)
+    )
     return Report(
         exit_code=ExitCode.unknown if problems else ExitCode.ok,
         output=_joined(lines),
@@ -110,16 +102,6 @@
     )
 
 
-def report_notified(answers: Sequence[DaemonAnswer[OfferReply]]) -> Report:
-    """Report which daemons took an accepted change."""
-    lines = [
-        ' '.join((one.address, _taken(one.outcome.unwrap())))
-        for one in answers
-        if not isinstance(one.outcome, Failure)
-    ]
-    return Report(output=_joined(lines), problems=_unanswered(answers))
-
-
 def report_explanation(code: ResultCode | None) -> Report:
     """Report the meaning of a result code."""
     if code is None:
@@ -145,26 +127,9 @@
     )
 
 
-def _unanswered(answers: Iterable[DaemonAnswer[Any]]) -> tuple[str, ...]:
-    failed = [one for one in answers if isinstance(one.outcome, Failure)]
-    return tuple(
-        str(_unanswered_problem(one.address, one.outcome.failure()))
-        for one in failed
-    )
-
-
-def _unanswered_problem(address: str, code: ResultCode) -> Problem:
+def _unanswered(address: str, code: ResultCode) -> Problem:
     return Problem(code=code, key=address, sentence=code.meaning.sentence)
 
 
-def _taken(reply: OfferReply) -> str:
-    name = reply.code.name
-    return f'{name}: number {reply.number}'
-
-
-def _compact(status: Status) -> str:
-    return json.dumps(status, separators=(',', ':'))
-
-
 def _joined(lines: Iterable[str]) -> str:
     return ''.join(f'{line}\n' for line in lines)
--- a/dragonflyramp/tools/front.py
+++ b/dragonflyramp/tools/front.py
@@ -1,6 +1,7 @@
 """Run dragonflyramp-front, which answers callers on one machine."""
 
 import asyncio
+import contextlib
 import functools
 import os
 import signal
@@ -48,12 +49,11 @@
         machine.store_address, settings.store_timeout_seconds
     ) as store:
         parts = create_parts(settings, machine, store)
-        try:
+        async with contextlib.AsyncExitStack() as cleanup:
+            cleanup.push_async_callback(parts.close)
             await run_until_first(
                 parts.run(), _reload(machine), _serve(parts, stop)
             )
-        finally:
-            await parts.close()
 
 
 async def _serve(parts: FrontParts, stop: asyncio.Event) -> None:
--- a/dragonflyramp/tools/operator.py
+++ b/dragonflyramp/tools/operator.py
@@ -88,7 +88,7 @@
     async with open_pusher(settings) as pusher:
         operator = create_operator(settings)
         outcome = await operators.push(pusher, operator, request)
-    return await _announce(settings, outcome)
+    return reports.report_push(outcome)
 
 
 async def _show(settings: OperatorSettings, _: str) -> reports.Report:
@@ -108,20 +108,21 @@
     async with open_pusher(settings) as pusher:
         operator = create_operator(settings)
         outcome = await operators.take_out(pusher, operator, request)
-    return await _announce(settings, outcome)
+    return reports.report_push(outcome)
 
 
 async def _zone_in(settings: OperatorSettings, name: str) -> reports.Report:
     async with open_pusher(settings) as pusher:
         operator = create_operator(settings)
         outcome = await operators.bring_in(pusher, operator, name)
-    return await _announce(settings, outcome)
+    return reports.report_push(outcome)
 
 
 async def _status(settings: OperatorSettings, _: str) -> reports.Report:
-    async with operators.open_daemons(settings.timeout_seconds) as daemons:
-        answers = await operators.status(daemons, settings.daemons)
-    return reports.report_status(answers)
+    daemons = await operators.read_metrics(
+        settings.daemons, settings.timeout_seconds
+    )
+    return reports.report_status(daemons)
 
 
 async def _explain(settings: OperatorSettings, code: str) -> reports.Report:
@@ -144,17 +145,6 @@
 )
 
 
-async def _announce(
-    settings: OperatorSettings, outcome: operators.PushOutcome
-) -> reports.Report:
-    report = reports.report_push(outcome)
-    if not isinstance(outcome, operators.Accepted):
-        return report
-    async with operators.open_daemons(settings.timeout_seconds) as daemons:
-        answers = await operators.notify(daemons, settings.notify, outcome)
-    return report.followed_by(reports.report_notified(answers))
-
-
 def _read(path: str) -> bytes:
     try:
         return pathlib.Path(path).read_bytes()
--- /dev/null
+++ b/tests/standins/replicas.py
@@ -0,0 +1,157 @@
+"""Stand in for one backend server over HTTP, with faults."""
+
+import asyncio
+
+import attrs
+
+from tests.standins.resets import linger
+
+_HEAD = 'HTTP/1.1 {status}\r\nServer-Stamp: {stamp}\r\nRequest-Id: {id}\r\n'
+
+
+@attrs.define(kw_only=True)
+class ReplicaFaults:
+    """Hold the switchable faults; a number counts the requests it meets."""
+
+    #: How long each request takes.
+    work_seconds: float = 0
+    #: Requests that run and whose connection is reset before a reply.
+    lost: int = 0
+    #: Replies without a length that are reset in the middle.
+    cut: int = 0
+    #: Replies followed by another reply.
+    extra: int = 0
+    #: Replies that bear the id of another request.
+    foreign: int = 0
+    #: Replies that are no HTTP.
+    garbled: int = 0
+    #: Requests that are answered 503 and not run.
+    shed: int = 0
+    #: Requests that run and are answered 500.
+    failed: int = 0
+    #: Requests that are never answered.
+    hung: int = 0
+
+
+@attrs.define(eq=False)
+class ReplicaServer:
+    """Answer requests on a loopback port, one task for each connection."""
+
+    replica_id: str
+    body: bytes = b''
+    faults: ReplicaFaults = attrs.field(factory=ReplicaFaults)
+    #: Ids of the requests that ran, and the head of the last request.
+    ran: list[str] = attrs.field(factory=list)
+    heads: list[dict[str, str]] = attrs.field(factory=list)
+    connections: int = 0
+    #: Requests whose connection ended before the reply.
+    broken_off: int = 0
+    address: str = ''
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+
+    async def start(self) -> str:
+        """Listen and return `IP:port`."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f'{host}:{port}'
+        return self.address
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.drop()
+
+    def drop(self) -> None:
+        """Close every connection."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._answer(reader, writer):
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        raw = await reader.readuntil(b'\r\n\r\n')
+        line, *lines = raw.decode().split('\r\n')[:-2]
+        head = dict(one.split(': ', 1) for one in lines)
+        head['line'] = line
+        self.heads.append(head)
+        await reader.readexactly(int(head.get('Content-Length', 0)))
+        if head.get('Expect-Instance') != self.replica_id:
+            writer.write(b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n')
+            return True
+        if self._meets('shed'):
+            writer.write(_reply(head, '503 Full', '', 'Not-Executed: 1\r\n'))
+            return True
+        self.ran.append(head['Request-Id'])
+        if self._meets('hung'):
+            return await self._hang(reader)
+        await asyncio.sleep(self.faults.work_seconds)
+        return self._reply(writer, head)
+
+    async def _hang(self, reader: asyncio.StreamReader) -> bool:
+        """Wait until the other end closes."""
+        await reader.read()
+        self.broken_off += 1
+        return False
+
+    def _reply(
+        self, writer: asyncio.StreamWriter, head: dict[str, str]
+    ) -> bool:
+        stamp = f'{self.replica_id}.{len(self.ran)}'
+        if self._meets('failed'):
+            writer.write(_reply(head, '500 Bad', stamp))
+            return True
+        if self._meets('lost'):
+            return _reset(writer)
+        if self._meets('cut'):
+            start = _HEAD.format(
+                status='200 OK', stamp=stamp, id=head['Request-Id']
+            )
+            writer.write(f'{start}\r\n'.encode() + self.body[:1])
+            return _reset(writer)
+        if self._meets('garbled'):
+            writer.write(b'\x00\x01garbage\r\n\r\n')
+            return True
+        if self._meets('foreign'):
+            head = {**head, 'Request-Id': 'another'}
+        reply = _reply(head, '200 OK', stamp, body=self.body)
+        if self._meets('extra'):
+            reply += reply
+        writer.write(reply)
+        return True
+
+    def _meets(self, fault: str) -> bool:
+        left: int = getattr(self.faults, fault)
+        setattr(self.faults, fault, max(0, left - 1))
+        return left > 0
+
+
+def _reply(
+    head: dict[str, str],
+    status: str,
+    stamp: str,
+    more: str = '',
+    body: bytes = b'',
+) -> bytes:
+    start = _HEAD.format(status=status, stamp=stamp, id=head['Request-Id'])
+    length = f'Content-Length: {len(body)}\r\n\r\n'
+    return f'{start}{more}{length}'.encode() + body
+
+
+def _reset(writer: asyncio.StreamWriter) -> bool:
+    sock = writer.get_extra_info('socket')
+    linger(sock)
+    writer.transport.abort()
+    return False
--- /dev/null
+++ b/tests/systems.py
@@ -0,0 +1,241 @@
+"""Run real fronts against stand-ins of the store and of replicas."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+from collections.abc import AsyncIterator, Mapping, Sequence
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import attrs
+import yaml
+import yarl
+
+from tests.programs import START_SECONDS, Program
+from tests.standins.replicas import ReplicaServer
+from tests.standins.stores import StoreServer
+
+HOST = 'search.example'
+SHARDS = ('shard-a', 'shard-b', 'shard-c')
+DOMAINS = ('recife', 'natal')
+RECORD = 16
+
+
+def config(version: int, **changes: Any) -> dict[str, Any]:
+    """Write a configuration with a search, a lookup and an order."""
+    names = (*SHARDS, 'lookup')
+    plain = {'host': HOST, 'timeout_ms': 3000, 'target_latency_ms': 500}
+    routes = [
+        {
+            **plain,
+            'name': 'search',
+            'path_prefix': '/search/',
+            'kind': 'idempotent',
+            'gather': list(SHARDS),
+            'max_attempts': 2,
+            'top_k': 4,
+            'min_shard_share': 0.6,
+        },
+        {
+            **plain,
+            'name': 'lookup',
+            'path_prefix': '/lookup/',
+            'kind': 'idempotent',
+            'service': 'lookup',
+            'max_attempts': 2,
+        },
+        {
+            **plain,
+            'name': 'order',
+            'path_prefix': '/order/',
+            'kind': 'non_idempotent',
+            'service': 'lookup',
+            'max_attempts': 2,
+        },
+    ]
+    return {
+        'version': version,
+        'routes': routes,
+        'services': [{'name': name, 'max_conns': 30} for name in names],
+        'limits': {'max_body_bytes': 10000},
+        **changes,
+    }
+
+
+@attrs.define(eq=False, kw_only=True)
+class FrontProcess:
+    """Hold one front that runs and the ports of its machine."""
+
+    name: str
+    program: Program
+    frontend: str
+    readiness: str
+
+    async def is_ready(self) -> bool:
+        """Ask as the platform's balancer does."""
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with aiohttp.ClientSession() as session:
+                url = f'http://{self.readiness}/api/ready'
+                async with session.get(url) as reply:
+                    return reply.status == HTTPStatus.OK
+        return False
+
+    async def wait_ready(self) -> None:
+        """Wait until the front says that it is ready."""
+        async with asyncio.timeout(START_SECONDS):
+            while not await self.is_ready():
+                assert self.program.process.returncode is None
+                await asyncio.sleep(0.05)
+
+
+@attrs.define(eq=False)
+class System:
+    """Hold the store, the replicas and the fronts."""
+
+    store: StoreServer
+    folder: pathlib.Path
+    replicas: dict[str, list[ReplicaServer]] = attrs.field(factory=dict)
+    fronts: list[FrontProcess] = attrs.field(factory=list)
+
+    async def start_replicas(self, count: int) -> None:
+        """Start replicas of each service and register them."""
+        for service in (*SHARDS, 'lookup'):
+            servers = [
+                ReplicaServer(f'{service}-{index}') for index in range(count)
+            ]
+            self.replicas[service] = servers
+            for index, server in enumerate(servers):
+                await server.start()
+                server.body = server.replica_id[-3].encode() * RECORD
+                self.register(server, DOMAINS[index % len(DOMAINS)])
+
+    def register(
+        self, server: ReplicaServer, domain: str, state: str = 'ready'
+    ) -> None:
+        """Write the entry of a replica."""
+        spec = {
+            'service': server.replica_id.rpartition('-')[0],
+            'address': server.address,
+            'zone': domain,
+            'slots': 3,
+            'state': state,
+            'warmup_left_ms': 0,
+            'sequence': 1,
+            'born': 1,
+        }
+        self.store.store.put('servers', server.replica_id, spec)
+
+    async def start_front(
+        self, name: str, seeds: Sequence[str] = ()
+    ) -> FrontProcess:
+        """Start a front; it is not ready yet."""
+        ports = _free_ports(3)
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(self._settings(name, ports, seeds)))
+        program = await Program.start(
+            'dragonflyramp.tools.front',
+            ['--metrics_port=0', '--stop_notice_seconds=0.3'],
+            environment={'DRAGONFLYRAMP_BOOT': str(path)},
+        )
+        front = FrontProcess(
+            name=name,
+            program=program,
+            frontend=f'127.0.0.1:{ports[0]}',
+            readiness=f'127.0.0.1:{ports[1]}',
+        )
+        self.fronts.append(front)
+        return front
+
+    def ran(self, service: str) -> list[str]:
+        """List the ids that the replicas of a service ran."""
+        return [one for server in self.replicas[service] for one in server.ran]
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for front in self.fronts:
+            await front.program.kill()
+        for servers in self.replicas.values():
+            for server in servers:
+                await server.stop()
+        await self.store.stop()
+
+    def _settings(
+        self, name: str, ports: Sequence[int], seeds: Sequence[str]
+    ) -> Mapping[str, Any]:
+        frontend, readiness, control = (f'127.0.0.1:{port}' for port in ports)
+        return {
+            'node': name,
+            'zone': 'recife',
+            'region': 'nordeste',
+            'listen': {
+                'frontend': frontend,
+                'readiness': readiness,
+                'control': control,
+            },
+            'seeds': list(seeds),
+            'bounds': {'grace_s': 6, 'retry_budget_slack': 50},
+            'platform': {'address': self.store.address},
+        }
+
+
+@contextlib.asynccontextmanager
+async def system(
+    folder: pathlib.Path, fronts: int = 1, replicas: int = 2
+) -> AsyncIterator[System]:
+    """Run a system whose fronts are ready."""
+    store = StoreServer()
+    await store.start()
+    started = System(store, folder)
+    store.store.put('config', 'main', config(1))
+    await started.start_replicas(replicas)
+    for index in range(fronts):
+        await started.start_front(f'front-{index}')
+    for front in started.fronts:
+        await front.wait_ready()
+    async with contextlib.AsyncExitStack() as cleanup:
+        cleanup.push_async_callback(started.stop)
+        yield started
+
+
+@attrs.frozen
+class Answered:
+    """Hold what a caller got."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    front: FrontProcess,
+    path: str,
+    request_id: str,
+    *,
+    method: str = 'GET',
+    body: bytes | None = None,
+) -> Answered:
+    """Call a front as a caller does."""
+    headers = {
+        'Host': HOST,
+        'Request-Id': request_id,
+        'Deadline-Ms': '3000',
+    }
+    url = yarl.URL(f'http://{front.frontend}{path}', encoded=True)
+    async with session.request(
+        method, url, headers=headers, data=body
+    ) as reply:
+        return Answered(reply.status, reply.headers, await reply.read())
+
+
+def _free_ports(count: int) -> list[int]:
+    """Ask the kernel for ports that nobody listens on."""
+    with contextlib.ExitStack() as cleanup:
+        found = []
+        for _ in range(count):
+            sock = cleanup.enter_context(socket.socket())
+            sock.bind(('127.0.0.1', 0))
+            found.append(sock.getsockname()[1])
+        return found
