--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -6,9 +6,14 @@
 _patience when a search answers without all shards
 _merging  the parts of a search made one
 _splits   services that share requests by weight
+_stories  the log line of a request
+_claims   a request with an idempotency key runs at most once
+_http     the product's own interface
 """
 
+from dragonflyramp.callers._claims import Claims
 from dragonflyramp.callers._fronts import Front
+from dragonflyramp.callers._http import OwnInterface, OwnServer
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._patience import (
     DeadlinePatience,
@@ -26,10 +31,13 @@
 
 __all__ = (
     'Answer',
+    'Claims',
     'DeadlinePatience',
     'Front',
     'Gathered',
     'Merger',
+    'OwnInterface',
+    'OwnServer',
     'Patience',
     'Progress',
     'Query',
--- /dev/null
+++ b/dragonflyramp/callers/_claims.py
@@ -0,0 +1,135 @@
+"""Run a request with an idempotency key at most once.
+
+A claim is created in the store before the request is sent. Only the process
+that created a claim runs the request; it removes the claim when it knows that
+the request has not run, and records the outcome otherwise.
+"""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import attrs
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.callers._queries import Answer, Refusal, Relayed
+from dragonflyramp.results import ResultCode
+from dragonflyramp.views import Fields
+
+#: Kind of the claims in the store.
+_CLAIMS_KIND = 'dragonflyramp-claims'
+_DIGEST = 'digest'
+_OUTCOME = 'outcome'
+
+
+class ClaimStore(Protocol):
+    """Keep one object for each key."""
+
+    async def read(self, kind: str, name: str) -> Result[Fields, ResultCode]:
+        """Read one; fail with object_missing if there is none."""
+
+    async def create(
+        self, kind: str, name: str, spec: Any
+    ) -> Result[Fields, ResultCode]:
+        """Create; fail with version_conflict if it exists."""
+
+    async def replace(
+        self, kind: str, name: str, spec: Any, revision: int
+    ) -> Result[Fields, ResultCode]:
+        """Replace; fail with version_conflict if it changed."""
+
+    async def delete(self, kind: str, name: str) -> Result[Fields, ResultCode]:
+        """Remove; fail with object_missing if there is none."""
+
+
+@attrs.frozen(kw_only=True)
+class KeyedRequest:
+    """Hold a request that must not be repeated, and its key."""
+
+    service: str
+    key: str
+    body: bytes
+
+    @property
+    def name(self) -> str:
+        """Name the claim; keys of two services are different."""
+        text = f'{len(self.service)}:{self.service}{self.key}'
+        return hashlib.sha256(text.encode()).hexdigest()
+
+    @property
+    def digest(self) -> str:
+        """Identify the body."""
+        return hashlib.sha256(self.body).hexdigest()
+
+
+@attrs.frozen
+class Claimed:
+    """Hold the answer to a keyed request, new or recorded."""
+
+    code: ResultCode
+    outcome: str = ''
+
+
+@attrs.frozen
+class Claims:
+    """Run keyed requests through their claims."""
+
+    _store: ClaimStore
+
+    async def run(
+        self, keyed: KeyedRequest, send: Callable[[], Awaitable[Answer]]
+    ) -> Claimed:
+        """Run the request, or give what an earlier one left."""
+        spec = {_DIGEST: keyed.digest}
+        created = await self._store.create(_CLAIMS_KIND, keyed.name, spec)
+        if isinstance(created, Success):
+            revision = created.unwrap()['meta']['rev']
+            return await self._send(keyed, revision, send)
+        if created.failure() is ResultCode.version_conflict:
+            return await self._replay(keyed)
+        # The claim may exist now, so the key may stay without an outcome.
+        return Claimed(ResultCode.claim_failed)
+
+    async def _send(
+        self,
+        keyed: KeyedRequest,
+        revision: int,
+        send: Callable[[], Awaitable[Answer]],
+    ) -> Claimed:
+        answer = await send()
+        if isinstance(answer, Relayed):
+            outcome = answer.reply.body.decode(errors='replace')
+            spec = {_DIGEST: keyed.digest, _OUTCOME: outcome}
+            written = await self._store.replace(
+                _CLAIMS_KIND, keyed.name, spec, revision
+            )
+            _warn_unless_kept(keyed, written)
+            return Claimed(ResultCode.ok, outcome)
+        assert isinstance(answer, Refusal)
+        if answer.may_have_run:
+            return Claimed(ResultCode.outcome_unknown)
+        removed = await self._store.delete(_CLAIMS_KIND, keyed.name)
+        _warn_unless_kept(keyed, removed)
+        return Claimed(answer.code)
+
+    async def _replay(self, keyed: KeyedRequest) -> Claimed:
+        found = await self._store.read(_CLAIMS_KIND, keyed.name)
+        if isinstance(found, Failure):
+            return Claimed(ResultCode.claim_failed)
+        spec = found.unwrap().get('spec') or {}
+        if spec.get(_DIGEST) != keyed.digest:
+            return Claimed(ResultCode.key_reused)
+        outcome = spec.get(_OUTCOME)
+        if outcome is not None:
+            return Claimed(ResultCode.outcome_replayed, outcome)
+        return Claimed(ResultCode.already_claimed)
+
+
+def _warn_unless_kept(
+    keyed: KeyedRequest, outcome: Result[Fields, ResultCode]
+) -> None:
+    if isinstance(outcome, Failure):
+        logger.bind(claim=keyed.name, code=outcome.failure().name).warning(
+            'the end of a claim was not recorded'
+        )
--- a/dragonflyramp/callers/_merging.py
+++ b/dragonflyramp/callers/_merging.py
@@ -1,6 +1,7 @@
 """Merge the parts of a search."""
 
 import heapq
+import itertools
 from collections.abc import Iterable, Iterator
 from typing import Protocol
 
@@ -28,12 +29,12 @@
 
     def merge(self, parts: Iterable[bytes], top_count: int) -> bytes:
         """Join the greatest records, the greatest first."""
-        return b''.join(heapq.nlargest(top_count, _records(parts)))
+        records = itertools.chain.from_iterable(map(cut_records, parts))
+        return b''.join(heapq.nlargest(top_count, records))
 
 
-def _records(parts: Iterable[bytes]) -> Iterator[bytes]:
-    """Cut parts into records; a shorter rest is none."""
-    for part in parts:
-        last_start = len(part) - _RECORD_BYTES
-        for start in range(0, last_start + 1, _RECORD_BYTES):
-            yield part[start : start + _RECORD_BYTES]
+def cut_records(part: bytes) -> Iterator[bytes]:
+    """Cut a part into records; a shorter rest is none."""
+    last_start = len(part) - _RECORD_BYTES
+    for start in range(0, last_start + 1, _RECORD_BYTES):
+        yield part[start : start + _RECORD_BYTES]
--- a/dragonflyramp/knowledge.py
+++ b/dragonflyramp/knowledge.py
@@ -41,6 +41,9 @@
     def entry(self, stored: Fields) -> ReplicaEntry | None:
         """Decode one replica's entry."""
 
+    def held(self, stored: Mapping[str, Fields]) -> frozenset[str]:
+        """Decode which failure domains are taken out."""
+
 
 @attrs.define(eq=False, kw_only=True)
 class Knowledge:
@@ -65,8 +68,9 @@
         """Take over the named objects of a view that changed."""
         if kind == self.decoder.config_kind:
             self._take_table()
-        elif kind == self.decoder.evacuations_kind:
-            _hold_domains(self.fleet, frozenset(self.views[kind].stored))
+        if kind == self.decoder.evacuations_kind:
+            held = self.decoder.held(self.views[kind].stored)
+            _hold_domains(self.fleet, held)
         elif kind == self.decoder.entries_kind:
             self._take_entries(self.views[kind], names)
 
--- a/dragonflyramp/metrics.py
+++ b/dragonflyramp/metrics.py
@@ -17,7 +17,7 @@
 import attrs
 
 #: Upper bounds of the buckets of every latency, in milliseconds.
-BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+BUCKETS_MS = (1, 3, 10, 20, 50, 100, 200, 500, 1000, 3000, 10000)
 
 
 class Counters:
@@ -47,7 +47,8 @@
 
 
 def _empty_buckets() -> list[int]:
-    return [0, *(0 for _ in BUCKETS_MS)]
+    buckets = len(BUCKETS_MS) + 1
+    return [0 for _ in range(buckets)]
 
 
 @attrs.define(eq=False)
--- a/dragonflyramp/operators/__init__.py
+++ b/dragonflyramp/operators/__init__.py
@@ -3,6 +3,7 @@
 _text _fragments _tables _fields _checks _statements  the text
 _parts _roots _stored                                 how the text is kept
 _push _drafts _commits _outcomes _retries             a change of the text
+_routing _sources                                     what daemons make of it
 _zones _holds _edits _replicas                        a hold as a change
 _commands _daemons_http                               the commands
 """
@@ -39,6 +40,8 @@
     decode_root,
     encode_root,
 )
+from dragonflyramp.operators._routing import held_domains, routing_table
+from dragonflyramp.operators._sources import TextSource
 from dragonflyramp.operators._stored import (
     TextStore,
     part_name,
@@ -66,6 +69,7 @@
     'Refused',
     'Retries',
     'Root',
+    'TextSource',
     'TextStore',
     'Unknown',
     'bring_in',
@@ -74,6 +78,7 @@
     'digest',
     'encode_root',
     'explain',
+    'held_domains',
     'history',
     'is_ip_and_port',
     'join_parts',
@@ -81,6 +86,7 @@
     'part_name',
     'push',
     'read_metrics',
+    'routing_table',
     'show',
     'split_text',
     'take_out',
--- /dev/null
+++ b/dragonflyramp/operators/_routing.py
@@ -0,0 +1,86 @@
+"""Turn the operators' text into a routing table."""
+
+from collections.abc import Iterator
+
+from dragonflyramp.models import Configuration, HoldKind, Service
+from dragonflyramp.routes import (
+    Gather,
+    Route,
+    RoutingTable,
+    ServicePolicy,
+    WeightedService,
+    search_route_name,
+    submit_route_name,
+)
+
+#: Longest body that a caller may send.
+_MAX_BODY_BYTES = 1024 * 1024
+#: Hits that an answer holds at most.
+_TOP_COUNT = 50
+#: A search may ask one more replica of a shard, a submit only after a reply
+#: that says not run.
+_MAX_ATTEMPTS = 2
+
+
+def routing_table(configuration: Configuration) -> RoutingTable:
+    """Make the table: a search for each service, a submit for each shard."""
+    return RoutingTable(
+        version=configuration.number,
+        routes=tuple(_routes(configuration)),
+        services={
+            service.name: _policy(service)
+            for service in configuration.services.values()
+        },
+        max_body_bytes=_MAX_BODY_BYTES,
+    )
+
+
+def held_domains(configuration: Configuration) -> frozenset[str]:
+    """Name the failure domains that operators took out."""
+    return frozenset(
+        hold.name
+        for hold in configuration.holds.values()
+        if hold.kind is HoldKind.failure_domain
+    )
+
+
+def _routes(configuration: Configuration) -> Iterator[Route]:
+    for service in configuration.services.values():
+        shards = configuration.shards_of(service.name)
+        yield _search(service, shards)
+        if not service.depends_on:
+            yield _submit(service)
+
+
+def _search(service: Service, shards: tuple[str, ...]) -> Route:
+    return Route(
+        name=search_route_name(service.name),
+        host='',
+        path_prefix='/',
+        is_idempotent=True,
+        timeout_ms=service.deadline_ms,
+        target_ms=service.answer_after_ms or service.deadline_ms,
+        max_attempts=_MAX_ATTEMPTS,
+        gather=Gather(shards, _TOP_COUNT, service.coverage_target),
+    )
+
+
+def _submit(service: Service) -> Route:
+    return Route(
+        name=submit_route_name(service.name),
+        host='',
+        path_prefix='/',
+        is_idempotent=False,
+        timeout_ms=service.deadline_ms,
+        target_ms=service.deadline_ms,
+        max_attempts=_MAX_ATTEMPTS,
+        split=(WeightedService(service.name),),
+    )
+
+
+def _policy(service: Service) -> ServicePolicy:
+    return ServicePolicy(
+        name=service.name,
+        max_connections=service.connections,
+        cold_per_second=service.cold_requests_per_second,
+    )
--- /dev/null
+++ b/dragonflyramp/operators/_sources.py
@@ -0,0 +1,41 @@
+"""Give the configuration of the stored text from a view of its objects."""
+
+from collections.abc import Callable
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.models import Configuration
+from dragonflyramp.operators._parts import join_parts
+from dragonflyramp.operators._roots import ROOT_NAME, decode_root
+from dragonflyramp.operators._stored import part_name
+from dragonflyramp.operators._text import parse_text
+from dragonflyramp.results import ResultCode
+
+#: Gives the body of a stored object by its name; None when it is absent.
+ReadBody = Callable[[str], bytes | None]
+
+
+@attrs.frozen
+class TextSource:
+    """Read the configuration; fail until the root and all parts are there."""
+
+    _read: ReadBody
+
+    def read(self) -> Result[Configuration, ResultCode]:
+        """Read it; fail with object_missing, bad_message or a text's code."""
+        body = self._read(ROOT_NAME)
+        if body is None:
+            return Failure(ResultCode.object_missing)
+        root = decode_root(body)
+        if isinstance(root, Failure):
+            return root
+        found = root.unwrap()
+        parts = [self._read(part_name(ref.sha256)) for ref in found.parts]
+        present = [part for part in parts if part is not None]
+        if len(present) < len(parts):
+            return Failure(ResultCode.object_missing)
+        parsed = parse_text(join_parts(present), found.number)
+        if isinstance(parsed, Failure):
+            return Failure(parsed.failure()[0].code)
+        return Success(parsed.unwrap())
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -17,8 +17,10 @@
     MAX_OBJECT_BYTES,
     ObjectStore,
     ReplicaList,
+    TEXTS_KIND,
     StoredObjects,
     VersionedObject,
+    text_bodies,
 )
 from dragonflyramp.platform._settings_file import (
     PATH_VARIABLE,
@@ -32,6 +34,7 @@
     'ABSENT',
     'MAX_OBJECT_BYTES',
     'PATH_VARIABLE',
+    'TEXTS_KIND',
     'FrontServer',
     'MachineSettings',
     'ObjectStore',
@@ -44,4 +47,5 @@
     'decode_settings',
     'open_store',
     'read_settings',
+    'text_bodies',
 )
--- a/dragonflyramp/platform/_configs.py
+++ b/dragonflyramp/platform/_configs.py
@@ -151,3 +151,7 @@
     def entry(self, stored: Fields) -> ReplicaEntry | None:
         """Decode one replica's entry."""
         return decode_entry(stored)
+
+    def held(self, stored: Mapping[str, Fields]) -> frozenset[str]:
+        """Name the failure domains with an evacuation."""
+        return frozenset(stored)
--- a/dragonflyramp/platform/_objects.py
+++ b/dragonflyramp/platform/_objects.py
@@ -1,5 +1,6 @@
 """Keep the product's own objects in the platform's store."""
 
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 import attrs
@@ -17,7 +18,7 @@
 MAX_OBJECT_BYTES = 1024 * 1024
 
 #: Kind under which the operators' text is kept.
-_KIND = 'dragonflyramp-texts'
+TEXTS_KIND = 'dragonflyramp-texts'
 _BODY = 'body'
 
 
@@ -67,7 +68,7 @@
 
     async def read(self, name: str) -> Result[VersionedObject, ResultCode]:
         """Read as `ObjectStore` states."""
-        found = await self._client.read(_KIND, _key(name))
+        found = await self._client.read(TEXTS_KIND, _key(name))
         return found.bind(lambda stored: _object(name, stored))
 
     async def write(
@@ -79,9 +80,9 @@
         key = _key(name)
         spec = {_BODY: body.decode()}
         if version == ABSENT:
-            written = await self._client.create(_KIND, key, spec)
+            written = await self._client.create(TEXTS_KIND, key, spec)
         else:
-            written = await self._client.replace(_KIND, key, spec, version)
+            written = await self._client.replace(TEXTS_KIND, key, spec, version)
         return written.bind(_revision)
 
     async def list_replicas(
@@ -95,6 +96,18 @@
         return Success(tuple(filter(None, decoded)))
 
 
+def text_bodies(stored: Mapping[str, Fields]) -> Callable[[str], bytes | None]:
+    """Read bodies of the product's objects from a view of their kind."""
+
+    def read(name: str) -> bytes | None:  # noqa: WPS430 - closes over stored
+        fields = stored.get(_key(name), {})
+        spec = fields.get('spec')
+        body = spec.get(_BODY) if isinstance(spec, dict) else None
+        return body.encode() if isinstance(body, str) else None
+
+    return read
+
+
 def _key(name: str) -> str:
     return name.replace('/', '.')
 
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -97,3 +97,13 @@
 
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
+
+
+def search_route_name(service: str) -> str:
+    """Name the route of the own interface's searches of a service."""
+    return f'search:{service}'
+
+
+def submit_route_name(service: str) -> str:
+    """Name the route of requests that must not be repeated."""
+    return f'submit:{service}'
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -1,6 +1,7 @@
 """Put the parts of a front together."""
 
 import functools
+import importlib
 import random
 import time
 
@@ -14,8 +15,8 @@
     Fleet,
     Tier,
 )
-from dragonflyramp.callers import Front
-from dragonflyramp.knowledge import Knowledge
+from dragonflyramp.callers import Claims, Front, OwnInterface, OwnServer
+from dragonflyramp.knowledge import Decoder, Knowledge
 from dragonflyramp.members import (
     Book,
     Daemon,
@@ -33,8 +34,9 @@
     StoreClient,
     StoreDecoder,
 )
+from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.runtime import TaskSet, run_together
-from dragonflyramp.settings import Settings
+from dragonflyramp.settings import ConfigurationSource, Settings
 from dragonflyramp.views import View
 
 
@@ -46,6 +48,7 @@
     machine: MachineSettings
     front: Front
     server: FrontServer
+    own_server: OwnServer
     metrics: MetricsServer
     service: MemberService
     members: Members
@@ -64,7 +67,11 @@
         )
         host = machine.frontend_address.rpartition(':')[0]
         metrics = await self.metrics.start(host, self.settings.metrics_port)
-        return {'frontend': frontend, 'metrics': metrics}
+        addresses = {'frontend': frontend, 'metrics': metrics}
+        if self.settings.own_address:
+            own = await self.own_server.start(self.settings.own_address)
+            addresses['own'] = own
+        return addresses
 
     async def run(self) -> None:
         """Run the tasks that keep the knowledge up to date."""
@@ -92,6 +99,7 @@
     async def close(self) -> None:
         """Close ports and connections."""
         await self.server.stop()
+        await self.own_server.stop()
         await self.metrics.stop()
         await self.service.stop()
         await self.connections.cancel()
@@ -101,7 +109,7 @@
     settings: Settings, machine: MachineSettings, store: StoreClient
 ) -> FrontParts:
     """Create all parts of a front; nothing runs yet."""
-    decoder = StoreDecoder()
+    decoder = _create_decoder(settings)
     views = {kind: View(kind) for kind in decoder.kinds}
     connections = TaskSet()
     knowledge = Knowledge(
@@ -124,6 +132,7 @@
         machine=machine,
         front=front,
         server=FrontServer(front, _CLOCK),
+        own_server=_create_own_server(front, store),
         metrics=MetricsServer(),
         service=MemberService(book, _CLOCK),
         members=spread.members,
@@ -153,6 +162,15 @@
             self.members.spread(is_from_store=is_from_store)
 
 
+def _create_decoder(settings: Settings) -> Decoder:
+    if settings.configuration is ConfigurationSource.text:
+        # The operators' package is needed only here.
+        texts = importlib.import_module('dragonflyramp.tools._texts')
+        decoder: Decoder = texts.TextDecoder()
+        return decoder
+    return StoreDecoder()
+
+
 def _own_daemon(machine: MachineSettings) -> Daemon:
     return Daemon(
         name=machine.node,
@@ -161,6 +179,18 @@
     )
 
 
+def _create_own_server(front: Front, store: StoreClient) -> OwnServer:
+    return OwnServer(
+        OwnInterface(
+            front=front,
+            claims=Claims(store),
+            clock=_CLOCK,
+            search_route=search_route_name,
+            submit_route=submit_route_name,
+        )
+    )
+
+
 def _create_fleet(machine: MachineSettings, connections: TaskSet) -> Fleet:
     return Fleet(
         make_connection=functools.partial(
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -277,7 +277,8 @@
     """A histogram that is not cumulative shows wrong quantiles."""
     for latency_ms in (0.5, 7, 9000):
         latencies.record('test', latency_ms)
-    (seen,) = await operators.read_metrics([daemon_address], 5)
+    found = await operators.read_metrics([daemon_address], 5)
+    seen = found[0]
     buckets = {
         name.partition('le="')[2].partition('"')[0]: count
         for name, count in seen.outcome.unwrap().items()
--- /dev/null
+++ b/tests/test_own_interface.py
@@ -0,0 +1,312 @@
+"""Test the product's own interface, its text and its claims."""
+
+import json
+import pathlib
+import time
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+import aiohttp
+import attrs
+import pytest
+from returns.result import Success
+
+from dragonflyramp import operators
+from dragonflyramp.callers import (
+    Claims,
+    OwnInterface,
+    OwnServer,
+    Refusal,
+    Relayed,
+)
+from dragonflyramp.callers._claims import Claimed, KeyedRequest
+from dragonflyramp.messages import Reply
+from dragonflyramp.models import Configuration
+from dragonflyramp.operators._parts import split_text
+from dragonflyramp.operators._roots import ROOT_NAME
+from dragonflyramp.operators._sources import TextSource
+from dragonflyramp.operators._stored import part_name
+from dragonflyramp.platform import (
+    StoreClient,
+    StoredObjects,
+    open_store,
+    text_bodies,
+)
+from dragonflyramp.results import ResultCode
+from dragonflyramp.routes import search_route_name, submit_route_name
+from dragonflyramp.tools._texts import TextDecoder
+from tests.standins.stores import StoreFaults, StoreServer
+from tests.worlds import RECORD, World, route, table, world
+
+_EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples/forrozeira.toml'
+_TEXT = _EXAMPLE.read_bytes()
+_KEYED = KeyedRequest(service='a', key='k1', body=b'{}')
+_DONE = Relayed(reply=Reply(status=200, headers=(), body=b'booked'))
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[StoreServer]:
+    """Serve the stand-in of the store."""
+    started = StoreServer()
+    await started.start()
+    yield started
+    await started.stop()
+
+
+@pytest.fixture
+async def client(server: StoreServer) -> AsyncIterator[StoreClient]:
+    """Open a client of the stand-in."""
+    async with open_store(server.address, 0.5) as opened:
+        yield opened
+
+
+@attrs.define
+class _Sender:
+    """Count how often a request is run."""
+
+    answer: Relayed | Refusal
+    runs: int = 0
+
+    async def send(self) -> Relayed | Refusal:
+        self.runs += 1
+        return self.answer
+
+
+async def test_a_key_runs_once(client: StoreClient) -> None:
+    """A second request with the key gets the outcome of the first."""
+    sender = _Sender(_DONE)
+    claims = Claims(client)
+    first = await claims.run(_KEYED, sender.send)
+    second = await claims.run(_KEYED, sender.send)
+    assert first == Claimed(ResultCode.ok, 'booked')
+    assert second == Claimed(ResultCode.outcome_replayed, 'booked')
+    other = attrs.evolve(_KEYED, body=b'[]')
+    reused = await claims.run(other, sender.send)
+    assert reused == Claimed(ResultCode.key_reused)
+    assert sender.runs == 1
+
+
+@pytest.mark.parametrize(
+    ('refusal', 'second'),
+    [
+        (Refusal(code=ResultCode.shed), ResultCode.shed),
+        (
+            Refusal(code=ResultCode.connection_reset, may_have_run=True),
+            ResultCode.already_claimed,
+        ),
+    ],
+)
+async def test_a_failed_key(
+    client: StoreClient, refusal: Refusal, second: ResultCode
+) -> None:
+    """Only a request that has not run may be run again."""
+    sender = _Sender(refusal)
+    claims = Claims(client)
+    await claims.run(_KEYED, sender.send)
+    again = await claims.run(_KEYED, sender.send)
+    assert again.code is second
+    assert sender.runs == 2 - refusal.may_have_run
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [StoreFaults(status=503), StoreFaults(lost_replies=1)],
+)
+async def test_a_claim_without_a_reply(
+    server: StoreServer, client: StoreClient, faults: StoreFaults
+) -> None:
+    """Without a recorded claim nothing is sent."""
+    server.store.faults = faults
+    sender = _Sender(_DONE)
+    claimed = await Claims(client).run(_KEYED, sender.send)
+    assert claimed.code is ResultCode.claim_failed
+    assert sender.runs == 0
+
+
+async def test_text_becomes_a_routing_table(
+    server: StoreServer, client: StoreClient
+) -> None:
+    """A front reads from its view what an operator pushed."""
+    stored = StoredObjects(client)
+    parts = {part_name(operators.digest(one)): one for one in split_text(_TEXT)}
+    for name, part in parts.items():
+        await stored.write(name, part, 0)
+    view = server.store.kinds['dragonflyramp-texts']
+    assert TextDecoder().table(view) is None
+    await stored.write(ROOT_NAME, _root(), 0)
+    read = TextSource(text_bodies(view)).read()
+    assert read == operators.parse_text(_TEXT, 3)
+    routing = TextDecoder().table(view)
+    assert routing == operators.routing_table(read.unwrap())
+
+
+def test_routes_of_the_text() -> None:
+    """A searched service gathers its shards, a shard also takes submits."""
+    parsed = operators.parse_text(_TEXT, 3).unwrap()
+    routing = operators.routing_table(parsed)
+    search = routing.named('search:planner-desk')
+    assert search is not None
+    assert len(search.services) == 10
+    submit = routing.named('submit:contract-office')
+    assert submit is not None
+    assert not submit.is_idempotent
+    assert routing.named('submit:planner-desk') is None
+
+
+def _root() -> bytes:
+    refs = [
+        operators.PartRef(operators.digest(one), len(one))
+        for one in split_text(_TEXT)
+    ]
+    root = operators.Root(
+        number=3,
+        write_id='w',
+        author='ana',
+        at='2026-12-04T10:00:00Z',
+        note='',
+        parts=tuple(refs),
+        holds=(),
+    )
+    return operators.encode_root(root)
+
+
+def test_held_domains() -> None:
+    """A hold on a replica takes no failure domain out."""
+    hold = (
+        '[holds.{0}]\nkind = "{1}"\nby = "a"\n'
+        'at = "2026-12-04T10:00:00Z"\nreason = "x"\n'
+    )
+    text = ''.join(
+        (
+            _TEXT.decode(),
+            hold.format('recife', 'failure_domain'),
+            hold.format('venue-link-0', 'replica'),
+        )
+    )
+    parsed = operators.parse_text(text.encode())
+    assert isinstance(parsed, Success)
+    assert operators.held_domains(parsed.unwrap()) == {'recife'}
+
+
+@attrs.frozen
+class _Caller:
+    session: aiohttp.ClientSession
+    address: str
+    made: World
+
+    async def post(
+        self, path: str, headers: Mapping[str, str], body: bytes = b'{}'
+    ) -> tuple[int, dict[str, Any]]:
+        """Post as a caller of the own interface."""
+        async with self.session.post(
+            f'http://{self.address}{path}', data=body, headers=headers
+        ) as reply:
+            return reply.status, json.loads(await reply.read())
+
+
+@pytest.fixture
+async def caller(client: StoreClient) -> AsyncIterator[_Caller]:
+    """Serve the own interface in front of stand-ins."""
+    search = route(search_route_name('s'))
+    split = (attrs.evolve(search.split[0], service='a'),)
+    routing = table(
+        attrs.evolve(
+            search,
+            split=(),
+            gather=operators.routing_table(_configuration()).routes[0].gather,
+        ),
+        attrs.evolve(
+            search,
+            name=submit_route_name('a'),
+            is_idempotent=False,
+            split=split,
+        ),
+        version=7,
+    )
+    async with world(routing) as made:
+        for one in made.all_servers():
+            one.body = b'x' * RECORD
+        own = OwnServer(
+            OwnInterface(
+                front=made.front,
+                claims=Claims(client),
+                clock=time.monotonic,
+                search_route=search_route_name,
+                submit_route=submit_route_name,
+            )
+        )
+        address = await own.start('127.0.0.1:0')
+        async with aiohttp.ClientSession() as session:
+            yield _Caller(session, address, made)
+        await own.stop()
+
+
+def _configuration() -> Configuration:
+    text = """format = 1
+user = "u"
+[failure_domains.recife]
+region = "r"
+[services.s]
+depends_on = ["a", "b"]
+[services.a]
+[services.b]
+"""
+    return operators.parse_text(text.encode()).unwrap()
+
+
+async def test_search_states_its_coverage(caller: _Caller) -> None:
+    """The answer names the configuration and what it covers."""
+    status, found = await caller.post(
+        '/search/s', {'X-Deadline-Ms': '3000', 'X-Request-Id': 'q1'}
+    )
+    assert status == 200
+    assert found['request_id'] == 'q1'
+    assert found['snapshot'] == 7
+    assert found['coverage'] == {'merged': 2, 'total': 2, 'fraction': 1}
+    assert found['hits'] == ['78' * RECORD, '78' * RECORD]
+
+
+async def test_submit_is_replayed(caller: _Caller) -> None:
+    """A caller that comes back gets the recorded outcome."""
+    headers = {'X-Deadline-Ms': '3000', 'Idempotency-Key': 'k'}
+    first = await caller.post('/submit/a', headers)
+    second = await caller.post('/submit/a', headers)
+    assert (first[0], first[1]['replayed']) == (200, False)
+    assert (second[0], second[1]['replayed']) == (200, True)
+    assert first[1]['outcome'] == second[1]['outcome']
+    assert caller.made.ran('a') == 1
+
+
+@pytest.mark.parametrize(
+    ('path', 'body', 'headers', 'code'),
+    [
+        ('/search/s', b'{}', {}, ResultCode.bad_deadline),
+        ('/search/s', b'{', {'X-Deadline-Ms': '9'}, ResultCode.bad_request),
+        (
+            '/search/odd',
+            b'{}',
+            {'X-Deadline-Ms': '9'},
+            ResultCode.unknown_service,
+        ),
+        (
+            '/submit/a',
+            b'{}',
+            {'X-Deadline-Ms': '9'},
+            ResultCode.missing_idempotency_key,
+        ),
+        ('/search/s', b'{}', {'X-Deadline-Ms': 'x'}, ResultCode.bad_deadline),
+    ],
+)
+async def test_bad_requests(
+    caller: _Caller,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+    code: ResultCode,
+) -> None:
+    """Every refusal carries its number and says not run."""
+    status, found = await caller.post(path, headers, body)
+    assert status == code.meaning.http_status
+    assert found['code'] == code.value
+    assert found['run'] == 'not run'
+    assert caller.made.ran('a') == 0
