Log the shards that a partial answer did not wait for

The log line of a partial answer named no shard, because the fetches in use were cancelled without a record. A test reads the replica from the line.

--- a/dragonflyramp/backends/_attempts.py
+++ b/dragonflyramp/backends/_attempts.py
@@ -78,15 +78,26 @@
         if ending is Ending.unsent:
             # A kept connection was closed; the replica itself may serve.
             self.tried.discard(attempt.send.replica_id)
-        self.records.append(
-            SendRecord(
-                replica_id=attempt.send.replica_id,
-                purpose=attempt.purpose,
-                started_ms=self._ms(attempt.started_seconds),
-                expected_ms=round(attempt.expected_ms, 1),
-                ended_ms=self._ms(now_seconds),
-                ending=ending.value,
-            )
+        self.records.append(self._record(attempt, ending, now_seconds))
+
+    def all_records(self, now_seconds: float) -> tuple[SendRecord, ...]:
+        """Give the records, with the sends that still run as given up."""
+        running = [
+            self._record(attempt, Ending.cancelled, now_seconds)
+            for attempt in self.running.values()
+        ]
+        return (*self.records, *running)
+
+    def _record(
+        self, attempt: Attempt, ending: Ending, now_seconds: float
+    ) -> SendRecord:
+        return SendRecord(
+            replica_id=attempt.send.replica_id,
+            purpose=attempt.purpose,
+            started_ms=self._ms(attempt.started_seconds),
+            expected_ms=round(attempt.expected_ms, 1),
+            ended_ms=self._ms(now_seconds),
+            ending=ending.value,
         )
 
     def _ms(self, at_seconds: float) -> float:
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -37,10 +37,20 @@
         self._leave(may_linger=True)
         return fetched
 
+    def left_out(self) -> Fetched:
+        """Describe a fetch that is not waited for any longer."""
+        attempts = self._sender.attempts
+        return Fetched(
+            service=self.service,
+            code=ResultCode.cancelled,
+            may_have_run=attempts.written > 0,
+            records=attempts.all_records(self._tier.clock()),
+        )
+
     async def _run(self) -> Fetched:
         sender = self._sender
         if not await sender.start_first():
-            return self._failed(self._no_room())
+            return self._failed(_no_room(self._tier, self.service))
         while sender.attempts.running:
             done = await sender.wait()
             now_seconds = self._tier.clock()
@@ -54,11 +64,6 @@
             sender.send_again(now_seconds, may_have_run=may_have_run)
         return self._failed(self._verdict.failure)
 
-    def _no_room(self) -> ResultCode:
-        if self._tier.fleet.usable(self.service):
-            return ResultCode.queue_full
-        return ResultCode.no_replica
-
     def _settle(
         self, future: asyncio.Future[Outcome], now_seconds: float
     ) -> Fetched | None:
@@ -101,3 +106,9 @@
     def _new_sender(self) -> Sender:
         attempts = Attempts(self._ask.received_seconds)
         return Sender(self._tier, self._ask, self.service, attempts)
+
+
+def _no_room(tier: 'Tier', service: str) -> ResultCode:
+    if tier.fleet.usable(service):
+        return ResultCode.queue_full
+    return ResultCode.no_replica
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -123,9 +123,7 @@
         )
         collection = await gathering.run()
         answer = self._merge(ask, gather, collection)
-        self._stories.tell(
-            ask, answer, (*collection.merged, *collection.failed)
-        )
+        self._stories.tell(ask, answer, collection.everything)
         return answer
 
     def _merge(
--- a/dragonflyramp/callers/_gathers.py
+++ b/dragonflyramp/callers/_gathers.py
@@ -20,6 +20,13 @@
     total: int
     merged: list[Fetched] = attrs.field(factory=list)
     failed: list[Fetched] = attrs.field(factory=list)
+    #: Shards that were not waited for.
+    left_out: list[Fetched] = attrs.field(factory=list)
+
+    @property
+    def everything(self) -> tuple[Fetched, ...]:
+        """List all shards, for the log."""
+        return (*self.merged, *self.failed, *self.left_out)
 
     def add(self, fetched: Fetched) -> None:
         """Add a shard's outcome."""
@@ -68,8 +75,10 @@
             self._is_due = True
             self._decide()
             await self._wait_until(self.ask.deadline_seconds)
-            for fetch in fetches:
+            for fetch, task in zip(fetches, tasks, strict=True):
                 fetch.may_linger = True
+                if not task.done():
+                    self.collection.left_out.append(fetch.left_out())
         return self.collection
 
     async def _run(self, fetch: Fetch) -> None:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -1,8 +1,10 @@
 """Test a front with replicas that fail, over loopback connections."""
 
 import asyncio
+from typing import Any
 
 import pytest
+from loguru import logger
 
 from dragonflyramp.backends import (
     Hedging,
@@ -167,6 +169,22 @@
         assert loop.time() - started_seconds < 30
 
 
+async def test_the_log_names_what_was_left_out() -> None:
+    """An engineer must find the replica that a partial answer lacks."""
+    lines: list[dict[str, Any]] = []
+    number = logger.add(lambda line: lines.append(line.record['extra']))
+    async with world(_SEARCH, policies=_QUIET) as made:
+        for one in made.servers['a']:
+            one.faults.hung = 100
+        await made.ask(request_id='lost')
+    logger.remove(number)
+    story = next(line for line in lines if line.get('request') == 'lost')
+    assert story['outcome'] == 'partial'
+    (service, code, sends) = story['parts'][0]
+    assert (service, code) == ('a', 'cancelled')
+    assert sends[0][0] in {'a-0', 'a-1'}
+
+
 @pytest.mark.parametrize(
     ('fault', 'is_relayed', 'ran'),
     [('shed', True, 1), ('lost', False, 1), ('failed', True, 1)],
