--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 dragonflyramp tests
-	$(BIN)/mypy dragonflyramp tests
+	$(BIN)/flake8 dragonflyramp tests benchmarks
+	$(BIN)/mypy dragonflyramp tests benchmarks
 
 demo: $(VENV)/.ready
 	$(BIN)/python -m tests.demo
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what one machine can show; `python -m benchmarks.slopes`."""
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,140 @@
+"""Print what one decision or message costs, and how that grows.
+
+`docs/CAPACITY.md` works out the design size from these figures.
+"""
+
+import functools
+import json
+import os
+import random
+import sys
+import time
+from collections.abc import Callable
+
+from dragonflyramp.backends import (
+    Budget,
+    BudgetBounds,
+    Connection,
+    ConnectionHooks,
+    ConnectionPool,
+    FastestChoice,
+    Replica,
+)
+from dragonflyramp.backends._choice import Surroundings
+from dragonflyramp.callers import RecordMerger
+from dragonflyramp.members import Book, Daemon, Roster
+from dragonflyramp.members._books import decode_message, encode_message
+from dragonflyramp.platform import StoreDecoder
+from dragonflyramp.replicas import ReplicaEntry, ReplicaState
+from dragonflyramp.runtime import TaskSet
+from dragonflyramp.views import Change, Changes, Listing, View
+
+_REPEATS = 300
+_ENTRIES = 10000
+_RECORD_BYTES = 1000
+
+
+def main() -> None:
+    """Print one line for each measurement."""
+    for replicas in (3, 10, 30):
+        choose = functools.partial(_choose, _replicas(replicas))
+        _report(f'choice among {replicas} replicas', choose)
+    budget = Budget(BudgetBounds(ratio=0.2, window_seconds=10, slack=50))
+    _report('budget', lambda: budget.take(7, time.monotonic(), is_hedge=True))
+    view = _entries_view()
+    _report('change of an entry', functools.partial(_change, view))
+    decoder = StoreDecoder()
+    _report('decoding of an entry', lambda: decoder.entry(view.stored['i-1']))
+    for parts in (10, 36, 480):
+        bodies = [os.urandom(_RECORD_BYTES) for _ in range(parts)]
+        merge = functools.partial(RecordMerger().merge, bodies, 50)
+        _report(f'merge of {parts} parts of 1000 bytes', merge)
+    for daemons in (7, 77, 500):
+        book = _book(daemons)
+        size = len(_exchange(book))
+        _report(
+            f'exchange among {daemons} daemons, {size} bytes',
+            functools.partial(_exchange, book),
+        )
+
+
+def _report(title: str, work: Callable[[], object]) -> None:
+    started_seconds = time.process_time()
+    for _ in range(_REPEATS):
+        work()
+    spent_seconds = time.process_time() - started_seconds
+    spent_us = spent_seconds / _REPEATS * 1000 * 1000
+    sys.stdout.write(f'{title}: {spent_us:.1f} microseconds\n')
+
+
+def _choose(replicas: list[Replica]) -> Replica | None:
+    around = Surroundings(failure_domain='d', typical_ms=20, now_seconds=1)
+    return FastestChoice().choose(replicas, around, random.Random(1))
+
+
+def _replicas(count: int) -> list[Replica]:
+    return [
+        Replica(
+            entry=ReplicaEntry(
+                replica_id=str(index),
+                service='a',
+                address='127.0.0.1:1',
+                failure_domain='d',
+                state=ReplicaState.ready,
+            ),
+            warm_seconds=0,
+            connections=ConnectionPool(
+                '127.0.0.1:1', _no_connection, TaskSet(), _nothing
+            ),
+        )
+        for index in range(count)
+    ]
+
+
+def _no_connection(address: str, hooks: ConnectionHooks) -> Connection:
+    raise NotImplementedError(address)
+
+
+def _nothing() -> None:
+    """Pass over that there is room."""
+
+
+def _entries_view() -> View:
+    spec = {
+        'service': 'a',
+        'address': '10.0.0.1:80',
+        'zone': 'd',
+        'slots': 3,
+        'state': 'ready',
+        'warmup_left_ms': 0,
+    }
+    view = View('servers')
+    stored = {
+        f'i-{index}': {'meta': {'name': f'i-{index}', 'rev': 1}, 'spec': spec}
+        for index in range(_ENTRIES)
+    }
+    view.replace(Listing(1, stored), 1)
+    return view
+
+
+def _change(view: View) -> None:
+    change = Change('i-1', view.stored['i-1'])
+    view.apply(Changes(view.revision + 1, (change,)), 1)
+
+
+def _book(daemons: int) -> Book:
+    roster = Roster(Daemon('own', '10.0.0.1:80', 'd'))
+    for index in range(daemons):
+        roster.hear(Daemon(f'd{index}', '10.0.0.1:80', 'd'), 1)
+    views = {kind: View(kind) for kind in ('a', 'b', 'c')}
+    return Book(roster, views, lambda kind, names: None)
+
+
+def _exchange(book: Book) -> str:
+    body = json.dumps(encode_message(book.message('d1', 2)))
+    book.take(decode_message(json.loads(body)), 2)
+    return body
+
+
+if __name__ == '__main__':
+    main()
