Name the prefix of a route in the product's words, and derive when to list

path_prefix is the platform's field; only platform/ names it now. Whether a watch lists first follows from the view's revision, so the flag beside it goes.

--- a/dragonflyramp/members/_watches.py
+++ b/dragonflyramp/members/_watches.py
@@ -67,7 +67,6 @@
     clock: Callable[[], float]
     rng: random.Random
     _losses: _Losses = attrs.field(factory=_Losses)
-    _must_list: bool = True
 
     async def run(self) -> None:
         """Watch whenever it is this daemon's turn, until cancelled."""
@@ -85,10 +84,10 @@
         return self.roster.is_watcher(self.view.kind, now_seconds)
 
     async def _step(self) -> None:
-        if self._must_list and not self.view.revision:
-            code = await self._list()
-        else:
+        if self.view.revision:
             code = await self._wait_changes()
+        else:
+            code = await self._list()
         if code is ResultCode.history_gone:
             counters.add('watch_restarts', 'history_gone')
             logger.info('The store forgot the history of {}', self.view.kind)
@@ -104,7 +103,6 @@
         if self._losses.is_lost:
             self.view.note_outage_end(self.clock())
         names = self.view.replace(listed.unwrap(), started_seconds)
-        self._must_list = False
         self._announce(names)
         return ResultCode.ok
 
--- a/dragonflyramp/platform/_configs.py
+++ b/dragonflyramp/platform/_configs.py
@@ -62,7 +62,7 @@
     return Route(
         name=_text(fields['name']),
         host=_text(fields['host']).lower(),
-        path_prefix=_text(fields['path_prefix']),
+        prefix=_text(fields['path_prefix']),
         is_idempotent=fields['kind'] == 'idempotent',
         timeout_ms=timeout_ms,
         target_ms=float(fields.get('target_latency_ms') or timeout_ms),
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -29,7 +29,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     is_idempotent: bool
     timeout_ms: float
     target_ms: float
@@ -83,7 +83,7 @@
     def find(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix that begins the path."""
         for route in self._by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
+            if path.startswith(route.prefix):
                 return route
         return None
 
@@ -96,7 +96,7 @@
 
 
 def _prefix_length(route: Route) -> int:
-    return len(route.path_prefix)
+    return len(route.prefix)
 
 
 def search_route_name(service: str) -> str:
