--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -22,8 +22,13 @@
 )
 from dragonflyramp.backends._choice import Surroundings
 from dragonflyramp.callers import RecordMerger
-from dragonflyramp.members import Book, Daemon, Roster
-from dragonflyramp.members._books import decode_message, encode_message
+from dragonflyramp.members import Book, Census, Daemon, Roster
+from dragonflyramp.members._books import (
+    decode_answer,
+    decode_question,
+    encode_answer,
+    encode_question,
+)
 from dragonflyramp.platform import StoreDecoder
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.runtime import TaskSet
@@ -123,17 +128,19 @@
 
 
 def _book(daemons: int) -> Book:
-    roster = Roster(Daemon('own', '10.0.0.1:80', 'd'))
+    roster = Roster(Census(Daemon('own', '10.0.0.1:80', 'd')))
     for index in range(daemons):
-        roster.hear(Daemon(f'd{index}', '10.0.0.1:80', 'd'), 1)
+        roster.census.meet(Daemon(f'd{index}', '10.0.0.1:80', 'd'), 1)
     views = {kind: View(kind) for kind in ('a', 'b', 'c')}
     return Book(roster, views, lambda kind, names: None)
 
 
 def _exchange(book: Book) -> str:
-    body = json.dumps(encode_message(book.message('d1', 2)))
-    book.take(decode_message(json.loads(body)), 2)
-    return body
+    asked = json.dumps(encode_question(book.question()))
+    question = decode_question(json.loads(asked))
+    answered = json.dumps(encode_answer(book.answer(question, 2)))
+    book.take(decode_answer(json.loads(answered)), 2)
+    return answered
 
 
 if __name__ == '__main__':
--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -13,6 +13,7 @@
 _readings_http    one reply out of bytes
 _sends            one request on its way, and how it ends
 _attempts         the sends of one fetch, and what they say of its end
+_shares           what of a replica's bounds is this daemon's
 _senders          when a fetch sends, hedges and sends again
 _codecs           what encodes and decodes for a connection
 _asks             what the tier is asked and answers
@@ -28,6 +29,12 @@
 from dragonflyramp.backends._hedging import Hedging, NoHedging, QuantileHedging
 from dragonflyramp.backends._latencies import RouteLatencies
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
+from dragonflyramp.backends._shares import (
+    ConnectionShare,
+    Peers,
+    cold_share,
+    connection_share,
+)
 from dragonflyramp.backends._tiers import Policies, Tier
 
 __all__ = (
@@ -40,12 +47,14 @@
     'Connection',
     'ConnectionHooks',
     'ConnectionPool',
+    'ConnectionShare',
     'FastestChoice',
     'Fetch',
     'Fetched',
     'Fleet',
     'Hedging',
     'NoHedging',
+    'Peers',
     'Policies',
     'QuantileHedging',
     'RandomChoice',
@@ -53,4 +62,6 @@
     'RouteLatencies',
     'SendRecord',
     'Tier',
+    'cold_share',
+    'connection_share',
 )
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import hashlib
 from collections.abc import Mapping
 from types import MappingProxyType
 
@@ -11,13 +12,11 @@
 
 from dragonflyramp.backends._connections_http import ConnectionFactory
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
+from dragonflyramp.backends._shares import Peers, cold_share, connection_share
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
 
-#: The connections of all daemons stay below the cap by this share, because
-#: a replica lowers its cap while its queue is long.
-_CONNECTION_SHARE = 0.9
 #: A cold replica's rate is counted over one second.
 _COLD_WINDOW_SECONDS = 1
 
@@ -45,7 +44,7 @@
         self,
         replica: Replica,
         policy: ServicePolicy,
-        daemons: int,
+        peers: Peers,
         now_seconds: float,
     ) -> bool:
         """Tell whether a replica may get one more send now."""
@@ -59,8 +58,9 @@
             if now_seconds - sent_seconds < _COLD_WINDOW_SECONDS
         ]
         self._sends[replica.entry.replica_id] = recent
-        share = int(per_second / max(1, daemons))
-        return len(recent) < max(1, share)
+        replica_id = replica.entry.replica_id
+        share = cold_share(per_second, peers.counted(), peers.place(replica_id))
+        return len(recent) < share
 
     def forget(self, replica: Replica) -> None:
         """Forget a replica that is gone."""
@@ -93,12 +93,17 @@
 
     make_connection: ConnectionFactory
     tasks: TaskSet
+    #: This daemon's name and failure domain.
+    daemon_name: str = ''
+    failure_domain: str = ''
     cold_gate: ColdGate = attrs.field(factory=ColdGate)
     rooms: Rooms = attrs.field(factory=Rooms)
     #: Failure domains that operators took out.
     held_domains: frozenset[str] = frozenset()
     _services: dict[str, dict[str, Replica]] = attrs.field(factory=dict)
     _by_id: dict[str, Replica] = attrs.field(factory=dict)
+    #: The place of each replica in this daemon's order, by service.
+    _places: dict[str, dict[str, int]] = attrs.field(factory=dict)
 
     def update(
         self, replica_id: str, entry: ReplicaEntry | None, now_seconds: float
@@ -124,17 +129,49 @@
         ]
 
     def candidates(
-        self, policy: ServicePolicy, daemons: int, now_seconds: float
+        self, policy: ServicePolicy, peers: Peers, now_seconds: float
     ) -> list[Replica]:
         """List the usable replicas that have room for a send now."""
-        share = policy.max_connections * _CONNECTION_SHARE
-        limit = max(1, int(share / max(1, daemons)))
-        return [
-            one
-            for one in self.usable(policy.name)
-            if one.connections.has_room(limit, now_seconds)
-            and self.cold_gate.bears(one, policy, daemons, now_seconds)
-        ]
+        places = self._places_of(policy.name)
+        daemons = peers.counted()
+        found = []
+        for one in self.usable(policy.name):
+            one.connections.share = connection_share(
+                policy.max_connections,
+                daemons,
+                len(places),
+                places[one.entry.replica_id],
+            )
+            has_room = one.connections.has_room(now_seconds)
+            if has_room and self.cold_gate.bears(
+                one, policy, peers, now_seconds
+            ):
+                found.append(one)
+        return found
+
+    def _places_of(self, service: str) -> dict[str, int]:
+        """Order the replicas, those of the own failure domain first."""
+        places = self._places.get(service)
+        if places is None:
+            ordered = sorted(
+                self._services.get(service, _NO_REPLICAS).values(),
+                key=self._order,
+            )
+            places = {
+                replica.entry.replica_id: place
+                for place, replica in enumerate(ordered)
+            }
+            self._places[service] = places
+        return places
+
+    def _order(self, replica: Replica) -> tuple[bool, bytes]:
+        entry = replica.entry
+        digest = hashlib.blake2b(
+            entry.replica_id.encode(),
+            digest_size=8,
+            key=self.daemon_name.encode()[: hashlib.blake2b.MAX_KEY_SIZE],
+        )
+        return entry.failure_domain != self.failure_domain, digest.digest()
 
     def _add(self, entry: ReplicaEntry, now_seconds: float) -> None:
         replica = Replica(
@@ -150,6 +187,7 @@
         self._by_id[entry.replica_id] = replica
         service = self._services.setdefault(entry.service, {})
         service[entry.replica_id] = replica
+        self._places.pop(entry.service, None)
         self.rooms.note(entry.service)
         logger.bind(**_described(entry)).info('replica listed')
 
@@ -157,6 +195,7 @@
         entry = replica.entry
         self._by_id.pop(entry.replica_id, None)
         self._services[entry.service].pop(entry.replica_id, None)
+        self._places.pop(entry.service, None)
         self.cold_gate.forget(replica)
         replica.connections.retire()
         logger.bind(**_described(entry)).info('replica removed')
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -11,6 +11,7 @@
     ConnectionHooks,
 )
 from dragonflyramp.backends._sends import Send
+from dragonflyramp.backends._shares import ConnectionShare
 from dragonflyramp.messages import Load
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.runtime import TaskSet
@@ -155,6 +156,8 @@
     _tasks: TaskSet
     #: Called when a send may find room that found none before.
     _on_room: Callable[[], None]
+    #: What this daemon may have of the replica's connections now.
+    share: ConnectionShare = ConnectionShare(most=1, kept=1)
     _idle: list[Connection] = attrs.field(factory=list)
     _open: set[Connection] = attrs.field(factory=set)
 
@@ -166,9 +169,9 @@
             self._idle.pop().close()
         return False
 
-    def has_room(self, limit: int, now_seconds: float) -> bool:
+    def has_room(self, now_seconds: float) -> bool:
         """Tell whether a send would find or open a connection."""
-        return self.has_idle(now_seconds) or len(self._open) < limit
+        return self.has_idle(now_seconds) or len(self._open) < self.share.most
 
     def take(self, send: Send, now_seconds: float) -> Connection:
         """Make a send on an idle connection or a new one."""
@@ -189,6 +192,10 @@
         self._idle.clear()
 
     def _keep(self, connection: Connection) -> None:
+        if len(self._open) > max(1, self.share.kept):
+            # Others may need what this daemon has beyond its share.
+            connection.close()
+            return
         self._idle.append(connection)
         self._on_room()
 
--- a/dragonflyramp/backends/_tiers.py
+++ b/dragonflyramp/backends/_tiers.py
@@ -20,6 +20,7 @@
 from dragonflyramp.backends._hedging import Hedging, QuantileHedging
 from dragonflyramp.backends._latencies import Latencies, RouteLatencies
 from dragonflyramp.backends._sends import Ending, Send
+from dragonflyramp.backends._shares import Peers
 from dragonflyramp.messages import Reply
 from dragonflyramp.routes import Route, ServicePolicy
 
@@ -47,8 +48,8 @@
     clock: Callable[[], float]
     rng: random.Random
     failure_domain: str
-    #: Counts the daemons that may be sending, this one included.
-    count_daemons: Callable[[float], int]
+    #: Those that share the bounds with this daemon.
+    peers: Peers
     policies: Policies = attrs.field(factory=Policies)
     latencies: Latencies = attrs.field(factory=Latencies)
 
@@ -65,7 +66,7 @@
     ) -> bool:
         """Take one send beyond the first, if the budget allows it."""
         budget = self.budgets.of(service)
-        daemons = self.count_daemons(now_seconds)
+        daemons = self.peers.counted()
         return budget.take(daemons, now_seconds, is_hedge=is_hedge)
 
     def start(
@@ -85,9 +86,7 @@
         policy = ask.table.services.get(service) or ServicePolicy(
             name=service, max_connections=_DEFAULT_CONNECTIONS
         )
-        candidates = self.fleet.candidates(
-            policy, self.count_daemons(now_seconds), now_seconds
-        )
+        candidates = self.fleet.candidates(policy, self.peers, now_seconds)
         untried = [
             one for one in candidates if one.entry.replica_id not in tried
         ]
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -149,7 +149,7 @@
 
     @_stories.default
     def _new_stories(self) -> Stories:
-        return Stories(self.clock, self.tier.count_daemons)
+        return Stories(self.clock, self.tier.peers)
 
 
 def _find(table: RoutingTable, query: Query) -> Route | None:
--- a/dragonflyramp/callers/_stories.py
+++ b/dragonflyramp/callers/_stories.py
@@ -5,7 +5,7 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.backends import Ask, Fetched
+from dragonflyramp.backends import Ask, Fetched, Peers
 from dragonflyramp.callers._queries import (
     Answer,
     Gathered,
@@ -25,7 +25,7 @@
     """Write one line for a request that ends late, partial or failed."""
 
     _clock: Callable[[], float]
-    _count_daemons: Callable[[float], int]
+    _peers: Peers
     _answered: int = 0
 
     def tell(
@@ -50,7 +50,7 @@
             outcome=outcome,
             elapsed_ms=round(elapsed_ms, 1),
             target_ms=ask.route.target_ms,
-            daemons=self._count_daemons(now_seconds),
+            daemons=self._peers.counted(),
             parts=[_part_story(one) for one in fetched if _is_telling(one)],
         ).info('request answered')
 
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -1,26 +1,31 @@
 """Reach other daemons: who is there, and what they know of the store.
 
-_rosters    the known daemons, their ages, and which of them watch the store
+_censuses   the known daemons
+_rosters    the hubs among them that watch the store, and shares of bounds
 _registry   the daemons' entries in the store
 _watches    the task that keeps a view from the store
-_books      what daemons tell one another
-_members    one link task for each other daemon
-_links_grpc the exchange over gRPC
+_books      what daemons ask and answer
+_members    which daemons are asked
+_links_grpc one task for each daemon that is asked, over gRPC
 """
 
 from dragonflyramp.members._books import Book
+from dragonflyramp.members._censuses import Census, Daemon
 from dragonflyramp.members._links_grpc import MemberService
 from dragonflyramp.members._members import Members
-from dragonflyramp.members._registry import Registry
-from dragonflyramp.members._rosters import Daemon, Roster
-from dragonflyramp.members._watches import Watch
+from dragonflyramp.members._registry import DAEMONS_KIND, Registry
+from dragonflyramp.members._rosters import Roster
+from dragonflyramp.members._watches import Rhythm, Watch
 
 __all__ = (
+    'DAEMONS_KIND',
     'Book',
+    'Census',
     'Daemon',
     'MemberService',
     'Members',
     'Registry',
+    'Rhythm',
     'Roster',
     'Watch',
 )
--- a/dragonflyramp/members/_books.py
+++ b/dragonflyramp/members/_books.py
@@ -1,17 +1,33 @@
-"""Say what daemons tell one another, and take over what others tell."""
+"""Say what daemons ask and answer, and take over what others answer."""
 
-from collections.abc import Callable, Iterable, Mapping
+import asyncio
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
 
-from dragonflyramp.members._rosters import Daemon, Roster
+from dragonflyramp.members._censuses import Daemon
+from dragonflyramp.members._rosters import Roster
 from dragonflyramp.views import Change, Changes, Fields, Listing, View
 
+_SENDER = 'sender'
+
 #: Called with the kind of a view and the names of the objects that changed.
 OnChange = Callable[[str, set[str]], None]
 
 
+@attrs.frozen(kw_only=True)
+class Question:
+    """Hold what a daemon knows, so that another tells it the rest."""
+
+    sender: Daemon
+    revisions: Mapping[str, int]
+    #: How long the answer may wait for news.
+    wait_seconds: float = 0
+    #: How long news may wait, because another daemon mostly tells them.
+    patience_seconds: float = 0
+
+
 @attrs.frozen(kw_only=True)
 class Told:
     """Hold what one view tells another; ages count from when it was sent."""
@@ -19,18 +35,17 @@
     kind: str
     revision: int
     age_seconds: float
+    #: How long ago the store was heard again after an outage.
+    outage_age_seconds: float
     changes: Changes | Listing | None = None
-    #: Changes fit only a view that has at least this revision.
-    base_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
-class Message:
-    """Hold what one daemon tells another in one exchange."""
+class Answer:
+    """Hold what one daemon tells another."""
 
     sender: Daemon
-    is_leaving: bool
-    roster: Mapping[Daemon, float]
+    is_store_lost: bool
     told: tuple[Told, ...]
 
 
@@ -41,46 +56,62 @@
     roster: Roster
     views: Mapping[str, View]
     on_change: OnChange
-    is_leaving: bool = False
-    #: The revisions that each other daemon is known to have.
-    _known: dict[str, dict[str, int]] = attrs.field(factory=dict)
-
-    def message(self, peer_name: str, now_seconds: float) -> Message:
-        """Write what a peer lacks; an unknown peer lacks nothing yet."""
-        known = self._known.get(peer_name, {})
-        return Message(
+    _news: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def note_change(self) -> None:
+        """Wake all who wait for news."""
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def question(
+        self, *, wait_seconds: float = 0, patience_seconds: float = 0
+    ) -> Question:
+        """Ask for what is newer than the views."""
+        return Question(
             sender=self.roster.own,
-            is_leaving=self.is_leaving,
-            roster=self.roster.ages(now_seconds),
-            told=tuple(
-                _tell(view, known.get(view.kind), now_seconds)
-                for view in self.views.values()
-            ),
+            revisions={
+                kind: view.revision for kind, view in self.views.items()
+            },
+            wait_seconds=wait_seconds,
+            patience_seconds=patience_seconds,
         )
 
-    def lacks(self, peer_name: str) -> bool:
-        """Tell whether a peer is known to have an older revision."""
-        known = self._known.get(peer_name, {})
+    def lacks(self, question: Question) -> bool:
+        """Tell whether the views are newer than what a daemon knows."""
         return any(
-            _is_behind(known.get(view.kind), view)
-            for view in self.views.values()
+            question.revisions.get(kind, 0) < view.changed_revision
+            for kind, view in self.views.items()
         )
 
-    def note_sent(self, peer_name: str, message: Message) -> None:
-        """Note the revisions that a peer has after it took a message."""
-        self._note(peer_name, message.told)
+    async def wait(self, question: Question) -> None:
+        """Wait until there is something to tell, at most as long as asked."""
+        try:
+            async with asyncio.timeout(question.wait_seconds):
+                if not self.lacks(question):
+                    await self._news.wait()
+                    await asyncio.sleep(question.patience_seconds)
+        except TimeoutError:
+            return
+
+    def answer(self, question: Question, now_seconds: float) -> Answer:
+        """Tell what a daemon lacks."""
+        own = self.roster.own
+        return Answer(
+            sender=own,
+            is_store_lost=own.name in self.roster.reach.without_store,
+            told=tuple(
+                _tell(view, question.revisions.get(kind, 0), now_seconds)
+                for kind, view in self.views.items()
+            ),
+        )
 
-    def take(self, message: Message, now_seconds: float) -> None:
+    def take(self, answer: Answer, now_seconds: float) -> None:
         """Take over what is newer."""
-        for daemon, age_seconds in message.roster.items():
-            self.roster.hear(daemon, now_seconds - age_seconds)
-        if message.is_leaving:
-            self.roster.remove(message.sender.name)
-        else:
-            self.roster.hear(message.sender, now_seconds)
-        self._known[message.sender.name] = {}
-        self._note(message.sender.name, message.told)
-        for told in message.told:
+        self.roster.census.meet(answer.sender, now_seconds)
+        self.roster.reach.note_answer(
+            answer.sender.name, now_seconds, is_store_lost=answer.is_store_lost
+        )
+        for told in answer.told:
             self._take_told(told, now_seconds)
 
     def _take_told(self, told: Told, now_seconds: float) -> None:
@@ -88,66 +119,72 @@
         if view is None or told.revision < view.revision:
             return
         confirmed_seconds = now_seconds - told.age_seconds
+        view.note_outage_end(now_seconds - told.outage_age_seconds)
         names: set[str] = set()
         if isinstance(told.changes, Listing):
             names = view.replace(told.changes, confirmed_seconds)
         elif told.changes is not None:
-            if view.revision < told.base_revision:
-                return
             names = view.apply(told.changes, confirmed_seconds)
         elif told.revision == view.revision:
             view.apply(Changes(told.revision, ()), confirmed_seconds)
         if names:
             self.on_change(view.kind, names)
 
-    def _note(self, peer_name: str, told: Iterable[Told]) -> None:
-        known = self._known.setdefault(peer_name, {})
-        for one in told:
-            before = known.get(one.kind, 0)
-            known[one.kind] = max(before, one.revision)
 
-
-def encode_message(message: Message) -> Fields:
-    """Encode a message as plain JSON values."""
+def encode_question(question: Question) -> Fields:
+    """Encode a question as plain JSON values."""
     return {
-        'sender': attrs.astuple(message.sender),
-        'leaving': message.is_leaving,
-        'roster': [
-            (*attrs.astuple(daemon), round(age_seconds, 3))
-            for daemon, age_seconds in message.roster.items()
-        ],
-        'told': [_encode_told(told) for told in message.told],
+        _SENDER: attrs.astuple(question.sender),
+        'revisions': dict(question.revisions),
+        'wait': question.wait_seconds,
+        'patience': question.patience_seconds,
     }
 
 
-def decode_message(fields: Any) -> Message:
-    """Decode a message; raise KeyError, TypeError or ValueError."""
-    return Message(
-        sender=Daemon(*fields['sender']),
-        is_leaving=bool(fields['leaving']),
-        roster={
-            Daemon(*daemon): float(age_seconds)
-            for *daemon, age_seconds in fields['roster']
+def decode_question(fields: Any) -> Question:
+    """Decode a question; raise KeyError, TypeError or ValueError."""
+    return Question(
+        sender=Daemon(*fields[_SENDER]),
+        revisions={
+            kind: int(revision)
+            for kind, revision in fields['revisions'].items()
         },
-        told=tuple(_decode_told(told) for told in fields['told']),
+        wait_seconds=min(float(fields['wait']), _LONGEST_WAIT_SECONDS),
+        patience_seconds=float(fields['patience']),
     )
 
 
-def _is_behind(known_revision: int | None, view: View) -> bool:
-    """Tell whether a peer is known to have an older revision."""
-    return known_revision is not None and known_revision < view.revision
+def encode_answer(answer: Answer) -> Fields:
+    """Encode an answer as plain JSON values."""
+    return {
+        _SENDER: attrs.astuple(answer.sender),
+        'store_lost': answer.is_store_lost,
+        'told': [_encode_told(told) for told in answer.told],
+    }
+
+
+def decode_answer(fields: Any) -> Answer:
+    """Decode an answer; raise KeyError, TypeError or ValueError."""
+    return Answer(
+        sender=Daemon(*fields[_SENDER]),
+        is_store_lost=bool(fields['store_lost']),
+        told=tuple(_decode_told(told) for told in fields['told']),
+    )
 
 
-def _tell(view: View, known_revision: int | None, now_seconds: float) -> Told:
+def _tell(view: View, known_revision: int, now_seconds: float) -> Told:
     changes = None
-    if known_revision is not None and _is_behind(known_revision, view):
+    if known_revision < view.revision:
+        # Without changes this tells the revision that a watch goes on from.
         changes = view.since(known_revision)
     return Told(
         kind=view.kind,
         revision=view.revision,
         age_seconds=min(view.age_seconds(now_seconds), _OLDEST_SECONDS),
+        outage_age_seconds=min(
+            now_seconds - view.outage_end_seconds, _OLDEST_SECONDS
+        ),
         changes=changes,
-        base_revision=known_revision or 0,
     )
 
 
@@ -156,7 +193,7 @@
         'kind': told.kind,
         'revision': told.revision,
         'age': round(told.age_seconds, 3),
-        'base': told.base_revision,
+        'outage_age': round(told.outage_age_seconds, 3),
     }
     if isinstance(told.changes, Listing):
         fields['all'] = dict(told.changes.stored)
@@ -181,10 +218,12 @@
         kind=str(fields['kind']),
         revision=revision,
         age_seconds=float(fields['age']),
+        outage_age_seconds=float(fields['outage_age']),
         changes=changes,
-        base_revision=int(fields['base']),
     )
 
 
 #: JSON has no infinity; an older view is as good as none.
 _OLDEST_SECONDS = 1e6
+#: A question that waits holds a task of the daemon that answers.
+_LONGEST_WAIT_SECONDS = 5
--- a/dragonflyramp/members/_members.py
+++ b/dragonflyramp/members/_members.py
@@ -1,86 +1,78 @@
-"""Keep a link to each other daemon of the roster."""
+"""Ask the hubs among the daemons for news."""
 
 import asyncio
 import contextlib
 from collections.abc import Callable
 
 import attrs
-from loguru import logger
 
 from dragonflyramp.members._books import Book
-from dragonflyramp.members._links_grpc import Link
-from dragonflyramp.members._rosters import Daemon
-from dragonflyramp.runtime import TaskSet
+from dragonflyramp.members._links_grpc import Links
+from dragonflyramp.members._censuses import Daemon
 
 #: How often the roster is compared with the links.
 _PERIOD_SECONDS = 0.25
-#: A daemon that nobody heard for this long gets no more exchanges.
-_GIVE_UP_SECONDS = 60
-#: Longest wait for the answers to the goodbye.
-_GOODBYE_SECONDS = 0.5
+#: Daemons that do not answer and are asked again now and then, so that the
+#: hubs that all others agree on come back into use.
+_PROBED = 8
 
 
 @attrs.define(eq=False)
 class Members:
-    """Run one task for each peer."""
+    """Keep a link to each hub, whichever daemons these are now."""
 
     book: Book
     seeds: tuple[str, ...]
     clock: Callable[[], float]
-    _links: dict[str, Link] = attrs.field(factory=dict)
-    _tasks: TaskSet = attrs.field(factory=TaskSet)
-    _running: dict[str, asyncio.Task[object]] = attrs.field(factory=dict)
+    _links: Links = attrs.field(init=False)
 
-    def spread(self, *, is_from_store: bool) -> None:
-        """Tell the others of a change, at once if the store told it."""
-        for link in self._links.values():
-            if is_from_store:
-                link.wake()
-            else:
-                link.wake_later()
+    def note_change(self) -> None:
+        """Tell those who wait, and ask no longer for what is known."""
+        self.book.note_change()
+        self._links.wake()
 
     async def run(self) -> None:
         """Open and close links until cancelled, then close all."""
         async with contextlib.AsyncExitStack() as cleanup:
-            cleanup.push_async_callback(self._tasks.cancel)
+            cleanup.push_async_callback(self._links.close)
             while True:
-                self._compare(self.clock())
+                self.book.roster.census.forget(self.clock())
+                wanted = self._wanted()
+                self._links.compare(wanted, self._first_address())
                 await asyncio.sleep(_PERIOD_SECONDS)
 
-    async def leave(self) -> None:
-        """Tell all peers that this daemon leaves."""
-        self.book.is_leaving = True
-        goodbyes = [
-            asyncio.create_task(link.say_goodbye())
-            for link in self._links.values()
-        ]
-        if goodbyes:
-            _, late = await asyncio.wait(goodbyes, timeout=_GOODBYE_SECONDS)
-            for goodbye in late:
-                goodbye.cancel()
-
-    def _compare(self, now_seconds: float) -> None:
-        wanted = self._wanted(now_seconds)
-        for gone in self._links.keys() - wanted:
-            self._links.pop(gone)
-            self._running.pop(gone).cancel()
-        for address in wanted - self._links.keys():
-            link = Link(address, self.book, self.clock)
-            self._links[address] = link
-            self._running[address] = self._tasks.start(link.run(), 'link')
-            logger.bind(address=address).debug('link opened')
-
-    def _wanted(self, now_seconds: float) -> set[str]:
+    def _wanted(self) -> dict[str, Daemon | None]:
         roster = self.book.roster
-        ages = roster.ages(now_seconds)
-        known = {
-            daemon.address
-            for daemon in ages
-            if _is_wanted(daemon, ages[daemon])
+        hubs = roster.hubs()
+        silent = [
+            daemon
+            for daemon in roster.census.ranked()
+            if daemon.name in roster.reach.unreachable
+        ]
+        wanted: dict[str, Daemon | None] = {
+            daemon.address: daemon for daemon in (*hubs, *silent[:_PROBED])
         }
-        # Seeds may be stale; they serve only until others are known.
-        return (known or set(self.seeds)) - {roster.own.address, ''}
+        if not wanted.keys() - {roster.own.address}:
+            # Seeds may be stale; they serve only until others are known.
+            wanted = {address: None for address in self.seeds}
+        wanted.pop(roster.own.address, None)
+        wanted.pop('', None)
+        return wanted
 
+    def _first_address(self) -> str:
+        """Choose the hub to hear news from: one of the own failure domain."""
+        roster = self.book.roster
+        others = [hub for hub in roster.hubs() if hub != roster.own]
+        near = [
+            hub
+            for hub in others
+            if hub.failure_domain == roster.own.failure_domain
+        ]
+        chosen = near or others
+        if not chosen:
+            return ''
+        return chosen[roster.place('first hub') % len(chosen)].address
 
-def _is_wanted(daemon: Daemon, age_seconds: float) -> bool:
-    return bool(daemon.address) and age_seconds < _GIVE_UP_SECONDS
+    @_links.default
+    def _new_links(self) -> Links:
+        return Links(self.book, self.clock)
--- a/dragonflyramp/members/_registry.py
+++ b/dragonflyramp/members/_registry.py
@@ -1,80 +1,97 @@
-"""Register this daemon in the store and find the others there."""
+"""Keep this daemon's entry in the store, and remove those of lost ones."""
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 from loguru import logger
 from returns.result import Failure, Result
 
-from dragonflyramp.members._rosters import Daemon, Roster
+from dragonflyramp.members._rosters import Roster
 from dragonflyramp.results import ResultCode
-from dragonflyramp.stores import Store
-from dragonflyramp.views import Fields, Listing
+from dragonflyramp.stores import KeyedStore
+from dragonflyramp.views import View
 
 #: Kind under which daemons register.
 DAEMONS_KIND = 'dragonflyramp-daemons'
 #: Pauses between tries while the store is away.
-_FIRST_PAUSE_SECONDS = 0.2
+_FIRST_PAUSE_SECONDS = 0.1
 _LONGEST_PAUSE_SECONDS = 2
-_ADDRESS = 'address'
-_FAILURE_DOMAIN = 'failure_domain'
+#: How often the entries are looked at.
+_PERIOD_SECONDS = 5
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, kw_only=True)
 class Registry:
-    """Register first, then list, so that one of any two finds the other."""
-
-    _store: Store
-    _roster: Roster
-    _clock: Callable[[], float]
-    _rng: random.Random
+    """Register at the start, and again if the entry is gone.
+
+    An entry outlives a restart: a daemon that starts again at the same
+    address changes nothing in the store.
+    """
+
+    store: KeyedStore
+    roster: Roster
+    #: The entries of all daemons.
+    view: View
+    clock: Callable[[], float]
+    rng: random.Random
+    #: Daemons that started together have all been met after this time.
+    remove_after_seconds: float = 120
+    _started_seconds: float | None = None
 
     async def run(self) -> None:
-        """Try until both calls succeed once."""
-        pause_seconds = _FIRST_PAUSE_SECONDS
+        """Look after the entries until cancelled."""
+        while not self.view.revision:
+            # The list mostly shows that an earlier process registered.
+            await asyncio.sleep(_FIRST_PAUSE_SECONDS)
         while True:
-            code = await self._register()
-            if code is ResultCode.ok:
-                return
-            logger.bind(code=code.name).warning('registration failed')
-            await asyncio.sleep(pause_seconds * self._rng.uniform(0.5, 1))
-            pause_seconds = min(_LONGEST_PAUSE_SECONDS, 2 * pause_seconds)
-
-    async def leave(self) -> None:
-        """Remove the entry; a failure leaves it for others to find silent."""
-        own = self._roster.own
-        removed = await self._store.delete(DAEMONS_KIND, own.name)
-        if isinstance(removed, Failure):
-            logger.bind(code=removed.failure().name).warning(
-                'the entry of this daemon stays in the store'
+            await self.look_after()
+            await asyncio.sleep(_PERIOD_SECONDS)
+
+    async def look_after(self) -> None:
+        """Register unless listed, and remove the entries of lost daemons."""
+        now_seconds = self.clock()
+        if self._started_seconds is None:
+            self._started_seconds = now_seconds
+        own = self.roster.own
+        listed = self.view.stored.get(own.name, {})
+        if listed.get('spec') != own.as_spec():
+            await self._register()
+        run_seconds = now_seconds - self._started_seconds
+        # Every daemon that lives asks the first hub.
+        is_first = self.roster.hubs()[:1] == [own]
+        if is_first and run_seconds >= self.remove_after_seconds:
+            await self._remove_silent()
+
+    async def _remove_silent(self) -> None:
+        silent = self.roster.census.silent()
+        if 2 * len(silent) > len(self.view.stored):
+            # This daemon is more likely cut off than most others are gone.
+            return
+        for name in silent:
+            removed = await self.store.delete(DAEMONS_KIND, name)
+            logger.bind(peer=name, code=_code(removed).name).info(
+                'entry of a lost daemon removed'
             )
 
-    async def _register(self) -> ResultCode:
-        own = self._roster.own
-        spec = {
-            _ADDRESS: own.address,
-            _FAILURE_DOMAIN: own.failure_domain,
-        }
-        created = await self._store.create(DAEMONS_KIND, own.name, spec)
-        code = _code(created)
-        if code is ResultCode.version_conflict:
-            code = await self._replace(spec)
-        if code is not ResultCode.ok:
-            return code
-        listed = await self._store.list_objects(DAEMONS_KIND)
-        now_seconds = self._clock()
-        for daemon in map(_decode, _stored(listed)):
-            if daemon is not None:
-                self._roster.hear(daemon, now_seconds)
-        return _code(listed)
-
-    async def _replace(self, spec: Fields) -> ResultCode:
-        """Replace the entry that an earlier process of this name left."""
-        name = self._roster.own.name
-        present = await self._store.read(DAEMONS_KIND, name)
+    async def _register(self) -> None:
+        pause_seconds = _FIRST_PAUSE_SECONDS
+        code = await self._try_register()
+        while code is not ResultCode.ok:
+            logger.bind(code=code.name).warning('registration failed')
+            await asyncio.sleep(pause_seconds * self.rng.uniform(0.5, 1))
+            pause_seconds = min(_LONGEST_PAUSE_SECONDS, 2 * pause_seconds)
+            code = await self._try_register()
+
+    async def _try_register(self) -> ResultCode:
+        own = self.roster.own
+        spec = own.as_spec()
+        created = await self.store.create(DAEMONS_KIND, own.name, spec)
+        if _code(created) is not ResultCode.version_conflict:
+            return _code(created)
+        present = await self.store.read(DAEMONS_KIND, own.name)
         if isinstance(present, Failure):
             return _code(present)
         found = present.unwrap()
@@ -82,27 +99,9 @@
             return ResultCode.ok
         revision = found['meta']['rev']
         return _code(
-            await self._store.replace(DAEMONS_KIND, name, spec, revision)
+            await self.store.replace(DAEMONS_KIND, own.name, spec, revision)
         )
 
 
 def _code(outcome: Result[Any, ResultCode]) -> ResultCode:
     return outcome.swap().value_or(ResultCode.ok)
-
-
-def _stored(
-    listed: Result[Listing, ResultCode],
-) -> Iterable[tuple[str, Fields]]:
-    return listed.value_or(Listing(0, {})).stored.items()
-
-
-def _decode(stored: tuple[str, Fields]) -> Daemon | None:
-    name, fields = stored
-    spec = fields.get('spec')
-    if not isinstance(spec, dict):
-        return None
-    return Daemon(
-        name=name,
-        address=str(spec.get(_ADDRESS, '')),
-        failure_domain=str(spec.get(_FAILURE_DOMAIN, '')),
-    )
--- a/dragonflyramp/members/_rosters.py
+++ b/dragonflyramp/members/_rosters.py
@@ -1,88 +1,110 @@
-"""Know which daemons there are and which of them watch the store."""
+"""Tell which daemons the others ask for news, and share bounds with them."""
 
-import hashlib
-from collections.abc import Mapping
+import math
 
 import attrs
 
-#: A daemon that nobody heard for this long is not counted on to watch.
-_LIVE_SECONDS = 4
-#: A daemon may be up behind a cut, and still send, for this long at least.
-_COUNTED_SECONDS = 60
+from dragonflyramp.members._censuses import Census, Daemon, place_hash
+
 #: A store that turns away a third of the daemons, or the loss of a failure
-#: domain, leaves one of four watchers in different domains. Each event ends
-#: one priced call of every watcher.
-_WATCHERS = 4
+#: domain, leaves one of four hubs in different domains. Each event ends one
+#: priced call of every hub.
+_HUBS = 4
+#: One hub may fail before the others notice.
+_LEAST_HUBS = 2
+#: Without any answer for this long a daemon counts as cut off.
+_ALONE_SECONDS = 2.5
 
 
-@attrs.frozen
-class Daemon:
-    """Identify one daemon; `address` is that of its member service."""
+@attrs.define(eq=False)
+class Reach:
+    """Hold who answers this daemon, and who has lost the store."""
+
+    #: Names of daemons that do not answer.
+    unreachable: set[str] = attrs.field(factory=set)
+    #: Names of daemons that say that the store does not answer them.
+    without_store: set[str] = attrs.field(factory=set)
+    _answered_seconds: float = -math.inf
+
+    def note_answer(
+        self, name: str, now_seconds: float, *, is_store_lost: bool
+    ) -> None:
+        """Learn from the answer of another daemon."""
+        self._answered_seconds = now_seconds
+        self.unreachable.discard(name)
+        self.note_store(name, is_lost=is_store_lost)
+
+    def note_silence(self, name: str) -> None:
+        """Learn that another daemon does not answer."""
+        self.unreachable.add(name)
+
+    def note_store(self, name: str, *, is_lost: bool) -> None:
+        """Learn whether the store answers a daemon."""
+        if is_lost:
+            self.without_store.add(name)
+        else:
+            self.without_store.discard(name)
+
+    def is_alone(self, now_seconds: float) -> bool:
+        """Tell whether no other daemon answered lately."""
+        return now_seconds - self._answered_seconds > _ALONE_SECONDS
 
-    name: str
-    address: str
-    failure_domain: str
 
+@attrs.define(eq=False)
+class Roster:
+    """Rank the known daemons."""
 
-@attrs.define
-class _Heard:
-    daemon: Daemon
-    heard_seconds: float
+    census: Census
+    reach: Reach = attrs.field(factory=Reach)
+    _places: dict[str, int] = attrs.field(factory=dict)
+    _places_version: int = 0
 
+    @property
+    def own(self) -> Daemon:
+        """Give this daemon."""
+        return self.census.own
 
-@attrs.define(eq=False)
-class Roster:
-    """List the known daemons with the time at which each was last heard."""
-
-    own: Daemon
-    _others: dict[str, _Heard] = attrs.field(factory=dict)
-
-    def hear(self, daemon: Daemon, heard_seconds: float) -> None:
-        """Note a daemon that lived at a time; a newer address wins."""
-        if daemon.name == self.own.name:
-            return
-        known = self._others.get(daemon.name)
-        if known is None or heard_seconds > known.heard_seconds:
-            self._others[daemon.name] = _Heard(daemon, heard_seconds)
-
-    def remove(self, name: str) -> None:
-        """Forget a daemon that said that it stops."""
-        self._others.pop(name, None)
-
-    def others(self) -> tuple[Daemon, ...]:
-        """List the other known daemons."""
-        return tuple(one.daemon for one in self._others.values())
-
-    def ages(self, now_seconds: float) -> Mapping[Daemon, float]:
-        """Tell how long ago each other daemon was heard."""
-        return {
-            one.daemon: now_seconds - one.heard_seconds
-            for one in self._others.values()
-        }
-
-    def counted(self, now_seconds: float) -> int:
+    def counted(self) -> int:
         """Count the daemons that may be sending, this one included."""
-        return 1 + sum(
-            now_seconds - one.heard_seconds < _COUNTED_SECONDS
-            for one in self._others.values()
-        )
-
-    def is_watcher(self, kind: str, now_seconds: float) -> bool:
-        """Tell whether this daemon is among those that watch a kind."""
-        live = [
-            one.daemon
-            for one in self._others.values()
-            if now_seconds - one.heard_seconds < _LIVE_SECONDS
+        return len(self.census.ranked())
+
+    def place(self, key: str) -> int:
+        """Tell how many daemons come before this one for a key.
+
+        The order differs from key to key, so that work spreads evenly.
+        """
+        if self._places_version != self.census.version:
+            self._places_version = self.census.version
+            self._places.clear()
+        place = self._places.get(key)
+        if place is None:
+            own = place_hash(key, self.own.name)
+            place = sum(
+                place_hash(key, daemon.name) < own
+                for daemon in self.census.ranked()
+            )
+            self._places[key] = place
+        return place
+
+    def hubs(self) -> list[Daemon]:
+        """List the daemons that watch the store and tell the others.
+
+        For each hub that lost the store the next daemon watches as well.
+        """
+        reachable = [
+            daemon
+            for daemon in self.census.ranked()
+            if daemon.name not in self.reach.unreachable
         ]
-        ranked = sorted(
-            (self.own, *live), key=lambda daemon: _rank(kind, daemon)
-        )
         first_of_domains: dict[str, Daemon] = {}
-        for daemon in ranked:
-            first_of_domains.setdefault(daemon.failure_domain, daemon)
-        return self.own in tuple(first_of_domains.values())[:_WATCHERS]
-
-
-def _rank(kind: str, daemon: Daemon) -> bytes:
-    text = f'{kind}/{daemon.name}'
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+        for one in reachable:
+            first_of_domains.setdefault(one.failure_domain, one)
+        hubs = list(first_of_domains.values())[:_HUBS]
+        others = [daemon for daemon in reachable if daemon not in hubs]
+        lost = sum(hub.name in self.reach.without_store for hub in hubs)
+        needed = max(lost, _LEAST_HUBS - len(hubs))
+        return hubs + others[:needed]
+
+    def is_hub(self) -> bool:
+        """Tell whether this daemon is among the hubs."""
+        return self.own in self.hubs()
--- a/dragonflyramp/members/_watches.py
+++ b/dragonflyramp/members/_watches.py
@@ -14,12 +14,10 @@
 from dragonflyramp.stores import WatchedStore
 from dragonflyramp.views import View
 
-#: A store that forgets its history leaves watches without an answer, and a
-#: new configuration has to be in force when the store counts as calm again,
-#: 4 s later.
-_WAIT_SECONDS = 2.5
-#: Without news from the others for this long a daemon watches by itself.
-_STALE_SECONDS = 4
+#: A daemon that nobody answers watches by itself when its view is this old.
+_STALE_SECONDS = 3
+#: A view this old is one that the hubs, for whatever reason, do not refresh.
+_NEGLECTED_SECONDS = 20
 #: Pause before a daemon that does not watch looks at the age again.
 _IDLE_SECONDS = 0.5
 #: Pauses after failed calls; each call is priced, and the bound on a new
@@ -28,6 +26,18 @@
 _LONGEST_PAUSE_SECONDS = 0.8
 
 
+@attrs.frozen(kw_only=True)
+class Rhythm:
+    """Hold how often a watch calls; each call is priced."""
+
+    #: A store that forgets its history leaves watches without an answer, and
+    #: a new configuration has to be in force when the store counts as calm
+    #: again, 4 s later.
+    wait_seconds: float = 2.5
+    #: Changes within this time after others come in the same answer.
+    gathering_seconds: float = 0
+
+
 @attrs.define
 class _Losses:
     """Pause after failed calls, longer after each further one."""
@@ -66,6 +76,7 @@
     on_change: Callable[[str, set[str]], None]
     clock: Callable[[], float]
     rng: random.Random
+    rhythm: Rhythm = Rhythm()
     _losses: _Losses = attrs.field(factory=_Losses)
 
     async def run(self) -> None:
@@ -77,11 +88,13 @@
                 await asyncio.sleep(_IDLE_SECONDS)
 
     def _is_needed(self, now_seconds: float) -> bool:
-        if not self.view.revision:
+        if not self.view.revision or self.roster.is_hub():
             return True
-        if self.view.age_seconds(now_seconds) > _STALE_SECONDS:
+        age_seconds = self.view.age_seconds(now_seconds)
+        if age_seconds > _NEGLECTED_SECONDS:
             return True
-        return self.roster.is_watcher(self.view.kind, now_seconds)
+        is_alone = self.roster.reach.is_alone(now_seconds)
+        return is_alone and age_seconds > _STALE_SECONDS
 
     async def _step(self) -> None:
         if self.view.revision:
@@ -96,7 +109,11 @@
 
     async def _list(self) -> ResultCode:
         started_seconds = self.clock()
-        listed = await self.store.list_objects(self.view.kind)
+        # A stale list costs a tenth, and what it lacks comes with the next
+        # watch or answer; a view that was filled once needs a newer one.
+        listed = await self.store.list_objects(
+            self.view.kind, allow_stale=not self.view.revision
+        )
         if isinstance(listed, Failure):
             code: ResultCode = listed.failure()
             return code
@@ -108,7 +125,9 @@
 
     async def _wait_changes(self) -> ResultCode:
         revision = self.view.revision
-        found = await self.store.watch(self.view.kind, revision, _WAIT_SECONDS)
+        found = await self.store.watch(
+            self.view.kind, revision, self.rhythm.wait_seconds
+        )
         if isinstance(found, Failure):
             code: ResultCode = found.failure()
             return code
@@ -117,15 +136,22 @@
         changes = found.unwrap()
         names = self.view.apply(changes, self.clock())
         self._announce(names)
+        if names:
+            await asyncio.sleep(self.rhythm.gathering_seconds)
         return ResultCode.ok
 
     async def _settle(self, code: ResultCode) -> None:
         """Pause after a failure."""
-        if code is ResultCode.ok:
-            self._losses.note_answer(self.view.kind)
-        else:
+        was_lost = self._losses.is_lost
+        is_lost = code is not ResultCode.ok
+        if is_lost != was_lost:
+            own = self.roster.own
+            self.roster.reach.note_store(own.name, is_lost=is_lost)
+        if is_lost:
             pause_seconds = self._losses.note_failure(self.view.kind, code)
             await asyncio.sleep(pause_seconds * self.rng.uniform(0.5, 1))
+        else:
+            self._losses.note_answer(self.view.kind)
 
     def _announce(self, names: set[str]) -> None:
         if names:
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -93,7 +93,9 @@
         """Make calls through what `open_store` opened."""
         self._calls = calls
 
-    async def list_objects(self, kind: str) -> Result[Listing, ResultCode]:
+    async def list_objects(
+        self, kind: str, *, allow_stale: bool = False
+    ) -> Result[Listing, ResultCode]:
         """Read all pages; fail with platform_down or bad_reply.
 
         The revision is that of the first page, so that a later watch repeats
@@ -101,7 +103,8 @@
         """
         stored: dict[str, Fields] = {}
         revision: int | None = None
-        query: dict[str, str] = {}
+        base_query = {'allow_stale': '1'} if allow_stale else {}
+        query = base_query
         while True:
             page = await self._calls.make(
                 _Call(purpose='list', path=_url_path(kind, '', query))
@@ -115,7 +118,7 @@
             revision = read.revision if revision is None else revision
             if not read.has_more:
                 return Success(Listing(revision, stored))
-            query = {'after': max(read.stored)}
+            query = {**base_query, 'after': max(read.stored)}
 
     async def watch(
         self, kind: str, revision: int, wait_seconds: float
--- a/dragonflyramp/stores.py
+++ b/dragonflyramp/stores.py
@@ -35,8 +35,13 @@
 class WatchedStore(Protocol):
     """List and watch objects by kind."""
 
-    async def list_objects(self, kind: str) -> Result[Listing, ResultCode]:
-        """Read all; fail with platform_down or bad_reply."""
+    async def list_objects(
+        self, kind: str, *, allow_stale: bool = False
+    ) -> Result[Listing, ResultCode]:
+        """Read all; fail with platform_down or bad_reply.
+
+        A stale list may lack the changes of some seconds and costs less.
+        """
 
     async def watch(
         self, kind: str, revision: int, wait_seconds: float
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -18,11 +18,14 @@
 from dragonflyramp.callers import Claims, Front, OwnInterface, OwnServer
 from dragonflyramp.knowledge import Decoder, Knowledge
 from dragonflyramp.members import (
+    DAEMONS_KIND,
     Book,
+    Census,
     Daemon,
     Members,
     MemberService,
     Registry,
+    Rhythm,
     Roster,
     Watch,
 )
@@ -86,8 +89,6 @@
         """Drain: not ready first, then no new work, then the end."""
         self.front.is_stopping = True
         started_seconds = time.monotonic()
-        await self.members.leave()
-        await self.registry.leave()
         await self.server.notice(self.settings.stop_notice_seconds)
         until_seconds = (
             started_seconds
@@ -110,7 +111,7 @@
 ) -> FrontParts:
     """Create all parts of a front; nothing runs yet."""
     decoder = _create_decoder(settings)
-    views = {kind: View(kind) for kind in decoder.kinds}
+    views = {kind: View(kind) for kind in (*decoder.kinds, DAEMONS_KIND)}
     connections = TaskSet()
     knowledge = Knowledge(
         views=views,
@@ -118,8 +119,9 @@
         fleet=_create_fleet(machine, connections),
         clock=_CLOCK,
     )
-    spread = _Spread(knowledge)
-    book = Book(Roster(_own_daemon(machine)), views, spread.from_member)
+    census = Census(_own_daemon(machine))
+    spread = _Spread(knowledge, census)
+    book = Book(Roster(census), views, spread.take)
     spread.members = Members(book, machine.seeds, _CLOCK)
     front = Front(
         tier=_create_tier(machine, knowledge.fleet, book.roster),
@@ -136,7 +138,13 @@
         metrics=MetricsServer(),
         service=MemberService(book, _CLOCK),
         members=spread.members,
-        registry=Registry(store, book.roster, _CLOCK, random.Random()),
+        registry=Registry(
+            store=store,
+            roster=book.roster,
+            view=views[DAEMONS_KIND],
+            clock=_CLOCK,
+            rng=random.Random(),
+        ),
         knowledge=knowledge,
         watches=_create_watches(store, book, spread),
         connections=connections,
@@ -145,21 +153,20 @@
 
 @attrs.define(eq=False)
 class _Spread:
-    """Hand changes to the knowledge and on to the other daemons."""
+    """Hand changes to those that use them and on to the other daemons."""
 
     knowledge: Knowledge
+    census: Census
     members: Members | None = None
 
-    def from_store(self, kind: str, names: set[str]) -> None:
-        self._take(kind, names, is_from_store=True)
-
-    def from_member(self, kind: str, names: set[str]) -> None:
-        self._take(kind, names, is_from_store=False)
-
-    def _take(self, kind: str, names: set[str], *, is_from_store: bool) -> None:
-        self.knowledge.take(kind, names)
-        if self.members is not None:
-            self.members.spread(is_from_store=is_from_store)
+    def take(self, kind: str, names: set[str]) -> None:
+        if self.members is None:
+            return
+        if kind == DAEMONS_KIND:
+            self.census.take(self.knowledge.views[kind].stored)
+        else:
+            self.knowledge.take(kind, names)
+        self.members.note_change()
 
 
 def _create_decoder(settings: Settings) -> Decoder:
@@ -197,6 +204,8 @@
             Connection, codec=ReplicaCodec(), clock=_CLOCK
         ),
         tasks=connections,
+        daemon_name=machine.node,
+        failure_domain=machine.failure_domain,
         cold_gate=ColdGate(
             slack=machine.cold_bounds.slack,
             overshoot=machine.cold_bounds.overshoot,
@@ -218,10 +227,16 @@
         clock=_CLOCK,
         rng=random.Random(),
         failure_domain=machine.failure_domain,
-        count_daemons=roster.counted,
+        peers=roster,
     )
 
 
+def _rhythm(kind: str, decoder: Decoder) -> Rhythm:
+    if kind == DAEMONS_KIND:
+        return _DAEMONS_RHYTHM
+    return _ENTRIES_RHYTHM if kind == decoder.entries_kind else Rhythm()
+
+
 def _create_watches(
     store: StoreClient, book: Book, spread: _Spread
 ) -> tuple[Watch, ...]:
@@ -230,12 +245,20 @@
             store=store,
             view=view,
             roster=book.roster,
-            on_change=spread.from_store,
+            on_change=spread.take,
             clock=_CLOCK,
             rng=random.Random(),
+            rhythm=_rhythm(view.kind, spread.knowledge.decoder),
         )
         for view in book.views.values()
     )
 
 
 _CLOCK = time.monotonic
+#: Replicas that start change their entries every second, many at a time; one
+#: that drains serves on for seconds.
+_ENTRIES_GATHERING_SECONDS = 0.3
+_ENTRIES_RHYTHM = Rhythm(gathering_seconds=_ENTRIES_GATHERING_SECONDS)
+#: Daemons that start together register one after another, and nothing
+#: hangs on hearing of each at once.
+_DAEMONS_RHYTHM = Rhythm(wait_seconds=10, gathering_seconds=0.5)
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -57,6 +57,8 @@
     kind: str
     revision: int = 0
     stored: dict[str, Fields] = attrs.field(factory=dict)
+    #: No object changed after this revision; the store counts all kinds.
+    changed_revision: int = 0
     #: When the store last confirmed the view, directly or through others.
     confirmed_seconds: float = -math.inf
     #: When the store was last heard again after an outage.
@@ -71,22 +73,26 @@
 
     def note_outage_end(self, now_seconds: float) -> None:
         """Note that the store answers again after failed calls."""
-        self.outage_end_seconds = now_seconds
+        self.outage_end_seconds = max(self.outage_end_seconds, now_seconds)
 
     def replace(self, listing: Listing, confirmed_seconds: float) -> set[str]:
         """Take over a listing and name what changed; refuse an older one."""
         if listing.revision < self.revision:
             return set()
         before = self.stored
+        is_first = not self.revision
         self.stored = dict(listing.stored)
         self.revision = listing.revision
-        self._kept.clear()
-        self._kept_from = listing.revision
         self._confirm(confirmed_seconds)
         names = before.keys() | self.stored.keys()
-        return {
+        changed = {
             name for name in names if before.get(name) != self.stored.get(name)
         }
+        if changed or is_first:
+            self.changed_revision = listing.revision
+            self._kept.clear()
+            self._kept_from = listing.revision
+        return changed
 
     def apply(self, changes: Changes, confirmed_seconds: float) -> set[str]:
         """Apply changes that follow this revision and name what changed."""
@@ -101,13 +107,17 @@
             else:
                 self.stored[change.name] = change.stored
         self.revision = changes.revision
+        if names:
+            self.changed_revision = changes.revision
         self._forget()
         self._confirm(confirmed_seconds)
         return names
 
     def since(self, revision: int) -> Changes | Listing:
         """Give what another view at a revision lacks."""
-        if revision < self._kept_from or not revision:
+        if revision and revision >= self.changed_revision:
+            return Changes(self.revision, ())
+        if revision < self._kept_from:
             return Listing(self.revision, self.stored)
         missing = [one.change for one in self._kept if one.revision > revision]
         return Changes(self.revision, tuple(missing))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -16,6 +16,7 @@
     RandomChoice,
     Replica,
     RouteLatencies,
+    connection_share,
 )
 from dragonflyramp.backends._choice import Choice, Surroundings
 from dragonflyramp.backends._sends import Send
@@ -29,6 +30,7 @@
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
+from tests.worlds import Sharers
 
 _AROUND = Surroundings(failure_domain='recife', typical_ms=20, now_seconds=1000)
 
@@ -288,12 +290,49 @@
     policy = ServicePolicy(name='a', max_connections=9, cold_per_second=10)
     gate = ColdGate(slack=4, overshoot=1)
     sent = 0
-    while gate.bears(cold, policy, 2, 1000):
+    while gate.bears(cold, policy, Sharers(2), 1000):
         gate.note_send(cold, 1000)
         sent += 1
     assert sent == 7
-    assert gate.bears(cold, policy, 2, 1001.5)
-    assert gate.bears(_replica(), policy, 2, 1000)
+    assert gate.bears(cold, policy, Sharers(2), 1001.5)
+    assert gate.bears(_replica(), policy, Sharers(2), 1000)
+
+
+def test_few_of_many_daemons_send_to_cold_ones() -> None:
+    """A request a second from each of many daemons is too much for it."""
+    cold = _replica(warmup_left_ms=5000)
+    policy = ServicePolicy(name='a', max_connections=9, cold_per_second=10)
+    gate = ColdGate(slack=4, overshoot=1)
+    allowed = sum(
+        gate.bears(cold, policy, Sharers(77, place), 1000)
+        for place in range(77)
+    )
+    assert allowed == 14
+
+
+@pytest.mark.parametrize(
+    ('daemons', 'replicas', 'cap'),
+    [(77, 3, 70), (83, 3, 74), (300, 3, 70), (7, 3, 31), (77, 4, 520)],
+)
+def test_kept_connections_stay_below_the_cap(
+    daemons: int, replicas: int, cap: int
+) -> None:
+    """A replica resets what is beyond its cap, at all daemons' expense."""
+    rng = random.Random(1)
+    kept = [0 for _ in range(replicas)]
+    for _ in range(daemons):
+        order = rng.sample(range(replicas), replicas)
+        shares = [
+            connection_share(cap, daemons, replicas, place)
+            for place in range(replicas)
+        ]
+        used = [share.kept for share in shares if share.kept]
+        assert len(used) >= 2
+        for place, replica in enumerate(order):
+            kept[replica] += shares[place].kept
+    # More daemons than connections need more replicas than two of them.
+    bound = max(cap, 2 * daemons / replicas * 1.2)
+    assert max(kept) <= bound
 
 
 def _send() -> Send:
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -96,6 +96,22 @@
     )
 
 
+@attrs.frozen
+class Sharers:
+    """Stand for the daemons that share the bounds with this one."""
+
+    count: int
+    own_place: int = 0
+
+    def counted(self) -> int:
+        """Count them."""
+        return self.count
+
+    def place(self, key: str) -> int:
+        """Give the same place for every key."""
+        return self.own_place
+
+
 @attrs.define(eq=False)
 class World:
     """Hold a front and the replicas behind it."""
@@ -168,7 +184,7 @@
         clock=time.monotonic,
         rng=random.Random(1),
         failure_domain='recife',
-        count_daemons=lambda _: 1,
+        peers=Sharers(1),
         policies=policies or Policies(),
     )
     front = Front(
