Share between fronts how slow replicas are

Cause: on the grown sites a front sends about one request a second to a replica.

Change: each front tells its first hub how late replicas answered, and hubs tell all which replicas are slow. Own samples of the last 0.3 s go first. A board (dragonflyramp/paces.py) tells a slow replica from one that pauses.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -29,6 +29,7 @@
     encode_answer,
     encode_question,
 )
+from dragonflyramp.paces import PaceBoard
 from dragonflyramp.platform import StoreDecoder
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.runtime import TaskSet
@@ -132,7 +133,8 @@
     for index in range(daemons):
         roster.census.meet(Daemon(f'd{index}', '10.0.0.1:80', 'd'), 1)
     views = {kind: View(kind) for kind in ('a', 'b', 'c')}
-    return Book(roster, views, lambda kind, names: None)
+    paces = PaceBoard(lambda slow, now_seconds: None)
+    return Book(roster, views, lambda kind, names: None, paces)
 
 
 def _exchange(book: Book) -> str:
--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -7,6 +7,7 @@
 _choice           which replica is expected to answer first
 _hedging          when a second replica is asked
 _budgets          how many extra sends a service may get
+_learning         what is learned from how sends end
 _latencies        how long a route's parts usually take
 _connections_http one task for each connection
 _protocols_http   the exchange of bytes on a connection
@@ -25,7 +26,7 @@
 from dragonflyramp.backends._codecs import Codec
 from dragonflyramp.backends._connections_http import Connection, ConnectionHooks
 from dragonflyramp.backends._fetches import Fetch
-from dragonflyramp.backends._fleets import ColdGate, Fleet
+from dragonflyramp.backends._fleets import ColdGate, Fleet, ReplicaOrder
 from dragonflyramp.backends._hedging import Hedging, NoHedging, QuantileHedging
 from dragonflyramp.backends._latencies import RouteLatencies
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
@@ -59,6 +60,7 @@
     'QuantileHedging',
     'RandomChoice',
     'Replica',
+    'ReplicaOrder',
     'RouteLatencies',
     'SendRecord',
     'Tier',
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -74,9 +74,11 @@
         reply = outcome.reply
         if reply is None:
             self._verdict.take_loss(attempt, outcome.ending)
-            self._tier.note_failure(attempt, outcome.ending, now_seconds)
+            self._tier.learning.note_failure(
+                attempt, outcome.ending, now_seconds
+            )
             return None
-        self._tier.note_reply(attempt, reply, self._ask, now_seconds)
+        self._tier.learning.note_reply(attempt, reply, self._ask, now_seconds)
         is_part = bool(reply.stamp) or self._ask.route.gather is None
         if not reply.is_success or not is_part:
             self._verdict.take_reply(reply)
@@ -95,7 +97,7 @@
         for attempt in tuple(self._sender.attempts.running.values()):
             self._sender.attempts.end(attempt, Ending.cancelled, now_seconds)
             if may_linger and attempt.send.is_written:
-                self._tier.let_linger(attempt, self._ask, now_seconds)
+                self._tier.learning.let_linger(attempt, self._ask, now_seconds)
             else:
                 attempt.close()
 
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -67,6 +67,45 @@
         self._sends.pop(replica.entry.replica_id, None)
 
 
+@attrs.define(eq=False, kw_only=True)
+class ReplicaOrder:
+    """Order the replicas of each service, another way at each daemon.
+
+    Those of the own failure domain come first.
+    """
+
+    daemon_name: str = ''
+    failure_domain: str = ''
+    _places: dict[str, dict[str, int]] = attrs.field(factory=dict)
+
+    def places(
+        self, service: str, replicas: Mapping[str, Replica]
+    ) -> dict[str, int]:
+        """Give the place of each replica by its id."""
+        places = self._places.get(service)
+        if places is None:
+            ordered = sorted(replicas.values(), key=self._key)
+            places = {
+                replica.entry.replica_id: place
+                for place, replica in enumerate(ordered)
+            }
+            self._places[service] = places
+        return places
+
+    def forget(self, service: str) -> None:
+        """Order the replicas of a service anew, because they changed."""
+        self._places.pop(service, None)
+
+    def _key(self, replica: Replica) -> tuple[bool, bytes]:
+        entry = replica.entry
+        digest = hashlib.blake2b(
+            entry.replica_id.encode(),
+            digest_size=8,
+            key=self.daemon_name.encode()[: hashlib.blake2b.MAX_KEY_SIZE],
+        )
+        return entry.failure_domain != self.failure_domain, digest.digest()
+
+
 @attrs.define(eq=False)
 class Rooms:
     """Wake those who wait for a connection to a service."""
@@ -93,17 +132,13 @@
 
     make_connection: ConnectionFactory
     tasks: TaskSet
-    #: This daemon's name and failure domain.
-    daemon_name: str = ''
-    failure_domain: str = ''
+    order: ReplicaOrder = attrs.field(factory=ReplicaOrder)
     cold_gate: ColdGate = attrs.field(factory=ColdGate)
     rooms: Rooms = attrs.field(factory=Rooms)
     #: Failure domains that operators took out.
     held_domains: frozenset[str] = frozenset()
     _services: dict[str, dict[str, Replica]] = attrs.field(factory=dict)
     _by_id: dict[str, Replica] = attrs.field(factory=dict)
-    #: The place of each replica in this daemon's order, by service.
-    _places: dict[str, dict[str, int]] = attrs.field(factory=dict)
 
     def update(
         self, replica_id: str, entry: ReplicaEntry | None, now_seconds: float
@@ -118,6 +153,13 @@
         if entry is not None:
             self._add(entry, now_seconds)
 
+    def take_slow(self, slow: Mapping[str, float], now_seconds: float) -> None:
+        """Take over which replicas are slow, as other daemons see it."""
+        for replica_id, ratio in slow.items():
+            replica = self._by_id.get(replica_id)
+            if replica is not None:
+                replica.pace.note_told(ratio, now_seconds)
+
     def usable(self, service: str) -> list[Replica]:
         """List the replicas that are ready and in no held domain."""
         replicas = self._services.get(service, _NO_REPLICAS).values()
@@ -132,7 +174,9 @@
         self, policy: ServicePolicy, peers: Peers, now_seconds: float
     ) -> list[Replica]:
         """List the usable replicas that have room for a send now."""
-        places = self._places_of(policy.name)
+        places = self.order.places(
+            policy.name, self._services.get(policy.name, _NO_REPLICAS)
+        )
         daemons = peers.counted()
         found = []
         for one in self.usable(policy.name):
@@ -149,30 +193,6 @@
                 found.append(one)
         return found
 
-    def _places_of(self, service: str) -> dict[str, int]:
-        """Order the replicas, those of the own failure domain first."""
-        places = self._places.get(service)
-        if places is None:
-            ordered = sorted(
-                self._services.get(service, _NO_REPLICAS).values(),
-                key=self._order,
-            )
-            places = {
-                replica.entry.replica_id: place
-                for place, replica in enumerate(ordered)
-            }
-            self._places[service] = places
-        return places
-
-    def _order(self, replica: Replica) -> tuple[bool, bytes]:
-        entry = replica.entry
-        digest = hashlib.blake2b(
-            entry.replica_id.encode(),
-            digest_size=8,
-            key=self.daemon_name.encode()[: hashlib.blake2b.MAX_KEY_SIZE],
-        )
-        return entry.failure_domain != self.failure_domain, digest.digest()
-
     def _add(self, entry: ReplicaEntry, now_seconds: float) -> None:
         replica = Replica(
             entry=entry,
@@ -187,7 +207,7 @@
         self._by_id[entry.replica_id] = replica
         service = self._services.setdefault(entry.service, {})
         service[entry.replica_id] = replica
-        self._places.pop(entry.service, None)
+        self.order.forget(entry.service)
         self.rooms.note(entry.service)
         logger.bind(**_described(entry)).info('replica listed')
 
@@ -195,7 +215,7 @@
         entry = replica.entry
         self._by_id.pop(entry.replica_id, None)
         self._services[entry.service].pop(entry.replica_id, None)
-        self._places.pop(entry.service, None)
+        self.order.forget(entry.service)
         self.cold_gate.forget(replica)
         replica.connections.retire()
         logger.bind(**_described(entry)).info('replica removed')
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -22,6 +22,8 @@
 #: Without samples a slow replica counts as usual again after about this time,
 #: so that a real request finds out.
 _FADE_SECONDS = 1.5
+#: An own sample this new goes before what other daemons tell.
+_OWN_SECONDS = 0.3
 #: A reported load is believed for about the time of a few requests.
 _LOAD_SECONDS = 0.3
 #: First and longest time for which a failed replica gets no requests.
@@ -36,14 +38,20 @@
     #: Latency relative to that of the route's typical request.
     _slowness: float = 1
     _slowness_seconds: float = -math.inf
+    #: What other daemons told.
+    _told: float = 1
+    _told_seconds: float = -math.inf
     _load: Load | None = None
     _load_seconds: float = -math.inf
 
     def slowness(self, now_seconds: float) -> float:
         """Estimate latency relative to the usual one."""
-        faded = (now_seconds - self._slowness_seconds) / _FADE_SECONDS
-        left = math.exp(-max(0, faded))
-        return 1 + (self._slowness - 1) * left
+        age_seconds = now_seconds - self._slowness_seconds
+        own = _faded(self._slowness, age_seconds, _FADE_SECONDS)
+        if self._told == 1 or age_seconds < _OWN_SECONDS:
+            return own
+        told_age_seconds = now_seconds - self._told_seconds
+        return max(own, _faded(self._told, told_age_seconds, _FADE_SECONDS))
 
     def reported(self, now_seconds: float) -> int:
         """Tell what ran and waited at the replica a moment ago."""
@@ -54,10 +62,16 @@
 
     def note_latency(self, ratio: float, now_seconds: float) -> None:
         """Learn from the latency of a send relative to the usual one."""
-        current = self.slowness(now_seconds)
+        age_seconds = now_seconds - self._slowness_seconds
+        current = _faded(self._slowness, age_seconds, _FADE_SECONDS)
         self._slowness = current + _NEWEST_WEIGHT * (ratio - current)
         self._slowness_seconds = now_seconds
 
+    def note_told(self, ratio: float, now_seconds: float) -> None:
+        """Learn from what other daemons measured."""
+        self._told = ratio
+        self._told_seconds = now_seconds
+
     def note_load(self, load: Load, now_seconds: float) -> None:
         """Take over what the replica reported."""
         self._load = load
@@ -204,3 +218,8 @@
         if connection in self._idle:
             self._idle.remove(connection)
         self._on_room()
+
+
+def _faded(slowness: float, age_seconds: float, fade_seconds: float) -> float:
+    left = math.exp(-max(0, age_seconds) / fade_seconds)
+    return 1 + (slowness - 1) * left
--- a/dragonflyramp/backends/_tiers.py
+++ b/dragonflyramp/backends/_tiers.py
@@ -7,7 +7,7 @@
 import attrs
 
 from dragonflyramp.backends._asks import Ask
-from dragonflyramp.backends._attempts import FIRST, RETRY, Attempt
+from dragonflyramp.backends._attempts import RETRY, Attempt
 from dragonflyramp.backends._budgets import Budgets
 from dragonflyramp.backends._choice import (
     Choice,
@@ -18,15 +18,13 @@
 from dragonflyramp.backends._fetches import Fetch
 from dragonflyramp.backends._fleets import Fleet
 from dragonflyramp.backends._hedging import Hedging, QuantileHedging
-from dragonflyramp.backends._latencies import Latencies, RouteLatencies
-from dragonflyramp.backends._sends import Ending, Send
+from dragonflyramp.backends._latencies import Latencies
+from dragonflyramp.backends._learning import Learning
+from dragonflyramp.backends._sends import Send
 from dragonflyramp.backends._shares import Peers
-from dragonflyramp.messages import Reply
+from dragonflyramp.paces import PaceBoard
 from dragonflyramp.routes import Route, ServicePolicy
 
-#: A send that lost to a hedge may still answer for this long; its connection
-#: then stays open and the replica's latency is known.
-_LINGER_SECONDS = 0.25
 #: Connections to a service that the configuration does not describe.
 _DEFAULT_CONNECTIONS = 8
 
@@ -50,8 +48,10 @@
     failure_domain: str
     #: Those that share the bounds with this daemon.
     peers: Peers
+    paces: PaceBoard
     policies: Policies = attrs.field(factory=Policies)
     latencies: Latencies = attrs.field(factory=Latencies)
+    learning: Learning = attrs.field(init=False)
 
     def fetch(self, ask: Ask, service: str) -> Fetch:
         """Prepare the fetch of one service's part."""
@@ -111,56 +111,6 @@
             started_seconds=now_seconds,
         )
 
-    def note_reply(
-        self, attempt: Attempt, reply: Reply, ask: Ask, now_seconds: float
-    ) -> None:
-        """Learn from a reply."""
-        replica = attempt.replica
-        if reply.load is not None:
-            replica.pace.note_load(reply.load, now_seconds)
-        if reply.is_misdirected:
-            replica.health.note_misdirected(now_seconds)
-        elif reply.is_success:
-            replica.health.note_success()
-            _note_latency(self.latencies.of(ask.route), attempt, now_seconds)
-        else:
-            replica.health.note_error()
-
-    def note_failure(
-        self, attempt: Attempt, ending: Ending, now_seconds: float
-    ) -> None:
-        """Learn from a send without a reply."""
-        if ending is Ending.unreachable:
-            attempt.replica.health.note_failure(now_seconds)
-        elif ending is not Ending.unsent:
-            attempt.replica.health.note_error()
-
-    def let_linger(
-        self, attempt: Attempt, ask: Ask, now_seconds: float
-    ) -> None:
-        """Let a send that nobody waits for go on for a while."""
-        _note_latency(self.latencies.of(ask.route), attempt, now_seconds)
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(_LINGER_SECONDS, attempt.close)
-        attempt.replica.running[attempt.send] = attempt.started_seconds
-        attempt.send.outcome.add_done_callback(
-            lambda _: _end_lingering(attempt, timer)
-        )
-
-
-def _note_latency(
-    latencies: RouteLatencies, attempt: Attempt, now_seconds: float
-) -> None:
-    written_seconds = attempt.send.written_seconds
-    if written_seconds is None:
-        return
-    latency_ms = (now_seconds - written_seconds) * 1000
-    ratio = latency_ms / max(1, latencies.typical_ms)
-    attempt.replica.pace.note_latency(ratio, now_seconds)
-    if attempt.purpose == FIRST:
-        latencies.record(latency_ms)
-
-
-def _end_lingering(attempt: Attempt, timer: asyncio.TimerHandle) -> None:
-    timer.cancel()
-    attempt.replica.running.pop(attempt.send, None)
+    @learning.default
+    def _new_learning(self) -> Learning:
+        return Learning(self.latencies, self.paces)
--- a/dragonflyramp/members/_books.py
+++ b/dragonflyramp/members/_books.py
@@ -8,9 +8,11 @@
 
 from dragonflyramp.members._censuses import Daemon
 from dragonflyramp.members._rosters import Roster
+from dragonflyramp.paces import PaceBoard, Tallies, Tally
 from dragonflyramp.views import Change, Changes, Fields, Listing, View
 
 _SENDER = 'sender'
+_TALLIES = 'tallies'
 
 #: Called with the kind of a view and the names of the objects that changed.
 OnChange = Callable[[str, set[str]], None]
@@ -26,6 +28,8 @@
     wait_seconds: float = 0
     #: How long news may wait, because another daemon mostly tells them.
     patience_seconds: float = 0
+    #: How late replicas answered the sender since it last asked.
+    tallies: Tallies = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -46,6 +50,8 @@
 
     sender: Daemon
     is_store_lost: bool
+    #: Replicas that answer the sender, and those that ask it, late.
+    tallies: Tallies
     told: tuple[Told, ...]
 
 
@@ -56,6 +62,7 @@
     roster: Roster
     views: Mapping[str, View]
     on_change: OnChange
+    paces: PaceBoard
     _news: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def note_change(self) -> None:
@@ -64,9 +71,13 @@
         self._news = asyncio.Event()
 
     def question(
-        self, *, wait_seconds: float = 0, patience_seconds: float = 0
+        self,
+        *,
+        wait_seconds: float = 0,
+        patience_seconds: float = 0,
+        with_tallies: bool = False,
     ) -> Question:
-        """Ask for what is newer than the views."""
+        """Ask for what is newer than the views; tell tallies once."""
         return Question(
             sender=self.roster.own,
             revisions={
@@ -74,6 +85,7 @@
             },
             wait_seconds=wait_seconds,
             patience_seconds=patience_seconds,
+            tallies=self.paces.take_fresh() if with_tallies else {},
         )
 
     def lacks(self, question: Question) -> bool:
@@ -96,8 +108,11 @@
     def answer(self, question: Question, now_seconds: float) -> Answer:
         """Tell what a daemon lacks."""
         own = self.roster.own
+        tallies = self.paces.local(now_seconds)
+        self.paces.take_told(own.name, tallies, now_seconds)
         return Answer(
             sender=own,
+            tallies=tallies,
             is_store_lost=own.name in self.roster.reach.without_store,
             told=tuple(
                 _tell(view, question.revisions.get(kind, 0), now_seconds)
@@ -108,6 +123,7 @@
     def take(self, answer: Answer, now_seconds: float) -> None:
         """Take over what is newer."""
         self.roster.census.meet(answer.sender, now_seconds)
+        self.paces.take_told(answer.sender.name, answer.tallies, now_seconds)
         self.roster.reach.note_answer(
             answer.sender.name, now_seconds, is_store_lost=answer.is_store_lost
         )
@@ -138,6 +154,7 @@
         'revisions': dict(question.revisions),
         'wait': question.wait_seconds,
         'patience': question.patience_seconds,
+        _TALLIES: _encode_tallies(question.tallies),
     }
 
 
@@ -151,6 +168,7 @@
         },
         wait_seconds=min(float(fields['wait']), _LONGEST_WAIT_SECONDS),
         patience_seconds=float(fields['patience']),
+        tallies=_decode_tallies(fields[_TALLIES]),
     )
 
 
@@ -159,6 +177,7 @@
     return {
         _SENDER: attrs.astuple(answer.sender),
         'store_lost': answer.is_store_lost,
+        _TALLIES: _encode_tallies(answer.tallies),
         'told': [_encode_told(told) for told in answer.told],
     }
 
@@ -168,10 +187,25 @@
     return Answer(
         sender=Daemon(*fields[_SENDER]),
         is_store_lost=bool(fields['store_lost']),
+        tallies=_decode_tallies(fields[_TALLIES]),
         told=tuple(_decode_told(told) for told in fields['told']),
     )
 
 
+def _encode_tallies(tallies: Tallies) -> Fields:
+    return {
+        replica_id: (round(tally.count, 2), round(tally.total, 2))
+        for replica_id, tally in tallies.items()
+    }
+
+
+def _decode_tallies(fields: Fields) -> Tallies:
+    return {
+        replica_id: Tally(float(count), float(total))
+        for replica_id, (count, total) in fields.items()
+    }
+
+
 def _tell(view: View, known_revision: int, now_seconds: float) -> Told:
     changes = None
     if known_revision < view.revision:
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -99,7 +99,9 @@
         if question is None:
             counters.add('member_failures', 'bad_message')
             await context.abort(StatusCode.INVALID_ARGUMENT)
-        self._book.roster.census.meet(question.sender, self._clock())
+        now_seconds = self._clock()
+        self._book.roster.census.meet(question.sender, now_seconds)
+        self._book.paces.hear(question.tallies, now_seconds)
         await self._book.wait(question)
         answer = self._book.answer(question, self._clock())
         return _pack(encode_answer(answer))
@@ -144,6 +146,7 @@
         question = self._book.question(
             wait_seconds=_WAIT_SECONDS if is_first else _BACKUP_WAIT_SECONDS,
             patience_seconds=0 if is_first else _BACKUP_PATIENCE_SECONDS,
+            with_tallies=is_first,
         )
         asking = asyncio.create_task(_ask(channel, question))
         self._asking = asking
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -13,6 +13,7 @@
     ColdGate,
     Connection,
     Fleet,
+    ReplicaOrder,
     Tier,
 )
 from dragonflyramp.callers import Claims, Front, OwnInterface, OwnServer
@@ -30,6 +31,7 @@
     Watch,
 )
 from dragonflyramp.metrics_http import MetricsServer
+from dragonflyramp.paces import PaceBoard
 from dragonflyramp.platform import (
     FrontServer,
     MachineSettings,
@@ -121,10 +123,15 @@
     )
     census = Census(_own_daemon(machine))
     spread = _Spread(knowledge, census)
-    book = Book(Roster(census), views, spread.take)
+    book = Book(
+        Roster(census),
+        views,
+        spread.take,
+        PaceBoard(knowledge.fleet.take_slow),
+    )
     spread.members = Members(book, machine.seeds, _CLOCK)
     front = Front(
-        tier=_create_tier(machine, knowledge.fleet, book.roster),
+        tier=_create_tier(machine, knowledge.fleet, book),
         clock=_CLOCK,
         table=lambda: knowledge.table,
         knows_all=lambda: knowledge.is_complete,
@@ -204,8 +211,9 @@
             Connection, codec=ReplicaCodec(), clock=_CLOCK
         ),
         tasks=connections,
-        daemon_name=machine.node,
-        failure_domain=machine.failure_domain,
+        order=ReplicaOrder(
+            daemon_name=machine.node, failure_domain=machine.failure_domain
+        ),
         cold_gate=ColdGate(
             slack=machine.cold_bounds.slack,
             overshoot=machine.cold_bounds.overshoot,
@@ -213,9 +221,7 @@
     )
 
 
-def _create_tier(
-    machine: MachineSettings, fleet: Fleet, roster: Roster
-) -> Tier:
+def _create_tier(machine: MachineSettings, fleet: Fleet, book: Book) -> Tier:
     bounds = BudgetBounds(
         ratio=machine.retry_bounds.ratio,
         window_seconds=machine.retry_bounds.window_seconds,
@@ -227,7 +233,8 @@
         clock=_CLOCK,
         rng=random.Random(),
         failure_domain=machine.failure_domain,
-        peers=roster,
+        peers=book.roster,
+        paces=book.paces,
     )
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -27,6 +27,7 @@
     TargetPatience,
 )
 from dragonflyramp.messages import Load
+from dragonflyramp.paces import PaceBoard
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
@@ -335,6 +336,49 @@
     assert max(kept) <= bound
 
 
+def _slow(board: PaceBoard, now_seconds: float) -> dict[str, float]:
+    """Tell what a board that hears itself takes for slow."""
+    slow: dict[str, float] = {}
+    board.on_slow = lambda found, _: slow.update(found)
+    board.take_told('own', board.local(now_seconds), now_seconds)
+    return slow
+
+
+@pytest.mark.parametrize(
+    ('late', 'usual', 'is_slow'),
+    [(4, 0, True), (2, 0, False), (3, 20, False), (10, 10, True)],
+)
+def test_pace_board_tells_slow_from_paused(
+    late: int, usual: int, *, is_slow: bool
+) -> None:
+    """A pause of 150 ms among usual answers is over before it is told."""
+    board = PaceBoard(lambda slow, now_seconds: None)
+    for ratio, count in ((7, late), (1, usual)):
+        for _ in range(count):
+            board.note('r', ratio, 1000)
+    assert bool(_slow(board, 1000)) is is_slow
+
+
+def test_pace_board_forgets() -> None:
+    """A replica that is fast again must get requests again."""
+    board = PaceBoard(lambda slow, now_seconds: None)
+    for _ in range(6):
+        board.note('r', 7, 1000)
+    assert _slow(board, 1000.5)
+    assert not _slow(board, 1003)
+    assert not board.local(1010)
+
+
+def test_own_samples_go_before_what_others_tell() -> None:
+    """A replica may be slow for other failure domains only."""
+    replica = _replica()
+    replica.pace.note_told(8, 1000)
+    assert replica.pace.slowness(1000) == pytest.approx(8)
+    assert 1 < replica.pace.slowness(1003) < 3
+    replica.pace.note_latency(1, 1000)
+    assert replica.pace.slowness(1000.1) < 4
+
+
 def _send() -> Send:
     return Send(
         request=None,  # type: ignore[arg-type]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -28,6 +28,7 @@
     encode_answer,
     encode_question,
 )
+from dragonflyramp.paces import PaceBoard
 from dragonflyramp.platform import StoreClient, StoreDecoder
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.views import Change, Changes, Listing, View
@@ -48,9 +49,14 @@
         Roster(Census(_daemon(name))),
         {_KIND: View(_KIND)},
         lambda kind, names: None,
+        _paces(),
     )
 
 
+def _paces() -> PaceBoard:
+    return PaceBoard(lambda slow, now_seconds: None)
+
+
 def _ask(asker: Book, asked: Book, now_seconds: float) -> Answer:
     """Ask once as a link does, through the encoding."""
     question = decode_question(encode_question(asker.question()))
@@ -140,6 +146,23 @@
     assert second.views[_KIND].outage_end_seconds == pytest.approx(103)
 
 
+def test_books_pass_on_who_is_slow() -> None:
+    """What one daemon measures must spare the others a late part."""
+    first, second, third = _book('one'), _book('two'), _book('three')
+    slow: dict[str, float] = {}
+    third.paces.on_slow = lambda found, now_seconds: slow.update(found)
+    for _ in range(4):
+        second.paces.note('i-1', 8, 100)
+        second.paces.note('i-2', 1, 100)
+    question = decode_question(
+        encode_question(second.question(with_tallies=True))
+    )
+    first.paces.hear(question.tallies, 100)
+    _ask(third, first, 100)
+    assert slow == {'i-1': pytest.approx(8)}
+    assert not second.question(with_tallies=True).tallies
+
+
 async def test_news_end_the_wait() -> None:
     """A daemon that waits for news must hear them at once."""
     first, second = _book('one'), _book('two')
@@ -295,6 +318,7 @@
             Roster(Census(_daemon(name, domain))),
             views,
             lambda kind, names: self._take(name, kind),
+            _paces(),
         )
         service = MemberService(book, time.monotonic)
         port = await service.start('127.0.0.1:0')
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -19,6 +19,7 @@
 )
 from dragonflyramp.callers import Front, Query
 from dragonflyramp.messages import Request
+from dragonflyramp.paces import PaceBoard
 from dragonflyramp.platform import ReplicaCodec
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import (
@@ -185,6 +186,7 @@
         rng=random.Random(1),
         failure_domain='recife',
         peers=Sharers(1),
+        paces=PaceBoard(fleet.take_slow),
         policies=policies or Policies(),
     )
     front = Front(
