--- a/dragonflyramp/logs.py
+++ b/dragonflyramp/logs.py
@@ -101,13 +101,17 @@
         counters.add('log_lines_left_out', reason)
 
 
-def set_up(settings: Settings) -> None:
-    """Send log lines of the level and above to standard output."""
+def set_up(settings: Settings, node: str) -> None:
+    """Send log lines of the level and above to standard output.
+
+    Each names the node, because lines of many daemons are read together.
+    """
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
     budget = LineBudget(lines_per_second=settings.log_lines_per_second)
     sink = LineSink(descriptor=descriptor, budget=budget, clock=time.monotonic)
     logger.remove()
+    logger.configure(extra={'node': node})
     logger.add(
         sink.write,
         format='{message}',
--- a/dragonflyramp/operators/__init__.py
+++ b/dragonflyramp/operators/__init__.py
@@ -5,7 +5,7 @@
 _push _drafts _commits _outcomes _retries             a change of the text
 _routing _sources                                     what daemons make of it
 _zones _holds _edits _replicas                        a hold as a change
-_commands _daemons_http                               the commands
+_commands _daemons_http _explaining                   the commands
 """
 
 from dragonflyramp.operators._commands import (
@@ -17,6 +17,11 @@
     show,
 )
 from dragonflyramp.operators._daemons_http import DaemonMetrics, read_metrics
+from dragonflyramp.operators._explaining import (
+    LogLine,
+    explain_request,
+    read_log,
+)
 from dragonflyramp.operators._fields import is_ip_and_port
 from dragonflyramp.operators._outcomes import (
     Accepted,
@@ -60,6 +65,7 @@
     'DaemonMetrics',
     'HistoryEntry',
     'HoldRequest',
+    'LogLine',
     'Operator',
     'PartRef',
     'Problem',
@@ -78,6 +84,7 @@
     'digest',
     'encode_root',
     'explain',
+    'explain_request',
     'held_domains',
     'history',
     'is_ip_and_port',
@@ -85,6 +92,7 @@
     'parse_text',
     'part_name',
     'push',
+    'read_log',
     'read_metrics',
     'routing_table',
     'show',
--- a/dragonflyramp/tools/_operator_flags.py
+++ b/dragonflyramp/tools/_operator_flags.py
@@ -34,6 +34,12 @@
         [],
         'Metrics addresses that `status` reads, IP:port.',
     ),
+    (
+        flags.DEFINE_list,
+        'logs',
+        [],
+        'Log files in which `explain` looks for a request; - is the input.',
+    ),
     (
         functools.partial(flags.DEFINE_integer, lower_bound=0),
         'base',
@@ -69,6 +75,7 @@
     reason: str
     release: tuple[str, ...]
     daemons: tuple[str, ...]
+    logs: tuple[str, ...]
     base: int | None
     confirm_dark: bool
     timeout_seconds: float
@@ -105,6 +112,7 @@
         reason=defined.reason,
         release=tuple(defined.release),
         daemons=tuple(defined.daemons),
+        logs=tuple(defined.logs),
         base=defined.base,
         confirm_dark=defined.confirm_dark,
         timeout_seconds=defined.timeout_seconds,
--- a/dragonflyramp/tools/_reports.py
+++ b/dragonflyramp/tools/_reports.py
@@ -118,6 +118,15 @@
     return Report(output=_joined([' '.join(pieces)]))
 
 
+def report_story(story: Sequence[str]) -> Report:
+    """Report what log lines tell of a request."""
+    if story:
+        return Report(output=_joined(story))
+    sentence = 'no log line names the request'
+    problem = Problem(code=ResultCode.object_missing, sentence=sentence)
+    return Report(exit_code=ExitCode.refused, problems=(str(problem),))
+
+
 def _report_unread(code: ResultCode) -> Report:
     problem = Problem(code=code, sentence=code.meaning.sentence)
     is_missing = code is ResultCode.object_missing
--- a/dragonflyramp/tools/front.py
+++ b/dragonflyramp/tools/front.py
@@ -36,7 +36,7 @@
         number = int(ResultCode.bad_setting)
         sys.stderr.write(f'error {number}: {machine.failure()}\n')
         sys.exit(_BAD_SETTING)
-    logs.set_up(settings)
+    logs.set_up(settings, machine.unwrap().node)
     run_daemon(functools.partial(run_front, settings, machine.unwrap()))
 
 
--- a/dragonflyramp/tools/operator.py
+++ b/dragonflyramp/tools/operator.py
@@ -1,10 +1,11 @@
 """Run the operators' command."""
 
+import itertools
 import os
 import pathlib
 import sys
 import types
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 
 import attrs
 from aiomisc import entrypoint
@@ -126,8 +127,18 @@
     return reports.report_status(daemons)
 
 
-async def _explain(settings: OperatorSettings, code: str) -> reports.Report:
-    return reports.report_explanation(operators.explain(code))
+async def _explain(settings: OperatorSettings, query: str) -> reports.Report:
+    if not settings.logs:
+        return reports.report_explanation(operators.explain(query))
+    lines = itertools.chain.from_iterable(map(_read_log, settings.logs))
+    return reports.report_story(operators.explain_request(query, lines))
+
+
+def _read_log(path: str) -> Iterator[operators.LogLine]:
+    if path == '-':
+        return operators.read_log('input', sys.stdin)
+    text = _read(path).decode(errors='replace')
+    return operators.read_log(pathlib.Path(path).stem, text.splitlines())
 
 
 _READING = ('platform',)
@@ -141,7 +152,7 @@
         'zone out': _Command(_zone_out, 'NAME', (*_WRITING, 'reason')),
         'zone in': _Command(_zone_in, 'NAME', _WRITING),
         'status': _Command(_status, '', ('daemons',)),
-        'explain': _Command(_explain, 'CODE'),
+        'explain': _Command(_explain, 'CODE or REQUEST-ID'),
     }
 )
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -273,6 +273,51 @@
     assert captured.err.count('\n') == bool(exit_code)
 
 
+_LOG = """
+  1.0 front-a {"time":"t1","message":"configuration in force","version":4}
+  1.1 front-a {"time":"t2","message":"store lost","kind":"config"}
+  1.2 front-a {"time":"t3","message":"replica listed","replica":"i-1","state":"ready"}
+no log line
+  1.3 front-a {"time":"t4","message":"request answered","request":"q1","outcome":"partial","elapsed_ms":99.0,"target_ms":90,"parts":[["s1","cancelled",[["i-1","first",0.1,20.0,98.0,"cancelled"],["i-2","hedge",40.0,20.0,98.0,"cancelled"]]],["s2","connection_reset",[["i-3","first",0.1,20.0,9.0,"lost"]]]]}
+"""  # noqa: E501 - log lines as they are written
+_OTHER_LOG = """{"time":"t3b","node":"front-b","message":"request refused","request":"q1","code":"no_replica"}
+{broken
+"""  # noqa: E501 - as above
+
+
+def test_explain_tells_a_request_over_daemons(
+    tmp_path: pathlib.Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """An engineer has only logs to find out why a request failed."""
+    for name, text in (('a', _LOG), ('b', _OTHER_LOG)):
+        tmp_path.joinpath(name).write_text(text)
+    logs = ','.join(str(tmp_path / name) for name in ('a', 'b'))
+    assert main(['dragonflyramp', 'explain', 'q1', f'--logs={logs}']) == 0
+    told = capfd.readouterr().out
+    for expected in (
+        't3b front-b: request refused: no_replica',
+        't4 front-a: request answered: partial',
+        'version 4 in force since t1',
+        'store config lost since t2',
+        'first send to i-1 at 0.1 ms, expected 20.0 ms, cancelled at 98.0 ms',
+        'replica listed as ready at t3',
+        '1 parts were not in when the answer was due, 1 of them in spite',
+        's2: ',
+    ):
+        assert expected in told
+    assert told.index('front-b') < told.index('front-a')
+
+
+def test_explain_without_a_line(
+    tmp_path: pathlib.Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """A request that no daemon logged must not look like one that went well."""
+    tmp_path.joinpath('a').write_text(_LOG)
+    arguments = ['explain', 'q2', f'--logs={tmp_path / "a"}']
+    assert main(['dragonflyramp', *arguments]) == 1
+    assert 'no log line names the request' in capfd.readouterr().err
+
+
 async def test_latencies_are_cumulative(daemon_address: str) -> None:
     """A histogram that is not cumulative shows wrong quantiles."""
     for latency_ms in (0.5, 7, 9000):
