--- a/dragonflyramp/operators/_explaining.py
+++ b/dragonflyramp/operators/_explaining.py
@@ -51,10 +51,11 @@
         if line.message == 'configuration in force':
             self.version = 'version {0}'.format(fields['version'])
             self.version_time = line.time
-        if 'replica' in fields:
+        replica = fields.get('replica')
+        if replica is not None:
             state = fields.get('state', '')
             told = f'{line.message} as {state} at {line.time}'
-            self.replicas[str(fields['replica'])] = told
+            self.replicas[str(replica)] = told
         self._learn_dependency(line)
 
     def _learn_dependency(self, line: LogLine) -> None:
@@ -64,13 +65,33 @@
             self.lost.pop(_dependency(line), None)
 
 
+@attrs.frozen
+class _Send:
+    """Hold what a line tells of one send."""
+
+    replica: str
+    purpose: str
+    started_ms: float
+    expected_ms: float
+    ended_ms: float
+    ending: str
+
+    def __str__(self) -> str:
+        """Say where the send went and how it ended."""
+        return (
+            f'{self.purpose} send to {self.replica} at {self.started_ms} ms, '
+            f'expected {self.expected_ms} ms, '
+            f'{self.ending} at {self.ended_ms} ms'
+        )
+
+
 @attrs.frozen
 class _Part:
     """Hold what a line tells of one part of a request."""
 
     service: str
     code_name: str
-    sends: Sequence[Sequence[Any]]
+    sends: Sequence[_Send]
 
 
 def read_log(name: str, text: Iterable[str]) -> Iterator[LogLine]:
@@ -112,31 +133,39 @@
 def _tell(line: LogLine, known: _Beliefs) -> Iterator[str]:
     fields = line.fields
     outcome = str(fields.get('outcome', fields.get('code')))
-    parts = [_Part(*part) for part in fields.get('parts', ())]
     yield f'{line.time} {line.source}: {line.message}: {outcome}'
-    if 'elapsed_ms' in fields:
-        elapsed_ms, target_ms = fields['elapsed_ms'], fields['target_ms']
+    elapsed_ms = fields.get('elapsed_ms')
+    if elapsed_ms is not None:
+        target_ms = fields.get('target_ms')
         yield f'  after {elapsed_ms} ms; the target is {target_ms} ms'
+    yield from _tell_beliefs(known)
+    parts = [_read_part(*part) for part in fields.get('parts', ())]
+    for part in parts:
+        yield from _tell_part(part, known)
+    cause = '; '.join(_causes(outcome, parts))
+    yield f'  cause: {cause}'
+
+
+def _tell_beliefs(known: _Beliefs) -> Iterator[str]:
     since = known.version_time or 'never'
     yield f'  {known.version} in force since {since}'
     for dependency, lost_time in known.lost.items():
         yield f'  {dependency} lost since {lost_time}'
-    for part in parts:
-        yield f'  part of {part.service}: {part.code_name}'
-        yield from _tell_sends(part, known)
-    cause = '; '.join(_causes(outcome, parts))
-    yield f'  cause: {cause}'
 
 
-def _tell_sends(part: _Part, known: _Beliefs) -> Iterator[str]:
+def _read_part(
+    service: str, code_name: str, sends: Sequence[Sequence[Any]]
+) -> _Part:
+    return _Part(service, code_name, [_Send(*send) for send in sends])
+
+
+def _tell_part(part: _Part, known: _Beliefs) -> Iterator[str]:
+    yield f'  part of {part.service}: {part.code_name}'
     for send in part.sends:
-        replica, purpose, started_ms, expected_ms, ended_ms, ending = send
-        yield (
-            f'    {purpose} send to {replica} at {started_ms} ms, '
-            f'expected {expected_ms} ms, {ending} at {ended_ms} ms'
-        )
-        if replica in known.replicas:
-            yield f'      {known.replicas[replica]}'
+        yield f'    {send}'
+        told = known.replicas.get(send.replica)
+        if told is not None:
+            yield f'      {told}'
 
 
 def _causes(outcome: str, parts: Sequence[_Part]) -> list[str]:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -289,9 +289,9 @@
     tmp_path: pathlib.Path, capfd: pytest.CaptureFixture[str]
 ) -> None:
     """An engineer has only logs to find out why a request failed."""
-    for name, text in (('a', _LOG), ('b', _OTHER_LOG)):
-        tmp_path.joinpath(name).write_text(text)
-    logs = ','.join(str(tmp_path / name) for name in ('a', 'b'))
+    tmp_path.joinpath('a').write_text(_LOG)
+    tmp_path.joinpath('b').write_text(_OTHER_LOG)
+    logs = f'{tmp_path}/a,{tmp_path}/b'
     assert main(['dragonflyramp', 'explain', 'q1', f'--logs={logs}']) == 0
     told = capfd.readouterr().out
     for expected in (
@@ -313,7 +313,7 @@
 ) -> None:
     """A request that no daemon logged must not look like one that went well."""
     tmp_path.joinpath('a').write_text(_LOG)
-    arguments = ['explain', 'q2', f'--logs={tmp_path / "a"}']
+    arguments = ['explain', 'q2', f'--logs={tmp_path}/a']
     assert main(['dragonflyramp', *arguments]) == 1
     assert 'no log line names the request' in capfd.readouterr().err
 
