--- a/dragonflyramp/backends/_budgets.py
+++ b/dragonflyramp/backends/_budgets.py
@@ -49,10 +49,7 @@
 
     def take(self, daemons: int, now_seconds: float, *, is_hedge: bool) -> bool:
         """Take one extra send if the budget allows it."""
-        self._forget(now_seconds - self._bounds.window_seconds)
-        requests = sum(step.requests for step in self._steps)
-        shared = self._bounds.slack / max(1, daemons)
-        allowed = _SAFETY_SHARE * (self._bounds.ratio * requests + shared)
+        allowed = self._allowed(daemons, now_seconds)
         if is_hedge:
             allowed *= _HEDGE_SHARE
         if len(self._extra) + 1 > allowed:
@@ -60,6 +57,18 @@
         self._extra.append(now_seconds)
         return True
 
+    def left_share(self, daemons: int, now_seconds: float) -> float:
+        """Tell which share of the allowed extra sends is left."""
+        allowed = max(1, self._allowed(daemons, now_seconds))
+        used_share = len(self._extra) / allowed
+        return max(0, 1 - used_share)
+
+    def _allowed(self, daemons: int, now_seconds: float) -> float:
+        self._forget(now_seconds - self._bounds.window_seconds)
+        requests = sum(step.requests for step in self._steps)
+        shared = self._bounds.slack / max(1, daemons)
+        return _SAFETY_SHARE * (self._bounds.ratio * requests + shared)
+
     def _forget(self, start_seconds: float) -> None:
         while self._extra and self._extra[0] < start_seconds:
             self._extra.popleft()
@@ -81,3 +90,13 @@
             budget = Budget(self._bounds)
             self._services[service] = budget
         return budget
+
+    def least_left_share(self, daemons: int, now_seconds: float) -> float:
+        """Tell the left share of the service that has used most of its own."""
+        return min(
+            (
+                budget.left_share(daemons, now_seconds)
+                for budget in self._services.values()
+            ),
+            default=1,
+        )
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -160,6 +160,10 @@
             if replica is not None:
                 replica.pace.note_told(ratio, now_seconds)
 
+    def all_replicas(self) -> list[Replica]:
+        """List the replicas of all services."""
+        return list(self._by_id.values())
+
     def usable(self, service: str) -> list[Replica]:
         """List the replicas that are ready and in no held domain."""
         replicas = self._services.get(service, _NO_REPLICAS).values()
--- a/dragonflyramp/backends/_learning.py
+++ b/dragonflyramp/backends/_learning.py
@@ -9,6 +9,7 @@
 from dragonflyramp.backends._latencies import Latencies
 from dragonflyramp.backends._sends import Ending
 from dragonflyramp.messages import Reply
+from dragonflyramp.metrics import latencies as metrics
 from dragonflyramp.paces import PaceBoard
 
 #: A send that lost to a hedge may still answer for this long; its connection
@@ -68,6 +69,7 @@
         latencies = self._latencies.of(ask.route)
         latency_ms = (now_seconds - written_seconds) * 1000
         ratio = latency_ms / max(1, latencies.typical_ms)
+        metrics.record('parts', latency_ms)
         attempt.replica.pace.note_latency(ratio, now_seconds)
         self._paces.note(attempt.send.replica_id, ratio, now_seconds)
         if attempt.purpose == FIRST:
--- a/dragonflyramp/backends/_senders.py
+++ b/dragonflyramp/backends/_senders.py
@@ -8,7 +8,7 @@
 from dragonflyramp.backends._asks import Ask
 from dragonflyramp.backends._attempts import FIRST, HEDGE, RETRY, Attempts
 from dragonflyramp.backends._sends import Outcome
-from dragonflyramp.metrics import counters
+from dragonflyramp.metrics import counters, latencies
 
 if TYPE_CHECKING:
     from dragonflyramp.backends._tiers import Tier
@@ -39,6 +39,8 @@
                 return False
             left_seconds = until_seconds - now_seconds
             await tier.fleet.rooms.wait(self._service, left_seconds)
+            waited_seconds = tier.clock() - now_seconds
+            latencies.record('room_waits', waited_seconds * 1000)
             now_seconds = tier.clock()
         delay_ms = tier.hedge_delay_ms(self._ask.route)
         if delay_ms is not None and self._ask.route.is_idempotent:
--- a/dragonflyramp/knowledge.py
+++ b/dragonflyramp/knowledge.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from dragonflyramp.backends import Fleet
-from dragonflyramp.metrics import counters, gauges
+from dragonflyramp.metrics import counters
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.routes import RoutingTable
 from dragonflyramp.views import Fields, View
@@ -78,11 +78,7 @@
         """Carry out removals that are due, until cancelled."""
         while True:
             await asyncio.sleep(_PERIOD_SECONDS)
-            now_seconds = self.clock()
-            self.remove_lapsed(now_seconds)
-            for view in self.views.values():
-                age_seconds = view.age_seconds(now_seconds)
-                gauges.set_to(f'{view.kind}_age_seconds', age_seconds)
+            self.remove_lapsed(self.clock())
 
     def remove_lapsed(self, now_seconds: float) -> None:
         """Remove the replicas whose entries did not come back."""
@@ -104,7 +100,6 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
-        gauges.set_to('configuration_version', table.version)
         logger.bind(version=table.version, routes=len(table.routes)).info(
             'configuration in force'
         )
--- a/dragonflyramp/metrics.py
+++ b/dragonflyramp/metrics.py
@@ -13,6 +13,7 @@
 
 import bisect
 import collections
+from collections.abc import Callable
 
 import attrs
 
@@ -81,13 +82,13 @@
 
 @attrs.define(eq=False)
 class Gauges:
-    """Hold the newest number of each name, such as ages and versions."""
+    """Read the present number of each name, such as ages and versions."""
 
-    by_name: dict[str, float] = attrs.field(factory=dict)
+    by_name: dict[str, Callable[[], float]] = attrs.field(factory=dict)
 
-    def set_to(self, name: str, number: float) -> None:
-        """Set a gauge."""
-        self.by_name[name] = number
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Read a gauge when somebody scrapes."""
+        self.by_name[name] = read
 
 
 counters = Counters()
--- a/dragonflyramp/metrics_export.py
+++ b/dragonflyramp/metrics_export.py
@@ -33,7 +33,10 @@
 
     def __init__(self) -> None:
         """Connect OpenTelemetry to the registry that is rendered."""
-        provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
+        reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False
+        )
+        provider = MeterProvider(metric_readers=[reader])
         self._meter = provider.get_meter('dragonflyramp')
         self._known: set[str] = set()
 
@@ -87,7 +90,7 @@
 def _observe_gauge(
     name: str, options: otel.CallbackOptions
 ) -> list[otel.Observation]:
-    return [otel.Observation(gauges.by_name[name])]
+    return [otel.Observation(gauges.by_name[name]())]
 
 
 _EXPORTER = _Exporter()
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import socket
+import time
 from collections.abc import AsyncIterator, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
@@ -15,7 +16,7 @@
 import yarl
 from returns.result import Failure, Result, Success
 
-from dragonflyramp.metrics import counters
+from dragonflyramp.metrics import counters, latencies
 from dragonflyramp.results import ResultCode
 from dragonflyramp.views import Change, Changes, Fields, Listing
 
@@ -61,7 +62,11 @@
     async def make(self, call: _Call) -> Result[Fields, ResultCode]:
         """Make one call; failures are result codes, never exceptions."""
         counters.add('platform_calls', call.purpose)
+        started_seconds = time.monotonic()
         reply = await self._exchange(call)
+        if call.purpose != 'watch':
+            passed_seconds = time.monotonic() - started_seconds
+            latencies.record('platform_calls', passed_seconds * 1000)
         if isinstance(reply, Failure):
             code = reply.failure()
             counters.add('platform_failures', f'{call.purpose}_{code.name}')
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -42,6 +42,7 @@
 from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.runtime import TaskSet, run_together
 from dragonflyramp.settings import ConfigurationSource, Settings
+from dragonflyramp.tools._gauges import watch_gauges
 from dragonflyramp.views import View
 
 
@@ -121,21 +122,17 @@
         fleet=_create_fleet(machine, connections),
         clock=_CLOCK,
     )
-    census = Census(_own_daemon(machine))
-    spread = _Spread(knowledge, census)
+    spread = _Spread(knowledge, Census(_own_daemon(machine)))
     book = Book(
-        Roster(census),
+        Roster(spread.census),
         views,
         spread.take,
         PaceBoard(knowledge.fleet.take_slow),
     )
     spread.members = Members(book, machine.seeds, _CLOCK)
-    front = Front(
-        tier=_create_tier(machine, knowledge.fleet, book),
-        clock=_CLOCK,
-        table=lambda: knowledge.table,
-        knows_all=lambda: knowledge.is_complete,
-    )
+    tier = _create_tier(machine, knowledge.fleet, book)
+    watch_gauges(knowledge, tier, _CLOCK)
+    front = _create_front(tier, knowledge)
     return FrontParts(
         settings=settings,
         machine=machine,
@@ -158,6 +155,15 @@
     )
 
 
+def _create_front(tier: Tier, knowledge: Knowledge) -> Front:
+    return Front(
+        tier=tier,
+        clock=_CLOCK,
+        table=lambda: knowledge.table,
+        knows_all=lambda: knowledge.is_complete,
+    )
+
+
 @attrs.define(eq=False)
 class _Spread:
     """Hand changes to those that use them and on to the other daemons."""
--- /dev/null
+++ b/dragonflyramp/tools/_gauges.py
@@ -0,0 +1,77 @@
+"""Offer what a front knows as gauges."""
+
+import functools
+import types
+from collections.abc import Callable
+
+from dragonflyramp.backends import Fleet, Replica, Tier
+from dragonflyramp.knowledge import Knowledge
+from dragonflyramp.members import DAEMONS_KIND
+from dragonflyramp.metrics import gauges
+
+
+def watch_gauges(
+    knowledge: Knowledge, tier: Tier, clock: Callable[[], float]
+) -> None:
+    """Register all gauges of a front."""
+    decoder = knowledge.decoder
+    for name, kind in (
+        ('configuration', decoder.config_kind),
+        ('entries', decoder.entries_kind),
+        ('holds', decoder.evacuations_kind),
+        ('daemons', DAEMONS_KIND),
+    ):
+        view = knowledge.views[kind]
+        gauges.watch(
+            f'{name}_age_seconds',
+            functools.partial(_age_seconds, view.age_seconds, clock),
+        )
+    for state, is_in_state in _STATES.items():
+        gauges.watch(
+            f'replicas_{state}',
+            functools.partial(_count, tier.fleet, is_in_state, clock),
+        )
+    gauges.watch('configuration_version', lambda: _version(knowledge))
+    gauges.watch('daemons_counted', tier.peers.counted)
+    gauges.watch('budget_left_share', lambda: _budget_left(tier, clock()))
+
+
+def _age_seconds(
+    age_seconds: Callable[[float], float], clock: Callable[[], float]
+) -> float:
+    return age_seconds(clock())
+
+
+def _count(
+    fleet: Fleet,
+    is_in_state: Callable[[Replica, float], bool],
+    clock: Callable[[], float],
+) -> float:
+    now_seconds = clock()
+    return sum(is_in_state(one, now_seconds) for one in fleet.all_replicas())
+
+
+def _version(knowledge: Knowledge) -> float:
+    return knowledge.table.version if knowledge.table else 0
+
+
+def _budget_left(tier: Tier, now_seconds: float) -> float:
+    return tier.budgets.least_left_share(tier.peers.counted(), now_seconds)
+
+
+def _is_draining(replica: Replica, now_seconds: float) -> bool:
+    return not replica.is_ready
+
+
+def _is_ready(replica: Replica, now_seconds: float) -> bool:
+    return replica.is_ready
+
+
+_STATES = types.MappingProxyType(
+    {
+        'ready': _is_ready,
+        'draining': _is_draining,
+        'suspect': Replica.is_suspect,
+        'cold': Replica.is_cold,
+    }
+)
--- a/dragonflyramp/tools/_reports.py
+++ b/dragonflyramp/tools/_reports.py
@@ -1,7 +1,7 @@
 """Turn the outcomes of commands into lines and exit codes."""
 
 import enum
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 from returns.result import Failure, Result
@@ -84,12 +84,15 @@
 
 
 def report_status(daemons: Sequence[DaemonMetrics]) -> Report:
-    """Report the metrics of daemons, one sample a line."""
+    """Report what daemons know and how they answer, one daemon a line."""
     lines = [
-        ' '.join((daemon.address, name, format(number, 'g')))
+        _row(daemon.address, daemon.outcome.unwrap())
         for daemon in daemons
-        for name, number in sorted(daemon.outcome.value_or({}).items())
+        if not isinstance(daemon.outcome, Failure)
     ]
+    if lines:
+        heads = (head for head, _ in _COLUMNS)
+        lines.insert(0, _aligned('daemon', heads))
     problems = tuple(
         str(_unanswered(daemon.address, daemon.outcome.failure()))
         for daemon in daemons
@@ -142,3 +145,32 @@
 
 def _joined(lines: Iterable[str]) -> str:
     return ''.join(f'{line}\n' for line in lines)
+
+
+def _row(address: str, metrics: Mapping[str, float]) -> str:
+    numbers = (metrics.get(name, 0) for _, name in _COLUMNS)
+    return _aligned(address, (format(number, '.4g') for number in numbers))
+
+
+def _aligned(first: str, others: Iterable[str]) -> str:
+    cells = (cell.rjust(_COLUMN_WIDTH) for cell in others)
+    return ''.join((first.ljust(_ADDRESS_WIDTH), *cells))
+
+
+_ADDRESS_WIDTH = 22
+_COLUMN_WIDTH = 10
+#: The head of each column and the metric that it shows.
+_COLUMNS = (
+    ('version', 'configuration_version'),
+    ('age s', 'configuration_age_seconds'),
+    ('entries s', 'entries_age_seconds'),
+    ('daemons', 'daemons_counted'),
+    ('ready', 'replicas_ready'),
+    ('draining', 'replicas_draining'),
+    ('suspect', 'replicas_suspect'),
+    ('cold', 'replicas_cold'),
+    ('budget', 'budget_left_share'),
+    ('ok', 'answers_total{reason="ok"}'),
+    ('partial', 'answers_total{reason="partial"}'),
+    ('late', 'answers_total{reason="late"}'),
+)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -14,10 +14,11 @@
 from returns.result import Failure
 
 from dragonflyramp import operators
-from dragonflyramp.metrics import counters, latencies
+from dragonflyramp.metrics import counters, gauges, latencies
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.results import ResultCode
+from dragonflyramp.tools._reports import report_status
 from dragonflyramp.tools.operator import main
 from tests.standins.fleets import fleet_of
 from tests.standins.platform import MemoryPlatform
@@ -181,6 +182,17 @@
     assert lost.outcome == Failure(ResultCode.daemon_unreachable)
 
 
+async def test_status_is_a_table(daemon_address: str) -> None:
+    """An engineer compares all daemons at a glance, those that answer."""
+    gauges.watch('configuration_version', lambda: 7)
+    addresses = (daemon_address, '127.0.0.1:1')
+    report = report_status(await operators.read_metrics(addresses, 5))
+    head, row = report.output.splitlines()
+    assert head.split()[:3] == ['daemon', 'version', 'age']
+    assert row.split()[:2] == [daemon_address, '7']
+    assert '506 daemon_unreachable' in report.problems[0]
+
+
 @pytest.fixture
 def address() -> Iterator[str]:
     """Run the stand-in of the platform as a process."""
