--- a/dragonflyramp/operators/_push.py
+++ b/dragonflyramp/operators/_push.py
@@ -22,7 +22,9 @@
 from dragonflyramp.operators._statements import with_lines
 from dragonflyramp.operators._stored import TextStore
 from dragonflyramp.operators._text import parse_text
-from dragonflyramp.platform import ReplicaList
+from dragonflyramp.stores import (
+    ReplicaList,
+)
 from dragonflyramp.results import ResultCode
 
 
--- a/dragonflyramp/operators/_stored.py
+++ b/dragonflyramp/operators/_stored.py
@@ -13,7 +13,11 @@
     decode_root,
     encode_root,
 )
-from dragonflyramp.platform import ABSENT, ObjectStore, VersionedObject
+from dragonflyramp.stores import (
+    ABSENT,
+    ObjectStore,
+    VersionedObject,
+)
 from dragonflyramp.results import ResultCode
 
 #: Reads of parts at once; a text of the design size has about 1,400 parts.
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -13,37 +13,25 @@
 from dragonflyramp.platform._configs import StoreDecoder
 from dragonflyramp.platform._front_http import FrontServer
 from dragonflyramp.platform._objects import (
-    ABSENT,
-    MAX_OBJECT_BYTES,
-    ObjectStore,
-    ReplicaList,
     TEXTS_KIND,
     StoredObjects,
-    VersionedObject,
     text_bodies,
 )
 from dragonflyramp.platform._settings_file import (
     PATH_VARIABLE,
-    MachineSettings,
     decode_settings,
     read_settings,
 )
 from dragonflyramp.platform._store_http import StoreClient, open_store
 
 __all__ = (
-    'ABSENT',
-    'MAX_OBJECT_BYTES',
     'PATH_VARIABLE',
     'TEXTS_KIND',
     'FrontServer',
-    'MachineSettings',
-    'ObjectStore',
     'ReplicaCodec',
-    'ReplicaList',
     'StoreClient',
     'StoreDecoder',
     'StoredObjects',
-    'VersionedObject',
     'decode_settings',
     'open_store',
     'read_settings',
--- a/dragonflyramp/platform/_objects.py
+++ b/dragonflyramp/platform/_objects.py
@@ -1,7 +1,7 @@
 """Keep the product's own objects in the platform's store."""
 
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -10,56 +10,20 @@
 from dragonflyramp.platform._store_http import StoreClient
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stores import (
+    ABSENT,
+    MAX_OBJECT_BYTES,
+    ObjectStore,
+    ReplicaList,
+    VersionedObject,
+)
 from dragonflyramp.views import Fields
 
-#: Version that a write names to create an object.
-ABSENT = 0
-#: Largest body that the platform stores.
-MAX_OBJECT_BYTES = 1024 * 1024
-
 #: Kind under which the operators' text is kept.
 TEXTS_KIND = 'dragonflyramp-texts'
 _BODY = 'body'
 
 
-@attrs.frozen
-class VersionedObject:
-    """Hold one object as it was at one version; versions only grow."""
-
-    name: str
-    version: int
-    body: bytes
-
-
-class ObjectStore(Protocol):
-    """Keep objects under names, with conditional updates."""
-
-    async def read(self, name: str) -> Result[VersionedObject, ResultCode]:
-        """Read an object.
-
-        Fail with object_missing, platform_down or bad_reply.
-        """
-
-    async def write(
-        self, name: str, body: bytes, version: int
-    ) -> Result[int, ResultCode]:
-        """Write if the version still stands and return the new version.
-
-        Fail with version_conflict when it does not stand, and with
-        body_too_large above `MAX_OBJECT_BYTES`. After platform_down or
-        bad_reply it is unknown whether the write took effect.
-        """
-
-
-class ReplicaList(Protocol):
-    """List the replicas that are registered in the platform's store."""
-
-    async def list_replicas(
-        self,
-    ) -> Result[tuple[ReplicaEntry, ...], ResultCode]:
-        """List all; fail with platform_down or bad_reply."""
-
-
 @attrs.frozen
 class StoredObjects(ObjectStore, ReplicaList):
     """Implement both over one client of the store."""
--- a/dragonflyramp/platform/_settings_file.py
+++ b/dragonflyramp/platform/_settings_file.py
@@ -3,50 +3,15 @@
 import pathlib
 from typing import Any
 
-import attrs
 import yaml
 from returns.result import Failure, Result, Success
 
+from dragonflyramp.machines import ColdBounds, MachineSettings, RetryBounds
+
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = 'DRAGONFLYRAMP_BOOT'
 
 
-@attrs.frozen(kw_only=True)
-class RetryBounds:
-    """Bound the extra sends that all daemons together may make."""
-
-    ratio: float = 0.2
-    window_seconds: float = 10
-    slack: float = 20
-
-
-@attrs.frozen(kw_only=True)
-class ColdBounds:
-    """Bound the requests that a cold replica may get in a second."""
-
-    overshoot: float = 1.0
-    slack: float = 0
-
-
-@attrs.frozen(kw_only=True)
-class MachineSettings:
-    """Hold what a machine is told about itself and its surroundings."""
-
-    node: str
-    failure_domain: str
-    region: str
-    frontend_address: str
-    readiness_address: str
-    #: Where other daemons reach this one; empty when the role serves none.
-    member_address: str
-    #: Member addresses of some daemons; they may be stale.
-    seeds: tuple[str, ...]
-    store_address: str
-    grace_seconds: float
-    retry_bounds: RetryBounds
-    cold_bounds: ColdBounds
-
-
 def read_settings(path: str) -> Result[MachineSettings, str]:
     """Read the file; fail with a sentence that names what is wrong."""
     try:
--- a/dragonflyramp/stores.py
+++ b/dragonflyramp/stores.py
@@ -2,11 +2,18 @@
 
 from typing import Any, Protocol
 
+import attrs
 from returns.result import Result
 
+from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.results import ResultCode
 from dragonflyramp.views import Changes, Fields, Listing
 
+#: Version that a write names to create an object.
+ABSENT = 0
+#: Largest body that the platform stores.
+MAX_OBJECT_BYTES = 1024 * 1024
+
 
 class KeyedStore(Protocol):
     """Keep objects by kind and name, with conditional writes.
@@ -54,3 +61,41 @@
 
 class Store(KeyedStore, WatchedStore, Protocol):
     """Offer both."""
+
+
+@attrs.frozen
+class VersionedObject:
+    """Hold one object as it was at one version; versions only grow."""
+
+    name: str
+    version: int
+    body: bytes
+
+
+class ObjectStore(Protocol):
+    """Keep objects under names, with conditional updates."""
+
+    async def read(self, name: str) -> Result[VersionedObject, ResultCode]:
+        """Read an object.
+
+        Fail with object_missing, platform_down or bad_reply.
+        """
+
+    async def write(
+        self, name: str, body: bytes, version: int
+    ) -> Result[int, ResultCode]:
+        """Write if the version still stands and return the new version.
+
+        Fail with version_conflict when it does not stand, and with
+        body_too_large above `MAX_OBJECT_BYTES`. After platform_down or
+        bad_reply it is unknown whether the write took effect.
+        """
+
+
+class ReplicaList(Protocol):
+    """List the replicas that are registered in the platform's store."""
+
+    async def list_replicas(
+        self,
+    ) -> Result[tuple[ReplicaEntry, ...], ResultCode]:
+        """List all; fail with platform_down or bad_reply."""
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -32,9 +32,9 @@
 )
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.paces import PaceBoard
+from dragonflyramp.machines import MachineSettings
 from dragonflyramp.platform import (
     FrontServer,
-    MachineSettings,
     ReplicaCodec,
     StoreClient,
     StoreDecoder,
--- a/dragonflyramp/tools/front.py
+++ b/dragonflyramp/tools/front.py
@@ -11,9 +11,9 @@
 from returns.result import Failure
 
 from dragonflyramp import logs
+from dragonflyramp.machines import MachineSettings
 from dragonflyramp.platform import (
     PATH_VARIABLE,
-    MachineSettings,
     open_store,
     read_settings,
 )
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -8,7 +8,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from dragonflyramp.platform import (
+from dragonflyramp.stores import (
     ABSENT,
     MAX_OBJECT_BYTES,
     ObjectStore,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,13 +10,15 @@
 from dragonflyramp.callers import Gathered, Refusal, Relayed
 from dragonflyramp.messages import Load, Reply
 from dragonflyramp.platform import (
-    ABSENT,
     ReplicaCodec,
     StoreClient,
     StoreDecoder,
     StoredObjects,
     decode_settings,
 )
+from dragonflyramp.stores import (
+    ABSENT,
+)
 from dragonflyramp.platform import _headers as names
 from dragonflyramp.platform._front_http import encode_answer
 from dragonflyramp.results import ResultCode
