--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN = $(VENV)/bin
 # Tests of whole systems mostly wait; each file runs in one process.
 TEST_PROCESSES ?= 4
-.PHONY: test lint demo
+# Seeds of a soak by hand, as 7 or 1-50.
+SEEDS ?= 1-50
+.PHONY: test lint demo soak
 
 $(VENV)/.ready: constraints.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -18,5 +20,8 @@
 	$(BIN)/flake8 dragonflyramp tests benchmarks
 	$(BIN)/mypy dragonflyramp tests benchmarks
 
+soak: $(VENV)/.ready
+	$(BIN)/python -m tests.soak --seeds $(SEEDS)
+
 demo: $(VENV)/.ready
 	$(BIN)/python -m tests.demo
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -1,6 +1,7 @@
 """Stand in for one backend server over HTTP, with faults."""
 
 import asyncio
+import time
 
 import attrs
 
@@ -43,6 +44,8 @@
     #: Ids of the requests that ran, and the head of the last request.
     ran: list[str] = attrs.field(factory=list)
     heads: list[dict[str, str]] = attrs.field(factory=list)
+    #: Monotonic time and id of each request that ran.
+    arrivals: list[tuple[float, str]] = attrs.field(factory=list)
     connections: int = 0
     #: Requests whose connection ended before the reply.
     broken_off: int = 0
@@ -95,6 +98,7 @@
             writer.write(_reply(head, '503 Full', '', 'Not-Executed: 1\r\n'))
             return True
         self.ran.append(head['Request-Id'])
+        self.arrivals.append((time.monotonic(), head['Request-Id']))
         if self._meets('hung'):
             return await self._hang(reader)
         await asyncio.sleep(self.faults.work_seconds)
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -112,12 +112,16 @@
                 self.register(server, DOMAINS[index % len(DOMAINS)])
 
     def register(
-        self, server: ReplicaServer, domain: str, state: str = 'ready'
+        self,
+        server: ReplicaServer,
+        domain: str,
+        state: str = 'ready',
+        address: str = '',
     ) -> None:
-        """Write the entry of a replica."""
+        """Write the entry of a replica, or of a proxy before it."""
         spec = {
             'service': server.replica_id.rpartition('-')[0],
-            'address': server.address,
+            'address': address or server.address,
             'zone': domain,
             'slots': 3,
             'state': state,
@@ -128,26 +132,26 @@
         self.store.store.put('servers', server.replica_id, spec)
 
     async def start_front(
-        self, name: str, seeds: Sequence[str] = ()
+        self, name: str, seeds: Sequence[str] = (), **changes: Any
     ) -> FrontProcess:
         """Start a front; it is not ready yet."""
         ports = _free_ports(3)
+        settings = {**self._settings(name, ports, seeds), **changes}
         path = self.folder / f'{name}.yaml'
-        path.write_text(yaml.safe_dump(self._settings(name, ports, seeds)))
-        program = await Program.start(
-            'dragonflyramp.tools.front',
-            ['--metrics_port=0', '--stop_notice_seconds=0.3'],
-            environment={'DRAGONFLYRAMP_BOOT': str(path)},
-        )
+        path.write_text(yaml.safe_dump(settings))
         front = FrontProcess(
             name=name,
-            program=program,
+            program=await self._run_front(name),
             frontend=f'127.0.0.1:{ports[0]}',
             readiness=f'127.0.0.1:{ports[1]}',
         )
         self.fronts.append(front)
         return front
 
+    async def restart_front(self, front: FrontProcess) -> None:
+        """Start a front that ended, at its old address."""
+        front.program = await self._run_front(front.name)
+
     def ran(self, service: str) -> list[str]:
         """List the ids that the replicas of a service ran."""
         return [one for server in self.replicas[service] for one in server.ran]
@@ -161,6 +165,14 @@
                 await server.stop()
         await self.store.stop()
 
+    async def _run_front(self, name: str) -> Program:
+        path = self.folder / f'{name}.yaml'
+        return await Program.start(
+            'dragonflyramp.tools.front',
+            ['--metrics_port=0', '--stop_notice_seconds=0.3'],
+            environment={'DRAGONFLYRAMP_BOOT': str(path)},
+        )
+
     def _settings(
         self, name: str, ports: Sequence[int], seeds: Sequence[str]
     ) -> Mapping[str, Any]:
