Emulate an installation in virtual time, and compare policies

python -m benchmarks.experiment FILE plays the fronts' own decisions against emulated replicas on an event loop whose clock jumps: seeded, open-loop arrivals, faults by schedule, policies by name side by side, a table from HDR histograms and a plot.

--- /dev/null
+++ b/benchmarks/emulator/__init__.py
@@ -0,0 +1,25 @@
+"""Emulate an installation in virtual time, with the fronts' own decisions.
+
+_loops         an event loop whose clock jumps to the next timer
+_replicas      replicas with slots, queues, pauses and faults
+_connections   connections to them, in place of sockets
+_experiments   the checked file that describes an experiment
+_installations fronts, replicas and shared paces put together
+_runs          one policy under the load, and what callers got
+"""
+
+from benchmarks.emulator._experiments import (
+    Experiment,
+    Fault,
+    read_experiment,
+)
+from benchmarks.emulator._runs import POLICIES, Outcome, play
+
+__all__ = (
+    'POLICIES',
+    'Experiment',
+    'Fault',
+    'Outcome',
+    'play',
+    'read_experiment',
+)
--- a/tests/soaks/_runs.py
+++ b/tests/soaks/_runs.py
@@ -47,7 +47,10 @@
         ]
         asking = [asyncio.create_task(caller.run()) for caller in callers]
         await asyncio.gather(*map(striker.strike, faults))
-        await _wait_ready(striker.system)
+        try:
+            await _wait_ready(striker.system)
+        except AssertionError as error:
+            striker.failures.append(f'a front ended by itself: {error}')
         last = await _last_requests(striker.system, seed)
         for task in asking:
             task.cancel()
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -86,7 +86,8 @@
         """Wait until the front says that it is ready."""
         async with asyncio.timeout(START_SECONDS):
             while not await self.is_ready():
-                assert self.program.process.returncode is None
+                code = self.program.process.returncode
+                assert code is None, '\n'.join(self.program.lines[-5:])
                 await asyncio.sleep(0.05)
 
 
