--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 TEST_PROCESSES ?= 4
 # Seeds of a soak by hand, as 7 or 1-50.
 SEEDS ?= 1-50
-.PHONY: test lint demo soak
+EXPERIMENT ?= benchmarks/experiments/stragglers.toml
+.PHONY: test lint demo soak bench
 
 $(VENV)/.ready: constraints.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -23,5 +24,8 @@
 soak: $(VENV)/.ready
 	$(BIN)/python -m tests.soak --seeds $(SEEDS)
 
+bench: $(VENV)/.ready
+	$(BIN)/python -m benchmarks.experiment $(EXPERIMENT)
+
 demo: $(VENV)/.ready
 	$(BIN)/python -m tests.demo
--- a/benchmarks/emulator/_experiments.py
+++ b/benchmarks/emulator/_experiments.py
@@ -5,24 +5,36 @@
 from typing import Any
 
 import attrs
-from attrs import validators
 
-_POSITIVE = validators.gt(0)
-_SHARE = (validators.ge(0), validators.le(1))
 #: What strikes a share of the replicas: they take `factor` times as long,
 #: answer nothing, or refuse.
 FAULT_KINDS = ('slow', 'silent', 'full')
 
 
+def _check_positive(_: object, field: Any, number: Any) -> None:
+    if number <= 0:
+        raise ValueError(f'{field.name} must be above 0, not {number}')
+
+
+def _check_not_negative(_: object, field: Any, number: Any) -> None:
+    if number < 0:
+        raise ValueError(f'{field.name} must not be below 0, not {number}')
+
+
+def _check_share(_: object, field: Any, number: Any) -> None:
+    if number < 0 or number > 1:
+        raise ValueError(f'{field.name} must be from 0 to 1, not {number}')
+
+
 @attrs.frozen(kw_only=True)
 class Fault:
     """Hold one fault of a share of the replicas."""
 
-    kind: str = attrs.field(validator=validators.in_(FAULT_KINDS))
-    at_seconds: float = attrs.field(validator=validators.ge(0))
-    for_seconds: float = attrs.field(validator=_POSITIVE)
-    share: float = attrs.field(validator=_SHARE)
-    factor: float = attrs.field(default=1, validator=_POSITIVE)
+    kind: str = attrs.field(validator=attrs.validators.in_(FAULT_KINDS))
+    at_seconds: float = attrs.field(validator=_check_not_negative)
+    for_seconds: float = attrs.field(validator=_check_positive)
+    share: float = attrs.field(validator=_check_share)
+    factor: float = attrs.field(default=1, validator=_check_positive)
 
 
 @attrs.frozen(kw_only=True)
@@ -31,29 +43,35 @@
 
     name: str
     seed: int
-    seconds: float = attrs.field(validator=_POSITIVE)
-    fronts: int = attrs.field(validator=_POSITIVE)
-    failure_domains: int = attrs.field(validator=_POSITIVE)
-    shards: int = attrs.field(validator=_POSITIVE)
-    replicas: int = attrs.field(validator=_POSITIVE)
-    slots: int = attrs.field(validator=_POSITIVE)
+    seconds: float = attrs.field(validator=_check_positive)
+    fronts: int = attrs.field(validator=_check_positive)
+    failure_domains: int = attrs.field(validator=_check_positive)
+    shards: int = attrs.field(validator=_check_positive)
+    replicas: int = attrs.field(validator=_check_positive)
+    slots: int = attrs.field(validator=_check_positive)
     #: Requests that wait at a replica beyond its slots.
-    queue: int = attrs.field(validator=validators.ge(0))
+    queue: int = attrs.field(validator=_check_not_negative)
     #: Connections that a replica accepts from all fronts.
-    connections: int = attrs.field(validator=_POSITIVE)
-    searches_per_second: float = attrs.field(validator=_POSITIVE)
-    work_ms: float = attrs.field(validator=_POSITIVE)
+    connections: int = attrs.field(validator=_check_positive)
+    searches_per_second: float = attrs.field(validator=_check_positive)
+    work_ms: float = attrs.field(validator=_check_positive)
     #: Standard deviation of the logarithm of the work.
-    work_spread: float = attrs.field(default=0.35, validator=validators.ge(0))
-    pause_ms: float = attrs.field(default=0, validator=validators.ge(0))
-    pause_every_seconds: float = attrs.field(default=4, validator=_POSITIVE)
-    cross_domain_ms: float = attrs.field(default=3, validator=validators.ge(0))
-    connect_ms: float = attrs.field(default=6, validator=validators.ge(0))
-    target_ms: float = attrs.field(validator=_POSITIVE)
-    timeout_ms: float = attrs.field(validator=_POSITIVE)
-    min_share: float = attrs.field(default=0.9, validator=_SHARE)
-    budget_ratio: float = attrs.field(default=0.2, validator=_SHARE)
-    budget_slack: float = attrs.field(default=50, validator=validators.ge(0))
+    work_spread: float = attrs.field(
+        default=0.35, validator=_check_not_negative
+    )
+    pause_ms: float = attrs.field(default=0, validator=_check_not_negative)
+    pause_every_seconds: float = attrs.field(
+        default=4, validator=_check_positive
+    )
+    cross_domain_ms: float = attrs.field(
+        default=3, validator=_check_not_negative
+    )
+    connect_ms: float = attrs.field(default=6, validator=_check_not_negative)
+    target_ms: float = attrs.field(validator=_check_positive)
+    timeout_ms: float = attrs.field(validator=_check_positive)
+    min_share: float = attrs.field(default=0.9, validator=_check_share)
+    budget_ratio: float = attrs.field(default=0.2, validator=_check_share)
+    budget_slack: float = attrs.field(default=50, validator=_check_not_negative)
     faults: tuple[Fault, ...] = ()
 
 
--- a/benchmarks/emulator/_loops.py
+++ b/benchmarks/emulator/_loops.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-_Result = TypeVar('_Result')
+_Outcome = TypeVar('_Outcome')
 
 
 class _Clock:
@@ -43,7 +43,7 @@
         return self._virtual.now_seconds
 
 
-def run_virtually(main: Coroutine[Any, Any, _Result]) -> _Result:
+def run_virtually(main: Coroutine[Any, Any, _Outcome]) -> _Outcome:
     """Run a coroutine on a loop of its own."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(main)
--- a/benchmarks/emulator/_replicas.py
+++ b/benchmarks/emulator/_replicas.py
@@ -1,11 +1,13 @@
 """Emulate replicas: slots, a queue, pauses, and faults by schedule."""
 
 import asyncio
+import contextlib
 import random
 
 import attrs
 
 from benchmarks.emulator._experiments import Experiment, Fault
+from dragonflyramp.callers._fronts import Running
 from dragonflyramp.messages import Load, Reply, Request
 
 _OK = 200
@@ -23,8 +25,8 @@
     faults: list[Fault] = attrs.field(factory=list)
     #: Requests that arrived, with those that were refused.
     arrivals: int = 0
-    running: int = 0
-    waiting: int = 0
+    running: Running = attrs.field(factory=Running)
+    waiting: Running = attrs.field(factory=Running)
     _pause_phase_seconds: float = attrs.field(init=False)
     _slots: asyncio.Semaphore = attrs.field(init=False)
 
@@ -37,20 +39,15 @@
     async def serve(self, request: Request) -> Reply:
         """Answer a request after its work, or refuse it."""
         self.arrivals += 1
-        is_full = self.waiting >= self.experiment.queue and self._slots.locked()
+        is_queue_full = self.waiting.count >= self.experiment.queue
+        is_full = is_queue_full and self._slots.locked()
         if is_full or self._find('full') is not None:
             return self._reply(request, _FULL)
-        self.waiting += 1
-        try:
+        with self.waiting:
             await self._slots.acquire()
-        finally:  # noqa: WPS501 - a caller that leaves waits no longer
-            self.waiting -= 1
-        self.running += 1
-        try:
+        with self.running, contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._slots.release)
             await self._work()
-        finally:  # noqa: WPS501 - as above
-            self.running -= 1
-            self._slots.release()
         return self._reply(request, _OK)
 
     async def connect(self) -> None:
@@ -92,5 +89,7 @@
             stamp=f'{self.replica_id}.1',
             request_id=request.request_id,
             is_not_run=status == _FULL,
-            load=Load(self.running, self.waiting, self.experiment.slots),
+            load=Load(
+                self.running.count, self.waiting.count, self.experiment.slots
+            ),
         )
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -19,6 +19,9 @@
 )
 
 _QUANTILES = (50, 99, 99.9)
+_ALL_PERCENT = 100
+#: Points of the drawing: the share of the searches that took longer.
+_SLOWER_PERCENT = (100, 70, 40, 20, 10, 4, 2, 1, 0.4, 0.1)
 _HEAD = 'policy        searches  p50 ms  p99 ms  p99.9  in target  worth  extra'
 
 
@@ -72,16 +75,14 @@
 
     figure, axes = pyplot.subplots()
     for name, outcome in outcomes.items():
-        points = list(outcome.latencies.get_percentile_iterator(5))
-        axes.plot(
-            [point.value_iterated_to for point in points],
-            [100 - point.percentile_level_iterated_to for point in points],
-            label=name,
-        )
+        latencies_ms = [
+            outcome.latencies.get_value_at_percentile(_ALL_PERCENT - slower)
+            for slower in _SLOWER_PERCENT
+        ]
+        axes.semilogy(latencies_ms, _SLOWER_PERCENT, label=name)
     axes.axvline(experiment.target_ms, linestyle=':')
     axes.set_xlabel('latency, ms')
     axes.set_ylabel('searches that took longer, %')
-    axes.set_yscale('log')
     axes.legend()
     figure.savefig(path)
 
