Open connections to new shards before a search needs them

Change: when a table names shards, a front opens one connection to the nearest replica of each, twelve at a time.

--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -15,6 +15,7 @@
 _sends            one request on its way, and how it ends
 _attempts         the sends of one fetch, and what they say of its end
 _shares           what of a replica's bounds is this daemon's
+_warming          connections to shards that searches will need
 _senders          when a fetch sends, hedges and sends again
 _codecs           what encodes and decodes for a connection
 _asks             what the tier is asked and answers
@@ -42,6 +43,7 @@
     connection_share,
 )
 from dragonflyramp.backends._tiers import Policies, Tier
+from dragonflyramp.backends._warming import Warming
 
 __all__ = (
     'Ask',
@@ -69,6 +71,7 @@
     'RouteLatencies',
     'SendRecord',
     'Tier',
+    'Warming',
     'cold_share',
     'connection_share',
     'take_slow',
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -162,6 +162,10 @@
 
     async def _serve(self) -> None:
         is_open = await self._wire.open()
+        if self._inbox.empty():
+            if not is_open:
+                return
+            self._hooks.on_idle(self)
         send = await self._inbox.get()
         while send is not None:
             outcome = Outcome(Ending.unreachable)
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -153,23 +153,19 @@
         if entry is not None:
             self._add(entry, now_seconds)
 
-    def take_slow(self, slow: Mapping[str, float], now_seconds: float) -> None:
-        """Take over which replicas are slow, as other daemons see it."""
-        for replica_id, ratio in slow.items():
-            replica = self._by_id.get(replica_id)
-            if replica is not None:
-                replica.pace.note_told(ratio, now_seconds)
-
     def all_replicas(self) -> Mapping[str, Replica]:
         """Give the replicas of all services by id."""
         return MappingProxyType(self._by_id)
 
+    def of_service(self, service: str) -> Mapping[str, Replica]:
+        """Give the replicas of one service by id."""
+        return self._services.get(service, _NO_REPLICAS)
+
     def usable(self, service: str) -> list[Replica]:
         """List the replicas that are ready and in no held domain."""
-        replicas = self._services.get(service, _NO_REPLICAS).values()
         return [
             one
-            for one in replicas
+            for one in self.of_service(service).values()
             if one.is_ready
             and one.entry.failure_domain not in self.held_domains
         ]
@@ -178,7 +174,7 @@
         self, policy: ServicePolicy, peers: Peers, now_seconds: float
     ) -> list[Replica]:
         """List the usable replicas that have room for a send now."""
-        replicas = self._services.get(policy.name, _NO_REPLICAS)
+        replicas = self.of_service(policy.name)
         places = self.order.places(policy.name, replicas)
         _share_connections(policy, replicas, places, peers.counted())
         return [
@@ -267,3 +263,10 @@
             len(replicas),
             places[replica_id],
         )
+
+
+def nearest(fleet: Fleet, service: str) -> Replica | None:
+    """Give the usable replica that comes first in this daemon's order."""
+    usable = {one.entry.replica_id: one for one in fleet.usable(service)}
+    places = fleet.order.places(service, fleet.of_service(service))
+    return next((usable[one] for one in places if one in usable), None)
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -189,16 +189,19 @@
 
     def take(self, send: Send, now_seconds: float) -> Connection:
         """Make a send on an idle connection or a new one."""
-        if self.has_idle(now_seconds):
-            connection = self._idle.pop()
-        else:
-            hooks = ConnectionHooks(on_idle=self._keep, on_end=self._forget)
-            connection = self._make(self.address, hooks)
-            self._open.add(connection)
-            self._tasks.start(connection.run(), 'connection')
+        is_idle = self.has_idle(now_seconds)
+        connection = self._idle.pop() if is_idle else self.open()
         connection.take(send)
         return connection
 
+    def open(self) -> Connection:
+        """Open one more connection; it is kept for a later send."""
+        hooks = ConnectionHooks(on_idle=self._keep, on_end=self._forget)
+        connection = self._make(self.address, hooks)
+        self._open.add(connection)
+        self._tasks.start(connection.run(), 'connection')
+        return connection
+
     def retire(self) -> None:
         """Close the idle connections; busy ones end their send."""
         for connection in self._idle:
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -1,5 +1,6 @@
 """Define the routing table: which service answers which request."""
 
+import itertools
 from collections.abc import Mapping
 
 import attrs
@@ -87,6 +88,12 @@
                 return route
         return None
 
+    def searched_shards(self) -> tuple[str, ...]:
+        """Name the shards of all searches, each once."""
+        gathers = (route.gather for route in self.routes)
+        shards = (gather.shards for gather in gathers if gather is not None)
+        return tuple(dict.fromkeys(itertools.chain.from_iterable(shards)))
+
     def named(self, name: str) -> Route | None:
         """Find a route by its name."""
         for route in self.routes:
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -15,6 +15,7 @@
     Fleet,
     ReplicaOrder,
     Tier,
+    Warming,
     take_slow,
 )
 from dragonflyramp.callers import Claims, Front, OwnInterface, OwnServer
@@ -62,6 +63,7 @@
     registry: Registry
     knowledge: Knowledge
     watches: tuple[Watch, ...]
+    warming: Warming
     connections: TaskSet
 
     async def listen(self) -> dict[str, str]:
@@ -86,6 +88,7 @@
             self.registry.run(),
             self.members.run(),
             self.knowledge.run(),
+            self.warming.run(),
             *(watch.run() for watch in self.watches),
         )
 
@@ -152,6 +155,13 @@
         ),
         knowledge=knowledge,
         watches=_create_watches(store, book, spread),
+        warming=Warming(
+            knowledge.fleet,
+            lambda: (
+                knowledge.table.searched_shards() if knowledge.table else ()
+            ),
+            _CLOCK,
+        ),
         connections=connections,
     )
 
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -12,7 +12,9 @@
     Policies,
     QuantileHedging,
     RouteLatencies,
+    Warming,
 )
+from dragonflyramp.backends._fleets import nearest
 from dragonflyramp.callers import Gathered, Refusal, Relayed
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import Gather, WeightedService
@@ -51,6 +53,23 @@
         assert answer.missing == 0
 
 
+async def test_connections_open_before_a_search() -> None:
+    """The first search after a repartition must not wait for connections."""
+    async with world(_SEARCH) as made:
+        fleet = made.front.tier.fleet
+        warming = Warming(fleet, _SEARCH.searched_shards, made.front.clock)
+        warming.step(made.front.clock())
+        near = [nearest(fleet, shard) for shard in _SHARDS]
+        await eventually(
+            lambda: all(
+                one is not None and one.connections.has_idle(made.front.clock())
+                for one in near
+            )
+        )
+        warming.step(made.front.clock())
+        assert sum(one.connections for one in made.all_servers()) == 4
+
+
 async def test_each_shard_is_asked_once() -> None:
     """Extra load on replicas comes only from failures and late parts."""
     async with world(_SEARCH) as made:
