Check views under answers that overtake one another, and fuzz the decoders

A model of the store and three daemons takes seeded random steps: changes, lists, stale lists, watches, questions whose answers arrive in any order, restarts.

--- /dev/null
+++ b/tests/test_fuzzing.py
@@ -0,0 +1,210 @@
+"""Feed decoders with anything, and check the views under interleavings."""
+
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyramp.members import Book, Census, Daemon, Roster
+from dragonflyramp.members._books import Answer, encode_answer
+from dragonflyramp.members._links_grpc import (
+    _decode_answer,
+    _decode_question,
+    _pack,
+)
+from dragonflyramp.paces import PaceBoard
+from dragonflyramp.platform import StoreDecoder, decode_settings
+from dragonflyramp.replicas import ReplicaEntry
+from dragonflyramp.views import Change, Changes, Listing, View
+
+_KIND = 'servers'
+_Stored = dict[str, dict[str, int]]
+_NAMES = ('a', 'b', 'c', 'd')
+_BOOKS = 3
+_STEPS = 400
+_REMOVALS = 0.3
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=12,
+)
+_settings = settings(derandomize=True, max_examples=200, deadline=None)
+
+
+@_settings
+@given(st.binary() | _json.map(lambda found: json.dumps(found).encode()))
+def test_members_survive_any_message(body: bytes) -> None:
+    """A message that cannot be read must not end the task of a link."""
+    assert _decode_question(body) is None
+    assert _decode_answer(body) is None
+
+
+@_settings
+@given(st.dictionaries(st.sampled_from(('sender', 'told', 'wait')), _json))
+def test_members_survive_half_messages(fields: dict[str, Any]) -> None:
+    """Fields of another type must not end the task of a link."""
+    assert _decode_question(_pack(fields)) is None
+    assert _decode_answer(_pack(fields)) is None
+
+
+_ENTRY_FIELDS = (
+    'service',
+    'address',
+    'zone',
+    'state',
+    'slots',
+    'warmup_left_ms',
+    'sequence',
+    'born',
+)
+
+
+@_settings
+@given(st.dictionaries(st.sampled_from(_ENTRY_FIELDS), _json))
+def test_any_entry_decodes_or_names_no_replica(spec: dict[str, Any]) -> None:
+    """An entry of another writer must not end the watch of all entries."""
+    entry = StoreDecoder().entry({'meta': {'name': 'x'}, 'spec': spec})
+    assert entry is None or isinstance(entry, ReplicaEntry)
+
+
+@_settings
+@given(_json)
+def test_any_settings_file_gets_a_sentence(found: object) -> None:
+    """A spoiled file at a reload must not end the front."""
+    decoded = decode_settings(json.dumps(found))
+    assert 'settings file' in decoded.failure()
+
+
+def _book(name: str) -> Book:
+    return Book(
+        Roster(Census(Daemon(name, f'{name}:1', 'z'))),
+        {_KIND: View(_KIND)},
+        lambda kind, names: None,
+        PaceBoard(lambda slow, now_seconds: None),
+    )
+
+
+class _Model:  # noqa: WPS230 - the state of the whole model
+    """Let answers between daemons arrive late and out of order.
+
+    Whatever the order, a view must hold what the store held at the view's
+    revision, and must never go back.
+    """
+
+    def __init__(self) -> None:
+        """Start with an empty store and views that know nothing."""
+        self.revision = 1
+        self.stored: _Stored = {}
+        self.history: dict[int, _Stored] = {1: {}}
+        self.events: list[tuple[int, Change]] = []
+        self.books = [_book(f'd{index}') for index in range(_BOOKS)]
+        #: The highest revision of each view so far.
+        self.highest = [0 for _ in self.books]
+        self.on_their_way: list[tuple[Book, Answer]] = []
+
+    def change(self, name: str, *, is_removal: bool) -> None:
+        """Change the store."""
+        self.revision += 1
+        fields = None if is_removal else {'at': self.revision}
+        if fields is None:
+            self.stored.pop(name, None)
+        else:
+            self.stored[name] = fields
+        self.events.append((self.revision, Change(name, fields)))
+        self.history[self.revision] = dict(self.stored)
+
+    def change_another_kind(self) -> None:
+        """Raise the store's revision without a change of this kind."""
+        self.revision += 1
+        self.history[self.revision] = dict(self.stored)
+
+    def list_all(self, index: int) -> None:
+        """Let a daemon list."""
+        view = self.books[index].views[_KIND]
+        view.replace(Listing(self.revision, dict(self.stored)), 1)
+
+    def list_stale(self, index: int, back: int) -> None:
+        """Let a daemon that knows nothing list what is some changes old."""
+        view = self.books[index].views[_KIND]
+        if not view.revision:
+            revision = max(1, self.revision - back)
+            view.replace(Listing(revision, dict(self.history[revision])), 1)
+
+    def watch(self, index: int) -> None:
+        """Let the watch of a daemon return."""
+        view = self.books[index].views[_KIND]
+        if view.revision:
+            after = view.revision
+            missed = [one for at, one in self.events if at > after]
+            view.apply(Changes(self.revision, tuple(missed)), 1)
+
+    def ask(self, asker: int, asked: int) -> None:
+        """Let one daemon ask another; the answer is on its way."""
+        question = self.books[asker].question()
+        answer = self.books[asked].answer(question, 1)
+        packed = _decode_answer(_pack(encode_answer(answer)))
+        assert packed is not None
+        self.on_their_way.append((self.books[asker], packed))
+
+    def arrive(self, number: int) -> None:
+        """Let any answer arrive."""
+        if not self.on_their_way:
+            return
+        chosen = number % len(self.on_their_way)
+        book, answer = self.on_their_way.pop(chosen)
+        book.take(answer, 1)
+
+    def restart(self, index: int) -> None:
+        """Let a daemon start again; answers to the old one are lost."""
+        old = self.books[index]
+        self.on_their_way = [
+            (book, answer)
+            for book, answer in self.on_their_way
+            if book is not old
+        ]
+        self.books[index] = _book(f'd{index}')
+        self.highest[index] = 0
+
+    def views_hold_what_the_store_held(self) -> None:
+        """Compare each view with the store at the view's revision."""
+        for index, book in enumerate(self.books):
+            view = book.views[_KIND]
+            assert view.revision >= self.highest[index]
+            self.highest[index] = view.revision
+            if view.revision:
+                assert view.stored == self.history[view.revision]
+
+
+def _step(model: _Model, rng: random.Random) -> None:
+    """Make one step; answers arrive about as often as they are sent."""
+    index = rng.randrange(_BOOKS)
+    steps: dict[Callable[[], None], int] = {
+        lambda: model.change(
+            rng.choice(_NAMES), is_removal=rng.random() < _REMOVALS
+        ): 4,
+        model.change_another_kind: 2,
+        lambda: model.list_all(index): 1,
+        lambda: model.list_stale(index, rng.randrange(5)): 1,
+        lambda: model.watch(index): 3,
+        lambda: model.ask(index, rng.randrange(_BOOKS)): 6,
+        lambda: model.arrive(rng.randrange(50)): 6,
+        lambda: model.restart(index): 1,
+    }
+    chosen = rng.choices(tuple(steps), weights=tuple(steps.values()))
+    chosen[0]()
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_views_hold_what_the_store_held(seed: int) -> None:
+    """Answers that overtake one another must not spoil or undo a view."""
+    rng = random.Random(seed)
+    model = _Model()
+    for _ in range(_STEPS):
+        _step(model, rng)
+        model.views_hold_what_the_store_held()
