--- a/dragonflyramp/backends/_warming.py
+++ b/dragonflyramp/backends/_warming.py
@@ -40,6 +40,8 @@
         found = (nearest(self._fleet, shard) for shard in self._shards())
         replicas = [one for one in found if one is not None]
         new = [one for one in replicas if self._is_new(one, now_seconds)]
+        if new:
+            self._warmed &= self._fleet.all_replicas().keys()
         for replica in new[:_AT_A_TIME]:
             self._warmed.add(replica.entry.replica_id)
             replica.connections.open()
--- a/dragonflyramp/members/_rosters.py
+++ b/dragonflyramp/members/_rosters.py
@@ -17,8 +17,8 @@
 _WAIT_SECONDS = 1.0
 #: The other hubs are asked less often; they matter when the first is silent.
 _BACKUP_WAIT_SECONDS = 2.0
-#: More daemons wait longer, so that a hub answers at most so many questions a
-#: second of those that ask it first, and of the others.
+#: More daemons wait longer, so that all together ask their first hubs, and
+#: each other hub, at most so often a second.
 _QUESTIONS_PER_SECOND = 100
 _BACKUP_QUESTIONS_PER_SECOND = 40
 #: An answer may take this much longer before a daemon counts as cut off.
--- a/dragonflyramp/paces.py
+++ b/dragonflyramp/paces.py
@@ -18,6 +18,10 @@
 _SLOW_RATIO = 2
 #: Tallies that are neither slow nor nearly so are not worth their bytes.
 _TELLING_RATIO = 1.4
+#: A hub with many askers tells the same tallies for this long.
+_SAME_SECONDS = 0.25
+#: A daemon that asks nobody drops its samples at this number of replicas.
+_MOST_FRESH = 4096
 
 
 @attrs.frozen
@@ -61,10 +65,15 @@
     _local: dict[str, Tally] = attrs.field(factory=dict)
     #: What each hub told last, by its name.
     _told: dict[str, Tallies] = attrs.field(factory=dict)
+    _telling: Tallies = attrs.field(factory=dict)
+    _telling_seconds: float = -math.inf
 
     def note(self, replica_id: str, ratio: float, now_seconds: float) -> None:
         """Add a sample of this daemon's own sends."""
         sample = Tally(1, ratio, now_seconds)
+        if len(self._fresh) >= _MOST_FRESH:
+            self._fresh = {}
+            self._late(now_seconds)
         _add(self._fresh, replica_id, sample)
         _add(self._local, replica_id, sample)
 
@@ -85,6 +94,27 @@
 
     def local(self, now_seconds: float) -> Tallies:
         """Give what was heard here and tells of a slow replica."""
+        if now_seconds - self._telling_seconds >= _SAME_SECONDS:
+            self._telling_seconds = now_seconds
+            self._telling = self._late(now_seconds)
+        return self._telling
+
+    def take_told(
+        self, hub_name: str, tallies: Tallies, now_seconds: float
+    ) -> None:
+        """Take over what a hub tells, and name the slow replicas."""
+        self._told[hub_name] = {
+            replica_id: attrs.evolve(tally, at_seconds=now_seconds)
+            for replica_id, tally in tallies.items()
+        }
+        # Forgets what is old, also at a daemon that nobody asks.
+        self.local(now_seconds)
+        slow = self._slow(tallies, now_seconds)
+        if slow:
+            self.on_slow(slow, now_seconds)
+
+    def _late(self, now_seconds: float) -> Tallies:
+        """Let all tallies fade, and pick those worth telling."""
         faded = {
             replica_id: tally.faded(now_seconds)
             for replica_id, tally in self._local.items()
@@ -100,18 +130,6 @@
             if tally.ratio > _TELLING_RATIO
         }
 
-    def take_told(
-        self, hub_name: str, tallies: Tallies, now_seconds: float
-    ) -> None:
-        """Take over what a hub tells, and name the slow replicas."""
-        self._told[hub_name] = {
-            replica_id: attrs.evolve(tally, at_seconds=now_seconds)
-            for replica_id, tally in tallies.items()
-        }
-        slow = self._slow(tallies, now_seconds)
-        if slow:
-            self.on_slow(slow, now_seconds)
-
     def _slow(
         self, replica_ids: Iterable[str], now_seconds: float
     ) -> dict[str, float]:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -369,6 +369,15 @@
     assert not board.local(1010)
 
 
+def test_pace_board_stays_small() -> None:
+    """A daemon that asks nobody must not keep samples for ever."""
+    board = PaceBoard(lambda slow, now_seconds: None)
+    for number in range(5000):
+        board.note(f'i-{number}', 1, 1000 + number)
+    assert len(board.take_fresh()) < 4097
+    assert not board.local(10000)
+
+
 def test_own_samples_go_before_what_others_tell() -> None:
     """A replica may be slow for other failure domains only."""
     replica = _replica()
