--- a/dragonflyramp/members/_watches.py
+++ b/dragonflyramp/members/_watches.py
@@ -72,7 +72,7 @@
     store: WatchedStore
     view: View
     roster: Roster
-    #: Called with the names that changed and whether the store told it.
+    #: Called with the kind and the names that changed.
     on_change: Callable[[str, set[str]], None]
     clock: Callable[[], float]
     rng: random.Random
