--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -11,10 +11,12 @@
 import aiohttp
 import pytest
 
+from dragonflyramp import operators
 from dragonflyramp.tools import front as front_tool
 from tests.programs import Program
 from tests.standins.replicas import ReplicaServer
 from tests.standins.stores import StoreFaults
+from tests.standins.waits import eventually
 from tests.systems import (
     HOST,
     RECORD,
@@ -253,3 +255,39 @@
     assert await program.wait() == 2
     assert len(program.lines) == 1
     assert '/nowhere cannot be read' in program.lines[0]
+
+
+@pytest.mark.parametrize(
+    ('path', 'service', 'fault', 'expected'),
+    [
+        ('/nowhere/x', '', '', 'unknown_service'),
+        (
+            '/order/x',
+            'lookup',
+            'lost',
+            'The connection to the backend server was reset',
+        ),
+        ('/search/x', 'shard-b', 'hung', 'were not in when the answer was due'),
+    ],
+)
+async def test_logs_explain_a_failed_request(
+    tmp_path: pathlib.Path,
+    session: aiohttp.ClientSession,
+    path: str,
+    service: str,
+    fault: str,
+    expected: str,
+) -> None:
+    """An engineer has only the log lines of the fronts to find the cause."""
+    async with system(tmp_path) as running:
+        for server in running.replicas.get(service, ()):
+            setattr(server.faults, fault, 9)
+        front = running.fronts[0]
+        await call(session, front, path, 'q1', method='POST')
+        lines = front.program.lines
+        await eventually(lambda: any('"q1"' in line for line in lines))
+        story = operators.explain_request(
+            'q1', operators.read_log('front', lines)
+        )
+        assert expected in '\n'.join(story)
+        assert 'version 1 in force' in '\n'.join(story)
