--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import hashlib
 from collections.abc import Mapping
 from types import MappingProxyType
 
@@ -13,6 +12,7 @@
 from dragonflyramp.backends._connections_http import ConnectionFactory
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.backends._shares import Peers, cold_share, connection_share
+from dragonflyramp.places import place_hash
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
@@ -98,12 +98,8 @@
 
     def _key(self, replica: Replica) -> tuple[bool, bytes]:
         entry = replica.entry
-        digest = hashlib.blake2b(
-            entry.replica_id.encode(),
-            digest_size=8,
-            key=self.daemon_name.encode()[: hashlib.blake2b.MAX_KEY_SIZE],
-        )
-        return entry.failure_domain != self.failure_domain, digest.digest()
+        is_far = entry.failure_domain != self.failure_domain
+        return is_far, place_hash(self.daemon_name, entry.replica_id)
 
 
 @attrs.define(eq=False)
--- a/dragonflyramp/members/_censuses.py
+++ b/dragonflyramp/members/_censuses.py
@@ -1,10 +1,10 @@
 """Know which daemons there are."""
 
-import hashlib
 from collections.abc import Mapping
 
 import attrs
 
+from dragonflyramp.places import place_hash
 from dragonflyramp.views import Fields
 
 #: A daemon that asked or answered may be sending for this long at least.
@@ -94,16 +94,6 @@
         self._ranked = []
 
 
-def place_hash(key: str, name: str) -> bytes:
-    """Hash a name for an order that differs from key to key."""
-    digest = hashlib.blake2b(
-        name.encode(),
-        digest_size=8,
-        key=key.encode()[: hashlib.blake2b.MAX_KEY_SIZE],
-    )
-    return digest.digest()
-
-
 def _decode(stored: tuple[str, Fields]) -> Daemon | None:
     name, fields = stored
     spec = fields.get('spec')
--- a/dragonflyramp/members/_rosters.py
+++ b/dragonflyramp/members/_rosters.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from dragonflyramp.members._censuses import Census, Daemon, place_hash
+from dragonflyramp.members._censuses import Census, Daemon
+from dragonflyramp.places import place_hash
 
 #: A store that turns away a third of the daemons, or the loss of a failure
 #: domain, leaves one of four hubs in different domains. Each event ends one
