Name what is left of a cold start in the product's words

warmup_left_ms is the platform's field; the product calls such a replica cold. The decoded warmup_s of a service was read by nothing and goes.

--- a/dragonflyramp/platform/_configs.py
+++ b/dragonflyramp/platform/_configs.py
@@ -99,7 +99,6 @@
     return ServicePolicy(
         name=_text(fields['name']),
         max_connections=int(fields.get('max_conns') or 1),
-        warmup_seconds=float(fields.get('warmup_s') or 0),
         cold_per_second=float(fields.get('warmup_per_s') or 0),
     )
 
@@ -117,7 +116,7 @@
         failure_domain=_text(spec['zone']),
         state=ReplicaState(spec['state']),
         slots=max(1, _whole(spec.get('slots', 1))),
-        warmup_left_ms=float(spec.get('warmup_left_ms', 0)),
+        cold_left_ms=float(spec.get('warmup_left_ms', 0)),
         born_ms=_whole(born_ms),
     )
 
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -56,8 +56,6 @@
     name: str
     #: Connections that a replica accepts from all daemons together.
     max_connections: int
-    #: How long a replica stays cold after its start.
-    warmup_seconds: float = 0
     #: Requests that a cold replica bears; 0 when the operators give no figure.
     cold_per_second: float = 0
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -37,7 +37,7 @@
 
 
 def _replica(
-    name: str = 'r', domain: str = 'recife', *, warmup_left_ms: float = 0
+    name: str = 'r', domain: str = 'recife', *, cold_left_ms: float = 0
 ) -> Replica:
     return Replica(
         entry=ReplicaEntry(
@@ -48,7 +48,7 @@
             state=ReplicaState.ready,
             slots=3,
         ),
-        warm_seconds=1000 + warmup_left_ms / 1000,
+        warm_seconds=1000 + cold_left_ms / 1000,
         connections=ConnectionPool(
             '127.0.0.1:1',
             lambda address, hooks: pytest.fail('nothing is opened'),
@@ -99,7 +99,7 @@
 
 def test_cold_replica_is_avoided() -> None:
     """A cold replica is slow and fragile."""
-    cold = _replica('cold', warmup_left_ms=2000)
+    cold = _replica('cold', cold_left_ms=2000)
     assert _pick(cold, _replica('warm', 'natal')) == 'warm'
 
 
@@ -287,7 +287,7 @@
 
 def test_cold_gate_shares_the_bound() -> None:
     """All daemons together stay below what a cold replica bears."""
-    cold = _replica(warmup_left_ms=5000)
+    cold = _replica(cold_left_ms=5000)
     policy = ServicePolicy(name='a', max_connections=9, cold_per_second=10)
     gate = ColdGate(slack=4, overshoot=1)
     sent = 0
@@ -301,7 +301,7 @@
 
 def test_few_of_many_daemons_send_to_cold_ones() -> None:
     """A request a second from each of many daemons is too much for it."""
-    cold = _replica(warmup_left_ms=5000)
+    cold = _replica(cold_left_ms=5000)
     policy = ServicePolicy(name='a', max_connections=9, cold_per_second=10)
     gate = ColdGate(slack=4, overshoot=1)
     allowed = sum(
