Pass the time of a command on as a value

Operator held a clock that the deciding code called; the command reads the clock once now. A change that is repeated because another one overtook it records when the operator gave the command. The decoder names the kind of holds in the product's words.

--- a/dragonflyramp/knowledge.py
+++ b/dragonflyramp/knowledge.py
@@ -28,12 +28,12 @@
 
     config_kind: str
     entries_kind: str
-    evacuations_kind: str
+    holds_kind: str
 
     @property
     def kinds(self) -> tuple[str, ...]:
         """List all kinds that are watched."""
-        return (self.config_kind, self.evacuations_kind, self.entries_kind)
+        return (self.config_kind, self.holds_kind, self.entries_kind)
 
     def table(self, stored: Mapping[str, Fields]) -> RoutingTable | None:
         """Decode the newest configuration."""
@@ -68,7 +68,7 @@
         """Take over the named objects of a view that changed."""
         if kind == self.decoder.config_kind:
             self._take_table()
-        if kind == self.decoder.evacuations_kind:
+        if kind == self.decoder.holds_kind:
             held = self.decoder.held(self.views[kind].stored)
             _hold_domains(self.fleet, held)
         elif kind == self.decoder.entries_kind:
--- a/dragonflyramp/operators/_commands.py
+++ b/dragonflyramp/operators/_commands.py
@@ -44,7 +44,7 @@
         base=based.base if request.base is None else request.base,
         write_id=operator.new_write_id(),
         author=operator.author,
-        at=operator.now(),
+        at=operator.at,
         note=request.note,
         released=request.released,
     )
--- a/dragonflyramp/operators/_zones.py
+++ b/dragonflyramp/operators/_zones.py
@@ -30,8 +30,8 @@
     """Name the operator and give what a change records."""
 
     author: str
-    #: The time in ISO 8601.
-    now: Callable[[], str]
+    #: When the operator gave the command, in ISO 8601.
+    at: str
     new_write_id: Callable[[], str]
 
 
@@ -123,7 +123,7 @@
         base=found.stored.number,
         write_id=operator.new_write_id(),
         author=operator.author,
-        at=operator.now(),
+        at=operator.at,
         note=change.note,
         released=change.released,
     )
@@ -167,7 +167,7 @@
             name=self.request.name,
             kind=kind,
             by=self.operator.author,
-            at=self.operator.now(),
+            at=self.operator.at,
             reason=self.request.reason,
             confirm_dark=self.request.confirm_dark,
         )
--- a/dragonflyramp/platform/_configs.py
+++ b/dragonflyramp/platform/_configs.py
@@ -140,7 +140,7 @@
 
     config_kind: str = CONFIG_KIND
     entries_kind: str = ENTRIES_KIND
-    evacuations_kind: str = EVACUATIONS_KIND
+    holds_kind: str = EVACUATIONS_KIND
 
     def table(self, stored: Mapping[str, Fields]) -> RoutingTable | None:
         """Decode the one object that holds the configuration."""
--- a/dragonflyramp/tools/_gauges.py
+++ b/dragonflyramp/tools/_gauges.py
@@ -18,7 +18,7 @@
     for name, kind in (
         ('configuration', decoder.config_kind),
         ('entries', decoder.entries_kind),
-        ('holds', decoder.evacuations_kind),
+        ('holds', decoder.holds_kind),
         ('daemons', DAEMONS_KIND),
     ):
         view = knowledge.views[kind]
--- a/dragonflyramp/tools/_operator_sessions.py
+++ b/dragonflyramp/tools/_operator_sessions.py
@@ -25,15 +25,13 @@
         yield operators.Pusher(texts, stored)
 
 
-def create_operator(settings: OperatorSettings) -> operators.Operator:
-    """Describe the operator who runs the command."""
+def create_operator(
+    settings: OperatorSettings, now: datetime.datetime
+) -> operators.Operator:
+    """Describe the operator who runs the command at a time in UTC."""
+    at = now.isoformat(timespec='seconds').replace('+00:00', 'Z')
     return operators.Operator(
         author=settings.author,
-        now=_now,
+        at=at,
         new_write_id=lambda: uuid.uuid4().hex,
     )
-
-
-def _now() -> str:
-    now = datetime.datetime.now(datetime.UTC)
-    return now.isoformat(timespec='seconds').replace('+00:00', 'Z')
--- a/dragonflyramp/tools/_texts.py
+++ b/dragonflyramp/tools/_texts.py
@@ -24,7 +24,7 @@
 
     config_kind: str = TEXTS_KIND
     entries_kind: str = StoreDecoder().entries_kind
-    evacuations_kind: str = TEXTS_KIND
+    holds_kind: str = TEXTS_KIND
 
     @property
     def kinds(self) -> tuple[str, ...]:
--- a/dragonflyramp/tools/operator.py
+++ b/dragonflyramp/tools/operator.py
@@ -1,5 +1,6 @@
 """Run the operators' command."""
 
+import datetime
 import itertools
 import os
 import pathlib
@@ -88,7 +89,7 @@
         released=frozenset(settings.release),
     )
     async with open_pusher(settings) as pusher:
-        operator = create_operator(settings)
+        operator = create_operator(settings, _now())
         outcome = await operators.push(pusher, operator, request)
     return reports.report_push(outcome)
 
@@ -108,14 +109,14 @@
         name=name, reason=settings.reason, confirm_dark=settings.confirm_dark
     )
     async with open_pusher(settings) as pusher:
-        operator = create_operator(settings)
+        operator = create_operator(settings, _now())
         outcome = await operators.take_out(pusher, operator, request)
     return reports.report_push(outcome)
 
 
 async def _zone_in(settings: OperatorSettings, name: str) -> reports.Report:
     async with open_pusher(settings) as pusher:
-        operator = create_operator(settings)
+        operator = create_operator(settings, _now())
         outcome = await operators.bring_in(pusher, operator, name)
     return reports.report_push(outcome)
 
@@ -157,6 +158,10 @@
 )
 
 
+def _now() -> datetime.datetime:
+    return datetime.datetime.now(datetime.UTC)
+
+
 def _read(path: str) -> bytes:
     try:
         return pathlib.Path(path).read_bytes()
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -42,7 +42,7 @@
     rng = random.Random(author)
     return operators.Operator(
         author=author,
-        now=lambda: '2026-12-04T10:00:00Z',
+        at='2026-12-04T10:00:00Z',
         new_write_id=lambda: str(rng.random()),
     )
 
