--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -5,7 +5,7 @@
 import json
 import zlib
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 from grpc import (
@@ -30,6 +30,8 @@
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.views import Fields
 
+_Message = TypeVar('_Message', Question, Answer)
+
 _SERVICE = 'dragonflyramp.Members'
 _METHOD = 'Ask'
 #: The other hubs tell news only when the first did not within this time.
@@ -90,9 +92,8 @@
     async def _answer(
         self, body: bytes, context: aio.ServicerContext[Any, Any]
     ) -> bytes:
-        question = _decode_question(body)
+        question = _decode(body, decode_question)
         if question is None:
-            counters.add('member_failures', 'bad_message')
             await context.abort(StatusCode.INVALID_ARGUMENT)
         now_seconds = self._clock()
         self._book.roster.census.meet(question.sender, now_seconds)
@@ -155,9 +156,8 @@
         if failure is not None:
             self._note_failure(failure, started_seconds)
             return False
-        answer = _decode_answer(asking.result())
+        answer = _decode(asking.result(), decode_answer)
         if answer is None:
-            counters.add('member_failures', 'bad_message')
             return False
         self._note_answer(answer)
         return True
@@ -275,17 +275,12 @@
     return json.loads(body)
 
 
-def _decode_question(body: bytes) -> Question | None:
-    try:
-        return decode_question(_unpack(body))
-    except _MALFORMED:
-        return None
-
-
-def _decode_answer(body: bytes) -> Answer | None:
+def _decode(body: bytes, decode: Callable[[Any], _Message]) -> _Message | None:
+    """Decode a message; None and a count for one that is malformed."""
     try:
-        return decode_answer(_unpack(body))
+        return decode(_unpack(body))
     except _MALFORMED:
+        counters.add('member_failures', 'bad_message')
         return None
 
 
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -61,10 +61,6 @@
         host, port = self._runner.addresses[0][:2]
         return f'{host}:{port}'
 
-    async def notice(self, notice_seconds: float) -> None:
-        """Serve on while the platform learns that this front is not ready."""
-        await asyncio.sleep(notice_seconds)
-
     async def drain(self, longest_seconds: float) -> None:
         """Take no new connections, and wait for the requests that run."""
         assert self._runner is not None
--- a/dragonflyramp/stores.py
+++ b/dragonflyramp/stores.py
@@ -59,10 +59,6 @@
         """
 
 
-class Store(KeyedStore, WatchedStore, Protocol):
-    """Offer both."""
-
-
 @attrs.frozen
 class VersionedObject:
     """Hold one object as it was at one version; versions only grow."""
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -1,5 +1,6 @@
 """Put the parts of a front together."""
 
+import asyncio
 import functools
 import importlib
 import random
@@ -96,7 +97,8 @@
         """Drain: not ready first, then no new work, then the end."""
         self.front.is_stopping = True
         started_seconds = time.monotonic()
-        await self.server.notice(self.settings.stop_notice_seconds)
+        # Serves on while the platform learns that this front is not ready.
+        await asyncio.sleep(self.settings.stop_notice_seconds)
         until_seconds = (
             started_seconds
             + self.machine.grace_seconds
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -11,10 +11,14 @@
 from hypothesis import strategies as st
 
 from dragonflyramp.members import Book, Census, Daemon, Roster
-from dragonflyramp.members._books import Answer, encode_answer
+from dragonflyramp.members._books import (
+    Answer,
+    decode_answer,
+    decode_question,
+    encode_answer,
+)
 from dragonflyramp.members._links_grpc import (
-    _decode_answer,
-    _decode_question,
+    _decode,
     _pack,
 )
 from dragonflyramp.paces import PaceBoard
@@ -41,16 +45,16 @@
 @given(st.binary() | _json.map(lambda found: json.dumps(found).encode()))
 def test_members_survive_any_message(body: bytes) -> None:
     """A message that cannot be read must not end the task of a link."""
-    assert _decode_question(body) is None
-    assert _decode_answer(body) is None
+    assert _decode(body, decode_question) is None
+    assert _decode(body, decode_answer) is None
 
 
 @_settings
 @given(st.dictionaries(st.sampled_from(('sender', 'told', 'wait')), _json))
 def test_members_survive_half_messages(fields: dict[str, Any]) -> None:
     """Fields of another type must not end the task of a link."""
-    assert _decode_question(_pack(fields)) is None
-    assert _decode_answer(_pack(fields)) is None
+    assert _decode(_pack(fields), decode_question) is None
+    assert _decode(_pack(fields), decode_answer) is None
 
 
 _ENTRY_FIELDS = (
@@ -148,7 +152,7 @@
         """Let one daemon ask another; the answer is on its way."""
         question = self.books[asker].question()
         answer = self.books[asked].answer(question, 1)
-        packed = _decode_answer(_pack(encode_answer(answer)))
+        packed = _decode(_pack(encode_answer(answer)), decode_answer)
         assert packed is not None
         self.on_their_way.append((self.books[asker], packed))
 
