Share what the soak, the stand-ins and the benchmarks repeated

The soak cut, delayed and reset the ways to the store and to a replica in two copies; proxies and replicas listened in two; benchmarks/parts put a front together as tests/worlds does. A pace board that only gathers needs no callback.

--- a/benchmarks/emulator/_installations.py
+++ b/benchmarks/emulator/_installations.py
@@ -62,7 +62,7 @@
     async def tell_paces(self) -> None:
         """Let all fronts tell one hub, and the hub all fronts."""
         loop = asyncio.get_running_loop()
-        hub = PaceBoard(lambda slow, now_seconds: None)
+        hub = PaceBoard()
         while True:
             await asyncio.sleep(_TELL_SECONDS)
             for one in self.fronts:
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import cProfile
-import functools
 import pstats
 import random
 import subprocess
@@ -19,23 +18,16 @@
 import uvloop
 from loguru import logger
 
-from dragonflyramp.backends import (
-    BudgetBounds,
-    Budgets,
-    Connection,
-    Fleet,
-    Tier,
-    take_slow,
-)
-from dragonflyramp.callers import Front, Gathered
-from dragonflyramp.paces import PaceBoard
-from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.backends import Policies
+from dragonflyramp.callers import Gathered
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import Gather, RoutingTable
 from dragonflyramp.runtime import TaskSet
-from tests.worlds import Sharers, World, route, table
+from tests.worlds import World, front_over, route, table
 
 _REPLICAS = 3
+_DAEMONS = 7
+_SLACK = 50
 _RECORDS = 60
 _RECORD_BYTES = 16
 
@@ -138,7 +130,15 @@
         assert child.stdout is not None
         ports = child.stdout.readline().split()
         tasks = TaskSet()
-        yield World(_front(routing, ports, tasks), {})
+        front = front_over(
+            routing,
+            _entries(ports),
+            tasks,
+            slack=_SLACK,
+            policies=Policies(),
+            daemons=_DAEMONS,
+        )
+        yield World(front, {})
         await tasks.cancel()
         child.communicate('')
 
@@ -147,17 +147,9 @@
     return f's{index}'
 
 
-def _front(
-    routing: RoutingTable, ports: Sequence[str], tasks: TaskSet
-) -> Front:
-    fleet = Fleet(
-        make_connection=functools.partial(
-            Connection, codec=ReplicaCodec(), clock=time.monotonic
-        ),
-        tasks=tasks,
-    )
-    for index, port in enumerate(ports):
-        listed = ReplicaEntry(
+def _entries(ports: Sequence[str]) -> list[ReplicaEntry]:
+    return [
+        ReplicaEntry(
             replica_id=f'i-{index}',
             service=_shard(index // _REPLICAS),
             address=f'127.0.0.1:{port}',
@@ -165,23 +157,8 @@
             state=ReplicaState.ready,
             slots=4,
         )
-        fleet.update(listed.replica_id, listed, time.monotonic())
-    bounds = BudgetBounds(ratio=0.2, window_seconds=10, slack=50)
-    tier = Tier(
-        fleet=fleet,
-        budgets=Budgets(bounds),
-        clock=time.monotonic,
-        rng=random.Random(1),
-        failure_domain='recife',
-        peers=Sharers(7),
-        paces=PaceBoard(functools.partial(take_slow, fleet)),
-    )
-    return Front(
-        tier=tier,
-        clock=time.monotonic,
-        table=lambda: routing,
-        knows_all=lambda: True,
-    )
+        for index, port in enumerate(ports)
+    ]
 
 
 if __name__ == '__main__':
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -133,7 +133,7 @@
     for index in range(daemons):
         roster.census.meet(Daemon(f'd{index}', '10.0.0.1:80', 'd'), 1)
     views = {kind: View(kind) for kind in ('a', 'b', 'c')}
-    paces = PaceBoard(lambda slow, now_seconds: None)
+    paces = PaceBoard()
     return Book(roster, views, lambda kind, names: None, paces)
 
 
--- a/dragonflyramp/paces.py
+++ b/dragonflyramp/paces.py
@@ -55,12 +55,16 @@
 Tallies = Mapping[str, Tally]
 
 
+def _pass_over(slow: Mapping[str, float], now_seconds: float) -> None:
+    """Leave it at the tallies, as a board does that only gathers."""
+
+
 @attrs.define(eq=False)
 class PaceBoard:
     """Gather tallies of replicas by id: own, those asked with, those told."""
 
     #: Called with the ids of slow replicas and their ratios.
-    on_slow: Callable[[Mapping[str, float], float], None]
+    on_slow: Callable[[Mapping[str, float], float], None] = _pass_over
     _fresh: dict[str, Tally] = attrs.field(factory=dict)
     _local: dict[str, Tally] = attrs.field(factory=dict)
     #: What each hub told last, by its name.
--- a/tests/soaks/_proxies.py
+++ b/tests/soaks/_proxies.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from tests.standins.listeners import address_of, listen
 from tests.standins.resets import linger
 
 _CHUNK_BYTES = 64 * 1024
@@ -26,9 +27,8 @@
 
     async def start(self) -> str:
         """Listen and return `IP:port`."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f'{host}:{port}'
+        self._server = await listen(self._serve)
+        self.address = address_of(self._server)
         return self.address
 
     async def stop(self) -> None:
--- a/tests/soaks/_strikes.py
+++ b/tests/soaks/_strikes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import itertools
 import signal
 import time
@@ -57,6 +58,14 @@
         servers = list(itertools.chain.from_iterable(of_services))
         return servers[fault.number % len(servers)]
 
+    def store_proxy(self, fault: Fault) -> Proxy:
+        """Pick the way between a front and the store."""
+        return self.store_proxies[self.front(fault).name]
+
+    def replica_proxy(self, fault: Fault) -> Proxy:
+        """Pick the way between the fronts and a replica."""
+        return self.replica_proxies[self.replica(fault).replica_id]
+
     def turn(self, front: FrontProcess) -> asyncio.Lock:
         """Give what is held while a front's process ends and starts again."""
         return self._turns[front.name]
@@ -74,6 +83,10 @@
         await asyncio.sleep(_START_SECONDS)
 
 
+_Strike = Callable[[Striker, Fault], Awaitable[None]]
+_ProxyStrike = Callable[[Proxy, Fault], Awaitable[None]]
+
+
 async def _kill(striker: Striker, fault: Fault) -> None:
     await striker.kill(striker.front(fault), fault.for_seconds)
 
@@ -124,42 +137,31 @@
     store.faults = StoreFaults()
 
 
-async def _cut_store(striker: Striker, fault: Fault) -> None:
-    proxy = striker.store_proxies[striker.front(fault).name]
+async def _cut(proxy: Proxy, fault: Fault) -> None:
     proxy.is_cut_to = bool(fault.number % 2)
     proxy.is_cut_back = not proxy.is_cut_to
     await asyncio.sleep(fault.for_seconds)
     proxy.heal()
 
 
-async def _slow_store(striker: Striker, fault: Fault) -> None:
-    proxy = striker.store_proxies[striker.front(fault).name]
-    proxy.delay_seconds = 0.3
+async def _delay(proxy: Proxy, fault: Fault, *, delay_seconds: float) -> None:
+    proxy.delay_seconds = delay_seconds
     await asyncio.sleep(fault.for_seconds)
     proxy.heal()
 
 
-async def _reset_store(striker: Striker, fault: Fault) -> None:
-    striker.store_proxies[striker.front(fault).name].reset()
-
-
-async def _cut_replica(striker: Striker, fault: Fault) -> None:
-    proxy = striker.replica_proxies[striker.replica(fault).replica_id]
-    proxy.is_cut_to = bool(fault.number % 2)
-    proxy.is_cut_back = not proxy.is_cut_to
-    await asyncio.sleep(fault.for_seconds)
-    proxy.heal()
+async def _reset(proxy: Proxy, fault: Fault) -> None:
+    proxy.reset()
 
 
-async def _delay_replica(striker: Striker, fault: Fault) -> None:
-    proxy = striker.replica_proxies[striker.replica(fault).replica_id]
-    proxy.delay_seconds = 0.2
-    await asyncio.sleep(fault.for_seconds)
-    proxy.heal()
+def _at_store(strike: _ProxyStrike) -> _Strike:
+    """Strike the way between a front and the store."""
+    return lambda striker, fault: strike(striker.store_proxy(fault), fault)
 
 
-async def _reset_replica(striker: Striker, fault: Fault) -> None:
-    striker.replica_proxies[striker.replica(fault).replica_id].reset()
+def _at_replica(strike: _ProxyStrike) -> _Strike:
+    """Strike the way between the fronts and a replica."""
+    return lambda striker, fault: strike(striker.replica_proxy(fault), fault)
 
 
 async def _garble_replica(striker: Striker, fault: Fault) -> None:
@@ -201,7 +203,6 @@
         Kind.store_history: StoreFaults(),
     }
 )
-_Strike = Callable[[Striker, Fault], Awaitable[None]]
 _STRIKES: Mapping[Kind, _Strike] = MappingProxyType(
     {
         Kind.front_kill: _kill,
@@ -210,14 +211,18 @@
         Kind.front_hangup: _hang_up,
         Kind.all_killed: _kill_all,
         Kind.store_down: _spoil_store,
-        Kind.store_slow: _slow_store,
-        Kind.store_cut: _cut_store,
-        Kind.store_reset: _reset_store,
+        Kind.store_slow: _at_store(
+            functools.partial(_delay, delay_seconds=0.3)
+        ),
+        Kind.store_cut: _at_store(_cut),
+        Kind.store_reset: _at_store(_reset),
         Kind.store_lost: _spoil_store,
         Kind.store_history: _spoil_store,
-        Kind.replica_cut: _cut_replica,
-        Kind.replica_delay: _delay_replica,
-        Kind.replica_reset: _reset_replica,
+        Kind.replica_cut: _at_replica(_cut),
+        Kind.replica_delay: _at_replica(
+            functools.partial(_delay, delay_seconds=0.2)
+        ),
+        Kind.replica_reset: _at_replica(_reset),
         Kind.replica_garble: _garble_replica,
         Kind.replica_shed: _shed,
         Kind.replica_drain: _drain,
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from tests.standins.listeners import address_of, listen
 from tests.standins.resets import linger
 
 _HEAD = 'HTTP/1.1 {status}\r\nServer-Stamp: {stamp}\r\nRequest-Id: {id}\r\n'
@@ -55,9 +56,8 @@
 
     async def start(self) -> str:
         """Listen and return `IP:port`."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f'{host}:{port}'
+        self._server = await listen(self._serve)
+        self.address = address_of(self._server)
         return self.address
 
     async def stop(self) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -352,7 +352,7 @@
     late: int, usual: int, *, is_slow: bool
 ) -> None:
     """A pause of 150 ms among usual answers is over before it is told."""
-    board = PaceBoard(lambda slow, now_seconds: None)
+    board = PaceBoard()
     for ratio, count in ((7, late), (1, usual)):
         for _ in range(count):
             board.note('r', ratio, 1000)
@@ -361,7 +361,7 @@
 
 def test_pace_board_forgets() -> None:
     """A replica that is fast again must get requests again."""
-    board = PaceBoard(lambda slow, now_seconds: None)
+    board = PaceBoard()
     for _ in range(6):
         board.note('r', 7, 1000)
     assert _slow(board, 1000.5)
@@ -371,7 +371,7 @@
 
 def test_pace_board_stays_small() -> None:
     """A daemon that asks nobody must not keep samples for ever."""
-    board = PaceBoard(lambda slow, now_seconds: None)
+    board = PaceBoard()
     for number in range(5000):
         board.note(f'i-{number}', 1, 1000 + number)
     assert len(board.take_fresh()) < 4097
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -90,7 +90,7 @@
         Roster(Census(Daemon(name, f'{name}:1', 'z'))),
         {_KIND: View(_KIND)},
         lambda kind, names: None,
-        PaceBoard(lambda slow, now_seconds: None),
+        PaceBoard(),
     )
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -49,14 +49,10 @@
         Roster(Census(_daemon(name))),
         {_KIND: View(_KIND)},
         lambda kind, names: None,
-        _paces(),
+        PaceBoard(),
     )
 
 
-def _paces() -> PaceBoard:
-    return PaceBoard(lambda slow, now_seconds: None)
-
-
 def _ask(asker: Book, asked: Book, now_seconds: float) -> Answer:
     """Ask once as a link does, through the encoding."""
     question = decode_question(encode_question(asker.question()))
@@ -333,7 +329,7 @@
             Roster(Census(_daemon(name, domain))),
             views,
             lambda kind, names: self._take(name, kind),
-            _paces(),
+            PaceBoard(),
         )
         service = MemberService(book, time.monotonic)
         port = await service.start('127.0.0.1:0')
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -5,7 +5,7 @@
 import functools
 import random
 import time
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -154,31 +154,24 @@
         return sum(len(one.ran) for one in self.servers[service])
 
 
-@contextlib.asynccontextmanager
-async def world(
+def front_over(
     routing: RoutingTable,
-    replicas: int = 2,
+    entries: Iterable[ReplicaEntry],
+    tasks: TaskSet,
     *,
-    slack: float = 50,
-    policies: Policies | None = None,
-) -> AsyncIterator[World]:
-    """Run replicas for each service of a table, and a front."""
-    servers = {
-        name: [ReplicaServer(f'{name}-{index}') for index in range(replicas)]
-        for name in routing.services
-    }
-    tasks = TaskSet()
+    slack: float,
+    policies: Policies,
+    daemons: int = 1,
+) -> Front:
+    """Put a front together that knows a table and the replicas."""
     fleet = Fleet(
         make_connection=functools.partial(
             Connection, codec=ReplicaCodec(), clock=time.monotonic
         ),
         tasks=tasks,
     )
-    for name, of_service in servers.items():
-        for server in of_service:
-            await server.start()
-            listed = entry(server, name)
-            fleet.update(server.replica_id, listed, time.monotonic())
+    for listed in entries:
+        fleet.update(listed.replica_id, listed, time.monotonic())
     bounds = BudgetBounds(ratio=0.2, window_seconds=10, slack=slack)
     tier = Tier(
         fleet=fleet,
@@ -186,16 +179,40 @@
         clock=time.monotonic,
         rng=random.Random(1),
         failure_domain='recife',
-        peers=Sharers(1),
+        peers=Sharers(daemons),
         paces=PaceBoard(functools.partial(take_slow, fleet)),
-        policies=policies or Policies(),
+        policies=policies,
     )
-    front = Front(
+    return Front(
         tier=tier,
         clock=time.monotonic,
         table=lambda: routing,
         knows_all=lambda: True,
     )
+
+
+@contextlib.asynccontextmanager
+async def world(
+    routing: RoutingTable,
+    replicas: int = 2,
+    *,
+    slack: float = 50,
+    policies: Policies | None = None,
+) -> AsyncIterator[World]:
+    """Run replicas for each service of a table, and a front."""
+    servers = {
+        name: [ReplicaServer(f'{name}-{index}') for index in range(replicas)]
+        for name in routing.services
+    }
+    entries = []
+    for name, of_service in servers.items():
+        for server in of_service:
+            await server.start()
+            entries.append(entry(server, name))
+    tasks = TaskSet()
+    front = front_over(
+        routing, entries, tasks, slack=slack, policies=policies or Policies()
+    )
     made = World(front, servers)
     yield made
     await tasks.cancel()
