--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -1,7 +1,8 @@
 """Translate between the product and the users' platform.
 
 _settings_file what a machine is told about itself
-_store_http    calls to the metadata store
+_calls_http    single calls to the platform, each bounded in time
+_store_http    the protocol of the metadata store
 _objects       the product's own objects in the store
 _configs       the operators' configuration, replicas' entries, evacuations
 _headers       the names of headers
--- /dev/null
+++ b/dragonflyramp/platform/_calls_http.py
@@ -0,0 +1,157 @@
+"""Make single calls to the platform over HTTP, each bounded in time."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import time
+from collections.abc import AsyncIterator, Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+
+import aiohttp
+import attrs
+import yarl
+from returns.result import Failure, Result, Success
+
+from dragonflyramp.metrics import counters, latencies
+from dragonflyramp.results import ResultCode
+from dragonflyramp.views import Fields
+
+#: Seconds without an answer to a keep-alive probe of the kernel, and between
+#: two probes. A connection that went silent shows within about three seconds,
+#: the bound on a new configuration.
+_KEEPALIVE_SECONDS = 1
+_KEEPALIVE_PROBES = 2
+#: Unacknowledged bytes end a connection after this time, as the probes do.
+_USER_TIMEOUT_MS = 2000
+#: A connect that takes longer meets a cut, and a new one is tried.
+_CONNECT_SECONDS = 1
+
+_BASE_PATH = '/api/objects'
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """Hold one call and its bound."""
+
+    #: Names the call in the counters.
+    purpose: str
+    method: str = 'GET'
+    path: str
+    body: Fields | None = None
+    timeout_seconds: float | None = None
+
+
+class Calls:
+    """Make calls, each bounded in time, and count them."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        timeout_seconds: float,
+    ) -> None:
+        """Call `IP:port` over a session that the caller closes."""
+        self._session = session
+        self._base_url = f'http://{address}{_BASE_PATH}'
+        self._timeout_seconds = timeout_seconds
+
+    async def make(self, call: Call) -> Result[Fields, ResultCode]:
+        """Make one call; failures are result codes, never exceptions."""
+        counters.add('platform_calls', call.purpose)
+        started_seconds = time.monotonic()
+        reply = await self._exchange(call)
+        if call.purpose != 'watch':
+            passed_seconds = time.monotonic() - started_seconds
+            latencies.record('platform_calls', passed_seconds * 1000)
+        if isinstance(reply, Failure):
+            code = reply.failure()
+            counters.add('platform_failures', f'{call.purpose}_{code.name}')
+        return reply
+
+    async def _exchange(self, call: Call) -> Result[Fields, ResultCode]:
+        total_seconds = call.timeout_seconds or self._timeout_seconds
+        request = self._session.request(
+            call.method,
+            yarl.URL(f'{self._base_url}{call.path}', encoded=True),
+            data=None if call.body is None else _send_once(call.body),
+            headers=_JSON_HEADERS,
+            timeout=aiohttp.ClientTimeout(
+                total=total_seconds, sock_connect=_CONNECT_SECONDS
+            ),
+            allow_redirects=False,
+        )
+        try:
+            async with request as reply:
+                return _decode(reply.status, await reply.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return Failure(ResultCode.platform_down)
+
+
+@contextlib.asynccontextmanager
+async def open_calls(
+    address: str, timeout_seconds: float
+) -> AsyncIterator[Calls]:
+    """Open what calls `IP:port` for the length of the context."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            socket_factory=_new_socket, force_close=False
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    async with session:
+        yield Calls(session, address, timeout_seconds)
+
+
+async def _send_once(body: Fields) -> AsyncIterator[bytes]:
+    """Yield the body of a write so that aiohttp cannot send it twice.
+
+    aiohttp repeats a call whose connection closed before the reply, unless
+    its body was consumed.
+    """
+    yield json.dumps(body).encode()
+
+
+def _new_socket(address: Any) -> socket.socket:
+    family, kind, protocol, *_ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, number in _SOCKET_OPTIONS.items():
+        sock.setsockopt(socket.IPPROTO_TCP, option, number)
+    return sock
+
+
+def _decode(status: int, body: bytes) -> Result[Fields, ResultCode]:
+    code = _REFUSALS.get(status)
+    if code is not None:
+        return Failure(code)
+    if status >= HTTPStatus.BAD_REQUEST:
+        return Failure(ResultCode.platform_down)
+    try:
+        fields = json.loads(body) if body else {}
+    except ValueError:
+        return Failure(ResultCode.bad_reply)
+    if isinstance(fields, dict):
+        return Success(fields)
+    return Failure(ResultCode.bad_reply)
+
+
+_JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
+_SOCKET_OPTIONS: Mapping[int, int] = MappingProxyType(
+    {
+        socket.TCP_KEEPIDLE: _KEEPALIVE_SECONDS,
+        socket.TCP_KEEPINTVL: _KEEPALIVE_SECONDS,
+        socket.TCP_KEEPCNT: _KEEPALIVE_PROBES,
+        socket.TCP_USER_TIMEOUT: _USER_TIMEOUT_MS,
+    }
+)
+_REFUSALS: Mapping[int, ResultCode] = MappingProxyType(
+    {
+        HTTPStatus.NOT_FOUND: ResultCode.object_missing,
+        HTTPStatus.CONFLICT: ResultCode.version_conflict,
+        HTTPStatus.GONE: ResultCode.history_gone,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ResultCode.body_too_large,
+    }
+)
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -15,6 +15,7 @@
 )
 from dragonflyramp.backends._sends import Ending, Outcome, Send
 from dragonflyramp.platform import ReplicaCodec
+from tests.standins.listeners import address_of, listen
 from tests.standins.resets import linger
 from tests.worlds import request
 
@@ -134,11 +135,10 @@
             await reader.read()
             writer.close()
 
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
+        server = await listen(serve)
         hooks = ConnectionHooks(on_idle=idle.append, on_end=idle.remove)
         connection = Connection(
-            f'{host}:{port}', hooks, ReplicaCodec(), time.monotonic
+            address_of(server), hooks, ReplicaCodec(), time.monotonic
         )
         send = Send(
             request=request(),
