--- a/dragonflyramp/members/_members.py
+++ b/dragonflyramp/members/_members.py
@@ -7,8 +7,8 @@
 import attrs
 
 from dragonflyramp.members._books import Book
-from dragonflyramp.members._links_grpc import Links
 from dragonflyramp.members._censuses import Daemon
+from dragonflyramp.members._links_grpc import Links
 
 #: How often the roster is compared with the links.
 _PERIOD_SECONDS = 0.25
--- a/dragonflyramp/operators/_push.py
+++ b/dragonflyramp/operators/_push.py
@@ -22,10 +22,8 @@
 from dragonflyramp.operators._statements import with_lines
 from dragonflyramp.operators._stored import TextStore
 from dragonflyramp.operators._text import parse_text
-from dragonflyramp.stores import (
-    ReplicaList,
-)
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stores import ReplicaList
 
 
 @attrs.frozen
--- a/dragonflyramp/operators/_replicas.py
+++ b/dragonflyramp/operators/_replicas.py
@@ -7,11 +7,9 @@
 
 from dragonflyramp.models import Configuration, ListedReplica
 from dragonflyramp.operators._holds import fixed_replicas
-from dragonflyramp.stores import (
-    ReplicaList,
-)
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stores import ReplicaList
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/operators/_stored.py
+++ b/dragonflyramp/operators/_stored.py
@@ -13,12 +13,8 @@
     decode_root,
     encode_root,
 )
-from dragonflyramp.stores import (
-    ABSENT,
-    ObjectStore,
-    VersionedObject,
-)
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stores import ABSENT, ObjectStore, VersionedObject
 
 #: Reads of parts at once; a text of the design size has about 1,400 parts.
 _CONCURRENT_READS = 16
--- a/dragonflyramp/operators/_zones.py
+++ b/dragonflyramp/operators/_zones.py
@@ -19,10 +19,8 @@
 from dragonflyramp.operators._replicas import list_fleet
 from dragonflyramp.operators._stored import StoredRoot, StoredText
 from dragonflyramp.operators._text import parse_text
-from dragonflyramp.stores import (
-    ReplicaList,
-)
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stores import ReplicaList
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/tools/_front_program.py
+++ b/dragonflyramp/tools/_front_program.py
@@ -12,11 +12,7 @@
 
 from dragonflyramp import logs
 from dragonflyramp.machines import MachineSettings
-from dragonflyramp.platform import (
-    PATH_VARIABLE,
-    open_store,
-    read_settings,
-)
+from dragonflyramp.platform import PATH_VARIABLE, open_store, read_settings
 from dragonflyramp.results import ResultCode
 from dragonflyramp.runtime import run_daemon, run_until_first
 from dragonflyramp.setting_flags import load_or_exit
--- a/dragonflyramp/tools/_fronts.py
+++ b/dragonflyramp/tools/_fronts.py
@@ -21,6 +21,7 @@
 )
 from dragonflyramp.callers import Claims, Front, OwnInterface, OwnServer
 from dragonflyramp.knowledge import Decoder, Knowledge
+from dragonflyramp.machines import MachineSettings
 from dragonflyramp.members import (
     DAEMONS_KIND,
     Book,
@@ -35,7 +36,6 @@
 )
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.paces import PaceBoard
-from dragonflyramp.machines import MachineSettings
 from dragonflyramp.platform import (
     FrontServer,
     ReplicaCodec,
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -8,6 +8,8 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from dragonflyramp.replicas import ReplicaEntry
+from dragonflyramp.results import ResultCode
 from dragonflyramp.stores import (
     ABSENT,
     MAX_OBJECT_BYTES,
@@ -15,8 +17,6 @@
     ReplicaList,
     VersionedObject,
 )
-from dragonflyramp.replicas import ReplicaEntry
-from dragonflyramp.results import ResultCode
 
 
 @attrs.define(kw_only=True)
--- a/tests/test_own_interface.py
+++ b/tests/test_own_interface.py
@@ -26,11 +26,7 @@
 from dragonflyramp.operators._roots import ROOT_NAME
 from dragonflyramp.operators._sources import TextSource
 from dragonflyramp.operators._stored import part_name
-from dragonflyramp.platform import (
-    StoreClient,
-    StoredObjects,
-    text_bodies,
-)
+from dragonflyramp.platform import StoreClient, StoredObjects, text_bodies
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.tools._texts import TextDecoder
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,13 +16,11 @@
     StoredObjects,
     decode_settings,
 )
-from dragonflyramp.stores import (
-    ABSENT,
-)
 from dragonflyramp.platform import _headers as names
 from dragonflyramp.platform._front_http import encode_answer
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import Gather
+from dragonflyramp.stores import ABSENT
 from tests.standins.stores import StoreFaults, StoreServer
 from tests.worlds import request
 
--- a/tests/test_push.py
+++ b/tests/test_push.py
@@ -23,12 +23,9 @@
 from dragonflyramp.operators._commits import Update
 from dragonflyramp.operators._drafts import Proposal
 from dragonflyramp.operators._stored import StoredRoot
-from dragonflyramp.stores import (
-    ObjectStore,
-    VersionedObject,
-)
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stores import ObjectStore, VersionedObject
 from tests.standins.platform import MemoryPlatform
 
 _TEXT = """format = 1
