Obey replicas that leave or ask for a pause

Cause: nothing read `Server-Leaving`, or `Retry-After` in a replica's 503.

Change: both are decoded once, in platform/_backend_http, into the reply. The hook is in the connection, so that replies that came too late count as well. A replica with a notice is no candidate for first attempts, retries, hedges and early connections; exchanges that still wait for a connection are withdrawn unsent, also when a replica drains or its failure domain is put on hold. Leaving replicas are reported to the hubs and by them to every daemon, with the changes that a link lacks by time; a pause is not, because a replica asks each daemon for its own. A refused caller is told when enough services take requests again.

Ruled out: a mark on `Replica` itself, which is lost when the entry is removed and returns; sharing all marks with each message, which repeats them for minutes between failure domains.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -103,7 +103,11 @@
             ),
             warm_at_seconds=0,
             connections=ConnectionPool(
-                '127.0.0.1:1', _refuse_connection, TaskSet(), _ignore_capacity
+                '127.0.0.1:1',
+                _refuse_connection,
+                TaskSet(),
+                _ignore_capacity,
+                lambda reply, now_seconds: None,
             ),
         )
         for index in range(count)
@@ -153,7 +157,9 @@
 
 
 def _exchange_messages(synchronizer: ViewSynchronizer) -> str:
-    encoded_request = json.dumps(encode_request(synchronizer.build_request()))
+    encoded_request = json.dumps(
+        encode_request(synchronizer.build_request(now_seconds=2))
+    )
     request = decode_request(json.loads(encoded_request))
     encoded_response = json.dumps(
         encode_response(synchronizer.build_response(request, 2))
--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -10,6 +10,7 @@
 _fleets           replicas of each service, and which may receive requests
 _replicas         statistics, health and connections of one replica
 _limits           this daemon's share of a replica's limits
+_reply_notices    replicas that leave or asked for a pause
 _latencies        latency quantiles of each route
 _recorders        updates of the statistics from outcomes of attempts
 _preconnectors    connections opened before the first search
@@ -31,6 +32,9 @@
     Fleet,
     ReplicaOrder,
     apply_peer_latency_ratios,
+    expire_notices,
+    hold_domains,
+    resume_delay_seconds,
 )
 from dragonflyramp.backends._hedging import (
     HedgingPolicy,
@@ -86,4 +90,7 @@
     'apply_peer_latency_ratios',
     'cold_request_limit',
     'connection_limits',
+    'expire_notices',
+    'hold_domains',
+    'resume_delay_seconds',
 )
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -11,6 +11,7 @@
 from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
 from dragonflyramp.backends._protocols_http import ReplyProtocol
 from dragonflyramp.backends._readers_http import RawReply
+from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 
 #: Covers one lost SYN, which is retransmitted after a second. Two losses
@@ -39,6 +40,7 @@
         address: str,
         codec: Codec,
         clock: Clock,
+        hooks: 'ConnectionHooks',
         on_closed: Callable[[], None],
     ) -> None:
         """Create a channel that is not open."""
@@ -48,6 +50,7 @@
         self._address = address
         self._codec = codec
         self._clock = clock
+        self._hooks = hooks
 
     async def open(self) -> bool:
         """Connect to the server; return False if that fails."""
@@ -93,6 +96,7 @@
 
     def _decode(self, exchange: Exchange, raw: RawReply) -> Outcome:
         reply = self._codec.decode(raw.status, raw.headers, bytes(raw.body))
+        self._hooks.on_reply(reply, self._clock())
         if reply.request_id not in {'', exchange.request.request_id}:
             counters.add('backend_faults', 'reply_of_another_request')
             self.protocol.close()
@@ -111,12 +115,19 @@
         )
 
 
+def _ignore_reply(reply: Reply, now_seconds: float) -> None:
+    """Do nothing, for connections whose replies only their exchanges read."""
+
+
 @attrs.frozen(kw_only=True)
 class ConnectionHooks:
-    """Callbacks for a connection that became idle or ended."""
+    """Callbacks for a connection: a reply was read, it is idle, it ended."""
 
     on_idle: Callable[['Connection'], None]
     on_end: Callable[['Connection'], None]
+    #: Called with each reply and the monotonic time, also if nobody waits for
+    #: the reply any more.
+    on_reply: Callable[[Reply, float], None] = _ignore_reply
 
 
 class ConnectionFactory(Protocol):
@@ -138,7 +149,7 @@
         self._queue: asyncio.Queue[Exchange | None] = asyncio.Queue()
         self._current: Exchange | None = None
         self._channel = _HttpChannel(
-            address, codec, clock, lambda: self._queue.put_nowait(None)
+            address, codec, clock, hooks, lambda: self._queue.put_nowait(None)
         )
 
     def is_usable(self, now_seconds: float) -> bool:
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -133,6 +133,6 @@
 
 def _unavailable_code(client: 'BackendClient', service: str) -> ResultCode:
     """Return the code of a fetch that found no replica with capacity."""
-    if client.fleet.usable_replicas(service):
+    if client.fleet.usable_replicas(service, client.clock()):
         return ResultCode.queue_full
     return ResultCode.no_replica
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 import functools
-from collections.abc import Mapping
+import math
+from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 
 import attrs
@@ -16,8 +17,9 @@
     connection_limits,
 )
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
+from dragonflyramp.backends._reply_notices import ReplyNoticeRecorder
 from dragonflyramp.rendezvous import rendezvous_hash
-from dragonflyramp.replicas import ReplicaEntry
+from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
 
@@ -139,6 +141,12 @@
             event.set()
 
 
+def _create_notices(fleet: 'Fleet') -> ReplyNoticeRecorder:
+    return ReplyNoticeRecorder(
+        fleet.all_replicas(), fleet.capacity_events.notify
+    )
+
+
 @attrs.define(eq=False, kw_only=True)
 class Fleet:
     """All known replicas by service; only `update` adds or removes them."""
@@ -152,6 +160,10 @@
     held_domains: frozenset[str] = frozenset()
     _by_service: dict[str, dict[str, Replica]] = attrs.field(factory=dict)
     _by_id: dict[str, Replica] = attrs.field(factory=dict)
+    #: What the replicas said about further requests.
+    reply_notices: ReplyNoticeRecorder = attrs.field(
+        init=False, default=attrs.Factory(_create_notices, takes_self=True)
+    )
 
     def update(
         self, replica_id: str, entry: ReplicaEntry | None, now_seconds: float
@@ -177,13 +189,19 @@
         """Return the replicas of one service by id."""
         return self._by_service.get(service, _NO_REPLICAS)
 
-    def usable_replicas(self, service: str) -> list[Replica]:
-        """Return the ready replicas outside the held failure domains."""
+    def usable_replicas(
+        self, service: str, now_seconds: float
+    ) -> list[Replica]:
+        """Return the replicas that take requests now.
+
+        They are ready, outside the held failure domains, and have not said that
+        they leave or want a pause.
+        """
+        notices = self.reply_notices.notices
         return [
             replica
-            for replica in self.service_replicas(service).values()
-            if replica.is_ready
-            and replica.entry.failure_domain not in self.held_domains
+            for replica in _permitted_replicas(self, service)
+            if notices.resumes_at_seconds(replica.entry) <= now_seconds
         ]
 
     def candidates(
@@ -198,7 +216,7 @@
         _update_limits(policy, replicas, ranks, peers.daemon_count())
         return [
             replica
-            for replica in self.usable_replicas(policy.name)
+            for replica in self.usable_replicas(policy.name, now_seconds)
             if replica.connections.has_capacity(now_seconds)
             and self.cold_limiter.allows(replica, policy, peers, now_seconds)
         ]
@@ -212,6 +230,7 @@
                 self.create_connection,
                 self.tasks,
                 functools.partial(self.capacity_events.notify, entry.service),
+                functools.partial(self.reply_notices.record_reply, entry),
             ),
         )
         self._by_id[entry.replica_id] = replica
@@ -227,7 +246,7 @@
         self._by_service[entry.service].pop(entry.replica_id, None)
         self.order.invalidate(entry.service)
         self.cold_limiter.discard(replica)
-        replica.connections.close_idle()
+        replica.stop_requests()
         logger.bind(**_log_fields(entry)).info('replica removed')
 
 
@@ -245,7 +264,9 @@
 ) -> None:
     if entry.state is not replica.entry.state:
         logger.bind(**_log_fields(entry)).info('replica changed')
-        replica.connections.close_idle()
+        replica.connections.is_retired = False
+        if entry.state is ReplicaState.draining:
+            replica.stop_requests()
     replica.entry = entry
     replica.warm_at_seconds = now_seconds + entry.cold_remaining_ms / 1000
 
@@ -286,14 +307,56 @@
         )
 
 
-def preferred_replica(fleet: Fleet, service: str) -> Replica | None:
+def preferred_replica(
+    fleet: Fleet, service: str, now_seconds: float
+) -> Replica | None:
     """Return the usable replica that comes first in this daemon's order."""
     usable = {
         replica.entry.replica_id: replica
-        for replica in fleet.usable_replicas(service)
+        for replica in fleet.usable_replicas(service, now_seconds)
     }
     ranks = fleet.order.ranks(service, fleet.service_replicas(service))
     return next(
         (usable[replica_id] for replica_id in ranks if replica_id in usable),
         None,
     )
+
+
+def resume_delay_seconds(
+    fleet: Fleet, service: str, now_seconds: float
+) -> float:
+    """Return the seconds until a replica takes requests; 0 if one does now.
+
+    Return infinity if no known replica will.
+    """
+    notices = fleet.reply_notices.notices
+    resume_times = (
+        notices.resumes_at_seconds(replica.entry)
+        for replica in _permitted_replicas(fleet, service)
+    )
+    return max(0, min(resume_times, default=math.inf) - now_seconds)
+
+
+def hold_domains(fleet: Fleet, held_domains: frozenset[str]) -> None:
+    """Set the failure domains on hold; withdraw what is not sent yet."""
+    fleet.held_domains = held_domains
+    for replica in fleet.all_replicas().values():
+        if replica.entry.failure_domain in held_domains:
+            replica.withdraw_unwritten()
+
+
+def expire_notices(fleet: Fleet, now_seconds: float) -> None:
+    """Drop the notices of replicas that are gone."""
+    entries = {
+        replica_id: replica.entry
+        for replica_id, replica in fleet.all_replicas().items()
+    }
+    fleet.reply_notices.notices.expire(entries, now_seconds)
+
+
+def _permitted_replicas(fleet: Fleet, service: str) -> Iterator[Replica]:
+    """Yield the replicas that are ready and outside the held domains."""
+    for replica in fleet.service_replicas(service).values():
+        is_held = replica.entry.failure_domain in fleet.held_domains
+        if replica.is_ready and not is_held:
+            yield replica
--- a/dragonflyramp/backends/_preconnectors.py
+++ b/dragonflyramp/backends/_preconnectors.py
@@ -38,7 +38,7 @@
     def open_missing(self, now_seconds: float) -> None:
         """Open missing connections, up to the limit of one interval."""
         preferred = (
-            preferred_replica(self._fleet, shard)
+            preferred_replica(self._fleet, shard, now_seconds)
             for shard in self._searched_shards()
         )
         replicas = [replica for replica in preferred if replica is not None]
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -10,9 +10,9 @@
     ConnectionFactory,
     ConnectionHooks,
 )
-from dragonflyramp.backends._exchanges import Exchange
+from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
 from dragonflyramp.backends._limits import ConnectionLimits
-from dragonflyramp.messages import Load
+from dragonflyramp.messages import Load, Reply
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.runtime import TaskSet
 
@@ -172,6 +172,17 @@
         """Return whether the replica is still warming up."""
         return now_seconds < self.warm_at_seconds
 
+    def stop_requests(self) -> None:
+        """Send nothing more; requests that were written may be answered."""
+        self.connections.retire()
+        self.withdraw_unwritten()
+
+    def withdraw_unwritten(self) -> None:
+        """End the exchanges that still wait for a connection, unsent."""
+        for exchange in tuple(self.in_flight):
+            if not exchange.is_written:
+                exchange.finish(Outcome(OutcomeKind.unsent))
+
     def oldest_request_age_seconds(self, now_seconds: float) -> float:
         """Return the age of the oldest request without an outcome."""
         return now_seconds - min(self.in_flight.values(), default=now_seconds)
@@ -192,8 +203,12 @@
     _tasks: TaskSet
     #: Called when a connection may have become available.
     _on_capacity: Callable[[], None]
+    #: Called with each reply of the replica and the monotonic time.
+    _on_reply: Callable[[Reply, float], None]
     #: This daemon's current share of the replica's connections.
     limits: ConnectionLimits = ConnectionLimits(max_open=1, max_persistent=1)
+    #: A retired pool keeps no idle connections.
+    is_retired: bool = False
     _idle: list[Connection] = attrs.field(factory=list)
     _open: set[Connection] = attrs.field(factory=set)
 
@@ -220,20 +235,25 @@
 
     def open(self) -> Connection:
         """Open a connection, which becomes idle unless it gets an exchange."""
-        hooks = ConnectionHooks(on_idle=self._release, on_end=self._remove)
+        hooks = ConnectionHooks(
+            on_idle=self._release, on_end=self._remove, on_reply=self._on_reply
+        )
         connection = self._create_connection(self.address, hooks)
         self._open.add(connection)
         self._tasks.start(connection.run(), 'connection')
         return connection
 
-    def close_idle(self) -> None:
-        """Close the idle connections; busy ones finish their exchange."""
+    def retire(self) -> None:
+        """Close idle connections, and busy ones after their exchange."""
+        self.is_retired = True
         for connection in self._idle:
             connection.close()
         self._idle.clear()
 
     def _release(self, connection: Connection) -> None:
-        if len(self._open) > max(1, self.limits.max_persistent):
+        if self.is_retired or len(self._open) > max(
+            1, self.limits.max_persistent
+        ):
             # Other daemons may need the connections beyond this daemon's share.
             # The only connection to the replica is kept even if the share is 0.
             connection.close()
--- a/dragonflyramp/backends/_schedulers.py
+++ b/dragonflyramp/backends/_schedulers.py
@@ -40,7 +40,7 @@
         while not self._start(FIRST, now_seconds):
             if now_seconds >= timeout_at_seconds:
                 return False
-            if not client.fleet.usable_replicas(self._service):
+            if not client.fleet.usable_replicas(self._service, now_seconds):
                 return False
             remaining_seconds = timeout_at_seconds - now_seconds
             await client.fleet.capacity_events.wait(
--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -4,6 +4,7 @@
 _queries         types of queries and answers
 _scatter_gather  scatter-gather over the shards of a search
 _cutoffs         policies for when a search returns a partial answer
+_retry_delays    when a refused caller should come back
 _merging         merging of the shards' results
 _traffic_splits  weighted distribution of requests over services
 _request_logs    log lines and counters of requests
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -15,6 +15,7 @@
     RelayedAnswer,
 )
 from dragonflyramp.callers._request_logs import RequestLog, refuse
+from dragonflyramp.callers._retry_delays import retry_after_seconds
 from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
 from dragonflyramp.callers._traffic_splits import WeightedRoundRobin
 from dragonflyramp.results import ResultCode
@@ -104,22 +105,42 @@
 
     async def _relay(self, context: RequestContext, query: Query) -> Answer:
         service = self._round_robin.select(context.route)
-        if not self.backend_client.fleet.usable_replicas(service):
+        fleet = self.backend_client.fleet
+        if not fleet.usable_replicas(service, self.clock()):
             return refuse(
-                query, ResultCode.no_replica, _UNAVAILABLE_RETRY_AFTER_SECONDS
+                query,
+                ResultCode.no_replica,
+                retry_after_seconds(
+                    fleet,
+                    (service,),
+                    1,
+                    _UNAVAILABLE_RETRY_AFTER_SECONDS,
+                    self.clock(),
+                ),
             )
         fetch_result = await self.backend_client.create_fetch(
             context, service
         ).run()
-        answer = _build_relay_answer(fetch_result)
+        answer = _build_relay_answer(
+            fetch_result,
+            retry_after_seconds(
+                fleet,
+                (service,),
+                1,
+                _NOT_RUN_RETRY_AFTER_SECONDS,
+                self.clock(),
+            ),
+        )
         self._request_log.record(context, answer, (fetch_result,))
         return answer
 
     async def _search(
         self, context: RequestContext, query: Query, gather: GatherSettings
     ) -> Answer:
+        fleet = self.backend_client.fleet
+        now_seconds = self.clock()
         usable_count = sum(
-            bool(self.backend_client.fleet.usable_replicas(shard))
+            bool(fleet.usable_replicas(shard, now_seconds))
             for shard in gather.shards
         )
         shard_count = len(gather.shards)
@@ -131,7 +152,15 @@
         )
         if initial_progress.is_infeasible:
             return refuse(
-                query, ResultCode.no_replica, _UNAVAILABLE_RETRY_AFTER_SECONDS
+                query,
+                ResultCode.no_replica,
+                retry_after_seconds(
+                    fleet,
+                    gather.shards,
+                    initial_progress.required_count,
+                    _UNAVAILABLE_RETRY_AFTER_SECONDS,
+                    now_seconds,
+                ),
             )
         scatter_gather = ScatterGather(
             backend_client=self.backend_client,
@@ -157,7 +186,15 @@
         progress = shard_results.progress(gather.min_share)
         if not progress.is_sufficient:
             return _build_search_refusal(
-                shard_results, is_finished=progress.is_finished
+                shard_results,
+                is_finished=progress.is_finished,
+                delay_seconds=retry_after_seconds(
+                    self.backend_client.fleet,
+                    gather.shards,
+                    progress.required_count,
+                    _NOT_RUN_RETRY_AFTER_SECONDS,
+                    self.clock(),
+                ),
             )
         replies = [
             fetch_result.reply
@@ -203,18 +240,21 @@
     )
 
 
-def _build_relay_answer(fetch_result: FetchResult) -> Answer:
+def _build_relay_answer(
+    fetch_result: FetchResult, delay_seconds: float
+) -> Answer:
     if fetch_result.reply is not None:
         return RelayedAnswer(reply=fetch_result.reply)
     if fetch_result.may_have_run:
         return Refusal(code=fetch_result.code, may_have_run=True)
-    return Refusal(
-        code=fetch_result.code, retry_after_seconds=_NOT_RUN_RETRY_AFTER_SECONDS
-    )
+    return Refusal(code=fetch_result.code, retry_after_seconds=delay_seconds)
 
 
 def _build_search_refusal(
-    shard_results: ShardResults, *, is_finished: bool
+    shard_results: ShardResults,
+    *,
+    is_finished: bool,
+    delay_seconds: float,
 ) -> Refusal:
     """Build the refusal of a search without enough successful shards.
 
@@ -232,4 +272,4 @@
         code = shard_results.failed[-1].code
     if may_have_run:
         return Refusal(code=code, may_have_run=True)
-    return Refusal(code=code, retry_after_seconds=_NOT_RUN_RETRY_AFTER_SECONDS)
+    return Refusal(code=code, retry_after_seconds=delay_seconds)
--- /dev/null
+++ b/dragonflyramp/callers/_retry_delays.py
@@ -0,0 +1,28 @@
+"""Decide when a refused caller should come back."""
+
+import math
+from collections.abc import Sequence
+
+from dragonflyramp.backends import Fleet, resume_delay_seconds
+
+
+def retry_after_seconds(
+    fleet: Fleet,
+    services: Sequence[str],
+    required_count: int,
+    default_seconds: float,
+    now_seconds: float,
+) -> float:
+    """Return the seconds until enough services take requests again.
+
+    All replicas of a service may have asked for a pause. Return the default if
+    enough services take requests now, or if it is not known when they will.
+    """
+    delays_seconds = sorted(
+        resume_delay_seconds(fleet, service, now_seconds)
+        for service in services
+    )
+    delay_seconds = delays_seconds[required_count - 1]
+    if 0 < delay_seconds < math.inf:
+        return math.ceil(delay_seconds * 1000) / 1000
+    return default_seconds
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import zlib
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -114,6 +115,9 @@
         self._synchronizer.slow_replica_detector.add_peer_samples(
             request.samples, now_seconds
         )
+        self._synchronizer.replica_notices.record_reported(
+            request.leaving, now_seconds
+        )
         await self._synchronizer.wait_for_changes(request)
         response = self._synchronizer.build_response(request, self._clock())
         return _serialize(encode_response(response))
@@ -132,6 +136,7 @@
     _is_primary: Callable[[], bool]
     _pending_request: asyncio.Task[bytes] | None = None
     _failing_since_seconds: float | None = None
+    _last_response_at_seconds: float = -math.inf
     _is_connected: bool = False
 
     def renew_request(self) -> None:
@@ -164,6 +169,8 @@
             if is_primary
             else _BACKUP_RESPONSE_DELAY_SECONDS,
             includes_samples=is_primary,
+            last_response_at_seconds=self._last_response_at_seconds,
+            now_seconds=started_at_seconds,
         )
         pending = asyncio.create_task(_send_request(channel, request))
         self._pending_request = pending
@@ -189,7 +196,10 @@
         if not self._is_connected:
             self._is_connected = True
             logger.bind(peer=response.sender.name).info('member reached')
-        self._synchronizer.apply_response(response, self._clock())
+        self._last_response_at_seconds = self._clock()
+        self._synchronizer.apply_response(
+            response, self._last_response_at_seconds
+        )
 
     def _record_failure(
         self, failure: BaseException, started_at_seconds: float
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -1,6 +1,7 @@
 """Exchange updates of views with other daemons, encoded as JSON."""
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -8,6 +9,11 @@
 
 from dragonflyramp.members._clusters import Cluster
 from dragonflyramp.members._memberships import Daemon
+from dragonflyramp.replica_notices import (
+    NO_LEAVING_REPLICAS,
+    LeavingReplicas,
+    ReplicaNotices,
+)
 from dragonflyramp.slow_replicas import (
     LatencyAggregate,
     LatencyAggregates,
@@ -18,6 +24,11 @@
 #: Keys that requests and responses share.
 _SENDER_KEY = 'sender'
 _AGGREGATES_KEY = 'tallies'
+_LEAVING_KEY = 'leaving'
+
+#: Leaving replicas are sent again for this long, because the daemons do not
+#: share a clock and a message takes a while.
+_LEAVING_OVERLAP_SECONDS = 1.5
 
 #: Called with the kind of a view and the names of the objects that changed.
 OnChange = Callable[[str, set[str]], None]
@@ -37,6 +48,10 @@
     response_delay_seconds: float = 0
     #: Latency samples of the sender since its last request with samples.
     samples: LatencyAggregates = attrs.field(factory=dict)
+    #: Time since the sender's last response from the daemon that it asks.
+    response_age_seconds: float = math.inf
+    #: Leaving replicas of which the sender learned in about that time.
+    leaving: LeavingReplicas = NO_LEAVING_REPLICAS
 
 
 @attrs.frozen(kw_only=True)
@@ -62,6 +77,9 @@
     #: responding daemon and of those that send it requests.
     report: LatencyAggregates
     updates: tuple[ViewUpdate, ...]
+    #: Leaving replicas of which the responding daemon learned in about the time
+    #: since the last response.
+    leaving: LeavingReplicas = NO_LEAVING_REPLICAS
 
 
 @attrs.define(eq=False)
@@ -72,6 +90,7 @@
     views: Mapping[str, View]
     on_change: OnChange
     slow_replica_detector: SlowReplicaDetector
+    replica_notices: ReplicaNotices = attrs.field(factory=ReplicaNotices)
     _view_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def wake_waiting_requests(self) -> None:
@@ -85,11 +104,15 @@
         wait_seconds: float = 0,
         response_delay_seconds: float = 0,
         includes_samples: bool = False,
+        last_response_at_seconds: float = -math.inf,
+        now_seconds: float,
     ) -> SyncRequest:
         """Return a request for all changes that the views lack.
 
-        With samples, it includes the latency samples that have not been sent
-        yet. Each sample is sent once; a failed request loses its samples.
+        `last_response_at_seconds` is the monotonic time of the last response
+        from the same daemon. With samples, the request includes the latency
+        samples that have not been sent yet. Each sample is sent once; a failed
+        request loses its samples.
         """
         return SyncRequest(
             sender=self.cluster.own_daemon,
@@ -101,6 +124,10 @@
             samples=self.slow_replica_detector.pop_unsent_samples()
             if includes_samples
             else {},
+            response_age_seconds=now_seconds - last_response_at_seconds,
+            leaving=self.replica_notices.leaving_since(
+                last_response_at_seconds - _LEAVING_OVERLAP_SECONDS
+            ),
         )
 
     def has_changes_for(self, request: SyncRequest) -> bool:
@@ -145,6 +172,12 @@
                 _build_update(view, request.revisions.get(kind, 0), now_seconds)
                 for kind, view in self.views.items()
             ),
+            leaving=self.replica_notices.leaving_since(
+                now_seconds
+                - request.response_age_seconds
+                - request.wait_seconds
+                - _LEAVING_OVERLAP_SECONDS
+            ),
         )
 
     def apply_response(
@@ -152,6 +185,7 @@
     ) -> None:
         """Apply a response, except updates that are older than the views."""
         self.cluster.membership.record_contact(response.sender, now_seconds)
+        self.replica_notices.record_reported(response.leaving, now_seconds)
         self.slow_replica_detector.apply_report(
             response.sender.name, response.report, now_seconds
         )
@@ -188,6 +222,8 @@
         'wait': request.wait_seconds,
         'patience': request.response_delay_seconds,
         _AGGREGATES_KEY: _encode_aggregates(request.samples),
+        'response_age': min(request.response_age_seconds, _MAX_AGE_SECONDS),
+        _LEAVING_KEY: dict(request.leaving),
     }
 
 
@@ -206,6 +242,10 @@
         wait_seconds=min(float(fields['wait']), _MAX_WAIT_SECONDS),
         response_delay_seconds=float(fields['patience']),
         samples=_decode_aggregates(fields[_AGGREGATES_KEY]),
+        response_age_seconds=float(
+            fields.get('response_age', _MAX_AGE_SECONDS)
+        ),
+        leaving=_decode_leaving(fields),
     )
 
 
@@ -216,6 +256,7 @@
         'store_lost': response.is_store_lost,
         _AGGREGATES_KEY: _encode_aggregates(response.report),
         'told': [_encode_update(update) for update in response.updates],
+        _LEAVING_KEY: dict(response.leaving),
     }
 
 
@@ -230,9 +271,18 @@
         is_store_lost=bool(fields['store_lost']),
         report=_decode_aggregates(fields[_AGGREGATES_KEY]),
         updates=tuple(_decode_update(update) for update in fields['told']),
+        leaving=_decode_leaving(fields),
     )
 
 
+def _decode_leaving(fields: Fields) -> LeavingReplicas:
+    # Daemons of an earlier version send none.
+    return {
+        str(replica_id): int(start_time_ms)
+        for replica_id, start_time_ms in fields.get(_LEAVING_KEY, {}).items()
+    }
+
+
 def _encode_aggregates(aggregates: LatencyAggregates) -> Fields:
     return {
         replica_id: (round(aggregate.count, 2), round(aggregate.ratio_sum, 2))
--- a/dragonflyramp/messages.py
+++ b/dragonflyramp/messages.py
@@ -51,6 +51,10 @@
     #: How long the server keeps an idle connection open; None if unknown.
     keep_alive_seconds: float | None = None
     closes_connection: bool = False
+    #: Whether the server states that it leaves and wants no further requests.
+    is_leaving: bool = False
+    #: For how long the server wants no requests; None if it does not say.
+    pause_seconds: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/dragonflyramp/platform/_backend_http.py
+++ b/dragonflyramp/platform/_backend_http.py
@@ -6,6 +6,7 @@
 
 from dragonflyramp.backends import Codec
 from dragonflyramp.messages import Headers, Reply, Request
+from dragonflyramp.metrics import counters
 from dragonflyramp.platform import _headers as http_headers
 
 
@@ -31,6 +32,9 @@
         """Decode a reply and the headers that the backend client uses."""
         by_name = {name.lower(): text for name, text in headers}
         is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+        pause_seconds = None
+        if status in _PAUSE_STATUSES:
+            pause_seconds = _parse_pause_seconds(by_name.get(_RETRY_AFTER_KEY))
         connection = by_name.get('connection', '').lower()
         return Reply(
             status=status,
@@ -45,10 +49,27 @@
                 by_name.get('keep-alive')
             ),
             closes_connection='close' in connection,
+            is_leaving=by_name.get(_LEAVING_KEY, '').strip() == '1',
+            pause_seconds=pause_seconds,
         )
 
 
+def _parse_pause_seconds(text: str | None) -> float | None:
+    """Parse Retry-After in seconds; count and ignore a malformed one."""
+    pause_seconds = http_headers.parse_number(text)
+    if text is not None and pause_seconds is None:
+        counters.add('backend_faults', 'bad_retry_after')
+    return pause_seconds
+
+
 _STAMP_KEY = http_headers.STAMP.lower()
 _REQUEST_ID_KEY = http_headers.REQUEST_ID.lower()
 _NOT_EXECUTED_KEY = http_headers.NOT_EXECUTED.lower()
 _LOAD_KEY = http_headers.LOAD.lower()
+_LEAVING_KEY = http_headers.LEAVING.lower()
+_RETRY_AFTER_KEY = http_headers.RETRY_AFTER.lower()
+#: Statuses with which a replica turns a request away.
+_PAUSE_STATUSES = (
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    HTTPStatus.TOO_MANY_REQUESTS,
+)
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -21,6 +21,8 @@
 #: Number of shards that are missing from an answer.
 MISSING_PARTS = 'Missing-Parts'
 RETRY_AFTER = 'Retry-After'
+#: `1` in all replies of a replica that leaves.
+LEAVING = 'Server-Leaving'
 
 #: Hop-by-hop headers, and headers that each sender sets itself.
 _HOP_BY_HOP = frozenset(
--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -7,7 +7,7 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.backends import Fleet
+from dragonflyramp.backends import Fleet, expire_notices, hold_domains
 from dragonflyramp.metrics import counters
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.routes import RoutingTable
@@ -88,10 +88,12 @@
             self._apply_entries(self.views[kind], names)
 
     async def run(self) -> None:
-        """Remove replicas whose removal is due, until cancelled."""
+        """Remove replicas and notices that are due, until cancelled."""
         while True:
             await asyncio.sleep(_REMOVAL_CHECK_INTERVAL_SECONDS)
-            self.remove_due_replicas(self.clock())
+            now_seconds = self.clock()
+            self.remove_due_replicas(now_seconds)
+            expire_notices(self.fleet, now_seconds)
 
     def remove_due_replicas(self, now_seconds: float) -> None:
         """Remove the replicas that have not registered again in time."""
@@ -163,5 +165,5 @@
 def _update_held_domains(fleet: Fleet, held_domains: frozenset[str]) -> None:
     """Set the failure domains on hold, and log a change."""
     if held_domains != fleet.held_domains:
-        fleet.held_domains = held_domains
+        hold_domains(fleet, held_domains)
         logger.bind(domains=sorted(held_domains)).info('failure domains held')
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -147,6 +147,7 @@
         SlowReplicaDetector(
             functools.partial(apply_peer_latency_ratios, routing_state.fleet)
         ),
+        routing_state.fleet.reply_notices.notices,
     )
     dispatcher.hub_links = HubLinks(synchronizer, machine.seeds, _CLOCK)
     backend_client = _create_backend_client(
--- a/tests/front_harnesses.py
+++ b/tests/front_harnesses.py
@@ -147,6 +147,14 @@
         """Return a replica of a service."""
         return self.servers[service][index]
 
+    def server_by_id(self, replica_id: str) -> ReplicaServer:
+        """Return the replica with an id."""
+        return next(
+            server
+            for server in self.all_servers()
+            if server.replica_id == replica_id
+        )
+
     def all_servers(self) -> list[ReplicaServer]:
         """Return the replicas of all services."""
         return [
--- a/tests/soaks/_checks.py
+++ b/tests/soaks/_checks.py
@@ -11,6 +11,9 @@
 
 #: Fronts must apply a change, such as the drain of a replica, within this time.
 _PROPAGATION_SECONDS = 3.0
+#: After a notice of a replica, this many requests may reach it after this time.
+_NOTICE_MARGIN_SECONDS = 0.5
+_MAX_LATE_REQUESTS = 2
 #: For this long after an unplanned fault, a front may apply changes late and
 #: connections may fail.
 _RECOVERY_SECONDS = 4.0
@@ -36,12 +39,25 @@
     started_at_seconds: float
 
 
+@attrs.frozen(kw_only=True)
+class ReceivedRequests:
+    """Requests that arrived at a replica, and its replies that want no more."""
+
+    replica_id: str
+    #: Monotonic time and request id.
+    arrivals: Sequence[tuple[float, str]]
+    #: Monotonic time, request id and for how many seconds.
+    notices: Sequence[tuple[float, str, float]]
+
+
 @attrs.frozen(kw_only=True)
 class Observations:
     """Records of callers and replicas, and the faults, of one run."""
 
     requests: Sequence[RequestRecord]
     executions: Sequence[Execution]
+    #: Arrivals and notices of each replica.
+    received: Sequence['ReceivedRequests'] = ()
     #: Time at which a replica was registered as draining, by its id.
     drain_started_at_seconds: Mapping[str, float]
     #: Start and end of each unplanned fault, including front restarts.
@@ -68,6 +84,7 @@
         _false_refusals,
         _exceeded_budgets,
         _requests_to_draining_replicas,
+        _requests_despite_notice,
         _lost_routes,
         _failed_connections,
     )
@@ -194,6 +211,36 @@
             )
 
 
+def _requests_despite_notice(observations: Observations) -> Iterator[str]:
+    """Check that a front obeys a replica that leaves or wants a pause.
+
+    Requests that were under way may still arrive, and a restarted front may
+    not know of the notice yet.
+    """
+    process_ids = {
+        record.request_id: record.process_id for record in observations.requests
+    }
+    for received in observations.received:
+        for noticed_at_seconds, request_id, seconds in received.notices:
+            starts_at_seconds = noticed_at_seconds + _NOTICE_MARGIN_SECONDS
+            late_ids = [
+                late_id
+                for arrived_at_seconds, late_id in received.arrivals
+                if starts_at_seconds
+                < arrived_at_seconds
+                < noticed_at_seconds + seconds
+                and process_ids.get(late_id) == process_ids.get(request_id)
+                and observations.is_undisturbed(
+                    noticed_at_seconds, arrived_at_seconds
+                )
+            ]
+            if len(late_ids) > _MAX_LATE_REQUESTS:
+                yield (
+                    f'{late_ids}: reached {received.replica_id}, which had '
+                    f'answered {request_id} that it wants no more'
+                )
+
+
 def _lost_routes(observations: Observations) -> Iterator[str]:
     """Check that a process that has served `/newest/` keeps that route."""
     serving_process_ids: set[int] = set()
--- a/tests/soaks/_injectors.py
+++ b/tests/soaks/_injectors.py
@@ -95,6 +95,9 @@
         await asyncio.sleep(_RESTART_WAIT_SECONDS)
 
 
+#: Seconds for which a replica that sheds requests asks for a pause.
+_PAUSE = '1.5'
+
 _Injection = Callable[[FaultInjector, Fault], Awaitable[None]]
 _ProxyInjection = Callable[[Proxy, Fault], Awaitable[None]]
 
@@ -200,13 +203,20 @@
 
 
 async def _shed_requests(injector: FaultInjector, fault: Fault) -> None:
-    injector.pick_replica(fault).faults.shed = 5
+    """Shed requests; every second time, ask each front for a pause too."""
+    faults = injector.pick_replica(fault).faults
+    faults.retry_after = _PAUSE if fault.selector % 2 else ''
+    faults.shed = 5
 
 
 async def _drain_replica(injector: FaultInjector, fault: Fault) -> None:
-    """Drain the first replica of a shard; the others take over its requests."""
+    """Drain the first replica of a shard; the others take over its requests.
+
+    Its replies say so too.
+    """
     shard = SHARDS[fault.selector % len(SHARDS)]
     server = injector.deployment.replicas[shard][0]
+    server.faults.leaving = True
     if server.replica_id not in injector.drain_started_at_seconds:
         proxy = injector.replica_proxies[server.replica_id]
         injector.deployment.register(
--- a/tests/soaks/_runs.py
+++ b/tests/soaks/_runs.py
@@ -19,6 +19,7 @@
 from tests.soaks._checks import (
     Execution,
     Observations,
+    ReceivedRequests,
     find_violations,
     replica_executions,
 )
@@ -94,6 +95,7 @@
     injector: FaultInjector, records: list[RequestRecord]
 ) -> Observations:
     executions: list[Execution] = []
+    received: list[ReceivedRequests] = []
     for service, servers in injector.deployment.replicas.items():
         for server in servers:
             executions.extend(
@@ -101,9 +103,17 @@
                     service, server.replica_id, server.executions
                 )
             )
+            received.append(
+                ReceivedRequests(
+                    replica_id=server.replica_id,
+                    arrivals=server.arrivals,
+                    notices=server.notices,
+                )
+            )
     return Observations(
         requests=records,
         executions=executions,
+        received=received,
         drain_started_at_seconds=injector.drain_started_at_seconds,
         unplanned_fault_spans=injector.unplanned_fault_spans,
         budget_slack=_BUDGET_SLACK,
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -1,6 +1,7 @@
 """Stand in for a backend server, over HTTP and with faults."""
 
 import asyncio
+import math
 import time
 
 import attrs
@@ -36,6 +37,10 @@
     failed: int = 0
     #: Requests that run and are never answered.
     hung: int = 0
+    #: Whether all replies say that the replica leaves.
+    leaving: bool = False
+    #: Pause for which replies to shed requests ask, as sent.
+    retry_after: str = ''
 
 
 @attrs.define(eq=False)
@@ -51,6 +56,11 @@
     heads: list[dict[str, str]] = attrs.field(factory=list)
     #: Monotonic start time and id of each request that ran.
     executions: list[tuple[float, str]] = attrs.field(factory=list)
+    #: Monotonic arrival time and id of each request.
+    arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+    #: Replies that ask for no further requests: monotonic time, request id,
+    #: and for how many seconds.
+    notices: list[tuple[float, str, float]] = attrs.field(factory=list)
     connection_count: int = 0
     #: Hung requests whose connection the front closed.
     disconnect_count: int = 0
@@ -94,14 +104,13 @@
         head = dict(header.split(': ', 1) for header in lines)
         head['line'] = request_line
         self.heads.append(head)
+        self.arrivals.append((time.monotonic(), head['Request-Id']))
         await reader.readexactly(int(head.get('Content-Length', 0)))
         if head.get('Expect-Instance') != self.replica_id:
-            writer.write(b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n')
+            writer.write(self._encode(head, '421 No', ''))
             return True
         if self._consume_fault('shed'):
-            writer.write(
-                _encode_reply(head, '503 Full', '', 'Not-Executed: 1\r\n')
-            )
+            writer.write(self._encode(head, '503 Full', ''))
             return True
         self.run_ids.append(head['Request-Id'])
         self.executions.append((time.monotonic(), head['Request-Id']))
@@ -121,7 +130,7 @@
     ) -> bool:
         stamp = f'{self.replica_id}.{len(self.run_ids)}'
         if self._consume_fault('failed'):
-            writer.write(_encode_reply(head, '500 Bad', stamp))
+            writer.write(self._encode(head, '500 Bad', stamp))
             return True
         if self._consume_fault('reset_before_reply'):
             return _reset(writer)
@@ -136,12 +145,32 @@
             return True
         if self._consume_fault('wrong_id'):
             head = {**head, 'Request-Id': 'another'}
-        reply = _encode_reply(head, '200 OK', stamp, body=self.body)
+        reply = self._encode(head, '200 OK', stamp, body=self.body)
         if self._consume_fault('duplicated'):
             reply += reply
         writer.write(reply)
         return True
 
+    def _encode(
+        self,
+        head: dict[str, str],
+        status: str,
+        stamp: str,
+        body: bytes = b'',
+    ) -> bytes:
+        headers = [] if stamp else ['Not-Executed: 1\r\n']
+        if self.faults.leaving:
+            self._record_notice(head, math.inf)
+            headers.append('Server-Leaving: 1\r\n')
+        pause = self.faults.retry_after
+        if pause and not stamp:
+            self._record_notice(head, float(pause))
+            headers.append(f'Retry-After: {pause}\r\n')
+        return _encode_reply(head, status, stamp, ''.join(headers), body)
+
+    def _record_notice(self, head: dict[str, str], seconds: float) -> None:
+        self.notices.append((time.monotonic(), head['Request-Id'], seconds))
+
     def _consume_fault(self, fault: str) -> bool:
         remaining: int = getattr(self.faults, fault)
         setattr(self.faults, fault, max(0, remaining - 1))
@@ -152,8 +181,8 @@
     head: dict[str, str],
     status: str,
     stamp: str,
-    extra_headers: str = '',
-    body: bytes = b'',
+    extra_headers: str,
+    body: bytes,
 ) -> bytes:
     reply_head = _HEAD.format(status=status, stamp=stamp, id=head['Request-Id'])
     length = f'Content-Length: {len(body)}\r\n\r\n'
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -56,6 +56,7 @@
             lambda address, hooks: pytest.fail('unexpected connection'),
             TaskSet(),
             lambda: None,
+            lambda reply, now_seconds: None,
         ),
     )
 
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -69,7 +69,10 @@
             fleet, _SEARCH_TABLE.searched_shards, harness.front.clock
         )
         preconnector.open_missing(harness.front.clock())
-        preferred = [preferred_replica(fleet, shard) for shard in _SHARDS]
+        preferred = [
+            preferred_replica(fleet, shard, harness.front.clock())
+            for shard in _SHARDS
+        ]
         await eventually(
             lambda: all(
                 replica is not None
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -160,7 +160,7 @@
 
     def exchange(self, requester: int, responder: int) -> None:
         """Send a request; its response stays in flight until delivered."""
-        request = self.synchronizers[requester].build_request()
+        request = self.synchronizers[requester].build_request(now_seconds=1)
         response = self.synchronizers[responder].build_response(request, 1)
         decoded = _decode_message(
             _serialize(encode_response(response)), decode_response
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -57,7 +57,9 @@
     requester: ViewSynchronizer, responder: ViewSynchronizer, now_seconds: float
 ) -> SyncResponse:
     """Send a request, and apply the response; encode both as on a link."""
-    request = decode_request(encode_request(requester.build_request()))
+    request = decode_request(
+        encode_request(requester.build_request(now_seconds=now_seconds))
+    )
     responder.cluster.membership.record_contact(request.sender, now_seconds)
     response = decode_response(
         encode_response(responder.build_response(request, now_seconds))
@@ -116,7 +118,9 @@
     response = _synchronize(requester, responder, 102)
     assert response.updates[0].changes == ChangeBatch(6, (Change('b', {}),))
     assert requester.views[_ENTRIES_KIND].objects_by_name == {'a': {}, 'b': {}}
-    assert not responder.has_changes_for(requester.build_request())
+    assert not responder.has_changes_for(
+        requester.build_request(now_seconds=101)
+    )
 
 
 def test_change_of_another_kind_does_not_end_wait() -> None:
@@ -128,7 +132,9 @@
     responder.views[_ENTRIES_KIND].replace(Listing(5, {'a': {}}), 100)
     _synchronize(requester, responder, 100)
     responder.views[_ENTRIES_KIND].apply(ChangeBatch(9, ()), 101)
-    assert not responder.has_changes_for(requester.build_request())
+    assert not responder.has_changes_for(
+        requester.build_request(now_seconds=101)
+    )
     response = _synchronize(requester, responder, 101)
     assert response.updates[0].changes == ChangeBatch(9, ())
     assert requester.views[_ENTRIES_KIND].revision == 9
@@ -171,18 +177,57 @@
         reporter.slow_replica_detector.record('i-1', 8, 100)
         reporter.slow_replica_detector.record('i-2', 1, 100)
     request = decode_request(
-        encode_request(reporter.build_request(includes_samples=True))
+        encode_request(
+            reporter.build_request(includes_samples=True, now_seconds=1)
+        )
     )
     hub.slow_replica_detector.add_peer_samples(request.samples, 100)
     _synchronize(requester, hub, 100)
     assert slow == {'i-1': pytest.approx(8)}
-    assert not reporter.build_request(includes_samples=True).samples
+    assert not reporter.build_request(
+        includes_samples=True, now_seconds=1
+    ).samples
+
+
+def test_leaving_replicas_are_shared() -> None:
+    """All daemons must stop using a replica that told one that it leaves.
+
+    A daemon that starts later must hear of it too.
+    """
+    reporter, hub = _synchronizer('reporter'), _synchronizer('hub')
+    reporter.replica_notices.record_leaving('i-1', 7, 100)
+    request = decode_request(
+        encode_request(reporter.build_request(now_seconds=101))
+    )
+    hub.replica_notices.record_reported(request.leaving, 101)
+    for late_seconds in (102, 900):
+        requester = _synchronizer('requester')
+        _synchronize(requester, hub, late_seconds)
+        assert requester.replica_notices.leaving_since(0) == {'i-1': 7}
+
+
+def test_leaving_replicas_are_sent_once() -> None:
+    """Messages must not repeat what both daemons know for minutes."""
+    requester, hub = _synchronizer('requester'), _synchronizer('hub')
+    hub.replica_notices.record_leaving('i-1', 7, 100)
+    request = requester.build_request(
+        last_response_at_seconds=110, now_seconds=110.5
+    )
+    assert not hub.build_response(request, 111).leaving
+
+
+def test_messages_of_earlier_version_are_read() -> None:
+    """A daemon that reports no leaving replicas must not be cut off."""
+    fields = encode_request(_synchronizer('old').build_request(now_seconds=1))
+    for added in ('leaving', 'response_age'):
+        fields.pop(added)
+    assert not decode_request(fields).leaving
 
 
 async def test_change_ends_wait_at_once() -> None:
     """A change must be sent at once, not only when the wait times out."""
     responder, requester = _synchronizer('d1'), _synchronizer('d2')
-    request = requester.build_request(wait_seconds=5)
+    request = requester.build_request(wait_seconds=5, now_seconds=1)
     wait_task = asyncio.create_task(responder.wait_for_changes(request))
     await asyncio.sleep(0)
     responder.views[_ENTRIES_KIND].replace(Listing(5, {'a': {}}), 100)
@@ -575,9 +620,9 @@
     routing_state.apply_changes(
         'servers', view.apply(ChangeBatch(6, removals), 1)
     )
-    assert len(routing_state.fleet.usable_replicas('a')) == remaining_count
+    assert len(routing_state.fleet.usable_replicas('a', 9)) == remaining_count
     routing_state.remove_due_replicas(4)
-    assert len(routing_state.fleet.usable_replicas('a')) == 8 - removed_count
+    assert len(routing_state.fleet.usable_replicas('a', 9)) == 8 - removed_count
 
 
 def test_returning_entry_keeps_its_replica() -> None:
@@ -589,7 +634,7 @@
     routing_state.apply_changes('servers', view.replace(Listing(6, {}), 1))
     routing_state.apply_changes('servers', view.replace(Listing(7, entries), 1))
     routing_state.remove_due_replicas(9)
-    assert len(routing_state.fleet.usable_replicas('a')) == 4
+    assert len(routing_state.fleet.usable_replicas('a', 9)) == 4
 
 
 def test_routing_state_is_complete_with_all_kinds() -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,12 @@
 
 from tests.soaks import run_seed
 from tests.soaks._callers import RequestRecord
-from tests.soaks._checks import Execution, Observations, find_violations
+from tests.soaks._checks import (
+    Execution,
+    Observations,
+    ReceivedRequests,
+    find_violations,
+)
 from tests.soaks._faults import draw_faults
 
 #: Seed 5 failed when the proxy forwarded a reset as a close, so that a
@@ -104,6 +109,18 @@
             '3 extra executions for 1 requests',
         ),
         ({'drain_started_at_seconds': {'lookup-0': 97}}, 'which was draining'),
+        (
+            {
+                'received': (
+                    ReceivedRequests(
+                        replica_id='lookup-0',
+                        arrivals=((99, 'q1'), (100.6, 'q1')) * 3,
+                        notices=((100, 'q1', 1.5),),
+                    ),
+                )
+            },
+            'wants no more',
+        ),
         (
             {'requests': (attrs.evolve(_ORDER, status=0),)},
             'failed before the answer was complete',
