Let one odd object of another writer cost only this object

Cause: a page or an event of the store with one deeply nested value raised RecursionError out of the decoder and ended the front, again at each restart. A number of 6,000 digits or bytes that are not UTF-8 made the whole page a bad reply, so that the front followed the list no more. Entries with a port out of range, 10**300 slots, an infinite warm-up time, or a name that cannot be sent in a header were accepted and raised when they were used.

Change: a reply that `json` cannot decode is decoded element by element; what cannot be decoded keeps its name and loses its spec. Objects that are too deep or too large lose their spec as well, because a hub could not pass them on. Entries, the configuration, daemons' entries and messages between daemons are checked for ranges, ports and printable texts. A connection gives its exchange an outcome whatever ends it. Skipped entries are counted (`bad_objects`), shown as the gauge `entries_skipped` and in `status`, and logged at each change.

Ruled out: an incremental JSON parser from a library; those at hand stop at the first malformed byte, too. Normalizing all objects at the store, which costs a copy of each entry.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -1,6 +1,7 @@
 """Run HTTP/1.1 connections to backend servers, one task for each."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -17,6 +18,8 @@
 #: Covers one lost SYN, which is retransmitted after a second. Two losses
 #: indicate a network failure.
 _CONNECT_TIMEOUT_SECONDS = 1.5
+#: An address that is not valid raises the last two.
+_CONNECT_ERRORS = (OSError, TimeoutError, ValueError, OverflowError)
 #: Idle timeout assumed for servers that announce none. Common servers allow at
 #: least 5 s.
 _DEFAULT_IDLE_TIMEOUT_SECONDS = 4
@@ -62,7 +65,7 @@
                 await loop.create_connection(
                     lambda: self.protocol, host, int(port)
                 )
-        except (OSError, TimeoutError) as error:
+        except _CONNECT_ERRORS as error:
             counters.add('backend_connections', 'failed')
             logger.bind(address=self._address, reason=repr(error)).debug(
                 'failed to connect to the replica'
@@ -173,14 +176,15 @@
             self._channel.protocol.close()
 
     async def run(self) -> None:
-        """Open the connection and execute exchanges until it is closed."""
-        try:
+        """Open the connection and execute exchanges until it is closed.
+
+        Whatever ends it, its exchange gets an outcome.
+        """
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._hooks.on_end, self)
+            cleanup.callback(self._channel.protocol.close)
+            cleanup.callback(self.close)
             await self._execute_exchanges()
-        except asyncio.CancelledError:
-            self.close()
-            raise
-        self._channel.protocol.close()
-        self._hooks.on_end(self)
 
     async def _execute_exchanges(self) -> None:
         is_open = await self._channel.open()
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -335,5 +335,7 @@
     TypeError,
     ValueError,
     AttributeError,
+    OverflowError,
+    RecursionError,
     zlib.error,
 )
--- a/dragonflyramp/members/_memberships.py
+++ b/dragonflyramp/members/_memberships.py
@@ -1,9 +1,11 @@
 """Track the daemons that are registered or in recent contact with this one."""
 
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 
+from dragonflyramp.metrics import counters
 from dragonflyramp.rendezvous import rendezvous_hash
 from dragonflyramp.views import Fields
 
@@ -11,6 +13,9 @@
 #: this one, so it keeps its share of the limits for this long.
 _CONTACT_TTL_SECONDS = 60
 
+_MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
+
 _ADDRESS_KEY = 'address'
 _FAILURE_DOMAIN_KEY = 'failure_domain'
 
@@ -105,11 +110,33 @@
     spec = fields.get('spec')
     if not isinstance(spec, dict):
         return None
-    return Daemon(
-        name=name,
-        address=str(spec.get(_ADDRESS_KEY, '')),
-        failure_domain=str(spec.get(_FAILURE_DOMAIN_KEY, '')),
-    )
+    try:
+        return decode_daemon(
+            name, spec.get(_ADDRESS_KEY, ''), spec.get(_FAILURE_DOMAIN_KEY, '')
+        )
+    except (TypeError, ValueError):
+        counters.add('bad_objects', 'daemon')
+        return None
+
+
+def decode_daemon(name: Any, address: Any, failure_domain: Any) -> Daemon:
+    """Check the fields of another daemon; raise TypeError or ValueError."""
+    for field in (name, address, failure_domain):
+        if not isinstance(field, str):
+            raise TypeError(field)
+        if not field.isprintable():
+            raise ValueError(field)
+    if address and not _has_valid_port(address):
+        raise ValueError(address)
+    return Daemon(name, address, failure_domain)
+
+
+def _has_valid_port(address: str) -> bool:
+    # gRPC would take a greater port modulo 65536.
+    port = address.rpartition(':')[2]
+    if len(port) > _MAX_PORT_DIGITS or not port.isdecimal():
+        return False
+    return 0 < int(port) <= _MAX_PORT
 
 
 def _hub_order_key(daemon: Daemon) -> bytes:
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -8,7 +8,8 @@
 import attrs
 
 from dragonflyramp.members._clusters import Cluster
-from dragonflyramp.members._memberships import Daemon
+from dragonflyramp.members._memberships import Daemon, decode_daemon
+from dragonflyramp.object_limits import is_within_limits
 from dragonflyramp.replica_notices import (
     NO_LEAVING_REPLICAS,
     LeavingReplicas,
@@ -234,7 +235,7 @@
     malformed.
     """
     return SyncRequest(
-        sender=Daemon(*fields[_SENDER_KEY]),
+        sender=decode_daemon(*fields[_SENDER_KEY]),
         revisions={
             kind: int(revision)
             for kind, revision in fields['revisions'].items()
@@ -267,7 +268,7 @@
     malformed.
     """
     return SyncResponse(
-        sender=Daemon(*fields[_SENDER_KEY]),
+        sender=decode_daemon(*fields[_SENDER_KEY]),
         is_store_lost=bool(fields['store_lost']),
         report=_decode_aggregates(fields[_AGGREGATES_KEY]),
         updates=tuple(_decode_update(update) for update in fields['told']),
@@ -283,6 +284,16 @@
     }
 
 
+def _limit(object_fields: Any) -> Any:
+    """Return an object of another daemon, or raise ValueError.
+
+    A daemon that kept one that is too deep could not respond to others.
+    """
+    if is_within_limits(object_fields, _MAX_MESSAGE_SIZE):
+        return object_fields
+    raise ValueError('an object is nested too deeply or too large')
+
+
 def _encode_aggregates(aggregates: LatencyAggregates) -> Fields:
     return {
         replica_id: (round(aggregate.count, 2), round(aggregate.ratio_sum, 2))
@@ -338,10 +349,16 @@
     objects_by_name = fields.get('all')
     encoded_changes = fields.get('changes')
     if objects_by_name is not None:
-        changes = Listing(revision, dict(objects_by_name))
+        changes = Listing(
+            revision,
+            {
+                str(name): _limit(object_fields)
+                for name, object_fields in objects_by_name.items()
+            },
+        )
     elif encoded_changes is not None:
         decoded_changes = tuple(
-            Change(name, object_fields)
+            Change(str(name), _limit(object_fields))
             for name, object_fields in encoded_changes
         )
         changes = ChangeBatch(revision, decoded_changes)
@@ -354,6 +371,8 @@
     )
 
 
+#: Limit on an object in a message.
+_MAX_MESSAGE_SIZE = 10 * 1024 * 1024
 #: JSON has no infinity, so ages are limited; a view this old is of no use.
 _MAX_AGE_SECONDS = 1e6
 #: Limit on the wait that a request may ask for, because each waiting request
--- a/dragonflyramp/platform/_api_http.py
+++ b/dragonflyramp/platform/_api_http.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from dragonflyramp.metrics import counters, latencies
+from dragonflyramp.platform._json_replies import decode_json_object
 from dragonflyramp.results import ResultCode
 from dragonflyramp.views import Fields
 
@@ -31,6 +32,9 @@
 #: abandoned, so that a new one can be made.
 _CONNECT_TIMEOUT_SECONDS = 1
 
+#: The store's pages have about 1 MB, and its objects too.
+_MAX_REPLY_BYTES = 16_777_216
+
 _BASE_PATH = '/api/objects'
 
 
@@ -95,7 +99,7 @@
         )
         try:
             async with request as reply:
-                return _decode_reply(reply.status, await reply.read())
+                return _decode_reply(reply.status, await _read_body(reply))
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return Failure(ResultCode.platform_down)
 
@@ -115,6 +119,16 @@
         yield ApiClient(session, address, timeout_seconds)
 
 
+async def _read_body(reply: aiohttp.ClientResponse) -> bytes:
+    """Read a body; raise ClientPayloadError if it is too large."""
+    body = bytearray()
+    async for piece in reply.content.iter_any():
+        body.extend(piece)
+        if len(body) > _MAX_REPLY_BYTES:
+            raise aiohttp.ClientPayloadError(f'over {_MAX_REPLY_BYTES} bytes')
+    return bytes(body)
+
+
 async def _single_use_body(body: Fields) -> AsyncIterator[bytes]:
     """Yield the body of a write so that aiohttp cannot send it twice.
 
@@ -139,13 +153,8 @@
         return Failure(code)
     if status >= HTTPStatus.BAD_REQUEST:
         return Failure(ResultCode.platform_down)
-    try:
-        fields = json.loads(body) if body else {}
-    except ValueError:
-        return Failure(ResultCode.bad_reply)
-    if isinstance(fields, dict):
-        return Success(fields)
-    return Failure(ResultCode.bad_reply)
+    fields = decode_json_object(body) if body else {}
+    return Failure(ResultCode.bad_reply) if fields is None else Success(fields)
 
 
 _JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
--- a/dragonflyramp/platform/_store_decoders.py
+++ b/dragonflyramp/platform/_store_decoders.py
@@ -10,6 +10,13 @@
 
 import attrs
 
+from dragonflyramp.platform._field_checks import (
+    require_address,
+    require_id,
+    require_int,
+    require_number,
+    require_text,
+)
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import (
     GatherSettings,
@@ -32,7 +39,20 @@
 #: Timeout of requests whose route has none.
 _DEFAULT_TIMEOUT_MS = 30000
 
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+#: Values beyond these limits are mistakes of the writer.
+_MAX_COUNT = 1_000_000_000
+_MAX_SLOTS = 1_000_000
+_MAX_DURATION_MS = 86_400_000
+#: The end of the year 2999.
+_MAX_UNIX_MS = 32_503_680_000_000
+
+_DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 def decode_routing_table(stored_object: Fields) -> RoutingTable | None:
@@ -52,29 +72,35 @@
 def _parse_table(spec: Fields) -> RoutingTable:
     limits = spec.get('limits') or {}
     return RoutingTable(
-        version=_require_int(spec['version']),
+        version=require_int(spec['version'], 0, _MAX_COUNT),
         routes=tuple(map(_parse_route, spec['routes'])),
         service_policies={
             service.name: service
             for service in map(_parse_service, spec['services'])
         },
-        max_body_bytes=int(
-            limits.get('max_body_bytes', _DEFAULT_MAX_BODY_BYTES)
+        max_body_bytes=require_int(
+            limits.get('max_body_bytes', _DEFAULT_MAX_BODY_BYTES),
+            0,
+            _MAX_COUNT,
         ),
     )
 
 
 def _parse_route(fields: Fields) -> Route:
-    timeout_ms = float(fields.get('timeout_ms') or _DEFAULT_TIMEOUT_MS)
+    timeout_ms = _parse_ms(fields.get('timeout_ms') or _DEFAULT_TIMEOUT_MS)
     return Route(
-        name=_require_nonempty_str(fields['name']),
-        host=_require_nonempty_str(fields['host']).lower(),
-        prefix=_require_nonempty_str(fields['path_prefix']),
+        name=require_text(fields['name']),
+        host=require_text(fields['host']).lower(),
+        prefix=require_text(fields['path_prefix']),
         is_idempotent=fields['kind'] == 'idempotent',
         timeout_ms=timeout_ms,
-        target_ms=float(fields.get('target_latency_ms') or timeout_ms),
-        max_attempts=int(fields.get('max_attempts') or 1),
-        priority=int(fields.get('priority') or 0),
+        target_ms=_parse_ms(fields.get('target_latency_ms') or timeout_ms),
+        max_attempts=require_int(
+            fields.get('max_attempts') or 1, 0, _MAX_COUNT
+        ),
+        priority=require_int(
+            fields.get('priority') or 0, -_MAX_COUNT, _MAX_COUNT
+        ),
         split=_parse_split(fields),
         gather=_parse_gather(fields),
     )
@@ -85,13 +111,13 @@
     if weighted_services:
         return tuple(
             WeightedService(
-                _require_nonempty_str(weighted_service['service']),
-                float(weighted_service['weight']),
+                require_text(weighted_service['service']),
+                require_number(weighted_service['weight'], 0, _MAX_COUNT),
             )
             for weighted_service in weighted_services
         )
     service = fields.get('service')
-    return (WeightedService(_require_nonempty_str(service)),) if service else ()
+    return (WeightedService(require_text(service)),) if service else ()
 
 
 def _parse_gather(fields: Fields) -> GatherSettings | None:
@@ -99,49 +125,43 @@
     if not shards:
         return None
     return GatherSettings(
-        shards=tuple(map(_require_nonempty_str, shards)),
-        top_count=int(fields['top_k']),
-        min_share=float(fields.get('min_shard_share', 1)),
+        shards=tuple(map(require_text, shards)),
+        top_count=require_int(fields['top_k'], 0, _MAX_COUNT),
+        min_share=require_number(fields.get('min_shard_share', 1), 0, 1),
     )
 
 
 def _parse_service(fields: Fields) -> ServicePolicy:
     return ServicePolicy(
-        name=_require_nonempty_str(fields['name']),
-        max_connections=int(fields.get('max_conns') or 1),
-        cold_requests_per_second=float(fields.get('warmup_per_s') or 0),
+        name=require_text(fields['name']),
+        max_connections=require_int(
+            fields.get('max_conns') or 1, 1, _MAX_COUNT
+        ),
+        cold_requests_per_second=require_number(
+            fields.get('warmup_per_s') or 0, 0, _MAX_COUNT
+        ),
     )
 
 
 def _parse_entry(stored_object: Fields) -> ReplicaEntry:
     spec = stored_object['spec']
-    host, _, port = _require_nonempty_str(spec['address']).rpartition(':')
-    if not host or not port.isdigit():
-        raise ValueError(spec['address'])
     start_time_ms = stored_object.get('born', spec.get('born', 0))
     return ReplicaEntry(
-        replica_id=_require_nonempty_str(stored_object['meta']['name']),
-        service=_require_nonempty_str(spec['service']),
-        address=spec['address'],
-        failure_domain=_require_nonempty_str(spec['zone']),
+        replica_id=require_id(stored_object['meta']['name']),
+        service=require_text(spec['service']),
+        address=require_address(spec['address']),
+        failure_domain=require_text(spec['zone']),
         state=ReplicaState(spec['state']),
-        slots=max(1, _require_int(spec.get('slots', 1))),
-        cold_remaining_ms=float(spec.get('warmup_left_ms', 0)),
-        start_time_ms=_require_int(start_time_ms),
+        slots=max(
+            1, require_int(spec.get('slots', 1), -_MAX_SLOTS, _MAX_SLOTS)
+        ),
+        cold_remaining_ms=_parse_ms(spec.get('warmup_left_ms', 0)),
+        start_time_ms=require_int(start_time_ms, 0, _MAX_UNIX_MS),
     )
 
 
-def _require_nonempty_str(field: Any) -> str:
-    if isinstance(field, str) and field:
-        return field
-    raise TypeError(field)
-
-
-def _require_int(field: Any) -> int:
-    # bool is a subclass of int.
-    if isinstance(field, int) and not isinstance(field, bool):
-        return field
-    raise TypeError(field)
+def _parse_ms(field: Any) -> float:
+    return require_number(field, 0, _MAX_DURATION_MS)
 
 
 @attrs.frozen
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -1,6 +1,7 @@
 """List, watch, read and write objects in the platform's store."""
 
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -8,10 +9,18 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from dragonflyramp.metrics import counters
+from dragonflyramp.object_limits import is_within_limits
 from dragonflyramp.platform._api_http import ApiCall, ApiClient, open_api_client
+from dragonflyramp.platform._json_replies import create_unreadable_object
+from dragonflyramp.platform._store_decoders import ENTRIES_KIND
 from dragonflyramp.results import ResultCode
 from dragonflyramp.views import Change, ChangeBatch, Fields, Listing
 
+#: Limit of the platform on the bytes of an object.
+_MAX_OBJECT_SIZE = 1024 * 1024
+#: Daemons pass entries on to each other. One of a replica has about 300 bytes.
+_MAX_ENTRY_SIZE = 16_384
 #: Time after the end of the wait within which the reply to a watch must arrive.
 _WATCH_MARGIN_SECONDS = 0.8
 
@@ -47,7 +56,7 @@
             )
             if isinstance(page_result, Failure):
                 return page_result
-            page = _parse_page(page_result.unwrap())
+            page = _parse_page(kind, page_result.unwrap())
             if page is None:
                 return Failure(ResultCode.bad_reply)
             objects_by_name.update(page.objects_by_name)
@@ -72,7 +81,7 @@
                 timeout_seconds=wait_seconds + _WATCH_MARGIN_SECONDS,
             )
         )
-        return call_result.bind(_parse_changes)
+        return call_result.bind(functools.partial(_parse_changes, kind))
 
     async def read(self, kind: str, name: str) -> Result[Fields, ResultCode]:
         """Read an object.
@@ -157,34 +166,50 @@
     return f'{path}?{urlencode(query)}' if query else path
 
 
-def _parse_page(fields: Fields) -> _Page | None:
+def _parse_page(kind: str, fields: Fields) -> _Page | None:
     listed_objects = fields.get('items')
     revision = fields.get('at_rev')
     if not isinstance(listed_objects, list) or not isinstance(revision, int):
         return None
     objects_by_name = {
-        _object_name(stored_object): stored_object
+        _object_name(stored_object): _limit(kind, stored_object)
         for stored_object in listed_objects
     }
-    objects_by_name.pop('', None)
+    if objects_by_name.pop('', None) is not None:
+        counters.add('bad_objects', 'unnamed')
     has_more = bool(fields.get('has_more')) and bool(objects_by_name)
     return _Page(revision, objects_by_name, has_more)
 
 
-def _parse_changes(fields: Fields) -> Result[ChangeBatch, ResultCode]:
+def _parse_changes(
+    kind: str, fields: Fields
+) -> Result[ChangeBatch, ResultCode]:
     events = fields.get('events')
     revision = fields.get('at_rev')
     if not isinstance(events, list) or not isinstance(revision, int):
         return Failure(ResultCode.bad_reply)
-    changes = tuple(
-        Change(
-            _object_name(event.get('object')),
-            None if event.get('tombstone') else event.get('object'),
-        )
-        for event in events
-        if isinstance(event, dict)
-    )
-    return Success(ChangeBatch(revision, changes))
+    changes = (_parse_event(kind, event) for event in events)
+    return Success(ChangeBatch(revision, tuple(filter(None, changes))))
+
+
+def _parse_event(kind: str, event: Any) -> Change | None:
+    """Parse an event of a watch; return None if it names no object."""
+    stored_object = event.get('object') if isinstance(event, dict) else None
+    name = _object_name(stored_object)
+    if not name:
+        counters.add('bad_objects', 'unnamed')
+        return None
+    is_removal = bool(event.get('tombstone'))
+    return Change(name, None if is_removal else _limit(kind, stored_object))
+
+
+def _limit(kind: str, stored_object: Any) -> Any:
+    """Remove the spec of an object that is too deep or too large."""
+    max_size = _MAX_ENTRY_SIZE if kind == ENTRIES_KIND else _MAX_OBJECT_SIZE
+    if is_within_limits(stored_object, max_size):
+        return stored_object
+    counters.add('bad_objects', 'too_large')
+    return create_unreadable_object(_object_name(stored_object))
 
 
 def _object_name(stored_object: Any) -> str:
@@ -192,4 +217,5 @@
         stored_object.get('meta') if isinstance(stored_object, dict) else None
     )
     name = meta.get('name') if isinstance(meta, dict) else ''
-    return name if isinstance(name, str) else ''
+    # An unprintable name, as with a lone surrogate, has no encoding.
+    return name if isinstance(name, str) and name.isprintable() else ''
--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -65,6 +65,8 @@
     fleet: Fleet
     clock: Callable[[], float]
     table: RoutingTable | None = None
+    #: Names of the entries that are malformed.
+    skipped_entries: set[str] = attrs.field(factory=set)
     #: Due times of delayed removals by entry name, in seconds of `clock`.
     _pending_removals: dict[str, float] = attrs.field(factory=dict)
 
@@ -142,10 +144,12 @@
                 self._pending_removals[name] = due_at_seconds
                 return
         self._pending_removals.pop(name, None)
+        self.skipped_entries.discard(name)
         entry = None
         if stored_object is not None:
             entry = self.decoder.decode_entry(stored_object)
             if entry is None:
+                self.skipped_entries.add(name)
                 counters.add('bad_objects', 'entry')
                 logger.bind(entry=name).warning(
                     'replica entry is malformed; the replica is not used'
--- a/dragonflyramp/tools/_front_gauges.py
+++ b/dragonflyramp/tools/_front_gauges.py
@@ -38,6 +38,9 @@
     gauges.register(
         'configuration_version', lambda: _configuration_version(routing_state)
     )
+    gauges.register(
+        'entries_skipped', lambda: len(routing_state.skipped_entries)
+    )
     gauges.register('daemons_counted', backend_client.peers.daemon_count)
     gauges.register(
         'budget_left_share', lambda: _budget_left_share(backend_client, clock())
--- a/dragonflyramp/tools/_reports.py
+++ b/dragonflyramp/tools/_reports.py
@@ -175,6 +175,7 @@
     ('draining', 'replicas_draining'),
     ('suspect', 'replicas_suspect'),
     ('cold', 'replicas_cold'),
+    ('skipped', 'entries_skipped'),
     ('budget', 'budget_left_share'),
     ('ok', 'answers_total{reason="ok"}'),
     ('partial', 'answers_total{reason="partial"}'),
--- a/tests/standins/stores.py
+++ b/tests/standins/stores.py
@@ -42,6 +42,9 @@
     revision: int = 100
     objects_by_kind: dict[str, dict[str, Any]] = attrs.field(factory=dict)
     faults: StoreFaults = attrs.field(factory=StoreFaults)
+    #: Bytes that replace a text in replies, such as those of another writer
+    #: that are not valid JSON.
+    raw_texts: dict[str, bytes] = attrs.field(factory=dict)
     #: Method and path with query of each call.
     calls: list[str] = attrs.field(factory=list)
     #: Revision, kind and event of each change.
@@ -162,7 +165,7 @@
             for name in objects_by_name
             if name > request.query.get('after', '')
         )
-        return web.json_response(
+        return self._encode(
             {
                 'items': [objects_by_name[name] for name in names[:_PAGE_SIZE]],
                 'has_more': len(names) > _PAGE_SIZE,
@@ -178,9 +181,13 @@
         events = await self.store.wait_for_events(kind, revision, wait_seconds)
         if self.store.faults.status:
             return web.Response(status=self.store.faults.status)
-        return web.json_response(
-            {'events': events, 'at_rev': self.store.revision}
-        )
+        return self._encode({'events': events, 'at_rev': self.store.revision})
+
+    def _encode(self, fields: dict[str, Any]) -> web.Response:
+        body = json.dumps(fields).encode()
+        for text, raw_bytes in self.store.raw_texts.items():
+            body = body.replace(json.dumps(text).encode(), raw_bytes)
+        return web.Response(body=body, content_type='application/json')
 
     async def _read(self, request: web.Request) -> web.Response:
         return self._respond(self._find(request))
