Close a connection whose reply does not end

Cause: only bodies had a limit. A head, a header value, a chunk extension or interim replies without end were read until the deadline: 64 to 600 MB of one reply, on VMs of 200 MB.

Change: all bytes before the body are limited to 64 KiB with interim replies, all bytes of a reply to 4 MiB with the framing of chunks. Passing a limit closes the connection and counts as a malformed reply (`backend_faults`, `too_large`); the part is fetched from another replica, and the attempt may have run. A 103 in answer to HEAD is no longer taken for the final reply.

Tests: test_replies.py (six endless replies, HEAD), test_fronts.py (`endless`); without the limits the former end as lost or as complete replies.

--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -6,9 +6,13 @@
 import httptools
 
 from dragonflyramp.backends._exchanges import OutcomeKind
+from dragonflyramp.metrics import counters
 
-#: Larger bodies are errors; those of backend servers are a few kilobytes.
-_MAX_REPLY_BYTES = 8 * 1024 * 1024
+#: Limit on all bytes of a reply, with interim ones and the framing of chunks.
+#: Those of backend servers have a few kilobytes.
+_MAX_REPLY_BYTES = 4 * 1024 * 1024
+#: Limit on all bytes before the body, with interim replies.
+_MAX_HEAD_BYTES = 65_536
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
 
@@ -35,6 +39,7 @@
         """Start with an empty reply; a reply to HEAD has no body."""
         self.raw = RawReply()
         self.parser = httptools.HttpResponseParser(self)
+        self.has_head = False
         self._is_head = is_head
 
     def on_message_begin(self) -> None:
@@ -54,6 +59,7 @@
         if raw.is_complete:
             return
         raw.status = self.parser.get_status_code()
+        self.has_head = raw.status >= _FIRST_FINAL_STATUS
         has_body = not (
             self._is_head
             or raw.status in _NO_BODY_STATUSES
@@ -62,7 +68,7 @@
         raw.is_close_delimited = has_body and not _has_length(raw)
         raw.is_keep_alive = self.parser.should_keep_alive()
         raw.is_keep_alive = raw.is_keep_alive and not raw.is_close_delimited
-        raw.is_complete = self._is_head
+        raw.is_complete = self._is_head and self.has_head
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body."""
@@ -85,6 +91,7 @@
         loop = asyncio.get_running_loop()
         self.outcome_kind: asyncio.Future[OutcomeKind] = loop.create_future()
         self._builder = _ReplyBuilder(is_head=is_head)
+        self._received_bytes = 0
 
     @property
     def raw(self) -> RawReply:
@@ -92,17 +99,21 @@
         return self._builder.raw
 
     def feed(self, received: bytes) -> None:
-        """Parse received bytes; the end of the reply sets the outcome kind."""
+        """Parse received bytes; the end of the reply sets the outcome kind.
+
+        A reply that passes a limit is garbled.
+        """
+        self._received_bytes += len(received)
         try:
             self._builder.parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.raw.has_unexpected_bytes = True
         if self.raw.is_complete:
             self.finish(OutcomeKind.replied)
-        elif (
-            self.raw.has_unexpected_bytes
-            or len(self.raw.body) > _MAX_REPLY_BYTES
-        ):
+        elif self.raw.has_unexpected_bytes:
+            self.finish(OutcomeKind.garbled)
+        elif self._received_bytes > self._max_bytes():
+            counters.add('backend_faults', 'too_large')
             self.finish(OutcomeKind.garbled)
 
     def finish_at_eof(self) -> None:
@@ -116,6 +127,10 @@
         if not self.outcome_kind.done():
             self.outcome_kind.set_result(kind)
 
+    def _max_bytes(self) -> int:
+        has_head = self._builder.has_head
+        return _MAX_REPLY_BYTES if has_head else _MAX_HEAD_BYTES
+
 
 def _has_length(raw: RawReply) -> bool:
     names = {name.lower() for name, _ in raw.headers}
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -31,6 +31,8 @@
     wrong_id: int = 0
     #: Replies that are not HTTP.
     garbled: int = 0
+    #: Replies whose head does not end until the front closes the connection.
+    endless: int = 0
     #: Requests that are answered with 503 and do not run.
     shed: int = 0
     #: Requests that run and are answered with 500.
@@ -117,6 +119,8 @@
         if self._consume_fault('hung'):
             return await self._hang(reader)
         await asyncio.sleep(self.faults.work_seconds)
+        if self._consume_fault('endless'):
+            await _send_until_closed(writer)
         return self._reply(writer, head)
 
     async def _hang(self, reader: asyncio.StreamReader) -> bool:
@@ -189,6 +193,16 @@
     return f'{reply_head}{extra_headers}{length}'.encode() + body
 
 
+async def _send_until_closed(writer: asyncio.StreamWriter) -> None:
+    """Send a head without end; raise ConnectionError when it is closed."""
+    writer.write(b'HTTP/1.1 200 OK\r\n')
+    while not writer.is_closing():
+        writer.write(b'X: y\r\n' * 1000)
+        await writer.drain()
+        await asyncio.sleep(0)
+    raise ConnectionResetError
+
+
 def _reset(writer: asyncio.StreamWriter) -> bool:
     sock = writer.get_extra_info('socket')
     reset_on_close(sock)
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -96,13 +96,14 @@
 
 
 @pytest.mark.parametrize(
-    'fault', ['reset_before_reply', 'truncated', 'garbled', 'wrong_id']
+    'fault',
+    ['reset_before_reply', 'truncated', 'garbled', 'wrong_id', 'endless'],
 )
 async def test_bad_reply_is_retried(fault: str) -> None:
     """One unusable reply must not leave its shard out of the answer.
 
-    Each fault loses, truncates or garbles a reply, or sends the reply of
-    another request.
+    Each fault loses, truncates or garbles a reply, sends the reply of another
+    request, or one that does not end.
     """
     async with run_harness(_SEARCH_TABLE, policies=_NO_HEDGING) as harness:
         _set_reply_bodies(harness)
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -1,6 +1,7 @@
 """Test reading replies from the bytes of a connection."""
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
@@ -14,6 +15,7 @@
     ConnectionHooks,
 )
 from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
+from dragonflyramp.backends._readers_http import ReplyReader
 from dragonflyramp.platform import ReplicaCodec
 from tests.front_harnesses import make_request
 from tests.standins.listeners import address_of, listen
@@ -22,6 +24,11 @@
 _OK_HEAD = b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: q1\r\n'
 _COMPLETE_REPLY = b''.join((_OK_HEAD, b'Content-Length: 3\r\n\r\nabc'))
 
+_CHUNKED_HEAD = b''.join((_OK_HEAD, b'Transfer-Encoding: chunked\r\n\r\n'))
+_SENT_BLOCK_BYTES = 65536
+#: Many times the limits on a reply, and more than the buffers of sockets.
+_MAX_SENT_BLOCKS = 1024
+
 ServerAction = Callable[[socket.socket], None]
 
 
@@ -37,6 +44,18 @@
     return action
 
 
+def _send_until_closed(start: bytes, piece: bytes) -> ServerAction:
+    """Send bytes that are no reply, until the front closes the connection."""
+
+    def action(sock: socket.socket) -> None:  # noqa: WPS430
+        with contextlib.suppress(ConnectionError):
+            sock.sendall(start)
+            for _ in range(_MAX_SENT_BLOCKS):
+                sock.sendall(piece * (_SENT_BLOCK_BYTES // len(piece)))
+
+    return action
+
+
 def _serve_once(
     server: socket.socket, action: ServerAction, *, stays_open: bool
 ) -> None:
@@ -108,6 +127,18 @@
         (_send(b''), OutcomeKind.lost),
         (_send_and_reset(_OK_HEAD, b'\r\nab'), OutcomeKind.lost),
         (_send_and_reset(_COMPLETE_REPLY), OutcomeKind.replied),
+        (_send_until_closed(_OK_HEAD, b'X: y\r\n'), OutcomeKind.garbled),
+        (_send_until_closed(_OK_HEAD, b'X'), OutcomeKind.garbled),
+        (
+            _send_until_closed(b'', b'HTTP/1.1 103 Early\r\n\r\n'),
+            OutcomeKind.garbled,
+        ),
+        (_send_until_closed(_OK_HEAD, b'\r\nabc'), OutcomeKind.garbled),
+        (_send_until_closed(_CHUNKED_HEAD, b'1;'), OutcomeKind.garbled),
+        (
+            _send_until_closed(_CHUNKED_HEAD, b'1;x=y\r\na\r\n'),
+            OutcomeKind.garbled,
+        ),
     ],
 )
 def test_unusable_reply_is_detected(
@@ -117,6 +148,16 @@
     assert _outcome(action).kind is kind
 
 
+async def test_interim_reply_to_head_is_skipped() -> None:
+    """An interim reply to HEAD must not be used as the final one."""
+    reader = ReplyReader(is_head=True)
+    reader.feed(b'HTTP/1.1 103 Early\r\nX: y\r\n\r\n')
+    assert not reader.outcome_kind.done()
+    reader.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n')
+    assert reader.raw.status == 200
+    assert reader.raw.headers == [('Content-Length', '3')]
+
+
 def test_reset_with_last_bytes_loses_reply() -> None:
     """A truncated body must not be used as complete.
 
