Keep requests in the own failure domain while callers lose nothing

A replica of another domain cost 5 ms, a new connection 6 ms: once a front had a connection elsewhere it went on using it, and the fixed cost had no relation to the route's target.

Change: another domain costs 0.08 of the time between the route's typical latency and its target, and at least 7 ms, more than a new connection. Near the target, as under high load, only the minimum is left.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -87,7 +87,9 @@
 
 
 def _select_replica(replicas: list[Replica]) -> Replica | None:
-    inputs = SelectionInputs(failure_domain='d', typical_ms=20, now_seconds=1)
+    inputs = SelectionInputs(
+        failure_domain='d', typical_ms=20, target_ms=100, now_seconds=1
+    )
     return LowestLatencySelector().select(replicas, inputs, random.Random(1))
 
 
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -87,6 +87,7 @@
         inputs = SelectionInputs(
             failure_domain=self.failure_domain,
             typical_ms=self.latencies.for_route(context.route).typical_ms,
+            target_ms=context.route.target_ms,
             now_seconds=now_seconds,
         )
         policy = context.table.service_policies.get(service) or ServicePolicy(
--- a/dragonflyramp/backends/_selectors.py
+++ b/dragonflyramp/backends/_selectors.py
@@ -8,8 +8,12 @@
 
 from dragonflyramp.backends._replicas import Replica
 
-#: Round trip to another failure domain, plus a penalty for billed traffic.
-_CROSS_DOMAIN_COST_MS = 5
+#: Minimum cost of another failure domain: the round trip, and billed traffic.
+#: It exceeds that of a new connection, which is needed only once.
+_MIN_CROSS_DOMAIN_COST_MS = 7
+#: Cost of another failure domain as a share of the time that is left to the
+#: latency target: a caller loses nothing by an answer before the target.
+_CROSS_DOMAIN_SLACK_SHARE = 0.08
 #: A new connection occupies a slot of the replica for about this long.
 _CONNECT_COST_MS = 6
 #: A cold replica is slower than a warm one by about this factor.
@@ -33,6 +37,8 @@
     failure_domain: str
     #: Typical latency of the route.
     typical_ms: float
+    #: Latency target of the route.
+    target_ms: float
     now_seconds: float
 
 
@@ -111,12 +117,22 @@
     # While all replicas have free slots, the least loaded one is preferred.
     latency_ms += processing_ms * outstanding_request_count / (slots * slots)
     if replica.entry.failure_domain != inputs.failure_domain:
-        latency_ms += _CROSS_DOMAIN_COST_MS
+        latency_ms += cross_domain_cost_ms(inputs)
     if not replica.connections.has_idle(now_seconds):
         latency_ms += _CONNECT_COST_MS
     return latency_ms
 
 
+def cross_domain_cost_ms(inputs: SelectionInputs) -> float:
+    """Return how much slower a replica in the own domain may be, in ms.
+
+    While the route's latency approaches its target, as under high load, this
+    falls to the minimum.
+    """
+    slack_ms = inputs.target_ms - inputs.typical_ms
+    return max(_MIN_CROSS_DOMAIN_COST_MS, slack_ms * _CROSS_DOMAIN_SLACK_SHARE)
+
+
 def _latency_ratio_with_stall(
     replica: Replica, inputs: SelectionInputs
 ) -> float:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -34,12 +35,22 @@
 from tests.front_harnesses import StaticPeers
 
 _INPUTS = SelectionInputs(
-    failure_domain='recife', typical_ms=20, now_seconds=1000
+    failure_domain='recife', typical_ms=20, target_ms=100, now_seconds=1000
 )
 
 
+class _ConnectedPool(ConnectionPool):
+    def has_idle(self, now_seconds: float) -> bool:
+        """Return True, as with a connection that waits for requests."""
+        return True
+
+
 def _replica(
-    name: str = 'r', domain: str = 'recife', *, cold_remaining_ms: float = 0
+    name: str = 'r',
+    domain: str = 'recife',
+    *,
+    cold_remaining_ms: float = 0,
+    pool_class: type[ConnectionPool] = ConnectionPool,
 ) -> Replica:
     return Replica(
         entry=ReplicaEntry(
@@ -51,7 +62,7 @@
             slots=3,
         ),
         warm_at_seconds=1000 + cold_remaining_ms / 1000,
-        connections=ConnectionPool(
+        connections=pool_class(
             '127.0.0.1:1',
             lambda address, hooks: pytest.fail('unexpected connection'),
             TaskSet(),
@@ -77,13 +88,41 @@
     assert _selected_id(_replica('far', 'natal'), _replica('near')) == 'near'
 
 
+def test_connected_remote_replica_is_left() -> None:
+    """A connection to another domain must not keep all requests there.
+
+    A new connection in the own domain is needed only once.
+    """
+    far = _replica('far', 'natal', pool_class=_ConnectedPool)
+    selected = LowestLatencySelector().select(
+        [far, _replica('near')],
+        attrs.evolve(_INPUTS, typical_ms=2),
+        random.Random(1),
+    )
+    assert selected is not None
+    assert selected.entry.replica_id == 'near'
+
+
+def test_requests_leave_domain_near_target() -> None:
+    """A slower replica of the own domain is used only within the target."""
+    near, far = _replica('near'), _replica('far', 'natal')
+    near.stats.record_latency(3, 1000)
+    for target_ms, expected in ((600, 'near'), (60, 'far')):
+        inputs = attrs.evolve(_INPUTS, target_ms=target_ms)
+        selected = LowestLatencySelector().select(
+            [near, far], inputs, random.Random(1)
+        )
+        assert selected is not None
+        assert selected.entry.replica_id == expected
+
+
 def test_slow_replica_is_avoided_until_decay() -> None:
     """A slow replica must be avoided, but measured again after a while."""
     slow, normal = _replica('slow'), _replica('normal', 'natal')
     slow.stats.record_latency(8, 1000)
     assert _selected_id(slow, normal) == 'normal'
     later = SelectionInputs(
-        failure_domain='recife', typical_ms=20, now_seconds=1010
+        failure_domain='recife', typical_ms=20, target_ms=100, now_seconds=1010
     )
     selected = LowestLatencySelector().select(
         [slow, normal], later, random.Random(1)
@@ -159,7 +198,10 @@
     search_latencies_ms = []
     for search in range(400):
         inputs = SelectionInputs(
-            failure_domain='recife', typical_ms=20, now_seconds=search / 20
+            failure_domain='recife',
+            typical_ms=20,
+            target_ms=100,
+            now_seconds=search / 20,
         )
         search_latencies_ms.append(
             max(
