End a planned stop within the grace period, with an answer to each request

Cause: a request that ran longer than the grace period was cut off without an answer, and the front ended 6.06 s after SIGTERM where 6 s are allowed (so it was killed): the drain waits until 0.7 s before the end, and aiohttp then waits for the handlers. A front that was frozen when SIGTERM came began its grace period only when it woke: 7.3 s after the signal with a freeze of 4 s. A second SIGTERM while the process ended gave the exit code -15.

Change: at the end of the drain, requests in progress are answered 502 (new code 310, `stopped`: a replica may have run them). `StandstillDetector` sees that the process stood still, and the grace period counts from before. Stop signals are ignored once the program has ended its work.

Ruled out as causes: silent hubs, a silent store, a caller that sends half a request or does not read, each 0.6 to 1.2 s.

Tests: test_stop_answers_long_request (with and without the freeze), test_repeated_stop_signals_are_ignored, test_signal_may_be_older_than_standstill; the former two fail before the change.

--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -4,6 +4,7 @@
 _queries         types of queries and answers
 _scatter_gather  scatter-gather over the shards of a search
 _cutoffs         policies for when a search returns a partial answer
+_running_queries queries that a planned stop ends with an answer
 _retry_delays    when a refused caller should come back
 _merging         merging of the shards' results
 _traffic_splits  weighted distribution of requests over services
@@ -29,6 +30,7 @@
     Refusal,
     RelayedAnswer,
 )
+from dragonflyramp.callers._running_queries import RunningQueries
 
 __all__ = (
     'Answer',
@@ -45,5 +47,6 @@
     'RecordMerger',
     'Refusal',
     'RelayedAnswer',
+    'RunningQueries',
     'TargetCutoff',
 )
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -15,6 +15,7 @@
     Query,
     Refusal,
     RelayedAnswer,
+    RunningQueries,
 )
 from dragonflyramp.messages import Request
 from dragonflyramp.metrics import counters
@@ -50,9 +51,14 @@
 
     _front: Front
     _clock: Callable[[], float]
+    _queries: RunningQueries = attrs.field(init=False)
     _runner: web.ServerRunner | None = None
     _readiness_runner: web.ServerRunner | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Run the queries on the front."""
+        self._queries = RunningQueries(self._front.serve)
+
     async def start(self, frontend: str, readiness: str) -> str:
         """Listen on both `IP:port` addresses; return the bound one for callers.
 
@@ -69,7 +75,7 @@
     async def drain(self, timeout_seconds: float) -> None:
         """Stop accepting connections and wait for running requests to end.
 
-        Return after the timeout, even if requests still run.
+        Requests that still run after the timeout are answered with a failure.
         """
         assert self._runner is not None
         for site in tuple(self._runner.sites):
@@ -82,6 +88,7 @@
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_SECONDS)
             is_idle = not self._front.in_flight.count
             idle_polls = idle_polls + 1 if is_idle else 0
+        self._queries.end()
 
     async def stop(self) -> None:
         """Close the ports and the open connections."""
@@ -132,7 +139,7 @@
             deadline_ms=deadline_ms,
             received_at_seconds=received_at_seconds,
         )
-        return encode_answer(await self._front.serve(query))
+        return encode_answer(await self._queries.run(query))
 
 
 def encode_answer(answer: Answer) -> web.Response:
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -53,6 +53,7 @@
     outcome_unknown = 307
     already_claimed = 308
     cancelled = 309
+    stopped = 310
 
     text_syntax = 400
     unknown_key = 401
@@ -166,6 +167,10 @@
         ResultCode.cancelled: _run_unknown(
             HTTPStatus.REQUEST_TIMEOUT, 'The caller went away.'
         ),
+        ResultCode.stopped: _run_unknown(
+            HTTPStatus.BAD_GATEWAY,
+            'The daemon was stopped before it had an answer.',
+        ),
         ResultCode.text_syntax: _not_run(
             HTTPStatus.BAD_REQUEST, 'The text is not valid TOML.'
         ),
--- a/dragonflyramp/runtime.py
+++ b/dragonflyramp/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import mimetypes
 import os
 import signal
@@ -42,6 +43,10 @@
     }
 )
 
+#: A gap between ticks from which a process counts as having stood still. Busy
+#: event loops have shorter ones.
+_MIN_STANDSTILL_SECONDS = 0.8
+
 AnyCoroutine: TypeAlias = Coroutine[Any, Any, object]
 DaemonMain: TypeAlias = Callable[[asyncio.Event], Coroutine[Any, Any, None]]
 
@@ -109,12 +114,43 @@
         _report_failure(task)
 
 
+@attrs.define(eq=False)
+class StandstillDetector:
+    """Detect that the process stood still, as on a frozen VM.
+
+    A signal that arrives meanwhile is handled only afterwards.
+    """
+
+    _ticked_at_seconds: float
+    _started_at_seconds: float = -math.inf
+    _ended_at_seconds: float = -math.inf
+
+    def tick(self, now_seconds: float) -> None:
+        """Record that the process runs; call it every 0.2 s."""
+        if now_seconds - self._ticked_at_seconds > _MIN_STANDSTILL_SECONDS:
+            self._started_at_seconds = self._ticked_at_seconds
+            self._ended_at_seconds = now_seconds
+        self._ticked_at_seconds = now_seconds
+
+    def earliest_signal_at_seconds(self, now_seconds: float) -> float:
+        """Return when a signal that is handled now was sent at the earliest."""
+        self.tick(now_seconds)
+        elapsed_seconds = now_seconds - self._ended_at_seconds
+        if elapsed_seconds < _MIN_STANDSTILL_SECONDS:
+            return self._started_at_seconds
+        return now_seconds
+
+
 async def _run_with_signal_handlers(main: DaemonMain) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in _STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop.set)
     await main(stop)
+    for handled_number in _STOP_SIGNALS:
+        # A repeated signal must not end the process with another exit code.
+        loop.remove_signal_handler(handled_number)
+        signal.signal(handled_number, signal.SIG_IGN)
 
 
 async def _run_until(
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -42,7 +42,7 @@
 )
 from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.routing_state import ObjectDecoder, RoutingState
-from dragonflyramp.runtime import TaskSet, run_all
+from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
 from dragonflyramp.settings import ConfigurationSource, Settings
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.tools._front_gauges import register_gauges
@@ -66,6 +66,7 @@
     watchers: tuple[Watcher, ...]
     preconnector: Preconnector
     connection_tasks: TaskSet
+    standstill_detector: StandstillDetector
 
     async def listen(self) -> dict[str, str]:
         """Listen on all ports and return the addresses to log, by name.
@@ -98,21 +99,30 @@
             self.hub_links.run(),
             self.routing_state.run(),
             self.preconnector.run(),
+            self._detect_standstill(),
             *(watcher.run() for watcher in self.watchers),
         )
 
     async def stop(self) -> None:
         """Report not ready, keep serving for the notice time, then drain."""
         self.front.is_stopping = True
-        started_at_seconds = time.monotonic()
-        # The platform keeps sending callers here until it notices that this
-        # front is not ready.
-        await asyncio.sleep(self.settings.stop_notice_seconds)
+        now_seconds = time.monotonic()
+        # The grace period has begun before a standstill, if there was one.
+        signal_at_seconds = self.standstill_detector.earliest_signal_at_seconds(
+            now_seconds
+        )
         drain_ends_at_seconds = (
-            started_at_seconds
+            signal_at_seconds
             + self.machine.grace_seconds
             - self.settings.stop_reserve_seconds
         )
+        # The platform keeps sending callers here until it notices that this
+        # front is not ready.
+        notice_ends_at_seconds = min(
+            now_seconds + self.settings.stop_notice_seconds,
+            drain_ends_at_seconds,
+        )
+        await asyncio.sleep(max(0, notice_ends_at_seconds - now_seconds))
         await self.front_server.drain(drain_ends_at_seconds - time.monotonic())
 
     async def close(self) -> None:
@@ -123,6 +133,11 @@
         await self.sync_server.stop()
         await self.connection_tasks.cancel()
 
+    async def _detect_standstill(self) -> None:
+        while True:
+            self.standstill_detector.tick(time.monotonic())
+            await asyncio.sleep(_TICK_INTERVAL_SECONDS)
+
 
 def create_components(
     settings: Settings, machine: MachineSettings, store: StoreClient
@@ -183,6 +198,7 @@
             _CLOCK,
         ),
         connection_tasks=connection_tasks,
+        standstill_detector=StandstillDetector(_CLOCK()),
     )
 
 
@@ -316,6 +332,7 @@
 
 
 _CLOCK = time.monotonic
+_TICK_INTERVAL_SECONDS = 0.2
 #: Collects changes into one batch: starting replicas change their entries every
 #: second, many at a time. The delay does no harm, because a draining replica
 #: keeps serving for seconds.
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -246,7 +246,7 @@
     headers = {
         'Host': HOST,
         'Request-Id': request_id,
-        'Deadline-Ms': '3000',
+        'Deadline-Ms': '30000',
     }
     url = yarl.URL(f'http://{front.frontend_address}{path}', encoded=True)
     async with session.request(
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -30,6 +30,10 @@
 from tests.standins.waits import eventually
 
 
+#: `grace_s` in the settings of the fronts.
+_GRACE_SECONDS = 6
+
+
 @pytest.fixture
 async def session() -> AsyncIterator[aiohttp.ClientSession]:
     """Open a caller's session, which reuses its connections."""
@@ -155,6 +159,71 @@
         assert len(deployment.run_ids('lookup')) == len(statuses)
 
 
+async def _send_hanging_order(
+    session: aiohttp.ClientSession, deployment: Deployment
+) -> asyncio.Task[FrontAnswer]:
+    """Send a request that no replica answers, and wait until one runs it."""
+    store = deployment.store_server.store
+    routes = make_configuration(1)['routes']
+    slow_route = {**routes[2], 'timeout_ms': 30000, 'path_prefix': '/slow/'}
+    changed = make_configuration(2, routes=[*routes, slow_route])
+    store.put('config', 'main', changed)
+    front = deployment.fronts[0]
+    status = 404
+    while status == 404:
+        answer = await send_request(
+            session, front, '/slow/x', 'q0', method='POST'
+        )
+        status = answer.status
+    for server in deployment.replicas['lookup']:
+        server.faults.hung = 1
+    task = asyncio.create_task(
+        send_request(session, front, '/slow/x', 'long', method='POST')
+    )
+    await eventually(lambda: 'long' in deployment.run_ids('lookup'))
+    return task
+
+
+@pytest.mark.parametrize('frozen_seconds', [0, 4])
+async def test_stop_answers_long_request(
+    tmp_path: pathlib.Path,
+    session: aiohttp.ClientSession,
+    frozen_seconds: float,
+) -> None:
+    """A stop must end in the grace period, with an answer to each request.
+
+    The platform kills the front afterwards. The grace period also passes while
+    the front is frozen, and the signal is handled only later.
+    """
+    async with run_deployment(tmp_path) as deployment:
+        front = deployment.fronts[0]
+        task = await _send_hanging_order(session, deployment)
+        loop = asyncio.get_running_loop()
+        kill_timer = loop.call_later(
+            _GRACE_SECONDS, front.program.send_signal, signal.SIGKILL
+        )
+        front.program.send_signal(signal.SIGTERM)
+        front.program.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(frozen_seconds)
+        front.program.send_signal(signal.SIGCONT)
+        answer = await task
+        assert answer.status == 502
+        assert await front.program.wait() == 0
+        kill_timer.cancel()
+
+
+async def test_repeated_stop_signals_are_ignored(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A second SIGTERM must not end a front with the number of the signal."""
+    async with run_deployment(tmp_path) as deployment:
+        program = deployment.fronts[0].program
+        while program.process.returncode is None:
+            program.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.01)
+        assert program.process.returncode == 0
+
+
 async def test_fronts_serve_during_store_outage(
     tmp_path: pathlib.Path, session: aiohttp.ClientSession
 ) -> None:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -13,9 +13,26 @@
 from dragonflyramp.members import HubLinks, Registrar, Watcher
 from dragonflyramp.metrics import counters
 from dragonflyramp.routing_state import RoutingState
-from dragonflyramp.runtime import TaskSet, run_all, run_until_first
+from dragonflyramp.runtime import (
+    StandstillDetector,
+    TaskSet,
+    run_all,
+    run_until_first,
+)
 from dragonflyramp.tools._front_components import FrontComponents
 
+
+def test_signal_may_be_older_than_standstill() -> None:
+    """The grace period of a stop also passes while the process is frozen."""
+    detector = StandstillDetector(100)
+    for tick_at_seconds in (100.25, 100.5):
+        detector.tick(tick_at_seconds)
+    assert [
+        detector.earliest_signal_at_seconds(handled_at_seconds)
+        for handled_at_seconds in (101, 104, 104.25, 105)
+    ] == pytest.approx([101, 101, 101, 105])
+
+
 _SCRIPT = """
 import asyncio, os
 from dragonflyramp.runtime import run_daemon
