--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -256,6 +256,7 @@
         ):
             # Other daemons may need the connections beyond this daemon's share.
             # The only connection to the replica is kept even if the share is 0.
+            self._open.discard(connection)
             connection.close()
             return
         self._idle.append(connection)
--- a/dragonflyramp/members/_registrars.py
+++ b/dragonflyramp/members/_registrars.py
@@ -106,7 +106,10 @@
         entry = read_result.unwrap()
         if entry.get('spec') == spec:
             return ResultCode.ok
-        revision = entry['meta']['rev']
+        meta = entry.get('meta')
+        revision = meta.get('rev') if isinstance(meta, dict) else None
+        if not isinstance(revision, int):
+            return ResultCode.bad_reply
         return _result_code(
             await self.store.replace(
                 DAEMONS_KIND, own_daemon.name, spec, revision
--- a/dragonflyramp/operators/_daemon_metrics_http.py
+++ b/dragonflyramp/operators/_daemon_metrics_http.py
@@ -1,6 +1,7 @@
 """Read the metrics of daemons over HTTP."""
 
 import asyncio
+import contextlib
 from collections.abc import Iterator, Mapping, Sequence
 from http import HTTPStatus
 
@@ -51,8 +52,12 @@
 
 
 def _parse_samples(text: str) -> Iterator[tuple[str, float]]:
-    """Yield the metrics with `_METRIC_PREFIX`; strip it from their names."""
+    """Yield the metrics with `_METRIC_PREFIX`; strip it from their names.
+
+    Malformed lines are skipped.
+    """
     for line in text.splitlines():
         name, _, sample_value = line.rpartition(' ')
         if name.startswith(_METRIC_PREFIX):
-            yield name.removeprefix(_METRIC_PREFIX), float(sample_value)
+            with contextlib.suppress(ValueError):
+                yield name.removeprefix(_METRIC_PREFIX), float(sample_value)
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -29,6 +29,8 @@
 #: Limit on the request line and on each header; it equals the platform's limit
 #: on all headers together.
 _MAX_LINE_BYTES = 16384
+#: Limit on a body before the first configuration.
+_DEFAULT_MAX_BODY_BYTES = 1024 * 1024
 #: Timeout for reading a body when the caller sends no deadline.
 _BODY_TIMEOUT_SECONDS = 10.0
 #: Interval between checks for running requests while draining.
@@ -119,9 +121,17 @@
         deadline_ms = http_headers.parse_number(
             request.headers.get(http_headers.DEADLINE_MS)
         )
-        body = await _read_body(request, deadline_ms)
+        table = self._front.current_table()
+        body = await _read_body(
+            request,
+            deadline_ms,
+            _DEFAULT_MAX_BODY_BYTES if table is None else table.max_body_bytes,
+        )
         if isinstance(body, ResultCode):
-            return _encode_refusal(Refusal(code=body))
+            refusal = _encode_refusal(Refusal(code=body))
+            # The rest of the body is not read.
+            refusal.force_close()
+            return refusal
         raw_path = request.raw_path
         query = Query(
             request=Request(
@@ -202,24 +212,35 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, deadline_ms: float | None
+    request: web.BaseRequest, deadline_ms: float | None, max_bytes: int
 ) -> bytes | ResultCode:
     """Read the body; return body_too_large or bad_request on failure."""
     if not request.body_exists:
         return b''
+    if (request.content_length or 0) > max_bytes:
+        return ResultCode.body_too_large
     timeout_seconds = (
         _BODY_TIMEOUT_SECONDS if deadline_ms is None else deadline_ms / 1000
     )
     try:
         async with asyncio.timeout(timeout_seconds):
-            return await request.read()
-    except web.HTTPRequestEntityTooLarge:
-        return ResultCode.body_too_large
+            return await _read_pieces(request, max_bytes)
     except (TimeoutError, web.RequestPayloadError) as error:
         logger.bind(reason=repr(error)).info('failed to read the request body')
         return ResultCode.bad_request
 
 
+async def _read_pieces(
+    request: web.BaseRequest, max_bytes: int
+) -> bytes | ResultCode:
+    body = bytearray()
+    async for piece in request.content.iter_any():
+        body.extend(piece)
+        if len(body) > max_bytes:
+            return ResultCode.body_too_large
+    return bytes(body)
+
+
 def _decode_headers(request: web.BaseRequest) -> list[tuple[str, str]]:
     return [
         (name.decode('latin-1'), text.decode('latin-1'))
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -73,7 +73,7 @@
     numbers = (text or '').split(',')
     if len(numbers) != len(('running', 'waiting', 'slots')):
         return None
-    if not all(number.strip().isdecimal() for number in numbers):
+    if not all(map(_is_count, numbers)):
         return None
     running, waiting, slots = map(int, numbers)
     return Load(running, waiting, max(1, slots))
@@ -92,6 +92,11 @@
     return None
 
 
+def _is_count(text: str) -> bool:
+    number = text.strip()
+    return number.isdecimal() and len(number) <= _MAX_COUNT_DIGITS
+
+
 def _connection_options(headers: Headers) -> frozenset[str]:
     return frozenset(
         token.strip().lower()
@@ -105,3 +110,4 @@
 
 
 _NUMBER_LIMIT = 1e12
+_MAX_COUNT_DIGITS = 9
--- a/dragonflyramp/platform/_settings_file.py
+++ b/dragonflyramp/platform/_settings_file.py
@@ -19,12 +19,14 @@
 def read_settings(path: str) -> Result[MachineSettings, str]:
     """Read the settings file; fail with an error message for the operator."""
     try:
-        text = pathlib.Path(path).read_text()
+        text = pathlib.Path(path).read_text(encoding='utf-8')
     except OSError as error:
         return Failure(
             f'the settings file {path} cannot be read: {error.strerror}; '
             'set DRAGONFLYRAMP_BOOT to its path'
         )
+    except UnicodeDecodeError:
+        return Failure(f'the settings file {path} is not UTF-8')
     return decode_settings(text)
 
 
@@ -35,7 +37,7 @@
     """
     try:
         fields = yaml.load(text, Loader=yaml.CSafeLoader)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         return Failure(f'the settings file is not valid YAML: {error}')
     try:
         return Success(_parse_settings(fields))
@@ -46,7 +48,13 @@
 
 
 #: Exceptions raised while a malformed file is decoded.
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 def _parse_settings(fields: dict[str, Any]) -> MachineSettings:
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -75,7 +75,7 @@
     routes: tuple[Route, ...]
     #: Policies by service name.
     service_policies: Mapping[str, ServicePolicy]
-    #: Configured limit on request bodies. Decoded, but not enforced.
+    #: Limit on the body of a caller's request.
     max_body_bytes: int
     _routes_by_host: Mapping[str, tuple[Route, ...]] = attrs.field(init=False)
 
--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -49,10 +49,11 @@
 
     def decode_held_domains(
         self, objects_by_name: Mapping[str, Fields]
-    ) -> frozenset[str]:
+    ) -> frozenset[str] | None:
         """Decode the names of the failure domains on hold.
 
-        Operators have taken these failure domains out of service.
+        Operators have taken these failure domains out of service. Return None
+        if the holds cannot be read; then the last ones stay in force.
         """
 
 
@@ -65,6 +66,8 @@
     fleet: Fleet
     clock: Callable[[], float]
     table: RoutingTable | None = None
+    #: Whether the holds in force are those in the store.
+    are_holds_readable: bool = True
     #: Names of the entries that are malformed.
     skipped_entries: set[str] = attrs.field(factory=set)
     #: Due times of delayed removals by entry name, in seconds of `clock`.
@@ -85,6 +88,7 @@
             held_domains = self.decoder.decode_held_domains(
                 self.views[kind].objects_by_name
             )
+            self.are_holds_readable = held_domains is not None
             _update_held_domains(self.fleet, held_domains)
         elif kind == self.decoder.entries_kind:
             self._apply_entries(self.views[kind], names)
@@ -166,8 +170,19 @@
     )
 
 
-def _update_held_domains(fleet: Fleet, held_domains: frozenset[str]) -> None:
-    """Set the failure domains on hold, and log a change."""
+def _update_held_domains(
+    fleet: Fleet, held_domains: frozenset[str] | None
+) -> None:
+    """Set the failure domains on hold, and log a change.
+
+    If the stored ones cannot be read, the last ones stay in force.
+    """
+    if held_domains is None:
+        counters.add('bad_objects', 'holds')
+        logger.bind(domains=sorted(fleet.held_domains)).error(
+            'stored holds cannot be read; the last ones stay in force'
+        )
+        return
     if held_domains != fleet.held_domains:
         hold_domains(fleet, held_domains)
         logger.bind(domains=sorted(held_domains)).info('failure domains held')
--- a/dragonflyramp/slow_replicas.py
+++ b/dragonflyramp/slow_replicas.py
@@ -22,6 +22,9 @@
 _MIN_REPORTED_RATIO = 1.4
 #: A hub that responds to many daemons reuses its report for this long.
 _REPORT_TTL_SECONDS = 0.25
+#: The samples of an older report have decayed, and its daemon may be no hub any
+#: more.
+_HUB_REPORT_TTL_SECONDS = 60
 #: A daemon that cannot send its samples to a hub drops them when they are from
 #: this many replicas, which bounds their memory.
 _MAX_UNSENT_REPLICAS = 4096
@@ -64,6 +67,12 @@
 LatencyAggregates = Mapping[str, LatencyAggregate]
 
 
+@attrs.frozen
+class _HubReport:
+    aggregates: LatencyAggregates
+    received_at_seconds: float
+
+
 def _ignore_slow_replicas(
     slow_ratios: Mapping[str, float], now_seconds: float
 ) -> None:
@@ -87,7 +96,7 @@
     #: Samples of this daemon and of those that send it requests.
     _collected_samples: dict[str, LatencyAggregate] = attrs.field(factory=dict)
     #: The last report of each hub by its name.
-    _hub_reports: dict[str, LatencyAggregates] = attrs.field(factory=dict)
+    _hub_reports: dict[str, _HubReport] = attrs.field(factory=dict)
     _cached_report: LatencyAggregates = attrs.field(factory=dict)
     _cached_at_seconds: float = -math.inf
 
@@ -131,10 +140,17 @@
         self, hub_name: str, report: LatencyAggregates, now_seconds: float
     ) -> None:
         """Store a hub's report and call `on_slow` for slow replicas in it."""
-        self._hub_reports[hub_name] = {
+        aggregates = {
             replica_id: attrs.evolve(aggregate, updated_at_seconds=now_seconds)
             for replica_id, aggregate in report.items()
         }
+        self._hub_reports = {
+            name: hub_report
+            for name, hub_report in self._hub_reports.items()
+            if now_seconds - hub_report.received_at_seconds
+            < _HUB_REPORT_TTL_SECONDS
+        }
+        self._hub_reports[hub_name] = _HubReport(aggregates, now_seconds)
         # Expires old samples even if this daemon receives no requests.
         self.current_report(now_seconds)
         slow_ratios = self._compute_slow_ratios(report, now_seconds)
@@ -165,7 +181,7 @@
         for replica_id in replica_ids:
             total = LatencyAggregate(updated_at_seconds=now_seconds)
             for report in self._hub_reports.values():
-                aggregate = report.get(replica_id)
+                aggregate = report.aggregates.get(replica_id)
                 if aggregate is not None:
                     total = total.merge(aggregate.decayed(now_seconds))
             if (
--- a/dragonflyramp/tools/_front_gauges.py
+++ b/dragonflyramp/tools/_front_gauges.py
@@ -41,6 +41,9 @@
     gauges.register(
         'entries_skipped', lambda: len(routing_state.skipped_entries)
     )
+    gauges.register(
+        'holds_unreadable', lambda: float(not routing_state.are_holds_readable)
+    )
     gauges.register('daemons_counted', backend_client.peers.daemon_count)
     gauges.register(
         'budget_left_share', lambda: _budget_left_share(backend_client, clock())
--- a/dragonflyramp/tools/_text_decoders.py
+++ b/dragonflyramp/tools/_text_decoders.py
@@ -48,11 +48,16 @@
 
     def decode_held_domains(
         self, objects_by_name: Mapping[str, Fields]
-    ) -> frozenset[str]:
-        """Return the failure domains on hold, if the text can be read."""
+    ) -> frozenset[str] | None:
+        """Return the failure domains on hold; None if the text is unreadable.
+
+        Without any object there is no text, and nothing is on hold.
+        """
+        if not objects_by_name:
+            return frozenset()
         configuration = _read_configuration(objects_by_name)
         return (
-            frozenset()
+            None
             if configuration is None
             else operators.held_domains(configuration)
         )
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -155,7 +155,7 @@
             return
         gap_seconds = confirmed_at_seconds - self.confirmed_at_seconds
         if _OUTAGE_THRESHOLD_SECONDS < gap_seconds < math.inf:
-            self.outage_ended_at_seconds = confirmed_at_seconds
+            self.record_outage_end(confirmed_at_seconds)
         self.confirmed_at_seconds = confirmed_at_seconds
 
     def _trim_log(self) -> None:
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -102,6 +102,7 @@
     directory: pathlib.Path
     replicas: dict[str, list[ReplicaServer]] = attrs.field(factory=dict)
     fronts: list[FrontProcess] = attrs.field(factory=list)
+    _reserved: list[socket.socket] = attrs.field(factory=list)
 
     async def start_replicas(self, count: int) -> None:
         """Start and register `count` replicas of each service."""
@@ -144,7 +145,7 @@
         self, name: str, seeds: Sequence[str] = (), **changes: Any
     ) -> FrontProcess:
         """Start a front with changed settings; do not wait for readiness."""
-        ports = _free_ports(3)
+        ports = [self._reserve_port() for _ in range(3)]
         settings = {**self._settings(name, ports, seeds), **changes}
         path = self.directory / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
@@ -177,6 +178,20 @@
             for server in servers:
                 await server.stop()
         await self.store_server.stop()
+        for sock in self._reserved:
+            sock.close()
+
+    def _reserve_port(self) -> int:
+        """Return a free port that no other process gets from the kernel.
+
+        A front can listen on it beside the bound socket.
+        """
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(('127.0.0.1', 0))
+        self._reserved.append(sock)
+        port: int = sock.getsockname()[1]
+        return port
 
     async def _run_front(self, name: str) -> Program:
         path = self.directory / f'{name}.yaml'
@@ -253,14 +268,3 @@
         method, url, headers=headers, data=body
     ) as reply:
         return FrontAnswer(reply.status, reply.headers, await reply.read())
-
-
-def _free_ports(count: int) -> list[int]:
-    """Return free loopback ports."""
-    with contextlib.ExitStack() as cleanup:
-        ports = []
-        for _ in range(count):
-            sock = cleanup.enter_context(socket.socket())
-            sock.bind(('127.0.0.1', 0))
-            ports.append(sock.getsockname()[1])
-        return ports
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -16,6 +16,7 @@
 from dragonflyramp import operators
 from dragonflyramp.metrics import counters, gauges, latencies
 from dragonflyramp.metrics_http import MetricsServer
+from dragonflyramp.operators._daemon_metrics_http import _parse_samples
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.results import ResultCode
 from dragonflyramp.tools._reports import report_status
@@ -221,6 +222,12 @@
     assert '506 daemon_unreachable' in report.problems[0]
 
 
+def test_malformed_metrics_are_skipped() -> None:
+    """A damaged line must not keep operators from the other metrics."""
+    text = 'dragonflyramp_a 1\ndragonflyramp_b x\ndragonflyramp_c 2\n'
+    assert dict(_parse_samples(text)) == {'a': 1, 'c': 2}
+
+
 @pytest.fixture
 def platform_address() -> Iterator[str]:
     """Run the store's stand-in in a separate process; return its address."""
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -98,9 +98,16 @@
     """New routes, a hold and a drain must take effect within seconds."""
     async with run_deployment(tmp_path, front_count=2) as deployment:
         store = deployment.store_server.store
-        store.put('evacuations', 'natal', {})
+        held_replica, active_replica = deployment.replicas['lookup']
+        for front in deployment.fronts:
+            async with asyncio.timeout(20):
+                while not await _receives_requests(
+                    session, front, held_replica
+                ):
+                    await asyncio.sleep(0.05)
+        store.put('evacuations', 'recife', {})
         draining_replica = deployment.replicas['shard-a'][0]
-        deployment.register(draining_replica, 'recife', state='draining')
+        deployment.register(draining_replica, 'natal', state='draining')
         routes = make_configuration(1)['routes'][1:]
         store.put('config', 'main', make_configuration(5, routes=routes))
         for front in deployment.fronts:
@@ -111,7 +118,6 @@
                         session, front, '/search/x', 'q'
                     )
                     status = answer.status
-        active_replica, held_replica = deployment.replicas['lookup']
         for front in deployment.fronts:
             # Each kind of object has its own watch, so the hold may take effect
             # later than the routes.
@@ -330,6 +336,26 @@
         assert 'Transfer-Encoding' not in heads[0]
 
 
+@pytest.mark.parametrize('is_chunked', [False, True])
+async def test_too_large_body_is_refused(
+    tmp_path: pathlib.Path, session: aiohttp.ClientSession, is_chunked: bool
+) -> None:
+    """A body above the configured limit must be refused, and not be kept."""
+
+    async def chunks() -> AsyncIterator[bytes]:  # noqa: WPS430
+        for _ in range(20):
+            yield b'x' * 1000
+
+    async with run_deployment(tmp_path) as deployment:
+        headers = {'Host': HOST, 'Request-Id': 'q', 'Deadline-Ms': '3000'}
+        frontend = deployment.fronts[0].frontend_address
+        url = f'http://{frontend}/order/x'
+        body = chunks() if is_chunked else b'x' * 20000
+        async with session.post(url, headers=headers, data=body) as reply:
+            assert reply.status == 413
+        assert not deployment.run_ids('lookup')
+
+
 async def test_missing_settings_file_is_reported() -> None:
     """A front without a settings file must report it in one line."""
     program = await Program.start(
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -28,9 +28,11 @@
     encode_response,
 )
 from dragonflyramp.platform import StoreClient, StoreDecoder
+from dragonflyramp.results import ResultCode
 from dragonflyramp.routing_state import RoutingState
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.slow_replicas import SlowReplicaDetector
+from dragonflyramp.tools._text_decoders import TextDecoder
 from dragonflyramp.views import Change, ChangeBatch, Listing, View
 from tests.deployments import make_configuration
 from tests.standins.stores import StoreFaults, StoreServer
@@ -649,3 +651,66 @@
     for kind in decoder.kinds:
         views[kind].replace(Listing(5, {}), 1)
     assert routing_state.has_synced
+
+
+def test_unreadable_holds_stay_in_force() -> None:
+    """Holds that cannot be read must not be lifted."""
+    routing_state = _routing_state()
+    kind = routing_state.decoder.holds_kind
+    routing_state.views[kind].replace(Listing(5, {'recife': {}}), 1)
+    routing_state.apply_changes(kind, {'recife'})
+    assert routing_state.fleet.held_domains == {'recife'}
+    routing_state.decoder = _UnreadableHoldsDecoder()
+    routing_state.views[kind].replace(Listing(6, {}), 1)
+    routing_state.apply_changes(kind, {'recife'})
+    assert routing_state.fleet.held_domains == {'recife'}
+    assert not routing_state.are_holds_readable
+
+
+def test_damaged_text_gives_no_holds() -> None:
+    """A damaged text must not be read as one without holds."""
+    decoder = TextDecoder()
+    assert decoder.decode_held_domains({}) == frozenset()
+    assert decoder.decode_held_domains({'root': {'spec': None}}) is None
+
+
+@attrs.frozen
+class _UnreadableHoldsDecoder(StoreDecoder):
+    def decode_held_domains(  # type: ignore[override]
+        self, objects_by_name: object
+    ) -> None:
+        """Return None, as for a damaged text."""
+
+
+def test_outage_end_does_not_move_back() -> None:
+    """A late confirmation must not shorten the delay of removals."""
+    view = View(_ENTRIES_KIND)
+    view.replace(Listing(5, {}), 10)
+    view.record_outage_end(40)
+    view.apply(ChangeBatch(6, ()), 30)
+    assert view.outage_ended_at_seconds == pytest.approx(40)
+
+
+def test_reports_of_former_hubs_are_dropped() -> None:
+    """Reports must not pile up while the hubs change."""
+    detector = SlowReplicaDetector()
+    for number in range(9):
+        detector.apply_report(f'hub-{number}', {}, number * 100)
+    assert list(detector._hub_reports) == ['hub-8']
+
+
+async def test_entry_without_meta_is_no_registration(
+    store_client: StoreClient, store_server: StoreServer
+) -> None:
+    """An odd entry under the name of a daemon must not end it."""
+    store_server.store.objects_by_kind[DAEMONS_KIND] = {
+        'd1': {'meta': 'odd', 'spec': {}}
+    }
+    registrar = Registrar(
+        store=store_client,
+        cluster=Cluster(Membership(_daemon('d1'))),
+        view=View(DAEMONS_KIND),
+        clock=lambda: 100,
+        rng=random.Random(1),
+    )
+    assert await registrar._try_register() is ResultCode.bad_reply
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -210,6 +210,12 @@
     assert ReplicaCodec().decode(421, (), b'').is_misdirected
 
 
+def test_absurd_load_is_ignored() -> None:
+    """A number of thousands of digits must not end the connection."""
+    digits = '9' * 5000
+    assert http_headers.parse_load(f'{digits},0,8') is None
+
+
 @pytest.mark.parametrize(
     ('refusal', 'status'),
     [
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dragonflyramp.platform import read_settings
 from dragonflyramp.setting_flags import load_settings
 from dragonflyramp.setting_pages import render
 from dragonflyramp.settings import ConfigurationSource, Settings
@@ -101,3 +102,10 @@
 def test_page_is_up_to_date() -> None:
     """The page must show the defaults that are in force."""
     assert _PAGE.read_text('utf-8') == render()
+
+
+def test_settings_file_must_be_utf8(tmp_path: pathlib.Path) -> None:
+    """A damaged settings file must not end a front at a reload."""
+    path = tmp_path / 'settings.yaml'
+    path.write_bytes(b'node: \xff\xfe')
+    assert 'not UTF-8' in read_settings(str(path)).failure()
