Spend the shared budget of hedges in whole, also with many fronts

With 85 fronts a share of the budget is two to five requests in 10 s; it was rounded down after a quarter was reserved for retries.

Change: each front adds an offset to its share before it is rounded down. The offsets spread evenly over the fronts (rank by rendezvous hash, shifted from service to service), so that the rounded shares add up to the whole and not to more. Hedges may use 0.9 of the budget.

--- a/dragonflyramp/backends/_budgets.py
+++ b/dragonflyramp/backends/_budgets.py
@@ -1,16 +1,20 @@
 """Limit retries and hedges of each service across all daemons."""
 
 import collections
+import math
 
 import attrs
 
+from dragonflyramp.rendezvous import rendezvous_hash
+
 #: Share of the budget that daemons spend. The rest is a margin, because a
 #: replica may receive extra requests in another window than the one in which
 #: they were counted.
 _USABLE_BUDGET_SHARE = 0.85
 #: Share of the budget that hedges may use. The rest is reserved for retries,
 #: which are sent only after a failure.
-_HEDGE_SHARE = 0.75
+_HEDGE_SHARE = 0.9
+_HASH_BYTE_VALUES = 256
 #: Requests are counted in buckets of this length.
 _BUCKET_SECONDS = 0.5
 
@@ -64,13 +68,21 @@
         last.request_count += 1
 
     def try_spend(
-        self, daemon_count: int, now_seconds: float, *, is_hedge: bool
+        self,
+        daemon_count: int,
+        now_seconds: float,
+        *,
+        is_hedge: bool,
+        rounding_offset: float = 0,
     ) -> bool:
-        """Spend one extra request; return False if the budget is exhausted."""
+        """Spend one extra request; return False if the budget is exhausted.
+
+        The limit plus the offset is rounded down to whole requests.
+        """
         limit = self._limit(daemon_count, now_seconds)
         if is_hedge:
             limit *= _HEDGE_SHARE
-        if len(self._extra_request_times) + 1 > limit:
+        if len(self._extra_request_times) >= int(limit + rounding_offset):
             return False
         self._extra_request_times.append(now_seconds)
         return True
@@ -102,6 +114,19 @@
             self._buckets.popleft()
 
 
+def rounding_offset(service: str, rank: int, daemon_count: int) -> float:
+    """Return what a daemon adds to its share before it is rounded down.
+
+    The offsets of all daemons spread evenly from 0 to 1, so that their rounded
+    shares add up to the whole. Without them, many daemons with a share below
+    two requests would together leave half of the budget unused. They differ
+    from service to service, so that no daemon gets less of all.
+    """
+    shift = rendezvous_hash('budget', service)[0] / _HASH_BYTE_VALUES
+    position = (rank + 0.5) / max(1, daemon_count)
+    return math.modf(shift + position)[0]
+
+
 @attrs.define(eq=False)
 class Budgets:
     """Budgets of all services by name."""
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -7,7 +7,7 @@
 import attrs
 
 from dragonflyramp.backends._attempts import RETRY, Attempt
-from dragonflyramp.backends._budgets import Budgets
+from dragonflyramp.backends._budgets import Budgets, rounding_offset
 from dragonflyramp.backends._exchanges import Exchange
 from dragonflyramp.backends._fetches import Fetch
 from dragonflyramp.backends._fleets import Fleet
@@ -25,6 +25,8 @@
 from dragonflyramp.routes import Route, ServicePolicy
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
+#: Orders the daemons for the rounding of their budgets.
+_BUDGET_RANK_KEY = 'budget'
 #: Connections per replica of a service without a configured limit.
 _DEFAULT_MAX_CONNECTIONS = 8
 
@@ -67,9 +69,14 @@
         self, service: str, now_seconds: float, *, is_hedge: bool
     ) -> bool:
         """Spend one extra request; return False if the budget is exhausted."""
-        budget = self.budgets.for_service(service)
         daemon_count = self.peers.daemon_count()
-        return budget.try_spend(daemon_count, now_seconds, is_hedge=is_hedge)
+        rank = self.peers.rank(_BUDGET_RANK_KEY)
+        return self.budgets.for_service(service).try_spend(
+            daemon_count,
+            now_seconds,
+            is_hedge=is_hedge,
+            rounding_offset=rounding_offset(service, rank, daemon_count),
+        )
 
     def start_attempt(
         self,
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -4,7 +4,7 @@
 import contextlib
 import functools
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 
 import attrs
@@ -141,6 +141,20 @@
             event.set()
 
 
+@attrs.define(eq=False)
+class ServiceCache:
+    """Values derived from the replicas of a service.
+
+    They are needed for each part of a search, and change only with the entries
+    of the replicas, the holds and the number of daemons.
+    """
+
+    #: Replicas that are ready and outside the held domains; None if unknown.
+    permitted: tuple[Replica, ...] | None = None
+    #: Cap and number of daemons for which connection limits are set.
+    limit_inputs: tuple[int, int] | None = None
+
+
 def _create_notices(fleet: 'Fleet') -> ReplyNoticeRecorder:
     return ReplyNoticeRecorder(
         fleet.all_replicas(), fleet.capacity_events.notify
@@ -158,6 +172,8 @@
     capacity_events: CapacityEvents = attrs.field(factory=CapacityEvents)
     #: Failure domains that operators have taken out of service.
     held_domains: frozenset[str] = frozenset()
+    #: Derived values of each service, until its replicas or the holds change.
+    caches: dict[str, ServiceCache] = attrs.field(factory=dict)
     _by_service: dict[str, dict[str, Replica]] = attrs.field(factory=dict)
     _by_id: dict[str, Replica] = attrs.field(factory=dict)
     #: What the replicas said about further requests.
@@ -175,6 +191,7 @@
         replica = self._by_id.get(replica_id)
         if replica is not None:
             if entry is not None and _is_same_process(replica.entry, entry):
+                self.caches.pop(entry.service, None)
                 _update_entry(replica, entry, now_seconds)
                 return
             self._remove(replica)
@@ -211,9 +228,7 @@
 
         Also set this daemon's connection limits for each replica.
         """
-        replicas = self.service_replicas(policy.name)
-        ranks = self.order.ranks(policy.name, replicas)
-        _update_limits(policy, replicas, ranks, peers.daemon_count())
+        _update_limits(self, policy, peers.daemon_count())
         return [
             replica
             for replica in self.usable_replicas(policy.name, now_seconds)
@@ -237,6 +252,7 @@
         replicas = self._by_service.setdefault(entry.service, {})
         replicas[entry.replica_id] = replica
         self.order.invalidate(entry.service)
+        self.caches.pop(entry.service, None)
         self.capacity_events.notify(entry.service)
         logger.bind(**_log_fields(entry)).info('replica listed')
 
@@ -245,6 +261,7 @@
         self._by_id.pop(entry.replica_id, None)
         self._by_service[entry.service].pop(entry.replica_id, None)
         self.order.invalidate(entry.service)
+        self.caches.pop(entry.service, None)
         self.cold_limiter.discard(replica)
         replica.stop_requests()
         logger.bind(**_log_fields(entry)).info('replica removed')
@@ -292,12 +309,16 @@
 
 
 def _update_limits(
-    policy: ServicePolicy,
-    replicas: Mapping[str, Replica],
-    ranks: Mapping[str, int],
-    daemon_count: int,
+    fleet: Fleet, policy: ServicePolicy, daemon_count: int
 ) -> None:
     """Set this daemon's connection limits for each replica."""
+    cache = fleet.caches.setdefault(policy.name, ServiceCache())
+    limit_inputs = (policy.max_connections, daemon_count)
+    if cache.limit_inputs == limit_inputs:
+        return
+    cache.limit_inputs = limit_inputs
+    replicas = fleet.service_replicas(policy.name)
+    ranks = fleet.order.ranks(policy.name, replicas)
     for replica_id, replica in replicas.items():
         replica.connections.limits = connection_limits(
             policy.max_connections,
@@ -340,6 +361,7 @@
 def hold_domains(fleet: Fleet, held_domains: frozenset[str]) -> None:
     """Set the failure domains on hold; withdraw what is not sent yet."""
     fleet.held_domains = held_domains
+    fleet.caches.clear()
     for replica in fleet.all_replicas().values():
         if replica.entry.failure_domain in held_domains:
             replica.withdraw_unwritten()
@@ -354,9 +376,14 @@
     fleet.reply_notices.notices.expire(entries, now_seconds)
 
 
-def _permitted_replicas(fleet: Fleet, service: str) -> Iterator[Replica]:
-    """Yield the replicas that are ready and outside the held domains."""
-    for replica in fleet.service_replicas(service).values():
-        is_held = replica.entry.failure_domain in fleet.held_domains
-        if replica.is_ready and not is_held:
-            yield replica
+def _permitted_replicas(fleet: Fleet, service: str) -> tuple[Replica, ...]:
+    """Return the replicas that are ready and outside the held domains."""
+    cache = fleet.caches.setdefault(service, ServiceCache())
+    if cache.permitted is None:
+        cache.permitted = tuple(
+            replica
+            for replica in fleet.service_replicas(service).values()
+            if replica.is_ready
+            and replica.entry.failure_domain not in fleet.held_domains
+        )
+    return cache.permitted
--- a/dragonflyramp/backends/_selectors.py
+++ b/dragonflyramp/backends/_selectors.py
@@ -138,6 +138,8 @@
 ) -> float:
     """Return the latency ratio, raised to that of a stalled request."""
     latency_ratio = replica.stats.latency_ratio(inputs.now_seconds)
+    if not replica.in_flight:
+        return latency_ratio
     oldest_age_ms = (
         replica.oldest_request_age_seconds(inputs.now_seconds) * 1000
     )
--- a/dragonflyramp/callers/_merging.py
+++ b/dragonflyramp/callers/_merging.py
@@ -1,8 +1,6 @@
 """Merge the results of the shards of a search."""
 
-import heapq
-import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import Protocol
 
 import attrs
@@ -29,12 +27,18 @@
 
     def merge(self, bodies: Iterable[bytes], top_count: int) -> bytes:
         """Return the greatest records, in descending order."""
-        records = itertools.chain.from_iterable(map(split_records, bodies))
-        return b''.join(heapq.nlargest(top_count, records))
+        records: list[bytes] = []
+        for body in bodies:
+            records.extend(split_records(body))
+        # Faster than a heap, whose loop runs in Python.
+        records.sort(reverse=True)
+        return b''.join(records[:top_count])
 
 
-def split_records(body: bytes) -> Iterator[bytes]:
+def split_records(body: bytes) -> list[bytes]:
     """Split a body into records; ignore an incomplete record at its end."""
     last_start = len(body) - _RECORD_BYTES
-    for start in range(0, last_start + 1, _RECORD_BYTES):
-        yield body[start : start + _RECORD_BYTES]
+    return [
+        body[start : start + _RECORD_BYTES]
+        for start in range(0, last_start + 1, _RECORD_BYTES)
+    ]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -19,6 +19,7 @@
     RouteLatencies,
     connection_limits,
 )
+from dragonflyramp.backends._budgets import rounding_offset
 from dragonflyramp.backends._exchanges import Exchange
 from dragonflyramp.backends._selectors import ReplicaSelector, SelectionInputs
 from dragonflyramp.callers import (
@@ -276,6 +277,24 @@
             assert extra_count <= 0.2 * request_count + 54 / daemon_count
 
 
+@pytest.mark.parametrize('daemon_count', [7, 85, 195, 430])
+@pytest.mark.parametrize('service', ['a', 'b'])
+def test_small_shares_use_whole_budget(daemon_count: int, service: str) -> None:
+    """Many daemons with small shares must spend the budget, and not exceed it.
+
+    Each got less than three requests; rounded down, a third was left unused.
+    """
+    spent = 0
+    for rank in range(daemon_count):
+        offset = rounding_offset(service, rank, daemon_count)
+        budget = _budget(slack=430)
+        while budget.try_spend(
+            daemon_count, 5, is_hedge=False, rounding_offset=offset
+        ):
+            spent += 1
+    assert 0.84 * 430 < spent <= 0.86 * 430
+
+
 def test_hedges_leave_budget_for_retries() -> None:
     """A retry must be possible after hedges have used up their share."""
     budget = _budget(slack=20)
