Hedge as late as a hedge is in time, where latencies are high

Cause: the delay of a hedge was capped at 0.42 of the target.

Change: a hedge may wait until 1.3 times the typical latency before the answer is due, if that is later. When an answer is due is stated once, in `routes`.

--- a/dragonflyramp/backends/_hedging.py
+++ b/dragonflyramp/backends/_hedging.py
@@ -5,10 +5,13 @@
 import attrs
 
 from dragonflyramp.backends._latencies import RouteLatencies
+from dragonflyramp.routes import answer_due_ms
 
-#: Maximum hedge delay as a share of the latency target. The rest is left for
-#: the typical latency of the hedge and the transfer of its reply.
-_MAX_DELAY_TARGET_SHARE = 0.42
+#: A hedge is sent by this share of the latency target, whatever the latencies.
+_MIN_LATEST_TARGET_SHARE = 0.42
+#: Time that is left to a hedge before the answer is due, as a multiple of the
+#: typical latency.
+_HEDGE_TIME_TYPICAL_FACTOR = 1.3
 #: Minimum hedge delay as a multiple of the typical latency.
 _MIN_DELAY_TYPICAL_FACTOR = 1.4
 #: Minimum hedge delay. A shorter wait may be caused by a busy event loop or a
@@ -33,9 +36,17 @@
     """Hedge a part that takes longer than nearly all parts of its route."""
 
     def delay_ms(self, latencies: RouteLatencies) -> float:
-        """Return the tail latency, bounded by typical latency and target."""
+        """Return the tail latency, as long as a hedge then is in time.
+
+        Where the latencies are high, as with slow links, an earlier hedge would
+        spend the budget on parts that are not stalled.
+        """
         min_delay_ms = latencies.typical_ms * _MIN_DELAY_TYPICAL_FACTOR
-        max_delay_ms = latencies.target_ms * _MAX_DELAY_TARGET_SHARE
+        hedge_time_ms = latencies.typical_ms * _HEDGE_TIME_TYPICAL_FACTOR
+        max_delay_ms = max(
+            latencies.target_ms * _MIN_LATEST_TARGET_SHARE,
+            answer_due_ms(latencies.target_ms) - hedge_time_ms,
+        )
         delay_ms = max(min_delay_ms, latencies.tail_ms, _MIN_DELAY_MS)
         return min(delay_ms, max_delay_ms)
 
--- a/dragonflyramp/callers/_cutoffs.py
+++ b/dragonflyramp/callers/_cutoffs.py
@@ -5,11 +5,7 @@
 
 import attrs
 
-#: Latency outside this daemon for connection setup and the network in both
-#: directions.
-_NETWORK_OVERHEAD_MS = 12.0
-#: Latency outside this daemon for queueing, as a share of the latency target.
-_QUEUEING_SHARE = 0.03
+from dragonflyramp.routes import answer_due_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -81,9 +77,8 @@
         At least half the target remains for the search, unless the deadline is
         earlier.
         """
-        overhead_ms = _NETWORK_OVERHEAD_MS + target_ms * _QUEUEING_SHARE
-        wait_ms = max(target_ms - overhead_ms, target_ms / 2)
-        return min(received_at_seconds + wait_ms / 1000, deadline_at_seconds)
+        due_at_seconds = received_at_seconds + answer_due_ms(target_ms) / 1000
+        return min(due_at_seconds, deadline_at_seconds)
 
 
 @attrs.frozen
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -5,6 +5,12 @@
 
 import attrs
 
+#: Latency outside this daemon for connection setup and the network in both
+#: directions.
+_NETWORK_OVERHEAD_MS = 12.0
+#: Latency outside this daemon for queueing, as a share of the latency target.
+_QUEUEING_SHARE = 0.03
+
 
 @attrs.frozen
 class WeightedService:
@@ -113,6 +119,15 @@
     return len(route.prefix)
 
 
+def answer_due_ms(target_ms: float) -> float:
+    """Return when an answer has to leave this daemon to meet a target.
+
+    At least half of the target remains for the work.
+    """
+    overhead_ms = _NETWORK_OVERHEAD_MS + target_ms * _QUEUEING_SHARE
+    return max(target_ms - overhead_ms, target_ms / 2)
+
+
 def search_route_name(service: str) -> str:
     """Return the name of the native API's search route for a service."""
     return f'search:{service}'
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -30,7 +30,7 @@
 )
 from dragonflyramp.messages import Load
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
-from dragonflyramp.routes import ServicePolicy
+from dragonflyramp.routes import ServicePolicy, answer_due_ms
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from tests.front_harnesses import StaticPeers
@@ -326,6 +326,19 @@
     assert hedging.delay_ms(latencies) == pytest.approx(42)
 
 
+def test_hedge_waits_while_it_is_in_time() -> None:
+    """Parts that are slow but not stalled must not use up the budget.
+
+    A hedge that is sent later than this would come after the answer.
+    """
+    latencies = RouteLatencies(target_ms=147)
+    for sample in range(300):
+        latencies.record(45 if sample % 5 else 90)
+    delay_ms = QuantileHedging().delay_ms(latencies)
+    due_ms = answer_due_ms(147)
+    assert 0.42 * 147 < delay_ms <= due_ms - 1.2 * 45
+
+
 @pytest.mark.parametrize(
     (
         'succeeded_count',
