Reject a reply without an id where the server has echoed ids before

Cause: a reply without `Request-Id` was accepted for any request.

Change: once a reply on a connection had an id, each later one must have that of its request; another is garbled, closes the connection and counts as `reply_of_another_request`. Replies with the id of an earlier request were rejected before.

Test: test_late_copy_is_not_used_for_next_request (two of its cases fail before).

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -54,6 +54,8 @@
         self._codec = codec
         self._clock = clock
         self._hooks = hooks
+        #: Whether a reply on this connection had a request id.
+        self._echoes_ids = False
 
     async def open(self) -> bool:
         """Connect to the server; return False if that fails."""
@@ -100,7 +102,7 @@
     def _decode(self, exchange: Exchange, raw: RawReply) -> Outcome:
         reply = self._codec.decode(raw.status, raw.headers, bytes(raw.body))
         self._hooks.on_reply(reply, self._clock())
-        if reply.request_id not in {'', exchange.request.request_id}:
+        if not self._answers(exchange, reply):
             counters.add('backend_faults', 'reply_of_another_request')
             self.protocol.close()
             return Outcome(OutcomeKind.garbled)
@@ -112,6 +114,17 @@
             self._restart_idle_timeout(reply.keep_alive_seconds)
         return Outcome(OutcomeKind.replied, reply)
 
+    def _answers(self, exchange: Exchange, reply: Reply) -> bool:
+        """Return whether a reply belongs to the exchange, by its request id.
+
+        A server that has echoed ids on this connection does so in each reply;
+        one without an id may be a late copy of an earlier reply.
+        """
+        if not reply.request_id:
+            return not self._echoes_ids
+        self._echoes_ids = True
+        return reply.request_id == exchange.request.request_id
+
     def _restart_idle_timeout(self, idle_timeout_seconds: float) -> None:
         self.usable_until_seconds = (
             self._clock() + idle_timeout_seconds * _USABLE_IDLE_SHARE
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -210,3 +210,58 @@
         return not idle and not connection.is_usable(time.monotonic())
 
     assert uvloop.run(check())
+
+
+@pytest.mark.parametrize(
+    ('second_head', 'kind'),
+    [
+        (b'HTTP/1.1 200 OK\r\nRequest-Id: q2\r\n', OutcomeKind.replied),
+        # A copy of the first reply that arrives after the second request.
+        (_OK_HEAD, OutcomeKind.garbled),
+        (b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n', OutcomeKind.garbled),
+        (b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n', OutcomeKind.garbled),
+    ],
+)
+def test_late_copy_is_not_used_for_next_request(
+    second_head: bytes, kind: OutcomeKind
+) -> None:
+    """A late copy of a reply must not answer the next request.
+
+    Its id or, if the server has echoed ids before, its lack of one shows it.
+    """
+
+    async def check() -> OutcomeKind:  # noqa: WPS430
+        replies = [_OK_HEAD, second_head]
+
+        async def serve(  # noqa: WPS430
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            for head in replies:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(b''.join((head, b'Content-Length: 0\r\n\r\n')))
+            await reader.read()
+            writer.close()
+
+        server = await listen(serve)
+        connection = Connection(
+            address_of(server),
+            ConnectionHooks(on_idle=lambda _: None, on_end=lambda _: None),
+            ReplicaCodec(),
+            time.monotonic,
+        )
+        task = asyncio.create_task(connection.run())
+        for request_id in ('q1', 'q2'):
+            exchange = Exchange(
+                request=make_request(request_id),
+                replica_id='r',
+                deadline_at_seconds=time.monotonic() + 20,
+                outcome=asyncio.get_running_loop().create_future(),
+            )
+            connection.start(exchange)
+            outcome = await exchange.outcome
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        server.close()
+        return outcome.kind
+
+    assert uvloop.run(check()) is kind
