--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -30,6 +30,9 @@
 from tests.standins.waits import eventually
 
 
+#: Far more than the limits on a head and the buffers of sockets.
+_MAX_HEAD_BLOCKS = 4000
+_PIECES_PER_BLOCK = 10000
 #: `grace_s` in the settings of the fronts.
 _GRACE_SECONDS = 6
 
@@ -312,6 +315,29 @@
         assert (await _search(session, deployment, 'q1')).status == 200
 
 
+@pytest.mark.parametrize(
+    ('start', 'piece'),
+    [(b'', b'X: y\r\n'), (b'X: ', b'y')],
+)
+async def test_endless_head_is_closed(
+    tmp_path: pathlib.Path,
+    session: aiohttp.ClientSession,
+    start: bytes,
+    piece: bytes,
+) -> None:
+    """A head of a caller that does not end must not fill the memory."""
+    async with run_deployment(tmp_path) as deployment:
+        host, port = deployment.fronts[0].frontend_address.split(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET /search/x HTTP/1.1\r\n')
+        writer.write(start)
+        with pytest.raises(ConnectionError):
+            for _ in range(_MAX_HEAD_BLOCKS):
+                writer.write(piece * _PIECES_PER_BLOCK)
+                await writer.drain()
+        assert (await _search(session, deployment, 'q1')).status == 200
+
+
 async def test_chunked_body_is_forwarded_whole(
     tmp_path: pathlib.Path, session: aiohttp.ClientSession
 ) -> None:
