Round the shares of a budget so that they never exceed the whole

By reading: with the offsets used before, the rounded shares of all daemons could add up to one request more than the whole, which matters where a bound is below seven. The test checks the sum for 1 to 5,400 daemons.

--- a/dragonflyramp/backends/_budgets.py
+++ b/dragonflyramp/backends/_budgets.py
@@ -1,7 +1,6 @@
 """Limit retries and hedges of each service across all daemons."""
 
 import collections
-import math
 
 import attrs
 
@@ -14,7 +13,6 @@
 #: Share of the budget that hedges may use. The rest is reserved for retries,
 #: which are sent only after a failure.
 _HEDGE_SHARE = 0.9
-_HASH_BYTE_VALUES = 256
 #: Requests are counted in buckets of this length.
 _BUCKET_SECONDS = 0.5
 
@@ -117,14 +115,14 @@
 def rounding_offset(service: str, rank: int, daemon_count: int) -> float:
     """Return what a daemon adds to its share before it is rounded down.
 
-    The offsets of all daemons spread evenly from 0 to 1, so that their rounded
-    shares add up to the whole. Without them, many daemons with a share below
-    two requests would together leave half of the budget unused. They differ
-    from service to service, so that no daemon gets less of all.
+    The offsets of all daemons are 0, 1/n, 2/n up to (n - 1)/n, so that equal
+    shares, once rounded, add up to the whole rounded down. Without them, many
+    daemons with a share below two requests would together leave half of the
+    budget unused. The order differs from service to service, so that no daemon
+    gets less of all.
     """
-    shift = rendezvous_hash('budget', service)[0] / _HASH_BYTE_VALUES
-    position = (rank + 0.5) / max(1, daemon_count)
-    return math.modf(shift + position)[0]
+    shift = int.from_bytes(rendezvous_hash('budget', service))
+    return (rank + shift) % max(1, daemon_count) / max(1, daemon_count)
 
 
 @attrs.define(eq=False)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -277,7 +277,7 @@
             assert extra_count <= 0.2 * request_count + 54 / daemon_count
 
 
-@pytest.mark.parametrize('daemon_count', [7, 85, 195, 430])
+@pytest.mark.parametrize('daemon_count', [1, 7, 85, 195, 430, 5400])
 @pytest.mark.parametrize('service', ['a', 'b'])
 def test_small_shares_use_whole_budget(daemon_count: int, service: str) -> None:
     """Many daemons with small shares must spend the budget, and not exceed it.
@@ -292,7 +292,7 @@
             daemon_count, 5, is_hedge=False, rounding_offset=offset
         ):
             spent += 1
-    assert 0.84 * 430 < spent <= 0.86 * 430
+    assert 0.85 * 430 - 1 <= spent <= 0.85 * 430
 
 
 def test_hedges_leave_budget_for_retries() -> None:
