--- a/tests/test_input_fuzzing.py
+++ b/tests/test_input_fuzzing.py
@@ -102,10 +102,10 @@
 
 
 #: Steps of the model: an entry of a process appears or is removed, a process
-#: says that it leaves or wants a pause, or time passes.
+#: says that it leaves or wants a pause, time passes, or old notices expire.
 _steps = st.lists(
     st.tuples(
-        st.sampled_from(('list', 'remove', 'leave', 'pause', 'wait')),
+        st.sampled_from(('list', 'remove', 'leave', 'pause', 'wait', 'expire')),
         st.integers(1, 3),
     ),
     max_size=40,
@@ -132,7 +132,6 @@
         """Run one step."""
         self.now_seconds += 1
         getattr(self, f'_{step}')(number)
-        expire_notices(self.fleet, self.now_seconds)
 
     @property
     def is_usable(self) -> bool:
@@ -167,6 +166,9 @@
     def _wait(self, seconds: int) -> None:
         self.now_seconds += seconds
 
+    def _expire(self, _: int) -> None:
+        expire_notices(self.fleet, self.now_seconds)
+
 
 @_fuzz_settings
 @given(_steps)
