--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -28,6 +28,7 @@
     encode_response,
 )
 from dragonflyramp.metrics import counters
+from dragonflyramp.object_limits import DECODE_ERRORS
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.views import Fields
 
@@ -330,12 +331,4 @@
 
 
 #: Exceptions that a malformed message can raise.
-_DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    zlib.error,
-)
+_DECODE_ERRORS = (*DECODE_ERRORS, RecursionError, zlib.error)
--- a/dragonflyramp/object_limits.py
+++ b/dragonflyramp/object_limits.py
@@ -1,4 +1,4 @@
-"""Bound the depth and the size of JSON values from other writers.
+"""Bound what is decoded from other writers.
 
 A value that is nested too deeply ends the JSON encoder of a daemon that passes
 it on, and one that is too large fills the messages between daemons.
@@ -6,6 +6,14 @@
 
 from typing import Any
 
+#: Exceptions that the fields of a malformed object raise while it is decoded.
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 #: Objects of the product and the platform have at most 6 levels.
 MAX_DEPTH = 32
 
--- a/dragonflyramp/platform/_settings_file.py
+++ b/dragonflyramp/platform/_settings_file.py
@@ -11,6 +11,7 @@
     MachineSettings,
     RetryBounds,
 )
+from dragonflyramp.object_limits import DECODE_ERRORS
 
 #: Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = 'DRAGONFLYRAMP_BOOT'
@@ -41,22 +42,12 @@
         return Failure(f'the settings file is not valid YAML: {error}')
     try:
         return Success(_parse_settings(fields))
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         return Failure(
             f'a field of the settings file is missing or invalid: {error!r}'
         )
 
 
-#: Exceptions raised while a malformed file is decoded.
-_DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-)
-
-
 def _parse_settings(fields: dict[str, Any]) -> MachineSettings:
     listen = fields['listen']
     bounds = fields.get('bounds') or {}
--- a/dragonflyramp/platform/_store_decoders.py
+++ b/dragonflyramp/platform/_store_decoders.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from dragonflyramp.object_limits import DECODE_ERRORS
 from dragonflyramp.platform._field_checks import (
     require_address,
     require_id,
@@ -46,25 +47,17 @@
 #: The end of the year 2999.
 _MAX_UNIX_MS = 32_503_680_000_000
 
-_DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-)
-
 
 def decode_routing_table(stored_object: Fields) -> RoutingTable | None:
     """Decode the object `config/main`; return None if it is malformed."""
-    with contextlib.suppress(*_DECODE_ERRORS):
+    with contextlib.suppress(*DECODE_ERRORS):
         return _parse_table(stored_object['spec'])
     return None
 
 
 def decode_replica_entry(stored_object: Fields) -> ReplicaEntry | None:
     """Decode a replica's entry; return None if it is malformed."""
-    with contextlib.suppress(*_DECODE_ERRORS):
+    with contextlib.suppress(*DECODE_ERRORS):
         return _parse_entry(stored_object)
     return None
 
