--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -24,7 +24,7 @@
 from dragonflyramp.backends._selectors import SelectionInputs
 from dragonflyramp.callers import RecordMerger
 from dragonflyramp.members import Cluster, Daemon, Membership, ViewSynchronizer
-from dragonflyramp.members._synchronizers import (
+from dragonflyramp.members._sync_messages import (
     decode_request,
     decode_response,
     encode_request,
--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -8,6 +8,9 @@
 _hedging          delay after which a hedge is sent
 _budgets          limits on the retries and hedges of each service
 _fleets           replicas of each service, and which may receive requests
+_replica_orders   order of the replicas of a service on this daemon
+_cold_limits      limit on the requests to cold replicas
+_capacity_events  wake-up of requests that wait for capacity
 _replicas         statistics, health and connections of one replica
 _limits           this daemon's share of a replica's limits
 _reply_notices    replicas that leave or asked for a pause
@@ -25,12 +28,11 @@
 from dragonflyramp.backends._budgets import Budget, BudgetBounds, Budgets
 from dragonflyramp.backends._clients import BackendClient, Policies
 from dragonflyramp.backends._codecs import Codec
+from dragonflyramp.backends._cold_limits import ColdReplicaLimiter
 from dragonflyramp.backends._connections_http import Connection, ConnectionHooks
 from dragonflyramp.backends._fetches import Fetch
 from dragonflyramp.backends._fleets import (
-    ColdReplicaLimiter,
     Fleet,
-    ReplicaOrder,
     apply_peer_latency_ratios,
     expire_notices,
     hold_domains,
@@ -49,6 +51,7 @@
     connection_limits,
 )
 from dragonflyramp.backends._preconnectors import Preconnector
+from dragonflyramp.backends._replica_orders import ReplicaOrder
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.backends._requests import (
     AttemptRecord,
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -1,7 +1,5 @@
 """Track the replicas of each service and which may receive requests."""
 
-import asyncio
-import contextlib
 import functools
 import math
 from collections.abc import Mapping
@@ -10,137 +8,20 @@
 import attrs
 from loguru import logger
 
+from dragonflyramp.backends._capacity_events import CapacityEvents
+from dragonflyramp.backends._cold_limits import ColdReplicaLimiter
 from dragonflyramp.backends._connections_http import ConnectionFactory
-from dragonflyramp.backends._limits import (
-    Peers,
-    cold_request_limit,
-    connection_limits,
-)
+from dragonflyramp.backends._limits import Peers, connection_limits
+from dragonflyramp.backends._replica_orders import ReplicaOrder
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.backends._reply_notices import ReplyNoticeRecorder
-from dragonflyramp.rendezvous import rendezvous_hash
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
 
-#: Window over which the request rate to a cold replica is measured.
-_COLD_RATE_WINDOW_SECONDS = 1
-
 _NO_REPLICAS: Mapping[str, Replica] = MappingProxyType({})
 
 
-@attrs.define(eq=False, kw_only=True)
-class ColdReplicaLimiter:
-    """Limit the rate of requests from this daemon to each cold replica.
-
-    Each daemon uses only its share of the rate, so all daemons together stay
-    within it.
-    """
-
-    #: Requests per second in addition to the configured rate.
-    slack: float = 0
-    #: Allowed multiple of the configured rate.
-    overshoot: float = 1
-    #: Monotonic send times by replica id.
-    _send_times: dict[str, list[float]] = attrs.field(factory=dict)
-
-    def record_send(self, replica: Replica, now_seconds: float) -> None:
-        """Count a request if the replica is cold."""
-        if replica.is_cold(now_seconds):
-            send_times = self._send_times.setdefault(
-                replica.entry.replica_id, []
-            )
-            send_times.append(now_seconds)
-
-    def allows(
-        self,
-        replica: Replica,
-        policy: ServicePolicy,
-        peers: Peers,
-        now_seconds: float,
-    ) -> bool:
-        """Return whether the replica may receive another request now."""
-        is_cold = replica.is_cold(now_seconds)
-        if not is_cold or not policy.cold_requests_per_second:
-            return True
-        total_per_second = (
-            policy.cold_requests_per_second * self.overshoot + self.slack
-        )
-        recent_times = [
-            sent_at_seconds
-            for sent_at_seconds in self._send_times.get(
-                replica.entry.replica_id, ()
-            )
-            if now_seconds - sent_at_seconds < _COLD_RATE_WINDOW_SECONDS
-        ]
-        self._send_times[replica.entry.replica_id] = recent_times
-        replica_id = replica.entry.replica_id
-        limit = cold_request_limit(
-            total_per_second, peers.daemon_count(), peers.rank(replica_id)
-        )
-        return len(recent_times) < limit
-
-    def discard(self, replica: Replica) -> None:
-        """Discard the counts of a removed replica."""
-        self._send_times.pop(replica.entry.replica_id, None)
-
-
-@attrs.define(eq=False, kw_only=True)
-class ReplicaOrder:
-    """Order in which this daemon prefers the replicas of each service.
-
-    It differs between daemons, so that their connections spread over the
-    replicas. Replicas in the daemon's own failure domain come first.
-    """
-
-    daemon_name: str = ''
-    failure_domain: str = ''
-    _ranks: dict[str, dict[str, int]] = attrs.field(factory=dict)
-
-    def ranks(
-        self, service: str, replicas: Mapping[str, Replica]
-    ) -> dict[str, int]:
-        """Return the rank of each replica by id, from 0."""
-        ranks = self._ranks.get(service)
-        if ranks is None:
-            ordered = sorted(replicas.values(), key=self._sort_key)
-            ranks = {
-                replica.entry.replica_id: rank
-                for rank, replica in enumerate(ordered)
-            }
-            self._ranks[service] = ranks
-        return ranks
-
-    def invalidate(self, service: str) -> None:
-        """Discard the order of a service whose replicas changed."""
-        self._ranks.pop(service, None)
-
-    def _sort_key(self, replica: Replica) -> tuple[bool, bytes]:
-        entry = replica.entry
-        is_remote = entry.failure_domain != self.failure_domain
-        return is_remote, rendezvous_hash(self.daemon_name, entry.replica_id)
-
-
-@attrs.define(eq=False)
-class CapacityEvents:
-    """Wake the tasks that wait for a connection to a service."""
-
-    _events: dict[str, asyncio.Event] = attrs.field(factory=dict)
-
-    async def wait(self, service: str, timeout_seconds: float) -> None:
-        """Wait until a connection may be free, or until the timeout."""
-        event = self._events.setdefault(service, asyncio.Event())
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_seconds):
-                await event.wait()
-
-    def notify(self, service: str) -> None:
-        """Wake all tasks that wait for a service."""
-        event = self._events.pop(service, None)
-        if event is not None:
-            event.set()
-
-
 @attrs.define(eq=False)
 class ServiceCache:
     """Values derived from the replicas of a service.
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -7,7 +7,8 @@
 _clusters       selection of the hubs, and ranks of this daemon
 _registrars     entries of the daemons in the store
 _watchers       updates of the views from the store
-_synchronizers  requests and responses that update views between daemons
+_sync_messages  messages between daemons and their encoding
+_synchronizers  exchange of view updates with other daemons
 _hub_links      selection of the daemons from which to request changes
 _links_grpc     gRPC server, and one client task for each link to a daemon
 """
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -18,15 +18,15 @@
 from loguru import logger
 
 from dragonflyramp.members._memberships import Daemon
-from dragonflyramp.members._synchronizers import (
+from dragonflyramp.members._sync_messages import (
     SyncRequest,
     SyncResponse,
-    ViewSynchronizer,
     decode_request,
     decode_response,
     encode_request,
     encode_response,
 )
+from dragonflyramp.members._synchronizers import ViewSynchronizer
 from dragonflyramp.metrics import counters
 from dragonflyramp.object_limits import DECODE_ERRORS
 from dragonflyramp.runtime import TaskSet
--- /dev/null
+++ b/dragonflyramp/members/_sync_messages.py
@@ -0,0 +1,211 @@
+"""Define the messages between daemons, and encode them as JSON values."""
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from dragonflyramp.members._memberships import Daemon, decode_daemon
+from dragonflyramp.object_limits import is_within_limits
+from dragonflyramp.replica_notices import NO_LEAVING_REPLICAS, LeavingReplicas
+from dragonflyramp.slow_replicas import LatencyAggregate, LatencyAggregates
+from dragonflyramp.views import Change, ChangeBatch, Fields, Listing
+
+#: JSON has no infinity, so ages are limited; a view this old is of no use.
+MAX_AGE_SECONDS = 1e6
+
+#: Keys that requests and responses share.
+_SENDER_KEY = 'sender'
+_AGGREGATES_KEY = 'tallies'
+_LEAVING_KEY = 'leaving'
+
+
+@attrs.frozen(kw_only=True)
+class SyncRequest:
+    """Request for all changes after the revisions of the sender's views."""
+
+    sender: Daemon
+    #: Revision of each view by kind.
+    revisions: Mapping[str, int]
+    #: How long to wait for a change before responding without one.
+    wait_seconds: float = 0
+    #: How long to delay the response after a change. Requests to backup hubs
+    #: have a delay, because the primary hub usually sends the change first.
+    response_delay_seconds: float = 0
+    #: Latency samples of the sender since its last request with samples.
+    samples: LatencyAggregates = attrs.field(factory=dict)
+    #: Time since the sender's last response from the daemon that it asks.
+    response_age_seconds: float = math.inf
+    #: Leaving replicas of which the sender learned in about that time.
+    leaving: LeavingReplicas = NO_LEAVING_REPLICAS
+
+
+@attrs.frozen(kw_only=True)
+class ViewUpdate:
+    """Changes of one view for another daemon; ages are as of sending."""
+
+    kind: str
+    revision: int
+    age_seconds: float
+    #: How long ago the store became available again after an outage.
+    outage_age_seconds: float
+    #: None if the revision of the other daemon's view is not older.
+    changes: ChangeBatch | Listing | None = None
+
+
+@attrs.frozen(kw_only=True)
+class SyncResponse:
+    """Updates of views and a report of slow replicas for another daemon."""
+
+    sender: Daemon
+    is_store_lost: bool
+    #: Latencies of replicas that are slow or nearly so, from the samples of the
+    #: responding daemon and of those that send it requests.
+    report: LatencyAggregates
+    updates: tuple[ViewUpdate, ...]
+    #: Leaving replicas of which the responding daemon learned in about the time
+    #: since the last response.
+    leaving: LeavingReplicas = NO_LEAVING_REPLICAS
+
+
+def encode_request(request: SyncRequest) -> Fields:
+    """Encode a request as plain JSON values."""
+    return {
+        _SENDER_KEY: attrs.astuple(request.sender),
+        'revisions': dict(request.revisions),
+        'wait': request.wait_seconds,
+        'patience': request.response_delay_seconds,
+        _AGGREGATES_KEY: _encode_aggregates(request.samples),
+        'response_age': min(request.response_age_seconds, MAX_AGE_SECONDS),
+        _LEAVING_KEY: dict(request.leaving),
+    }
+
+
+def decode_request(fields: Any) -> SyncRequest:
+    """Decode a request, and limit its wait to `_MAX_WAIT_SECONDS`.
+
+    Raise KeyError, TypeError, ValueError or AttributeError if it is
+    malformed.
+    """
+    return SyncRequest(
+        sender=decode_daemon(*fields[_SENDER_KEY]),
+        revisions={
+            kind: int(revision)
+            for kind, revision in fields['revisions'].items()
+        },
+        wait_seconds=min(float(fields['wait']), _MAX_WAIT_SECONDS),
+        response_delay_seconds=float(fields['patience']),
+        samples=_decode_aggregates(fields[_AGGREGATES_KEY]),
+        response_age_seconds=float(fields.get('response_age', MAX_AGE_SECONDS)),
+        leaving=_decode_leaving(fields),
+    )
+
+
+def encode_response(response: SyncResponse) -> Fields:
+    """Encode a response as plain JSON values."""
+    return {
+        _SENDER_KEY: attrs.astuple(response.sender),
+        'store_lost': response.is_store_lost,
+        _AGGREGATES_KEY: _encode_aggregates(response.report),
+        'told': [_encode_update(update) for update in response.updates],
+        _LEAVING_KEY: dict(response.leaving),
+    }
+
+
+def decode_response(fields: Any) -> SyncResponse:
+    """Decode a response.
+
+    Raise KeyError, TypeError, ValueError or AttributeError if it is
+    malformed.
+    """
+    return SyncResponse(
+        sender=decode_daemon(*fields[_SENDER_KEY]),
+        is_store_lost=bool(fields['store_lost']),
+        report=_decode_aggregates(fields[_AGGREGATES_KEY]),
+        updates=tuple(_decode_update(update) for update in fields['told']),
+        leaving=_decode_leaving(fields),
+    )
+
+
+def _decode_leaving(fields: Fields) -> LeavingReplicas:
+    # Daemons of an earlier version send none.
+    return {
+        str(replica_id): int(start_time_ms)
+        for replica_id, start_time_ms in fields.get(_LEAVING_KEY, {}).items()
+    }
+
+
+def _limit(object_fields: Any) -> Any:
+    """Return an object of another daemon, or raise ValueError.
+
+    A daemon that kept one that is too deep could not respond to others.
+    """
+    if is_within_limits(object_fields, _MAX_OBJECT_SIZE):
+        return object_fields
+    raise ValueError('an object is nested too deeply or too large')
+
+
+def _encode_aggregates(aggregates: LatencyAggregates) -> Fields:
+    return {
+        replica_id: (round(aggregate.count, 2), round(aggregate.ratio_sum, 2))
+        for replica_id, aggregate in aggregates.items()
+    }
+
+
+def _decode_aggregates(fields: Fields) -> LatencyAggregates:
+    return {
+        replica_id: LatencyAggregate(float(count), float(ratio_sum))
+        for replica_id, (count, ratio_sum) in fields.items()
+    }
+
+
+def _encode_update(update: ViewUpdate) -> Fields:
+    fields: Fields = {
+        'kind': update.kind,
+        'revision': update.revision,
+        'age': round(update.age_seconds, 3),
+        'outage_age': round(update.outage_age_seconds, 3),
+    }
+    if isinstance(update.changes, Listing):
+        fields['all'] = dict(update.changes.objects_by_name)
+    elif update.changes is not None:
+        fields['changes'] = [
+            (change.name, change.fields) for change in update.changes.changes
+        ]
+    return fields
+
+
+def _decode_update(fields: Fields) -> ViewUpdate:
+    revision = int(fields['revision'])
+    changes: ChangeBatch | Listing | None = None
+    objects_by_name = fields.get('all')
+    encoded_changes = fields.get('changes')
+    if objects_by_name is not None:
+        changes = Listing(
+            revision,
+            {
+                str(name): _limit(object_fields)
+                for name, object_fields in objects_by_name.items()
+            },
+        )
+    elif encoded_changes is not None:
+        decoded_changes = tuple(
+            Change(str(name), _limit(object_fields))
+            for name, object_fields in encoded_changes
+        )
+        changes = ChangeBatch(revision, decoded_changes)
+    return ViewUpdate(
+        kind=str(fields['kind']),
+        revision=revision,
+        age_seconds=float(fields['age']),
+        outage_age_seconds=float(fields['outage_age']),
+        changes=changes,
+    )
+
+
+#: Limit on an object in a message.
+_MAX_OBJECT_SIZE = 10 * 1024 * 1024
+#: Limit on the wait that a request may ask for, because each waiting request
+#: occupies a task of the responding daemon.
+_MAX_WAIT_SECONDS = 30
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -14,7 +14,7 @@
     _decode_message,
     _serialize,
 )
-from dragonflyramp.members._synchronizers import (
+from dragonflyramp.members._sync_messages import (
     SyncResponse,
     decode_request,
     decode_response,
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,7 +20,7 @@
     ViewSynchronizer,
     Watcher,
 )
-from dragonflyramp.members._synchronizers import (
+from dragonflyramp.members._sync_messages import (
     SyncResponse,
     decode_request,
     decode_response,
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -12,7 +12,7 @@
 
 from dragonflyramp.members import Cluster, Daemon, Membership
 from dragonflyramp.members._links_grpc import _decode_message
-from dragonflyramp.members._synchronizers import decode_request, decode_response
+from dragonflyramp.members._sync_messages import decode_request, decode_response
 from dragonflyramp.object_limits import is_within_limits
 from dragonflyramp.platform import StoreDecoder
 from dragonflyramp.platform._json_replies import decode_json_object
