Log what tells repeats of one request from independent losses

Cause: lines of requests name the id of one attempt of the caller, and lines of replicas lack the start time, so that neither repeats of one request under new ids nor a reset connection beside an ended process can be told apart.

Change: `fingerprint` in the line of a request with a lost attempt, `started_ms` in the lines of replicas, the counter `lost_attempts` by purpose. The stand-in for a replica can end at requests with a given text.

--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -175,6 +175,7 @@
         'service': entry.service,
         'address': entry.address,
         'state': entry.state.value,
+        'started_ms': entry.start_time_ms,
     }
 
 
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -9,6 +9,7 @@
 from dragonflyramp.backends._latencies import LatenciesByRoute
 from dragonflyramp.backends._requests import RequestContext
 from dragonflyramp.messages import Reply
+from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
@@ -52,6 +53,8 @@
             attempt.replica.health.record_unreachable(now_seconds)
         elif kind is not OutcomeKind.unsent:
             attempt.replica.health.record_error()
+        if kind is OutcomeKind.lost:
+            counters.add('lost_attempts', attempt.purpose)
 
     def accept_late_reply(
         self, attempt: Attempt, context: RequestContext, now_seconds: float
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -13,6 +13,7 @@
     Refusal,
     RelayedAnswer,
 )
+from dragonflyramp.fingerprints import compute_fingerprint
 from dragonflyramp.metrics import counters, latencies
 from dragonflyramp.results import ResultCode
 
@@ -54,6 +55,7 @@
             elapsed_ms=round(elapsed_ms, 1),
             target_ms=context.route.target_ms,
             daemons=self._peers.daemon_count(),
+            fingerprint=_lost_request_fingerprint(context, fetch_results),
             parts=[
                 _describe_part(fetch_result)
                 for fetch_result in fetch_results
@@ -94,6 +96,21 @@
     )
 
 
+def _lost_request_fingerprint(
+    context: RequestContext, fetch_results: Sequence[FetchResult]
+) -> str:
+    """Return the fingerprint if an attempt lost its connection, else ''."""
+    has_lost_attempt = any(
+        record.outcome == _LOST_OUTCOME
+        for fetch_result in fetch_results
+        for record in fetch_result.records
+    )
+    return compute_fingerprint(context.request) if has_lost_attempt else ''
+
+
 def _describe_part(fetch_result: FetchResult) -> list[object]:
     attempts = [list(attrs.astuple(record)) for record in fetch_result.records]
     return [fetch_result.service, fetch_result.code.name, attempts]
+
+
+_LOST_OUTCOME = 'lost'
--- /dev/null
+++ b/dragonflyramp/fingerprints.py
@@ -0,0 +1,22 @@
+"""Identify requests that callers repeat under new ids."""
+
+import xxhash
+
+from dragonflyramp.messages import Request
+
+
+def compute_fingerprint(request: Request) -> str:
+    """Return a digest of the method, host, path with query and body.
+
+    A caller that repeats a request sends these again. 128 bits keep different
+    requests apart.
+    """
+    host = next(
+        (text for name, text in request.headers if name.lower() == 'host'), ''
+    )
+    hasher = xxhash.xxh3_128()
+    for field in (request.method, host.lower(), request.path_and_query):
+        hasher.update(field.encode('latin-1', 'replace'))
+        hasher.update(b'\0')
+    hasher.update(request.body)
+    return hasher.hexdigest()
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import pathlib
 import socket
 from collections.abc import AsyncIterator, Mapping, Sequence
@@ -114,9 +115,12 @@
             for index, server in enumerate(servers):
                 await server.start()
                 server.body = server.replica_id[-3].encode() * RECORD_BYTES
-                self.register(
-                    server, FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
+                server.on_restart = functools.partial(
+                    self.register,
+                    server,
+                    FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
                 )
+                server.on_restart()
 
     def register(
         self,
@@ -137,7 +141,7 @@
             'state': state,
             'warmup_left_ms': 0,
             'sequence': 1,
-            'born': 1,
+            'born': server.start_time_ms,
         }
         self.store_server.store.put('servers', server.replica_id, spec)
 
--- a/tests/standins/listeners.py
+++ b/tests/standins/listeners.py
@@ -8,9 +8,9 @@
 ]
 
 
-async def listen(serve: ConnectionHandler) -> asyncio.Server:
-    """Listen on a free loopback port."""
-    return await asyncio.start_server(serve, '127.0.0.1', 0)
+async def listen(serve: ConnectionHandler, port: int = 0) -> asyncio.Server:
+    """Listen on a loopback port, by default a free one."""
+    return await asyncio.start_server(serve, '127.0.0.1', port)
 
 
 def address_of(server: asyncio.Server) -> str:
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -43,6 +44,10 @@
     leaving: bool = False
     #: Pause for which replies to shed requests ask, as sent.
     retry_after: str = ''
+    #: Requests with this text in their request line end the process.
+    crash_text: str = ''
+    #: Time until a process that ended starts again.
+    restart_seconds: float = 0.3
 
 
 @attrs.define(eq=False)
@@ -63,12 +68,19 @@
     #: Replies that ask for no further requests: monotonic time, request id,
     #: and for how many seconds.
     notices: list[tuple[float, str, float]] = attrs.field(factory=list)
+    #: Monotonic times at which a request ended the process.
+    crashes: list[float] = attrs.field(factory=list)
+    #: Start time of the process, as in its entry.
+    start_time_ms: int = 1
+    #: Called when the process has started again.
+    on_restart: Callable[[], None] = lambda: None
     connection_count: int = 0
     #: Hung requests whose connection the front closed.
     disconnect_count: int = 0
     address: str = ''
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    _restart: asyncio.Task[None] | None = None
 
     async def start(self) -> str:
         """Listen and return `IP:port`."""
@@ -78,14 +90,31 @@
 
     async def stop(self) -> None:
         """Close the port and every connection."""
+        if self._restart is not None:
+            self._restart.cancel()
         if self._server is not None:
             self._server.close()
         self.close_connections()
 
+    def end_process(self) -> None:
+        """Close the port and every connection, and start again later."""
+        if self._server is not None:
+            self._server.close()
+        self.close_connections()
+        self._restart = asyncio.create_task(self._start_again())
+
     def close_connections(self) -> None:
         """Abort every connection."""
         for writer in self._writers:
             writer.transport.abort()
+        self._writers.clear()
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.faults.restart_seconds)
+        port = int(self.address.rpartition(':')[2])
+        self._server = await listen(self._serve, port)
+        self.start_time_ms += 1
+        self.on_restart()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -116,6 +145,10 @@
             return True
         self.run_ids.append(head['Request-Id'])
         self.executions.append((time.monotonic(), head['Request-Id']))
+        if self.faults.crash_text and self.faults.crash_text in request_line:
+            self.crashes.append(time.monotonic())
+            self.end_process()
+            return False
         if self._consume_fault('hung'):
             return await self._hang(reader)
         await asyncio.sleep(self.faults.work_seconds)
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,100 @@
+"""Test requests that end each replica that runs them."""
+
+import asyncio
+import contextlib
+import itertools
+import pathlib
+import time
+
+import aiohttp
+import attrs
+import pytest
+
+from tests.deployments import (
+    Deployment,
+    FrontAnswer,
+    FrontProcess,
+    run_deployment,
+    send_request,
+)
+
+#: Part of the path of the requests that end their replicas.
+_CRASH_TEXT = 'poison'
+_FRONT_COUNT = 3
+_REPLICA_COUNT = 5
+_REPEAT_COUNT = 16
+_REPEAT_INTERVAL_SECONDS = 0.25
+#: Once a request has ended this many replicas, its repeats are not sent on.
+_CRASH_LIMIT = 3
+#: Requests that may still reach replicas after the limit, from all fronts.
+_MAX_LATER_ARRIVALS = 3
+
+
+@attrs.define(eq=False)
+class _Caller:
+    """Send the same request again, at the fronts in turn."""
+
+    deployment: Deployment
+    path: str
+    method: str = 'GET'
+    answers: list[FrontAnswer] = attrs.field(factory=list)
+
+    async def repeat(self, count: int = _REPEAT_COUNT) -> None:
+        """Send the request several times, each with a new id."""
+        fronts = itertools.cycle(self.deployment.fronts)
+        for _ in range(count):
+            await self.send(next(fronts))
+            await asyncio.sleep(_REPEAT_INTERVAL_SECONDS)
+
+    async def send(self, front: FrontProcess) -> None:
+        """Send the request once; a front that is down does not answer."""
+        request_id = f'{self.path}-{len(self.answers)}-{time.monotonic_ns()}'
+        async with aiohttp.ClientSession() as session:
+            with contextlib.suppress(aiohttp.ClientError):
+                self.answers.append(
+                    await send_request(
+                        session,
+                        front,
+                        self.path,
+                        request_id,
+                        method=self.method,
+                    )
+                )
+
+
+def _arm_replicas(deployment: Deployment) -> None:
+    for servers in deployment.replicas.values():
+        for server in servers:
+            server.faults.crash_text = _CRASH_TEXT
+
+
+def _crash_times(deployment: Deployment) -> list[float]:
+    """Return when requests ended replicas, in order."""
+    servers = itertools.chain.from_iterable(deployment.replicas.values())
+    return sorted(
+        itertools.chain.from_iterable(server.crashes for server in servers)
+    )
+
+
+@pytest.mark.parametrize(
+    ('path', 'method', 'shard_count'),
+    [
+        ('/search/poison', 'GET', 3),
+        ('/lookup/poison', 'GET', 1),
+        ('/order/poison', 'POST', 1),
+    ],
+)
+async def test_crashing_request_is_stopped_fleet_wide(
+    tmp_path: pathlib.Path, path: str, method: str, shard_count: int
+) -> None:
+    """A repeated request must not end one replica after the other."""
+    async with run_deployment(
+        tmp_path, _FRONT_COUNT, _REPLICA_COUNT
+    ) as deployment:
+        _arm_replicas(deployment)
+        caller = _Caller(deployment, path, method)
+        await caller.repeat()
+        crash_times = _crash_times(deployment)
+        assert len(crash_times) <= shard_count - 1 + (
+            _CRASH_LIMIT + _MAX_LATER_ARRIVALS
+        )
