Reproduce the crashing request with front processes (known red)

Callers saw: 502 for their own repeats, and other requests fail on replicas that were ended again and again.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -17,6 +17,7 @@
     run_deployment,
     send_request,
 )
+from tests.standins.replicas import ReplicaServer
 
 #: Part of the path of the requests that end their replicas.
 _CRASH_TEXT = 'poison'
@@ -76,6 +77,10 @@
     )
 
 
+def _max_crash_count(shard_count: int) -> int:
+    return max(shard_count, _CRASH_LIMIT) + _MAX_LATER_ARRIVALS
+
+
 @pytest.mark.parametrize(
     ('path', 'method', 'shard_count'),
     [
@@ -94,7 +99,55 @@
         _arm_replicas(deployment)
         caller = _Caller(deployment, path, method)
         await caller.repeat()
-        crash_times = _crash_times(deployment)
-        assert len(crash_times) <= shard_count - 1 + (
-            _CRASH_LIMIT + _MAX_LATER_ARRIVALS
-        )
+        assert len(_crash_times(deployment)) <= _max_crash_count(shard_count)
+
+
+async def test_started_front_knows_crashing_request(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Fronts must not try the request again after a kill or a power loss."""
+    async with run_deployment(
+        tmp_path, _FRONT_COUNT, _REPLICA_COUNT
+    ) as deployment:
+        _arm_replicas(deployment)
+        caller = _Caller(deployment, '/lookup/poison')
+        await caller.repeat(8)
+        for killed_count in (1, _FRONT_COUNT):
+            killed = deployment.fronts[:killed_count]
+            for front in killed:
+                await front.program.kill()
+            for started_front in killed:
+                await deployment.restart_front(started_front)
+            for ready_front in killed:
+                await ready_front.wait_ready()
+                await caller.send(ready_front)
+        assert len(_crash_times(deployment)) <= _max_crash_count(1)
+
+
+async def test_popular_request_survives_ended_replicas(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A request in flight on replicas that end by themselves is not at fault.
+
+    Each of its repeats must be served.
+    """
+    async with run_deployment(
+        tmp_path, _FRONT_COUNT, _REPLICA_COUNT
+    ) as deployment:
+        servers = deployment.replicas['lookup']
+        for server in servers:
+            server.faults.work_seconds = 0.05
+        caller = _Caller(deployment, '/lookup/popular')
+        for ended_server in (*servers, *servers):
+            async with asyncio.TaskGroup() as sending:
+                for front in deployment.fronts:
+                    sending.create_task(caller.send(front))
+                sending.create_task(_end_running(ended_server))
+            await caller.repeat(1)
+        assert {answer.status for answer in caller.answers} == {200}
+
+
+async def _end_running(server: ReplicaServer) -> None:
+    """End a replica while it may run a request."""
+    await asyncio.sleep(0.025)
+    server.end_process()
