--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -16,8 +16,13 @@
 _reply_notices    replicas that leave or asked for a pause
 _latencies        latency quantiles of each route
 _recorders        updates of the statistics from outcomes of attempts
+_crash_watches    retries of a request after a replica ended while it ran it
+_crash_detectors  detection of replicas that ended while they ran a request
+_trial_locks      one attempt at a suspect request at a time
+_probes           check whether the process of a replica still runs
 _preconnectors    connections opened before the first search
-_requests         requests and results of the client
+_contexts         context in which a request is executed
+_requests         results of the client
 _exchanges        one request and reply with a replica
 _codecs           interface for encoding requests and decoding replies
 _connections_http one task for each connection
@@ -30,6 +35,9 @@
 from dragonflyramp.backends._codecs import Codec
 from dragonflyramp.backends._cold_limits import ColdReplicaLimiter
 from dragonflyramp.backends._connections_http import Connection, ConnectionHooks
+from dragonflyramp.backends._contexts import RequestContext
+from dragonflyramp.backends._crash_detectors import Crash, CrashDetector
+from dragonflyramp.backends._crash_watches import CrashWatch
 from dragonflyramp.backends._fetches import Fetch
 from dragonflyramp.backends._fleets import (
     Fleet,
@@ -37,6 +45,7 @@
     expire_notices,
     hold_domains,
     resume_delay_seconds,
+    software_versions,
 )
 from dragonflyramp.backends._hedging import (
     HedgingPolicy,
@@ -51,13 +60,10 @@
     connection_limits,
 )
 from dragonflyramp.backends._preconnectors import Preconnector
+from dragonflyramp.backends._probes import ProbeOutcome, ReplicaProbe
 from dragonflyramp.backends._replica_orders import ReplicaOrder
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
-from dragonflyramp.backends._requests import (
-    AttemptRecord,
-    FetchResult,
-    RequestContext,
-)
+from dragonflyramp.backends._requests import AttemptRecord, FetchResult
 from dragonflyramp.backends._selectors import (
     LowestLatencySelector,
     RandomSelector,
@@ -75,6 +81,9 @@
     'ConnectionHooks',
     'ConnectionLimits',
     'ConnectionPool',
+    'Crash',
+    'CrashDetector',
+    'CrashWatch',
     'Fetch',
     'FetchResult',
     'Fleet',
@@ -85,9 +94,11 @@
     'Policies',
     'Preconnector',
     'QuantileHedging',
+    'ProbeOutcome',
     'RandomSelector',
     'Replica',
     'ReplicaOrder',
+    'ReplicaProbe',
     'RequestContext',
     'RouteLatencies',
     'apply_peer_latency_ratios',
@@ -96,4 +107,5 @@
     'expire_notices',
     'hold_domains',
     'resume_delay_seconds',
+    'software_versions',
 )
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -8,14 +8,15 @@
 
 from dragonflyramp.backends._attempts import RETRY, Attempt
 from dragonflyramp.backends._budgets import Budgets, rounding_offset
+from dragonflyramp.backends._contexts import RequestContext
+from dragonflyramp.backends._crash_detectors import CrashDetector
 from dragonflyramp.backends._exchanges import Exchange
-from dragonflyramp.backends._fetches import Fetch
+from dragonflyramp.backends._fetches import Fetch, create_fetch
 from dragonflyramp.backends._fleets import Fleet
 from dragonflyramp.backends._hedging import HedgingPolicy, QuantileHedging
 from dragonflyramp.backends._latencies import LatenciesByRoute
 from dragonflyramp.backends._limits import Peers
 from dragonflyramp.backends._recorders import OutcomeRecorder
-from dragonflyramp.backends._requests import RequestContext
 from dragonflyramp.backends._selectors import (
     LowestLatencySelector,
     ReplicaSelector,
@@ -56,10 +57,15 @@
     policies: Policies = attrs.field(factory=Policies)
     latencies: LatenciesByRoute = attrs.field(factory=LatenciesByRoute)
     recorder: OutcomeRecorder = attrs.field(init=False)
+    crash_detector: CrashDetector = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Hear of processes of replicas that ended."""
+        self.fleet.on_process_end = self.crash_detector.record_process_end
 
     def create_fetch(self, context: RequestContext, service: str) -> Fetch:
         """Create a fetch of one part from a service; `Fetch.run` starts it."""
-        return Fetch(self, context, service)
+        return create_fetch(self, context, service)
 
     def hedge_delay_ms(self, route: Route) -> float | None:
         """Return the hedge delay of a route in ms, or None for no hedge."""
@@ -127,6 +133,10 @@
             started_at_seconds=now_seconds,
         )
 
+    @crash_detector.default
+    def _create_crash_detector(self) -> CrashDetector:
+        return CrashDetector(tasks=self.fleet.tasks, clock=self.clock)
+
     @recorder.default
     def _create_recorder(self) -> OutcomeRecorder:
         return OutcomeRecorder(self.latencies, self.slow_replica_detector)
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -1,13 +1,16 @@
 """Fetch one part from one service, with retries and hedges."""
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 import attrs
 
 from dragonflyramp.backends._attempts import Attempts, FailureSummary
+from dragonflyramp.backends._contexts import RequestContext
+from dragonflyramp.backends._crash_watches import CrashRetries
 from dragonflyramp.backends._exchanges import Outcome, OutcomeKind
-from dragonflyramp.backends._requests import FetchResult, RequestContext
+from dragonflyramp.backends._requests import FetchResult
 from dragonflyramp.backends._schedulers import AttemptScheduler
 from dragonflyramp.results import ResultCode
 
@@ -25,22 +28,29 @@
     _client: 'BackendClient'
     _context: RequestContext
     service: str
+    _scheduler: AttemptScheduler
+    _crash_retries: CrashRetries
     #: Whether a cancelled fetch keeps the connections of written requests for a
     #: short time, so that late replies are still read.
     accepts_late_replies: bool = False
     _failure_summary: FailureSummary = attrs.field(factory=FailureSummary)
-    _scheduler: AttemptScheduler = attrs.field(init=False)
 
     async def run(self) -> FetchResult:
         """Return the result; always release the attempts still in flight."""
-        try:
-            fetch_result = await self._run()
-        except asyncio.CancelledError:
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._crash_retries.release)
+            try:
+                fetch_result = await self._run()
+            except asyncio.CancelledError:
+                self._release_attempts(
+                    accepts_late_replies=self.accepts_late_replies,
+                    is_answered=False,
+                )
+                raise
             self._release_attempts(
-                accepts_late_replies=self.accepts_late_replies
+                accepts_late_replies=True,
+                is_answered=fetch_result.reply is not None,
             )
-            raise
-        self._release_attempts(accepts_late_replies=True)
         return fetch_result
 
     def cancelled_result(self) -> FetchResult:
@@ -60,18 +70,35 @@
                 _unavailable_code(self._client, self.service)
             )
         while scheduler.attempts.in_flight:
-            done = await scheduler.wait()
-            now_seconds = self._client.clock()
-            for future in done:
-                fetch_result = self._handle_outcome(future, now_seconds)
-                if fetch_result is not None:
-                    return fetch_result
-            if now_seconds >= self._context.deadline_at_seconds:
-                return self._failed_result(ResultCode.deadline_exceeded)
-            may_have_run = self._failure_summary.may_have_run
-            scheduler.retry_or_hedge(now_seconds, may_have_run=may_have_run)
+            fetch_result = await self._advance(scheduler)
+            if fetch_result is not None:
+                return fetch_result
         return self._failed_result(self._failure_summary.failure_code)
 
+    async def _advance(self, scheduler: AttemptScheduler) -> FetchResult | None:
+        """Handle the next outcomes, and start the attempts that follow.
+
+        Return the result, if the fetch has ended.
+        """
+        done = await scheduler.wait()
+        now_seconds = self._client.clock()
+        for future in done:
+            fetch_result = self._handle_outcome(future, now_seconds)
+            if fetch_result is not None:
+                return fetch_result
+        if now_seconds >= self._context.deadline_at_seconds:
+            return self._failed_result(ResultCode.deadline_exceeded)
+        is_idempotent = self._context.route.is_idempotent
+        if not await self._crash_retries.allows_next(
+            needs_retry=is_idempotent and not scheduler.attempts.in_flight
+        ):
+            return self._failed_result(self._failure_summary.failure_code)
+        scheduler.retry_or_hedge(
+            self._client.clock(),
+            may_have_run=self._failure_summary.may_have_run,
+        )
+        return None
+
     def _handle_outcome(
         self, future: asyncio.Future[Outcome], now_seconds: float
     ) -> FetchResult | None:
@@ -82,6 +109,8 @@
         reply = outcome.reply
         if reply is None:
             self._failure_summary.add_missing_reply(attempt, outcome.kind)
+            if outcome.kind is OutcomeKind.lost:
+                self._crash_retries.record_lost(attempt)
             self._client.recorder.record_missing_reply(
                 attempt, outcome.kind, now_seconds
             )
@@ -89,6 +118,10 @@
         self._client.recorder.record_reply(
             attempt, reply, self._context, now_seconds
         )
+        if not (reply.is_not_run or reply.is_misdirected):
+            self._crash_retries.record_reply(
+                now_seconds, is_success=reply.is_success
+            )
         # The merged answer to a search lists the stamps of its parts.
         has_required_stamp = (
             bool(reply.stamp) or self._context.route.gather is None
@@ -104,10 +137,14 @@
             records=tuple(self._scheduler.attempts.records),
         )
 
-    def _release_attempts(self, *, accepts_late_replies: bool) -> None:
+    def _release_attempts(
+        self, *, accepts_late_replies: bool, is_answered: bool
+    ) -> None:
         """Cancel the attempts in flight, or accept their late replies."""
         now_seconds = self._client.clock()
         for attempt in tuple(self._scheduler.attempts.in_flight.values()):
+            if not is_answered:
+                self._crash_retries.remember_unanswered(attempt, now_seconds)
             self._scheduler.attempts.finish(
                 attempt, OutcomeKind.cancelled, now_seconds
             )
@@ -123,12 +160,20 @@
             self.service, code, self._scheduler.attempts, self._client.clock()
         )
 
-    @_scheduler.default
-    def _create_scheduler(self) -> AttemptScheduler:
-        attempts = Attempts(self._context.received_at_seconds)
-        return AttemptScheduler(
-            self._client, self._context, self.service, attempts
-        )
+
+def create_fetch(
+    client: 'BackendClient', context: RequestContext, service: str
+) -> Fetch:
+    """Create a fetch of one part from a service; `Fetch.run` starts it."""
+    attempts = Attempts(context.received_at_seconds)
+    watch = context.crash_watch
+    return Fetch(
+        client,
+        context,
+        service,
+        AttemptScheduler(client, context, service, attempts),
+        CrashRetries(watch, service, watch.suspicion),
+    )
 
 
 def _unavailable_code(client: 'BackendClient', service: str) -> ResultCode:
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -2,7 +2,7 @@
 
 import functools
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
 import attrs
@@ -36,6 +36,10 @@
     limit_inputs: tuple[int, int] | None = None
 
 
+def _ignore_process_end(entry: ReplicaEntry, now_seconds: float) -> None:
+    """Do nothing, for fleets without anybody who acts on it."""
+
+
 def _create_notices(fleet: 'Fleet') -> ReplyNoticeRecorder:
     return ReplyNoticeRecorder(
         fleet.all_replicas(), fleet.capacity_events.notify
@@ -51,6 +55,8 @@
     order: ReplicaOrder = attrs.field(factory=ReplicaOrder)
     cold_limiter: ColdReplicaLimiter = attrs.field(factory=ColdReplicaLimiter)
     capacity_events: CapacityEvents = attrs.field(factory=CapacityEvents)
+    #: Called with the entry of a process that ended or was replaced.
+    on_process_end: Callable[[ReplicaEntry, float], None] = _ignore_process_end
     #: Failure domains that operators have taken out of service.
     held_domains: frozenset[str] = frozenset()
     #: Derived values of each service, until its replicas or the holds change.
@@ -76,6 +82,8 @@
                 _update_entry(replica, entry, now_seconds)
                 return
             self._remove(replica)
+            if entry is not None or replica.is_ready:
+                self.on_process_end(replica.entry, now_seconds)
         if entry is not None:
             self._add(entry, now_seconds)
 
@@ -179,6 +187,14 @@
     }
 
 
+def software_versions(fleet: Fleet, service: str) -> frozenset[str]:
+    """Return the software versions of the replicas of a service."""
+    return frozenset(
+        replica.entry.software_version
+        for replica in fleet.service_replicas(service).values()
+    )
+
+
 def apply_peer_latency_ratios(
     fleet: Fleet, ratios: Mapping[str, float], now_seconds: float
 ) -> None:
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -5,9 +5,9 @@
 import attrs
 
 from dragonflyramp.backends._attempts import FIRST, Attempt
+from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._latencies import LatenciesByRoute
-from dragonflyramp.backends._requests import RequestContext
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
--- a/dragonflyramp/backends/_requests.py
+++ b/dragonflyramp/backends/_requests.py
@@ -1,24 +1,9 @@
-"""Define the requests and results of the backend client."""
+"""Define the results of the backend client."""
 
 import attrs
 
-from dragonflyramp.messages import Reply, Request
+from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
-from dragonflyramp.routes import Route, RoutingTable
-
-
-@attrs.frozen(kw_only=True)
-class RequestContext:
-    """Caller's request with the configuration in force at its arrival."""
-
-    request: Request
-    route: Route
-    table: RoutingTable
-    #: Monotonic times of arrival and deadline.
-    received_at_seconds: float
-    deadline_at_seconds: float
-    #: Maximum wait for a replica with capacity.
-    capacity_wait_seconds: float
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/backends/_schedulers.py
+++ b/dragonflyramp/backends/_schedulers.py
@@ -6,8 +6,8 @@
 import attrs
 
 from dragonflyramp.backends._attempts import FIRST, HEDGE, RETRY, Attempts
+from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._exchanges import Outcome
-from dragonflyramp.backends._requests import RequestContext
 from dragonflyramp.metrics import counters, latencies
 
 if TYPE_CHECKING:
@@ -82,7 +82,8 @@
         hedge_at_seconds = self._hedge_at_seconds
         if hedge_at_seconds is not None and now_seconds >= hedge_at_seconds:
             self._hedge_at_seconds = None
-            self._start_hedge(now_seconds)
+            if self._context.crash_watch.allows_hedges:
+                self._start_hedge(now_seconds)
 
     def _start(self, purpose: str, now_seconds: float) -> bool:
         attempt = self._client.start_attempt(
--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -8,6 +8,8 @@
 _retry_delays    when a refused caller should come back
 _merging         merging of the shards' results
 _traffic_splits  weighted distribution of requests over services
+_suspect_guards  trials and refusals of requests that end replicas
+_trial_claims    claims of these trials
 _request_logs    log lines and counters of requests
 _claims          at-most-once execution of requests with an idempotency key
 _native_api_http HTTP server of the native API
@@ -31,6 +33,8 @@
     RelayedAnswer,
 )
 from dragonflyramp.callers._running_queries import RunningQueries
+from dragonflyramp.callers._suspect_guards import SuspectGuard
+from dragonflyramp.callers._trial_claims import TrialClaims
 
 __all__ = (
     'Answer',
@@ -48,5 +52,7 @@
     'Refusal',
     'RelayedAnswer',
     'RunningQueries',
+    'SuspectGuard',
     'TargetCutoff',
+    'TrialClaims',
 )
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -1,10 +1,17 @@
 """Route queries to backend servers and build the answers to callers."""
 
+import functools
 from collections.abc import Callable
 
 import attrs
 
-from dragonflyramp.backends import BackendClient, FetchResult, RequestContext
+from dragonflyramp.backends import (
+    BackendClient,
+    CrashDetector,
+    CrashWatch,
+    FetchResult,
+    RequestContext,
+)
 from dragonflyramp.callers._cutoffs import CutoffPolicy, Progress, TargetCutoff
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._queries import (
@@ -17,6 +24,7 @@
 from dragonflyramp.callers._request_logs import RequestLog, refuse
 from dragonflyramp.callers._retry_delays import retry_after_seconds
 from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
+from dragonflyramp.callers._suspect_guards import SuspectGuard
 from dragonflyramp.callers._traffic_splits import WeightedRoundRobin
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, Route, RoutingTable
@@ -48,6 +56,14 @@
         self.count -= 1
 
 
+def _create_suspect_guard(front: 'Front') -> SuspectGuard:
+    return SuspectGuard(detector=front.backend_client.crash_detector)
+
+
+def _create_request_log(front: 'Front') -> RequestLog:
+    return RequestLog(front.clock, front.backend_client.peers)
+
+
 @attrs.define(eq=False, kw_only=True)
 class Front:
     """Route, execute and log callers' queries."""
@@ -64,7 +80,12 @@
     is_stopping: bool = False
     in_flight: InFlightCounter = attrs.field(factory=InFlightCounter)
     _round_robin: WeightedRoundRobin = attrs.field(factory=WeightedRoundRobin)
-    _request_log: RequestLog = attrs.field(init=False)
+    suspect_guard: SuspectGuard = attrs.field(
+        default=attrs.Factory(_create_suspect_guard, takes_self=True)
+    )
+    _request_log: RequestLog = attrs.field(
+        init=False, default=attrs.Factory(_create_request_log, takes_self=True)
+    )
 
     def is_ready(self) -> bool:
         """Return whether load balancers should send callers to this front."""
@@ -91,10 +112,20 @@
     async def _execute(
         self, query: Query, table: RoutingTable, route: Route
     ) -> Answer:
-        context = _build_context(query, table, route)
+        context = _build_context(
+            query, table, route, self.backend_client.crash_detector
+        )
         now_seconds = self.clock()
         if now_seconds >= context.deadline_at_seconds:
             return refuse(query, ResultCode.bad_deadline)
+        return await self.suspect_guard.run(
+            context, functools.partial(self._send, query)
+        )
+
+    async def _send(self, query: Query, context: RequestContext) -> Answer:
+        """Send a request to replicas and build the answer."""
+        now_seconds = self.clock()
+        route = context.route
         for service in route.services:
             self.backend_client.budgets.for_service(service).record_request(
                 now_seconds
@@ -211,19 +242,9 @@
             body=body,
         )
 
-    @_request_log.default
-    def _create_request_log(self) -> RequestLog:
-        return RequestLog(self.clock, self.backend_client.peers)
-
-
-def _find_route(table: RoutingTable, query: Query) -> Route | None:
-    if query.route_name:
-        return table.find_by_name(query.route_name)
-    return table.find_by_path(query.host, query.path)
-
 
 def _build_context(
-    query: Query, table: RoutingTable, route: Route
+    query: Query, table: RoutingTable, route: Route, detector: CrashDetector
 ) -> RequestContext:
     limit_ms = route.timeout_ms
     if query.deadline_ms is not None:
@@ -237,9 +258,16 @@
         capacity_wait_seconds=min(limit_ms, route.target_ms)
         * _CAPACITY_WAIT_SHARE
         / 1000,
+        crash_watch=CrashWatch(detector=detector, request=query.request),
     )
 
 
+def _find_route(table: RoutingTable, query: Query) -> Route | None:
+    if query.route_name:
+        return table.find_by_name(query.route_name)
+    return table.find_by_path(query.host, query.path)
+
+
 def _build_relay_answer(
     fetch_result: FetchResult, delay_seconds: float
 ) -> Answer:
--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -74,12 +74,15 @@
             self.backend_client.create_fetch(self.context, shard)
             for shard in self.gather.shards
         ]
-        tasks = [
-            asyncio.create_task(self._fetch_shard(fetch), name='shard')
-            for fetch in fetches
-        ]
+        tasks: list[asyncio.Task[None]] = []
         with contextlib.ExitStack() as cleanup:
-            for task in tasks:
+            if self.context.crash_watch.is_trial:
+                fetches = await self._try_shards(fetches)
+            for fetch in fetches:
+                task = asyncio.create_task(
+                    self._fetch_shard(fetch), name='shard'
+                )
+                tasks.append(task)
                 cleanup.callback(task.cancel)
             await self._wait_until_ended(self.cutoff_at_seconds)
             self._is_past_cutoff = True
@@ -93,6 +96,48 @@
                     )
         return self.shard_results
 
+    async def _try_shards(self, fetches: list[Fetch]) -> list[Fetch]:
+        """Try a suspect search at one shard after another.
+
+        Return the fetches that may all be sent once a replica has answered. If
+        a replica may have ended, none is left, and their shards have failed.
+        """
+        last_service = self.context.crash_watch.suspicion.service
+        remaining = sorted(
+            fetches, key=lambda fetch: fetch.service != last_service
+        )
+        while remaining:
+            fetch_result = await self._try_shard(remaining.pop(0))
+            if self.context.crash_watch.is_answered:
+                return remaining
+            if fetch_result.may_have_run:
+                break
+        for unsent in remaining:
+            self.shard_results.add(
+                FetchResult(
+                    service=unsent.service, code=ResultCode.crash_suspect
+                )
+            )
+        self._ended.set()
+        return []
+
+    async def _try_shard(self, fetch: Fetch) -> FetchResult:
+        """Fetch from one shard until the deadline, and add the result."""
+        remaining_seconds = (
+            self.context.deadline_at_seconds - self.backend_client.clock()
+        )
+        fetch_result = FetchResult(
+            service=fetch.service,
+            code=ResultCode.deadline_exceeded,
+            may_have_run=True,
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0, remaining_seconds)):
+                fetch_result = await fetch.run()
+        self.shard_results.add(fetch_result)
+        self._end_if_possible()
+        return fetch_result
+
     async def _fetch_shard(self, fetch: Fetch) -> None:
         try:
             fetch_result = await fetch.run()
--- /dev/null
+++ b/dragonflyramp/callers/_suspect_guards.py
@@ -0,0 +1,141 @@
+"""Decide whether a request that may end replicas is sent."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import attrs
+from loguru import logger
+
+from dragonflyramp.backends import CrashDetector, RequestContext
+from dragonflyramp.callers._queries import Answer, Refusal
+from dragonflyramp.callers._trial_claims import TrialClaims
+from dragonflyramp.metrics import counters
+from dragonflyramp.results import ResultCode
+from dragonflyramp.suspects import (
+    CLAIMED_CRASH_ROUNDS,
+    MAX_CRASH_ROUNDS,
+    Suspicion,
+)
+
+#: Retry delay for a caller whose request another one tries now.
+_TRIAL_RETRY_AFTER_SECONDS = 1
+#: Maximum wait for the outcome of a trial on this daemon, as a share of the
+#: latency target.
+_TRIAL_WAIT_SHARE = 0.5
+
+#: Sends a request and returns the answer.
+Execute = Callable[[RequestContext], Awaitable[Answer]]
+
+
+def _create_claims(guard: 'SuspectGuard') -> TrialClaims:
+    return TrialClaims(detector=guard.detector)
+
+
+@attrs.define(eq=False, kw_only=True)
+class SuspectGuard:
+    """Try suspect requests one at a time, and refuse those that end replicas.
+
+    A request that is not suspect is executed without any check.
+    """
+
+    detector: CrashDetector
+    claims: TrialClaims = attrs.field(
+        default=attrs.Factory(_create_claims, takes_self=True)
+    )
+
+    async def run(self, context: RequestContext, execute: Execute) -> Answer:
+        """Execute a request, or refuse it with `crash_suspect`."""
+        fingerprint = ''
+        if self.detector.suspects.table:
+            fingerprint = context.crash_watch.fingerprint
+        if not self.detector.suspects.table.find(fingerprint).crash_rounds:
+            return await self._execute(context, execute)
+        if not await self._acquire(context):
+            return self._refuse(context, _TRIAL_RETRY_AFTER_SECONDS)
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self.detector.trial_locks.release, fingerprint)
+            # Another request may have changed it in the meantime.
+            suspicion = self.detector.suspects.table.find(fingerprint)
+            if suspicion.crash_rounds:
+                return await self._try(context, suspicion, execute)
+        return await self._execute(context, execute)
+
+    async def _acquire(self, context: RequestContext) -> bool:
+        """Wait for another trial on this daemon; return False if it lasts."""
+        wait_seconds = context.route.target_ms * _TRIAL_WAIT_SHARE / 1000
+        locks = self.detector.trial_locks
+        try:
+            async with asyncio.timeout(wait_seconds):
+                await locks.acquire(context.crash_watch.fingerprint)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _try(
+        self, context: RequestContext, suspicion: Suspicion, execute: Execute
+    ) -> Answer:
+        if suspicion.crash_rounds < CLAIMED_CRASH_ROUNDS:
+            if not self.detector.is_informed(self.detector.clock()):
+                return self._refuse(context, _TRIAL_RETRY_AFTER_SECONDS)
+            return await self._execute_trial(context, suspicion, execute)
+        fingerprint = context.crash_watch.fingerprint
+        delay_seconds = self.claims.delay_seconds(fingerprint, suspicion)
+        if delay_seconds:
+            return self._refuse(context, delay_seconds)
+        if not await self.claims.claim(fingerprint, suspicion):
+            return self._refuse(context, _TRIAL_RETRY_AFTER_SECONDS)
+        answer = await self._execute_trial(context, suspicion, execute)
+        self.claims.settle(fingerprint, suspicion, answer)
+        return answer
+
+    async def _execute_trial(
+        self, context: RequestContext, suspicion: Suspicion, execute: Execute
+    ) -> Answer:
+        counters.add('suspect_requests', 'trial')
+        trial = attrs.evolve(
+            context,
+            crash_watch=attrs.evolve(
+                context.crash_watch, suspicion=suspicion, is_trial=True
+            ),
+        )
+        logger.bind(
+            request=context.request.request_id,
+            fingerprint=trial.crash_watch.fingerprint,
+            rounds=suspicion.crash_rounds,
+        ).info('trial of a suspect request')
+        return await self._execute(trial, execute)
+
+    async def _execute(
+        self, context: RequestContext, execute: Execute
+    ) -> Answer:
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(context.crash_watch.finish)
+            return await execute(context)
+
+    def _refuse(
+        self, context: RequestContext, retry_after_seconds: float
+    ) -> Refusal:
+        fingerprint = context.crash_watch.fingerprint
+        suspicion = self.detector.suspects.table.find(fingerprint)
+        self.detector.suspects.table.touch(fingerprint, self.detector.clock())
+        is_limit_reached = suspicion.crash_rounds >= MAX_CRASH_ROUNDS
+        counters.add('refusals', ResultCode.crash_suspect.name)
+        counters.add(
+            'suspect_requests',
+            'refused' if is_limit_reached else 'refused_during_trial',
+        )
+        logger.bind(
+            request=context.request.request_id,
+            code=ResultCode.crash_suspect.name,
+            fingerprint=fingerprint,
+            service=suspicion.service,
+            rounds=suspicion.crash_rounds,
+            last_crash=suspicion.request_id,
+        ).info('request refused')
+        if is_limit_reached:
+            self.claims.record_seen(fingerprint)
+        return Refusal(
+            code=ResultCode.crash_suspect,
+            retry_after_seconds=retry_after_seconds,
+        )
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -6,6 +6,9 @@
 _memberships    daemons that are registered or in recent contact
 _clusters       selection of the hubs, and ranks of this daemon
 _registrars     entries of the daemons in the store
+_suspect_records  records of requests that end replicas, and claims of trials
+_suspect_objects  the objects of these records in the store
+_suspicion_fields checks of the fields of records and messages
 _watchers       updates of the views from the store
 _sync_messages  messages between daemons and their encoding
 _synchronizers  exchange of view updates with other daemons
@@ -18,18 +21,31 @@
 from dragonflyramp.members._links_grpc import SyncServer
 from dragonflyramp.members._memberships import Daemon, Membership
 from dragonflyramp.members._registrars import DAEMONS_KIND, Registrar
-from dragonflyramp.members._synchronizers import ViewSynchronizer
+from dragonflyramp.members._suspect_objects import (
+    SUSPECTS_KIND,
+    SuspectObjects,
+)
+from dragonflyramp.members._suspect_records import (
+    StoredSuspectRecords,
+    maintain_suspects,
+)
+from dragonflyramp.members._synchronizers import ViewSynchronizer, is_informed
 from dragonflyramp.members._watchers import Watcher, WatchTiming
 
 __all__ = (
     'DAEMONS_KIND',
+    'SUSPECTS_KIND',
     'Cluster',
     'Daemon',
     'HubLinks',
     'Membership',
     'Registrar',
+    'StoredSuspectRecords',
+    'SuspectObjects',
     'SyncServer',
     'ViewSynchronizer',
     'Watcher',
     'WatchTiming',
+    'is_informed',
+    'maintain_suspects',
 )
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import math
 import zlib
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -26,7 +25,11 @@
     encode_request,
     encode_response,
 )
-from dragonflyramp.members._synchronizers import ViewSynchronizer
+from dragonflyramp.members._synchronizers import (
+    NO_PROGRESS,
+    LinkProgress,
+    ViewSynchronizer,
+)
 from dragonflyramp.metrics import counters
 from dragonflyramp.object_limits import DECODE_ERRORS
 from dragonflyramp.runtime import TaskSet
@@ -119,6 +122,9 @@
         self._synchronizer.replica_notices.record_reported(
             request.leaving, now_seconds
         )
+        self._synchronizer.crash_suspects.apply_report(
+            request.suspicions, now_seconds
+        )
         await self._synchronizer.wait_for_changes(request)
         response = self._synchronizer.build_response(request, self._clock())
         return _serialize(encode_response(response))
@@ -137,7 +143,7 @@
     _is_primary: Callable[[], bool]
     _pending_request: asyncio.Task[bytes] | None = None
     _failing_since_seconds: float | None = None
-    _last_response_at_seconds: float = -math.inf
+    _progress: LinkProgress = NO_PROGRESS
     _is_connected: bool = False
 
     def renew_request(self) -> None:
@@ -170,7 +176,7 @@
             if is_primary
             else _BACKUP_RESPONSE_DELAY_SECONDS,
             includes_samples=is_primary,
-            last_response_at_seconds=self._last_response_at_seconds,
+            progress=self._progress,
             now_seconds=started_at_seconds,
         )
         pending = asyncio.create_task(_send_request(channel, request))
@@ -188,19 +194,24 @@
         response = _decode_message(pending.result(), decode_response)
         if response is None:
             return False
-        self._record_response(response)
+        self._record_response(request, response)
         return True
 
-    def _record_response(self, response: SyncResponse) -> None:
+    def _record_response(
+        self, request: SyncRequest, response: SyncResponse
+    ) -> None:
         self.daemon = response.sender
         self._failing_since_seconds = None
         if not self._is_connected:
             self._is_connected = True
             logger.bind(peer=response.sender.name).info('member reached')
-        self._last_response_at_seconds = self._clock()
-        self._synchronizer.apply_response(
-            response, self._last_response_at_seconds
+        now_seconds = self._clock()
+        self._progress = LinkProgress(
+            last_response_at_seconds=now_seconds,
+            sent_suspicions_version=request.suspicions.version,
+            known_suspicions_version=response.suspicions.version,
         )
+        self._synchronizer.apply_response(response, now_seconds)
 
     def _record_failure(
         self, failure: BaseException, started_at_seconds: float
--- a/dragonflyramp/members/_sync_messages.py
+++ b/dragonflyramp/members/_sync_messages.py
@@ -7,9 +7,18 @@
 import attrs
 
 from dragonflyramp.members._memberships import Daemon, decode_daemon
+from dragonflyramp.members._suspicion_fields import (
+    decode_suspicion,
+    require_short_text,
+)
 from dragonflyramp.object_limits import is_within_limits
 from dragonflyramp.replica_notices import NO_LEAVING_REPLICAS, LeavingReplicas
 from dragonflyramp.slow_replicas import LatencyAggregate, LatencyAggregates
+from dragonflyramp.suspects import (
+    MAX_REPORTED_SUSPICIONS,
+    NOT_REPORTED_VERSION,
+    SuspicionReport,
+)
 from dragonflyramp.views import Change, ChangeBatch, Fields, Listing
 
 #: JSON has no infinity, so ages are limited; a view this old is of no use.
@@ -19,6 +28,9 @@
 _SENDER_KEY = 'sender'
 _AGGREGATES_KEY = 'tallies'
 _LEAVING_KEY = 'leaving'
+_SUSPICIONS_KEY = 'suspicions'
+_SUSPICIONS_VERSION_KEY = 'suspicions_version'
+_KNOWN_SUSPICIONS_KEY = 'known_suspicions_version'
 
 
 @attrs.frozen(kw_only=True)
@@ -39,6 +51,10 @@
     response_age_seconds: float = math.inf
     #: Leaving replicas of which the sender learned in about that time.
     leaving: LeavingReplicas = NO_LEAVING_REPLICAS
+    #: Suspicions that the sender has not sent to this daemon yet.
+    suspicions: SuspicionReport = SuspicionReport()
+    #: Version of the last report that the sender got from this daemon.
+    known_suspicions_version: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +83,8 @@
     #: Leaving replicas of which the responding daemon learned in about the time
     #: since the last response.
     leaving: LeavingReplicas = NO_LEAVING_REPLICAS
+    #: Suspicions that the other daemon lacks.
+    suspicions: SuspicionReport = SuspicionReport()
 
 
 def encode_request(request: SyncRequest) -> Fields:
@@ -79,6 +97,8 @@
         _AGGREGATES_KEY: _encode_aggregates(request.samples),
         'response_age': min(request.response_age_seconds, MAX_AGE_SECONDS),
         _LEAVING_KEY: dict(request.leaving),
+        **_encode_suspicions(request.suspicions),
+        _KNOWN_SUSPICIONS_KEY: request.known_suspicions_version,
     }
 
 
@@ -99,6 +119,10 @@
         samples=_decode_aggregates(fields[_AGGREGATES_KEY]),
         response_age_seconds=float(fields.get('response_age', MAX_AGE_SECONDS)),
         leaving=_decode_leaving(fields),
+        suspicions=_decode_suspicions(fields),
+        known_suspicions_version=int(
+            fields.get(_KNOWN_SUSPICIONS_KEY, NOT_REPORTED_VERSION)
+        ),
     )
 
 
@@ -110,6 +134,7 @@
         _AGGREGATES_KEY: _encode_aggregates(response.report),
         'told': [_encode_update(update) for update in response.updates],
         _LEAVING_KEY: dict(response.leaving),
+        **_encode_suspicions(response.suspicions),
     }
 
 
@@ -125,6 +150,31 @@
         report=_decode_aggregates(fields[_AGGREGATES_KEY]),
         updates=tuple(_decode_update(update) for update in fields['told']),
         leaving=_decode_leaving(fields),
+        suspicions=_decode_suspicions(fields),
+    )
+
+
+def _encode_suspicions(report: SuspicionReport) -> Fields:
+    return {
+        _SUSPICIONS_KEY: {
+            fingerprint: attrs.astuple(suspicion)
+            for fingerprint, suspicion in report.suspicions.items()
+        },
+        _SUSPICIONS_VERSION_KEY: report.version,
+    }
+
+
+def _decode_suspicions(fields: Fields) -> SuspicionReport:
+    # Daemons of an earlier version send none.
+    encoded = fields.get(_SUSPICIONS_KEY, {})
+    if len(encoded) > MAX_REPORTED_SUSPICIONS:
+        raise ValueError('too many suspicions')
+    return SuspicionReport(
+        int(fields.get(_SUSPICIONS_VERSION_KEY, 0)),
+        {
+            require_short_text(fingerprint): decode_suspicion(*suspicion)
+            for fingerprint, suspicion in encoded.items()
+        },
     )
 
 
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -15,11 +15,33 @@
 )
 from dragonflyramp.replica_notices import ReplicaNotices
 from dragonflyramp.slow_replicas import SlowReplicaDetector
+from dragonflyramp.suspects import (
+    CrashSuspects,
+    has_changes_after,
+    report_after,
+)
 from dragonflyramp.views import ChangeBatch, Listing, View
 
 #: Leaving replicas are sent again for this long, because the daemons do not
 #: share a clock and a message takes a while.
 _LEAVING_OVERLAP_SECONDS = 1.5
+#: A watch confirms a view more often than this while the store is available.
+_MAX_INFORMED_AGE_SECONDS = 5
+
+
+@attrs.frozen(kw_only=True)
+class LinkProgress:
+    """What was exchanged on the link to another daemon."""
+
+    #: Monotonic time of the last response.
+    last_response_at_seconds: float = -math.inf
+    #: Version of this daemon's suspicions that the other daemon has.
+    sent_suspicions_version: int = 0
+    #: Version of the other daemon's suspicions that this daemon has.
+    known_suspicions_version: int = 0
+
+
+NO_PROGRESS = LinkProgress()
 
 #: Called with the kind of a view and the names of the objects that changed.
 OnChange = Callable[[str, set[str]], None]
@@ -34,6 +56,7 @@
     on_change: OnChange
     slow_replica_detector: SlowReplicaDetector
     replica_notices: ReplicaNotices = attrs.field(factory=ReplicaNotices)
+    crash_suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     _view_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def wake_waiting_requests(self) -> None:
@@ -47,15 +70,14 @@
         wait_seconds: float = 0,
         response_delay_seconds: float = 0,
         includes_samples: bool = False,
-        last_response_at_seconds: float = -math.inf,
+        progress: LinkProgress = NO_PROGRESS,
         now_seconds: float,
     ) -> SyncRequest:
         """Return a request for all changes that the views lack.
 
-        `last_response_at_seconds` is the monotonic time of the last response
-        from the same daemon. With samples, the request includes the latency
-        samples that have not been sent yet. Each sample is sent once; a failed
-        request loses its samples.
+        `progress` is that of the link to the same daemon. With samples, the
+        request includes the latency samples that have not been sent yet. Each
+        sample is sent once; a failed request loses its samples.
         """
         return SyncRequest(
             sender=self.cluster.own_daemon,
@@ -67,15 +89,22 @@
             samples=self.slow_replica_detector.pop_unsent_samples()
             if includes_samples
             else {},
-            response_age_seconds=now_seconds - last_response_at_seconds,
+            response_age_seconds=now_seconds
+            - progress.last_response_at_seconds,
             leaving=self.replica_notices.leaving_since(
-                last_response_at_seconds - _LEAVING_OVERLAP_SECONDS
+                progress.last_response_at_seconds - _LEAVING_OVERLAP_SECONDS
             ),
+            suspicions=report_after(
+                self.crash_suspects.table, progress.sent_suspicions_version
+            ),
+            known_suspicions_version=progress.known_suspicions_version,
         )
 
     def has_changes_for(self, request: SyncRequest) -> bool:
-        """Return whether a view has changes that the request's sender lacks."""
-        return any(
+        """Return whether the request's sender lacks changes."""
+        return has_changes_after(
+            self.crash_suspects.table, request.known_suspicions_version
+        ) or any(
             request.revisions.get(kind, 0) < view.last_change_revision
             for kind, view in self.views.items()
         )
@@ -121,6 +150,9 @@
                 - request.wait_seconds
                 - _LEAVING_OVERLAP_SECONDS
             ),
+            suspicions=report_after(
+                self.crash_suspects.table, request.known_suspicions_version
+            ),
         )
 
     def apply_response(
@@ -129,6 +161,7 @@
         """Apply a response, except updates that are older than the views."""
         self.cluster.membership.record_contact(response.sender, now_seconds)
         self.replica_notices.record_reported(response.leaving, now_seconds)
+        self.crash_suspects.apply_report(response.suspicions, now_seconds)
         self.slow_replica_detector.apply_report(
             response.sender.name, response.report, now_seconds
         )
@@ -157,6 +190,16 @@
             self.on_change(view.kind, names)
 
 
+def is_informed(synchronizer: ViewSynchronizer, now_seconds: float) -> bool:
+    """Return whether the store or another daemon has responded lately."""
+    if not synchronizer.cluster.is_isolated(now_seconds):
+        return True
+    ages_seconds = (
+        view.age_seconds(now_seconds) for view in synchronizer.views.values()
+    )
+    return min(ages_seconds) <= _MAX_INFORMED_AGE_SECONDS
+
+
 def _build_update(
     view: View, known_revision: int, now_seconds: float
 ) -> ViewUpdate:
--- a/dragonflyramp/members/_watchers.py
+++ b/dragonflyramp/members/_watchers.py
@@ -37,6 +37,9 @@
     #: store counts as stable again after 4 s, and by then a new configuration
     #: has to be in force.
     wait_seconds: float = 2.5
+    #: Whether the first listing may lack the changes of the last few seconds. A
+    #: stale one costs a tenth of a current one.
+    allows_stale_listing: bool = True
     #: Pause after a change, so that the next call returns several changes.
     batching_delay_seconds: float = 0
 
@@ -118,12 +121,13 @@
 
     async def _list_objects(self) -> ResultCode:
         started_at_seconds = self.clock()
-        # A stale listing costs a tenth of a current one, and the next watch
-        # or the next response of a hub brings the changes that it lacks. A
-        # view that already has a revision needs a current listing, because it
-        # ignores an older one.
+        # The next watch or the next response of a hub brings the changes that
+        # a stale listing lacks. A view that already has a revision needs a
+        # current listing, because it ignores an older one.
         list_result = await self.store.list_objects(
-            self.view.kind, allow_stale=not self.view.revision
+            self.view.kind,
+            allow_stale=self.timing.allows_stale_listing
+            and not self.view.revision,
         )
         if isinstance(list_result, Failure):
             code: ResultCode = list_result.failure()
--- a/dragonflyramp/platform/_store_decoders.py
+++ b/dragonflyramp/platform/_store_decoders.py
@@ -46,6 +46,7 @@
 _MAX_DURATION_MS = 86_400_000
 #: The end of the year 2999.
 _MAX_UNIX_MS = 32_503_680_000_000
+_MAX_VERSION_LENGTH = 200
 
 
 def decode_routing_table(stored_object: Fields) -> RoutingTable | None:
@@ -150,9 +151,20 @@
         ),
         cold_remaining_ms=_parse_ms(spec.get('warmup_left_ms', 0)),
         start_time_ms=require_int(start_time_ms, 0, _MAX_UNIX_MS),
+        software_version=_parse_software_version(spec.get('version')),
     )
 
 
+def _parse_software_version(field: Any) -> str:
+    """Return the version; an entry without a usable one is used as well."""
+    is_usable = (
+        isinstance(field, str)
+        and field.isprintable()
+        and len(field) <= _MAX_VERSION_LENGTH
+    )
+    return field if is_usable else ''
+
+
 def _parse_ms(field: Any) -> float:
     return require_number(field, 0, _MAX_DURATION_MS)
 
--- a/dragonflyramp/replicas.py
+++ b/dragonflyramp/replicas.py
@@ -30,3 +30,5 @@
     #: Wall-clock start time of the process, which distinguishes a restarted
     #: replica with the same id.
     start_time_ms: int = 0
+    #: Version of the software that the replica runs; empty if unknown.
+    software_version: str = ''
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -45,6 +45,7 @@
     queue_full = 206
     shed = 208
     claim_failed = 212
+    crash_suspect = 220
 
     deadline_exceeded = 300
     connection_reset = 302
@@ -143,6 +144,11 @@
             'claim of its key. Send it again with the same key: an earlier '
             'request with the key may have run.',
         ),
+        ResultCode.crash_suspect: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This request was not run, because replicas ended each time they '
+            'ran it, or because another caller tries it now.',
+        ),
         ResultCode.deadline_exceeded: _run_unknown(
             HTTPStatus.GATEWAY_TIMEOUT, 'No answer came before the deadline.'
         ),
--- a/dragonflyramp/runtime.py
+++ b/dragonflyramp/runtime.py
@@ -6,6 +6,7 @@
 import mimetypes
 import os
 import signal
+import time
 from collections.abc import Callable, Coroutine, Iterable, Mapping
 from types import MappingProxyType
 from typing import Any, TypeAlias
@@ -51,6 +52,11 @@
 DaemonMain: TypeAlias = Callable[[asyncio.Event], Coroutine[Any, Any, None]]
 
 
+def unix_ms() -> int:
+    """Return the Unix time in ms, which may jump."""
+    return int(time.time() * 1000)
+
+
 def run_daemon(main: DaemonMain) -> None:
     """Run a daemon's coroutine; SIGTERM and SIGINT set its stop event.
 
@@ -114,6 +120,31 @@
         _report_failure(task)
 
 
+@attrs.define(eq=False)
+class Coalescer:
+    """Call a function soon after a request for it, once for many requests."""
+
+    _function: Callable[[], None]
+    #: Minimum time between two calls.
+    _interval_seconds: float = 0.1
+    _next_call_at_seconds: float = 0
+    _timer: asyncio.TimerHandle | None = None
+
+    def request(self) -> None:
+        """Call the function at once, or when the interval has passed."""
+        if self._timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(self._next_call_at_seconds, self._call)
+
+    def _call(self) -> None:
+        self._timer = None
+        self._next_call_at_seconds = (
+            asyncio.get_running_loop().time() + self._interval_seconds
+        )
+        self._function()
+
+
 @attrs.define(eq=False)
 class StandstillDetector:
     """Detect that the process stood still, as on a frozen VM.
--- /dev/null
+++ b/dragonflyramp/tools/_backend_components.py
@@ -0,0 +1,63 @@
+"""Create the fleet of replicas and the client that sends them requests."""
+
+import functools
+import random
+from collections.abc import Callable
+
+from dragonflyramp.backends import (
+    BackendClient,
+    BudgetBounds,
+    Budgets,
+    ColdReplicaLimiter,
+    Connection,
+    Fleet,
+    ReplicaOrder,
+)
+from dragonflyramp.machine_settings import MachineSettings
+from dragonflyramp.members import ViewSynchronizer
+from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.runtime import TaskSet
+
+
+def create_fleet(
+    machine: MachineSettings,
+    connection_tasks: TaskSet,
+    clock: Callable[[], float],
+) -> Fleet:
+    """Create the fleet of replicas; its connections run in the task set."""
+    return Fleet(
+        create_connection=functools.partial(
+            Connection, codec=ReplicaCodec(), clock=clock
+        ),
+        tasks=connection_tasks,
+        order=ReplicaOrder(
+            daemon_name=machine.node, failure_domain=machine.failure_domain
+        ),
+        cold_limiter=ColdReplicaLimiter(
+            slack=machine.cold_replica_bounds.slack,
+            overshoot=machine.cold_replica_bounds.overshoot,
+        ),
+    )
+
+
+def create_backend_client(
+    machine: MachineSettings,
+    fleet: Fleet,
+    synchronizer: ViewSynchronizer,
+    clock: Callable[[], float],
+) -> BackendClient:
+    """Create the client that shares its limits with the known daemons."""
+    bounds = BudgetBounds(
+        ratio=machine.retry_bounds.ratio,
+        window_seconds=machine.retry_bounds.window_seconds,
+        slack=machine.retry_bounds.slack,
+    )
+    return BackendClient(
+        fleet=fleet,
+        budgets=Budgets(bounds),
+        clock=clock,
+        rng=random.Random(),
+        failure_domain=machine.failure_domain,
+        peers=synchronizer.cluster,
+        slow_replica_detector=synchronizer.slow_replica_detector,
+    )
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -10,13 +10,7 @@
 
 from dragonflyramp.backends import (
     BackendClient,
-    BudgetBounds,
-    Budgets,
-    ColdReplicaLimiter,
-    Connection,
-    Fleet,
     Preconnector,
-    ReplicaOrder,
     apply_peer_latency_ratios,
 )
 from dragonflyramp.callers import Claims, Front, NativeApi, NativeApiServer
@@ -28,15 +22,15 @@
     HubLinks,
     Membership,
     Registrar,
+    StoredSuspectRecords,
     SyncServer,
     ViewSynchronizer,
     Watcher,
-    WatchTiming,
+    maintain_suspects,
 )
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.platform import (
     FrontServer,
-    ReplicaCodec,
     StoreClient,
     StoreDecoder,
 )
@@ -45,8 +39,22 @@
 from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
 from dragonflyramp.settings import ConfigurationSource, Settings
 from dragonflyramp.slow_replicas import SlowReplicaDetector
+from dragonflyramp.tools._backend_components import (
+    create_backend_client,
+    create_fleet,
+)
 from dragonflyramp.tools._front_gauges import register_gauges
-from dragonflyramp.views import View
+from dragonflyramp.tools._front_views import (
+    ChangeDispatcher,
+    create_views,
+    create_watchers,
+)
+from dragonflyramp.tools._suspect_components import (
+    connect_crash_detector,
+    connect_suspects,
+    create_suspect_guard,
+    create_suspect_records,
+)
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -67,6 +75,7 @@
     preconnector: Preconnector
     connection_tasks: TaskSet
     standstill_detector: StandstillDetector
+    suspect_records: StoredSuspectRecords
 
     async def listen(self) -> dict[str, str]:
         """Listen on all ports and return the addresses to log, by name.
@@ -99,6 +108,7 @@
             self.hub_links.run(),
             self.routing_state.run(),
             self.preconnector.run(),
+            maintain_suspects(self.suspect_records),
             self._detect_standstill(),
             *(watcher.run() for watcher in self.watchers),
         )
@@ -144,15 +154,15 @@
 ) -> FrontComponents:
     """Create all components of a front without starting them."""
     decoder = _create_decoder(settings)
-    views = {kind: View(kind) for kind in (*decoder.kinds, DAEMONS_KIND)}
+    views = create_views(decoder)
     connection_tasks = TaskSet()
     routing_state = RoutingState(
         views=views,
         decoder=decoder,
-        fleet=_create_fleet(machine, connection_tasks),
+        fleet=create_fleet(machine, connection_tasks, _CLOCK),
         clock=_CLOCK,
     )
-    dispatcher = _ChangeDispatcher(
+    dispatcher = ChangeDispatcher(
         routing_state, Membership(_create_own_daemon(machine))
     )
     synchronizer = ViewSynchronizer(
@@ -165,11 +175,16 @@
         routing_state.fleet.reply_notices.notices,
     )
     dispatcher.hub_links = HubLinks(synchronizer, machine.seeds, _CLOCK)
-    backend_client = _create_backend_client(
-        machine, routing_state.fleet, synchronizer
+    suspect_records = create_suspect_records(store, synchronizer, _CLOCK)
+    connect_suspects(suspect_records, dispatcher, dispatcher.hub_links)
+    front = _create_front(
+        create_backend_client(
+            machine, routing_state.fleet, synchronizer, _CLOCK
+        ),
+        routing_state,
+        synchronizer,
+        suspect_records,
     )
-    register_gauges(routing_state, backend_client, _CLOCK)
-    front = _create_front(backend_client, routing_state)
     return FrontComponents(
         settings=settings,
         machine=machine,
@@ -187,7 +202,7 @@
             rng=random.Random(),
         ),
         routing_state=routing_state,
-        watchers=_create_watchers(store, synchronizer, dispatcher),
+        watchers=create_watchers(store, synchronizer, dispatcher, _CLOCK),
         preconnector=Preconnector(
             routing_state.fleet,
             lambda: (
@@ -199,42 +214,27 @@
         ),
         connection_tasks=connection_tasks,
         standstill_detector=StandstillDetector(_CLOCK()),
+        suspect_records=suspect_records,
     )
 
 
 def _create_front(
-    backend_client: BackendClient, routing_state: RoutingState
+    backend_client: BackendClient,
+    routing_state: RoutingState,
+    synchronizer: ViewSynchronizer,
+    suspect_records: StoredSuspectRecords,
 ) -> Front:
+    connect_crash_detector(backend_client, synchronizer, suspect_records)
+    register_gauges(routing_state, backend_client, _CLOCK)
     return Front(
         backend_client=backend_client,
         clock=_CLOCK,
         current_table=lambda: routing_state.table,
         has_synced=lambda: routing_state.has_synced,
+        suspect_guard=create_suspect_guard(backend_client, suspect_records),
     )
 
 
-@attrs.define(eq=False)
-class _ChangeDispatcher:
-    """Apply changes of the views, and notify other daemons of them."""
-
-    routing_state: RoutingState
-    membership: Membership
-    #: Set after creation, because the links need a synchronizer that calls
-    #: `dispatch`; no view changes before.
-    hub_links: HubLinks | None = None
-
-    def dispatch(self, kind: str, names: set[str]) -> None:
-        if self.hub_links is None:
-            return
-        if kind == DAEMONS_KIND:
-            self.membership.update_registered(
-                self.routing_state.views[kind].objects_by_name
-            )
-        else:
-            self.routing_state.apply_changes(kind, names)
-        self.hub_links.notify_change()
-
-
 def _create_decoder(settings: Settings) -> ObjectDecoder:
     if settings.configuration is ConfigurationSource.text:
         # Imported only here: with the other source, a front does not need the
@@ -269,77 +269,5 @@
     )
 
 
-def _create_fleet(machine: MachineSettings, connection_tasks: TaskSet) -> Fleet:
-    return Fleet(
-        create_connection=functools.partial(
-            Connection, codec=ReplicaCodec(), clock=_CLOCK
-        ),
-        tasks=connection_tasks,
-        order=ReplicaOrder(
-            daemon_name=machine.node, failure_domain=machine.failure_domain
-        ),
-        cold_limiter=ColdReplicaLimiter(
-            slack=machine.cold_replica_bounds.slack,
-            overshoot=machine.cold_replica_bounds.overshoot,
-        ),
-    )
-
-
-def _create_backend_client(
-    machine: MachineSettings, fleet: Fleet, synchronizer: ViewSynchronizer
-) -> BackendClient:
-    bounds = BudgetBounds(
-        ratio=machine.retry_bounds.ratio,
-        window_seconds=machine.retry_bounds.window_seconds,
-        slack=machine.retry_bounds.slack,
-    )
-    return BackendClient(
-        fleet=fleet,
-        budgets=Budgets(bounds),
-        clock=_CLOCK,
-        rng=random.Random(),
-        failure_domain=machine.failure_domain,
-        peers=synchronizer.cluster,
-        slow_replica_detector=synchronizer.slow_replica_detector,
-    )
-
-
-def _watch_timing(kind: str, decoder: ObjectDecoder) -> WatchTiming:
-    if kind == DAEMONS_KIND:
-        return _DAEMONS_WATCH_TIMING
-    return (
-        _ENTRIES_WATCH_TIMING if kind == decoder.entries_kind else WatchTiming()
-    )
-
-
-def _create_watchers(
-    store: StoreClient,
-    synchronizer: ViewSynchronizer,
-    dispatcher: _ChangeDispatcher,
-) -> tuple[Watcher, ...]:
-    return tuple(
-        Watcher(
-            store=store,
-            view=view,
-            cluster=synchronizer.cluster,
-            on_change=dispatcher.dispatch,
-            clock=_CLOCK,
-            rng=random.Random(),
-            timing=_watch_timing(view.kind, dispatcher.routing_state.decoder),
-        )
-        for view in synchronizer.views.values()
-    )
-
-
 _CLOCK = time.monotonic
 _TICK_INTERVAL_SECONDS = 0.2
-#: Collects changes into one batch: starting replicas change their entries every
-#: second, many at a time. The delay does no harm, because a draining replica
-#: keeps serving for seconds.
-_ENTRIES_BATCHING_DELAY_SECONDS = 0.3
-_ENTRIES_WATCH_TIMING = WatchTiming(
-    batching_delay_seconds=_ENTRIES_BATCHING_DELAY_SECONDS
-)
-#: Collects the registrations of daemons that start together; nothing depends on
-#: learning of a daemon immediately.
-_DAEMONS_WATCH_TIMING = WatchTiming(wait_seconds=10, batching_delay_seconds=0.5)
--- a/dragonflyramp/tools/_front_gauges.py
+++ b/dragonflyramp/tools/_front_gauges.py
@@ -8,6 +8,7 @@
 from dragonflyramp.members import DAEMONS_KIND
 from dragonflyramp.metrics import gauges
 from dragonflyramp.routing_state import RoutingState
+from dragonflyramp.suspects import MAX_CRASH_ROUNDS, count_suspicions
 
 
 def register_gauges(
@@ -38,6 +39,12 @@
     gauges.register(
         'configuration_version', lambda: _configuration_version(routing_state)
     )
+    suspects = backend_client.crash_detector.suspects.table
+    gauges.register('requests_suspect', lambda: count_suspicions(suspects, 1))
+    gauges.register(
+        'requests_stopped',
+        lambda: count_suspicions(suspects, MAX_CRASH_ROUNDS),
+    )
     gauges.register(
         'entries_skipped', lambda: len(routing_state.skipped_entries)
     )
--- /dev/null
+++ b/dragonflyramp/tools/_front_views.py
@@ -0,0 +1,96 @@
+"""Create the views of a front, and apply and pass on their changes."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from dragonflyramp.members import (
+    DAEMONS_KIND,
+    SUSPECTS_KIND,
+    HubLinks,
+    Membership,
+    SuspectObjects,
+    ViewSynchronizer,
+    Watcher,
+    WatchTiming,
+)
+from dragonflyramp.routing_state import ObjectDecoder, RoutingState
+from dragonflyramp.stores import WatchedStore
+from dragonflyramp.views import View
+
+
+@attrs.define(eq=False)
+class ChangeDispatcher:
+    """Apply changes of the views, and notify other daemons of them."""
+
+    routing_state: RoutingState
+    membership: Membership
+    #: Set after creation, because both need a synchronizer that calls
+    #: `dispatch`; no view changes before.
+    hub_links: HubLinks | None = None
+    suspect_objects: SuspectObjects | None = None
+
+    def dispatch(self, kind: str, names: set[str]) -> None:
+        """Apply the objects that changed in the view of a kind."""
+        if self.hub_links is None or self.suspect_objects is None:
+            return
+        if kind == SUSPECTS_KIND:
+            self.suspect_objects.apply_changes(names)
+        elif kind == DAEMONS_KIND:
+            self.membership.update_registered(
+                self.routing_state.views[kind].objects_by_name
+            )
+        else:
+            self.routing_state.apply_changes(kind, names)
+        self.hub_links.notify_change()
+
+
+def create_views(decoder: ObjectDecoder) -> dict[str, View]:
+    """Create a view of each kind of object that a front follows."""
+    kinds = (*decoder.kinds, DAEMONS_KIND, SUSPECTS_KIND)
+    return {kind: View(kind) for kind in kinds}
+
+
+def create_watchers(
+    store: WatchedStore,
+    synchronizer: ViewSynchronizer,
+    dispatcher: ChangeDispatcher,
+    clock: Callable[[], float],
+) -> tuple[Watcher, ...]:
+    """Create a watcher for each view."""
+    entries_kind = dispatcher.routing_state.decoder.entries_kind
+    timings = {
+        entries_kind: _ENTRIES_WATCH_TIMING,
+        DAEMONS_KIND: _DAEMONS_WATCH_TIMING,
+        SUSPECTS_KIND: _SUSPECTS_WATCH_TIMING,
+    }
+    return tuple(
+        Watcher(
+            store=store,
+            view=view,
+            cluster=synchronizer.cluster,
+            on_change=dispatcher.dispatch,
+            clock=clock,
+            rng=random.Random(),
+            timing=timings.get(view.kind, WatchTiming()),
+        )
+        for view in synchronizer.views.values()
+    )
+
+
+#: Collects changes into one batch: starting replicas change their entries every
+#: second, many at a time. The delay does no harm, because a draining replica
+#: keeps serving for seconds.
+_ENTRIES_BATCHING_DELAY_SECONDS = 0.3
+_ENTRIES_WATCH_TIMING = WatchTiming(
+    batching_delay_seconds=_ENTRIES_BATCHING_DELAY_SECONDS
+)
+#: Collects the registrations of daemons that start together; nothing depends on
+#: learning of a daemon immediately.
+_DAEMONS_WATCH_TIMING = WatchTiming(wait_seconds=10, batching_delay_seconds=0.5)
+#: Daemons tell each other of changes too. A front that has just started has to
+#: know the requests that end replicas before it sends its first one.
+_SUSPECTS_WATCH_TIMING = WatchTiming(
+    wait_seconds=10, allows_stale_listing=False
+)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -27,6 +27,7 @@
     encode_request,
     encode_response,
 )
+from dragonflyramp.members._synchronizers import LinkProgress
 from dragonflyramp.platform import StoreClient, StoreDecoder
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routing_state import RoutingState
@@ -213,7 +214,7 @@
     requester, hub = _synchronizer('requester'), _synchronizer('hub')
     hub.replica_notices.record_leaving('i-1', 7, 100)
     request = requester.build_request(
-        last_response_at_seconds=110, now_seconds=110.5
+        progress=LinkProgress(last_response_at_seconds=110), now_seconds=110.5
     )
     assert not hub.build_response(request, 111).leaving
 
