Refuse late requests of a planned stop that may outlast the grace period

Report of another operator: requests that came late in the grace were passed on and cut at its end, among them requests that may not be repeated.

Callers saw here: a request on a kept connection, sent while the front drains, was passed on; at the end of the drain it was answered 502, and the caller of an order could not tell whether it had run. A request between the end of the drain and the closing of the connections would be cut without an answer.

Cause: the drain ended the requests in progress, but did not limit what was taken meanwhile on open connections.

Change: while a front drains, a request whose deadline is after the end of the drain is refused with 503 (221, not run); after the drain every one. The line `front drains` says when.

Measured: the test gets 502 on the code before and 503 now, with no arrival at a replica.

The other report, a replica that stops inside the head of its answer, can't happen here: a cut at each byte of a head, with any framing and after an interim reply, is no reply; the tests pass on the code before as well.

--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -1,6 +1,7 @@
 """Route queries to backend servers and build the answers to callers."""
 
 import functools
+import math
 from collections.abc import Callable
 
 import attrs
@@ -78,6 +79,8 @@
     cutoff_policy: CutoffPolicy = attrs.field(factory=TargetCutoff)
     merger: Merger = attrs.field(factory=RecordMerger)
     is_stopping: bool = False
+    #: Monotonic time at which a planned stop ends the requests in progress.
+    drain_ends_at_seconds: float = math.inf
     in_flight: InFlightCounter = attrs.field(factory=InFlightCounter)
     _round_robin: WeightedRoundRobin = attrs.field(factory=WeightedRoundRobin)
     suspect_guard: SuspectGuard = attrs.field(
@@ -118,6 +121,10 @@
         now_seconds = self.clock()
         if now_seconds >= context.deadline_at_seconds:
             return refuse(query, ResultCode.bad_deadline)
+        if context.deadline_at_seconds > self.drain_ends_at_seconds:
+            return refuse(
+                query, ResultCode.stopping, _NOT_RUN_RETRY_AFTER_SECONDS
+            )
         return await self.suspect_guard.run(
             context, functools.partial(self._send, query)
         )
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -1,6 +1,7 @@
 """Serve callers and the platform's readiness checks over HTTP."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -83,6 +84,11 @@
         for site in tuple(self._runner.sites):
             await site.stop()
         ends_at_seconds = self._clock() + timeout_seconds
+        logger.bind(
+            drain_seconds=round(timeout_seconds, 1),
+            running=self._front.in_flight.count,
+        ).info('front drains')
+        self._front.drain_ends_at_seconds = ends_at_seconds
         idle_polls = 0
         # One idle check is not enough, because a request may still arrive on a
         # connection that was just opened.
@@ -90,6 +96,8 @@
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_SECONDS)
             is_idle = not self._front.in_flight.count
             idle_polls = idle_polls + 1 if is_idle else 0
+        # Nothing that arrives from now on would be answered.
+        self._front.drain_ends_at_seconds = -math.inf
         self._queries.end()
 
     async def stop(self) -> None:
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -46,6 +46,7 @@
     shed = 208
     claim_failed = 212
     crash_suspect = 220
+    stopping = 221
 
     deadline_exceeded = 300
     connection_reset = 302
@@ -149,6 +150,10 @@
             'This request was not run, because replicas ended each time they '
             'ran it, or because another caller tries it now.',
         ),
+        ResultCode.stopping: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The daemon stops before the deadline of the request.',
+        ),
         ResultCode.deadline_exceeded: _run_unknown(
             HTTPStatus.GATEWAY_TIMEOUT, 'No answer came before the deadline.'
         ),
--- a/dragonflyramp/tools/_front_gauges.py
+++ b/dragonflyramp/tools/_front_gauges.py
@@ -8,7 +8,11 @@
 from dragonflyramp.members import DAEMONS_KIND
 from dragonflyramp.metrics import gauges
 from dragonflyramp.routing_state import RoutingState
-from dragonflyramp.suspects import MAX_CRASH_ROUNDS, count_suspicions
+from dragonflyramp.suspects import (
+    MAX_CRASH_ROUNDS,
+    SuspicionTable,
+    count_suspicions,
+)
 
 
 def register_gauges(
@@ -39,12 +43,7 @@
     gauges.register(
         'configuration_version', lambda: _configuration_version(routing_state)
     )
-    suspects = backend_client.crash_detector.suspects.table
-    gauges.register('requests_suspect', lambda: count_suspicions(suspects, 1))
-    gauges.register(
-        'requests_stopped',
-        lambda: count_suspicions(suspects, MAX_CRASH_ROUNDS),
-    )
+    _register_suspects(backend_client.crash_detector.suspects.table)
     gauges.register(
         'entries_skipped', lambda: len(routing_state.skipped_entries)
     )
@@ -57,6 +56,13 @@
     )
 
 
+def _register_suspects(table: SuspicionTable) -> None:
+    gauges.register('requests_suspect', lambda: count_suspicions(table, 1))
+    gauges.register(
+        'requests_stopped', lambda: count_suspicions(table, MAX_CRASH_ROUNDS)
+    )
+
+
 def _age_seconds(
     age_seconds: Callable[[float], float], clock: Callable[[], float]
 ) -> float:
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -33,6 +33,10 @@
 #: Far more than the limits on a head and the buffers of sockets.
 _MAX_HEAD_BLOCKS = 4000
 _PIECES_PER_BLOCK = 10000
+_SLOW_ORDER_HEAD = (
+    f'POST /slow/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: late\r\n'
+    'Deadline-Ms: 30000\r\nContent-Length: 0\r\n\r\n'
+)
 #: `grace_s` in the settings of the fronts.
 _GRACE_SECONDS = 6
 
@@ -221,6 +225,30 @@
         kill_timer.cancel()
 
 
+async def test_late_request_is_not_run_in_a_stop(
+    tmp_path: pathlib.Path, session: aiohttp.ClientSession
+) -> None:
+    """A request that may outlast the grace period must not be passed on.
+
+    It would be cut off at its end, and the caller could not tell whether it had
+    run.
+    """
+    async with run_deployment(tmp_path) as deployment:
+        front = deployment.fronts[0]
+        hanging = await _send_hanging_order(session, deployment)
+        host, port = front.frontend_address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        front.program.send_signal(signal.SIGTERM)
+        await front.program.wait_json('drain_seconds')
+        for server in deployment.replicas['lookup']:
+            server.faults.hung = 9
+        writer.write(_SLOW_ORDER_HEAD.encode())
+        head = await asyncio.wait_for(reader.read(), 20)
+        assert head.startswith(b'HTTP/1.1 503 ')
+        assert 'late' not in deployment.run_ids('lookup')
+        assert (await hanging).status == 502
+
+
 async def test_repeated_stop_signals_are_ignored(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -112,6 +112,26 @@
     return outcome
 
 
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: 3\r\n\r\n',
+        b'Content-Length: 0\r\n\r\n',
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        b'\r\n',
+    ],
+)
+async def test_head_cut_short_is_no_reply(framing: bytes) -> None:
+    """A connection that ends inside the head must not complete a reply."""
+    head = _OK_HEAD + framing
+    for interim in (b'', b'HTTP/1.1 103 Early\r\nLink: x\r\n\r\n'):
+        for length in range(len(interim) + len(head)):
+            reader = ReplyReader(is_head=False)
+            reader.feed((interim + head)[:length])
+            reader.finish_at_eof()
+            assert not reader.outcome_kind.done()
+
+
 @pytest.mark.parametrize(
     ('action', 'kind'),
     [
@@ -125,6 +145,9 @@
         (_send(_COMPLETE_REPLY.replace(b'q1', b'q2')), OutcomeKind.garbled),
         (_send(b'\x00\x01\x02\r\n\r\n'), OutcomeKind.garbled),
         (_send(b''), OutcomeKind.lost),
+        (_send(_OK_HEAD), OutcomeKind.lost),
+        (_send(_OK_HEAD, b'Content-Len'), OutcomeKind.lost),
+        (_send_and_reset(_OK_HEAD), OutcomeKind.lost),
         (_send_and_reset(_OK_HEAD, b'\r\nab'), OutcomeKind.lost),
         (_send_and_reset(_COMPLETE_REPLY), OutcomeKind.replied),
         (_send_until_closed(_OK_HEAD, b'X: y\r\n'), OutcomeKind.garbled),
