--- a/dragonflyramp/callers/_trial_claims.py
+++ b/dragonflyramp/callers/_trial_claims.py
@@ -51,7 +51,7 @@
         delay_ms = record.trial_delay_ms(
             self.software_versions(suspicion.service), self.wall_clock_ms()
         )
-        return min(_MAX_RETRY_AFTER_SECONDS, math.ceil(delay_ms / 1000))
+        return math.ceil(min(_MAX_RETRY_AFTER_SECONDS, delay_ms / 1000))
 
     async def claim(self, fingerprint: str, suspicion: Suspicion) -> bool:
         """Claim a trial; return False if another front may have it."""
