List and release suspect requests with the operators' command

`suspects` lists the records in the store, `suspects release FINGERPRINT` removes one; all fronts then treat the request as a new one. `explain` names the fingerprint and the request under which a replica ended last.

--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -24,6 +24,7 @@
 from dragonflyramp.members._suspect_objects import (
     SUSPECTS_KIND,
     SuspectObjects,
+    decode_record,
 )
 from dragonflyramp.members._suspect_records import (
     StoredSuspectRecords,
@@ -46,6 +47,7 @@
     'ViewSynchronizer',
     'Watcher',
     'WatchTiming',
+    'decode_record',
     'is_informed',
     'maintain_suspects',
 )
--- a/dragonflyramp/operators/__init__.py
+++ b/dragonflyramp/operators/__init__.py
@@ -32,6 +32,7 @@
 _configuration_readers configuration from a daemon's copy of the text
 _routing               routing table of a configuration
 _daemon_metrics_http   metrics of daemons
+_suspects              records of requests that end replicas
 _explanations          explanation of a request from logs
 """
 
@@ -82,6 +83,7 @@
     encode_root,
 )
 from dragonflyramp.operators._routing import build_routing_table, held_domains
+from dragonflyramp.operators._suspects import list_suspects, release_suspect
 from dragonflyramp.operators._text_parsing import parse_text
 from dragonflyramp.operators._text_stores import (
     TextStore,
@@ -119,11 +121,13 @@
     'history',
     'is_ip_and_port',
     'join_parts',
+    'list_suspects',
     'parse_log',
     'parse_text',
     'part_object_name',
     'push',
     'read_metrics',
+    'release_suspect',
     'remove_hold',
     'sha256_hex',
     'show',
--- a/dragonflyramp/operators/_explanations.py
+++ b/dragonflyramp/operators/_explanations.py
@@ -148,6 +148,7 @@
     if elapsed_ms is not None:
         target_ms = fields.get('target_ms')
         yield f'  after {elapsed_ms} ms; the target is {target_ms} ms'
+    yield from _describe_fingerprint(fields)
     yield from _describe_state(state)
     parts = [_parse_request_part(*part) for part in fields.get('parts', ())]
     for part in parts:
@@ -156,6 +157,16 @@
     yield f'  cause: {cause}'
 
 
+def _describe_fingerprint(fields: Mapping[str, Any]) -> Iterator[str]:
+    """Describe what other ids the request has come under."""
+    fingerprint = fields.get('fingerprint')
+    if fingerprint:
+        yield f'  fingerprint {fingerprint}, the same for all its repeats'
+    last_crash = fields.get('last_crash')
+    if last_crash:
+        yield f'  a replica ended while it ran the request as {last_crash}'
+
+
 def _describe_state(state: _DaemonState) -> Iterator[str]:
     since = state.configuration_since or 'never'
     yield f'  {state.configuration} in force since {since}'
--- a/dragonflyramp/tools/_reports.py
+++ b/dragonflyramp/tools/_reports.py
@@ -70,7 +70,7 @@
 def report_text(read_result: Result[bytes, ResultCode]) -> Report:
     """Report the stored text."""
     if isinstance(read_result, Failure):
-        return _report_read_failure(read_result.failure())
+        return report_read_failure(read_result.failure())
     return Report(output=read_result.unwrap().decode())
 
 
@@ -79,12 +79,12 @@
 ) -> Report:
     """Report the changes in the history, the latest first."""
     if isinstance(read_result, Failure):
-        return _report_read_failure(read_result.failure())
+        return report_read_failure(read_result.failure())
     lines = [
         ' '.join((str(entry.number), entry.at, entry.author, entry.note))
         for entry in reversed(read_result.unwrap())
     ]
-    return Report(output=_join_lines(lines))
+    return Report(output=join_lines(lines))
 
 
 def report_status(daemons: Sequence[DaemonMetrics]) -> Report:
@@ -104,7 +104,7 @@
     )
     return Report(
         exit_code=ExitCode.unknown if problems else ExitCode.ok,
-        output=_join_lines(lines),
+        output=join_lines(lines),
         problems=problems,
     )
 
@@ -124,19 +124,20 @@
         f'({run_state}, HTTP {http_status}):',
         meaning.sentence,
     )
-    return Report(output=_join_lines([' '.join(words)]))
+    return Report(output=join_lines([' '.join(words)]))
 
 
 def report_request_explanation(explanation: Sequence[str]) -> Report:
     """Report the explanation of a request from log lines."""
     if explanation:
-        return Report(output=_join_lines(explanation))
+        return Report(output=join_lines(explanation))
     sentence = 'no log line names the request'
     problem = Problem(code=ResultCode.object_missing, sentence=sentence)
     return Report(exit_code=ExitCode.refused, problems=(str(problem),))
 
 
-def _report_read_failure(code: ResultCode) -> Report:
+def report_read_failure(code: ResultCode) -> Report:
+    """Report that the platform could not be read, or has no such object."""
     problem = Problem(code=code, sentence=code.meaning.sentence)
     is_missing = code is ResultCode.object_missing
     return Report(
@@ -149,7 +150,8 @@
     return Problem(code=code, key=address, sentence=code.meaning.sentence)
 
 
-def _join_lines(lines: Iterable[str]) -> str:
+def join_lines(lines: Iterable[str]) -> str:
+    """Return a text that ends each line with a line break."""
     return ''.join(f'{line}\n' for line in lines)
 
 
--- a/dragonflyramp/tools/operator.py
+++ b/dragonflyramp/tools/operator.py
@@ -22,6 +22,10 @@
     OperatorSettings,
     parse_command_line,
 )
+from dragonflyramp.tools._suspect_commands import (
+    list_suspects,
+    release_suspect,
+)
 
 
 class _UsageError(Exception):
@@ -166,6 +170,10 @@
         'zone out': _Command(_zone_out, 'NAME', (*_WRITE_FLAGS, 'reason')),
         'zone in': _Command(_zone_in, 'NAME', _WRITE_FLAGS),
         'status': _Command(_status, '', ('daemons',)),
+        'suspects release': _Command(
+            release_suspect, 'FINGERPRINT', _READ_FLAGS
+        ),
+        'suspects': _Command(list_suspects, '', _READ_FLAGS),
         'explain': _Command(_explain, 'CODE or REQUEST-ID'),
     }
 )
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -14,11 +14,15 @@
 from returns.result import Failure
 
 from dragonflyramp import operators
+from dragonflyramp.members import SUSPECTS_KIND
+from dragonflyramp.members._suspect_objects import encode_record
 from dragonflyramp.metrics import counters, gauges, latencies
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.operators._daemon_metrics_http import _parse_samples
+from dragonflyramp.platform import open_store
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.results import ResultCode
+from dragonflyramp.suspects import SuspectRecord, Suspicion
 from dragonflyramp.tools._reports import report_status
 from dragonflyramp.tools.operator import main
 from tests.standins.platform import MemoryPlatform
@@ -298,6 +302,36 @@
             edited_file.write_text(f'{captured.out}# old\n')
 
 
+def test_operator_releases_suspect(
+    platform_address: str,
+    monkeypatch: pytest.MonkeyPatch,
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Operators must see a request that is stopped, and can release it."""
+    record = SuspectRecord(
+        suspicion=Suspicion(service='s1', request_id='q7', crash_rounds=3)
+    )
+    asyncio.run(_create_record(platform_address, 'f1', record))
+    monkeypatch.setenv('DRAGONFLYRAMP_PLATFORM', platform_address)
+    steps = (
+        ('suspects', 0, 'f1: service s1, rounds 3, last request q7'),
+        ('suspects release f2', 1, '502 object_missing'),
+        ('suspects release f1', 0, 'released: f1'),
+        ('suspects', 0, 'no suspect requests'),
+    )
+    for command, exit_code, expected in steps:
+        assert main(['dragonflyramp', *command.split()]) == exit_code
+        captured = capfd.readouterr()
+        assert expected in captured.out + captured.err
+
+
+async def _create_record(
+    address: str, fingerprint: str, record: SuspectRecord
+) -> None:
+    async with open_store(address, 2) as store:
+        await store.create(SUSPECTS_KIND, fingerprint, encode_record(record))
+
+
 @pytest.mark.parametrize(
     ('command', 'exit_code', 'expected'),
     [
