Count a trial of a suspect request as one attempt, and keep lost evidence

Cause: by reading. Where something between front and replica accepts connections for a replica that has ended, the check shows it alive, and a trial was repeated inside its request. An attempt lost at the deadline, or whose caller left before the replica was checked, left no evidence.

Change: a trial ends with its first lost attempt; unchecked attempts are remembered and count when the entry shows another process.

--- a/dragonflyramp/backends/_crash_watches.py
+++ b/dragonflyramp/backends/_crash_watches.py
@@ -70,12 +70,17 @@
 
         Without other attempts in flight, it needs a retry to go on.
         """
+        has_lost = bool(self._lost)
         while self._lost:
-            await self._check_replica(self._lost.pop())
+            await self._check_replica(self._lost[-1])
+            self._lost.pop()
+        if has_lost and self._watch.is_trial:
+            # A trial is one attempt, whatever the check has shown.
+            return False
         if not (self._has_crashed and needs_retry):
             return True
         detector = self._watch.detector
-        if self._watch.is_trial or not detector.is_informed(detector.clock()):
+        if not detector.is_informed(detector.clock()):
             return False
         if not self._holds_lock:
             await detector.trial_locks.acquire(self._watch.fingerprint)
@@ -105,6 +110,11 @@
 
     def release(self) -> None:
         """Let the other fetches of the request go on."""
+        while self._lost:
+            # The fetch was cancelled before its replica was checked.
+            self.remember_unanswered(
+                self._lost.pop(), self._watch.detector.clock()
+            )
         if self._holds_lock:
             self._holds_lock = False
             self._watch.detector.trial_locks.release(self._watch.fingerprint)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,12 +4,15 @@
 import contextlib
 import itertools
 import pathlib
+import signal
 import time
+from http import HTTPStatus
 
 import aiohttp
 import attrs
 import pytest
 
+from dragonflyramp.members import SUSPECTS_KIND
 from tests.deployments import (
     Deployment,
     FrontAnswer,
@@ -17,7 +20,9 @@
     run_deployment,
     send_request,
 )
+from tests.programs import PROGRAM_TIMEOUT_SECONDS
 from tests.standins.replicas import ReplicaServer
+from tests.standins.stores import StoreFaults
 
 #: Part of the path of the requests that end their replicas.
 _CRASH_TEXT = 'poison'
@@ -25,6 +30,8 @@
 _REPLICA_COUNT = 5
 _REPEAT_COUNT = 16
 _REPEAT_INTERVAL_SECONDS = 0.25
+#: Longer than fronts that hear of each other stay without a response.
+_FREEZE_SECONDS = 4
 #: Once a request has ended this many replicas, its repeats are not sent on.
 _CRASH_LIMIT = 3
 #: Requests that may still reach replicas after the limit, from all fronts.
@@ -124,6 +131,68 @@
         assert len(_crash_times(deployment)) <= _max_crash_count(1)
 
 
+async def test_crashing_request_in_store_outage(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Without the store, the fronts must stop the request among themselves."""
+    async with run_deployment(
+        tmp_path, _FRONT_COUNT, _REPLICA_COUNT
+    ) as deployment:
+        _arm_replicas(deployment)
+        deployment.store_server.store.faults = StoreFaults(status=503)
+        deployment.store_server.store.wake_watches()
+        caller = _Caller(deployment, '/lookup/poison')
+        await caller.repeat(9)
+        assert len(_crash_times(deployment)) <= _max_crash_count(1)
+        deployment.store_server.store.faults = StoreFaults()
+        await caller.repeat(9)
+        assert len(_crash_times(deployment)) <= _max_crash_count(1)
+
+
+async def test_resumed_front_tries_request_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A front that stood still has not heard that the request is stopped."""
+    async with run_deployment(
+        tmp_path, _FRONT_COUNT, _REPLICA_COUNT
+    ) as deployment:
+        _arm_replicas(deployment)
+        frozen = deployment.fronts.pop()
+        frozen.program.send_signal(signal.SIGSTOP)
+        caller = _Caller(deployment, '/lookup/poison')
+        await caller.repeat(9)
+        crash_count = len(_crash_times(deployment))
+        waiting = asyncio.create_task(caller.send(frozen))
+        await asyncio.sleep(_FREEZE_SECONDS)
+        frozen.program.send_signal(signal.SIGCONT)
+        await waiting
+        assert len(_crash_times(deployment)) <= crash_count + 1
+        deployment.fronts.append(frozen)
+        await caller.repeat(6)
+        assert len(_crash_times(deployment)) <= crash_count + 1
+
+
+async def test_released_request_is_run_again(tmp_path: pathlib.Path) -> None:
+    """An operator must be able to let a request through that is mended."""
+    async with run_deployment(
+        tmp_path, _FRONT_COUNT, _REPLICA_COUNT
+    ) as deployment:
+        _arm_replicas(deployment)
+        caller = _Caller(deployment, '/lookup/poison')
+        await caller.repeat(6)
+        store = deployment.store_server.store
+        fingerprint = next(iter(store.objects_by_kind[SUSPECTS_KIND]))
+        for server in deployment.replicas['lookup']:
+            server.faults.crash_text = ''
+        store.remove(SUSPECTS_KIND, fingerprint)
+        async with asyncio.timeout(PROGRAM_TIMEOUT_SECONDS):
+            while caller.answers[-1].status != HTTPStatus.OK:
+                await caller.repeat(1)
+        caller.answers.clear()
+        await caller.repeat(6)
+        assert {answer.status for answer in caller.answers} == {HTTPStatus.OK}
+
+
 async def test_popular_request_survives_ended_replicas(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -144,7 +213,7 @@
                     sending.create_task(caller.send(front))
                 sending.create_task(_end_running(ended_server))
             await caller.repeat(1)
-        assert {answer.status for answer in caller.answers} == {200}
+        assert {answer.status for answer in caller.answers} == {HTTPStatus.OK}
 
 
 async def _end_running(server: ReplicaServer) -> None:
