--- a/tests/suspect_models.py
+++ b/tests/suspect_models.py
@@ -222,6 +222,15 @@
             self.later_arrival_count += 1
         self.crash_count += has_ended
 
+    async def deliver_messages(self) -> None:
+        """Deliver the writes and messages of fronts that are informed."""
+        await self.complete_saves()
+        for _ in range(2):
+            for sender in self.fronts:
+                self.read_store(sender)
+                for receiver in self.fronts:
+                    self.exchange(sender, receiver)
+
     async def complete_saves(self) -> None:
         """Complete the writes under way, unless the store is down."""
         while self.pending_saves and not self.model_store.is_down:
--- a/tests/test_suspect_model.py
+++ b/tests/test_suspect_model.py
@@ -148,13 +148,7 @@
             self.uninformed_arrivals.pop(index, None)
 
     def _settle(self) -> None:
-        """Deliver the writes and messages of fronts that are informed."""
-        self.runner.run(self.world.complete_saves())
-        for _ in range(2):
-            for sender in self.world.fronts:
-                self.world.read_store(sender)
-                for receiver in self.world.fronts:
-                    self.world.exchange(sender, receiver)
+        self.runner.run(self.world.deliver_messages())
 
 
 def test_suspicions_hold_under_faults() -> None:
