Bound the wait for another request's trial by the deadline

Callers would see: a lookup whose replica ended waits for the trial of another caller beyond its own deadline, without an answer.

Cause: by reading; the lock that lets one retry run at a time was awaited without a timeout, and a lookup has no other timer.

Also: a front that is the only one counts as informed, as there is nobody that could know more; in an outage of the store it refused a popular request after one end.

--- a/dragonflyramp/backends/_crash_watches.py
+++ b/dragonflyramp/backends/_crash_watches.py
@@ -65,10 +65,13 @@
         """Record an attempt whose connection closed before its reply."""
         self._lost.append(attempt)
 
-    async def allows_next(self, *, needs_retry: bool) -> bool:
+    async def allows_next(
+        self, *, needs_retry: bool, deadline_at_seconds: float
+    ) -> bool:
         """Return whether the fetch may go on after attempts were lost.
 
-        Without other attempts in flight, it needs a retry to go on.
+        Without other attempts in flight, it needs a retry to go on, and may
+        have to wait for that of another fetch, until the deadline at most.
         """
         has_lost = bool(self._lost)
         while self._lost:
@@ -82,10 +85,12 @@
         detector = self._watch.detector
         if not detector.is_informed(detector.clock()):
             return False
+        remaining_seconds = deadline_at_seconds - detector.clock()
         if not self._holds_lock:
-            await detector.trial_locks.acquire(self._watch.fingerprint)
-            self._holds_lock = True
-        return self._allows_retry(
+            self._holds_lock = await detector.trial_locks.try_acquire(
+                self._watch.fingerprint, remaining_seconds
+            )
+        return self._holds_lock and self._allows_retry(
             detector.suspects.table.find(self._watch.fingerprint)
         )
 
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -90,7 +90,8 @@
             return self._failed_result(ResultCode.deadline_exceeded)
         is_idempotent = self._context.route.is_idempotent
         if not await self._crash_retries.allows_next(
-            needs_retry=is_idempotent and not scheduler.attempts.in_flight
+            needs_retry=is_idempotent and not scheduler.attempts.in_flight,
+            deadline_at_seconds=self._context.deadline_at_seconds,
         ):
             return self._failed_result(self._failure_summary.failure_code)
         scheduler.retry_or_hedge(
--- a/dragonflyramp/backends/_trial_locks.py
+++ b/dragonflyramp/backends/_trial_locks.py
@@ -18,15 +18,22 @@
 
     _locks: dict[str, _CountedLock] = attrs.field(factory=dict)
 
-    async def acquire(self, fingerprint: str) -> None:
-        """Wait until no other task holds the lock of a request."""
+    async def try_acquire(
+        self, fingerprint: str, timeout_seconds: float
+    ) -> bool:
+        """Take the lock of a request; return False if another task keeps it."""
         counted = self._locks.setdefault(fingerprint, _CountedLock())
         counted.user_count += 1
+        is_acquired = False
         try:
-            await counted.lock.acquire()
-        except asyncio.CancelledError:
-            self._discard(fingerprint, counted)
-            raise
+            async with asyncio.timeout(max(0, timeout_seconds)):
+                is_acquired = await counted.lock.acquire()
+        except TimeoutError:
+            return False
+        finally:
+            if not is_acquired:
+                self._discard(fingerprint, counted)
+        return True
 
     def release(self, fingerprint: str) -> None:
         """Release the lock of a request."""
--- a/dragonflyramp/callers/_suspect_guards.py
+++ b/dragonflyramp/callers/_suspect_guards.py
@@ -1,6 +1,5 @@
 """Decide whether a request that may end replicas is sent."""
 
-import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
 
@@ -51,7 +50,10 @@
             fingerprint = context.crash_watch.fingerprint
         if not self.detector.suspects.table.find(fingerprint).crash_rounds:
             return await self._execute(context, execute)
-        if not await self._acquire(context):
+        wait_seconds = context.route.target_ms * _TRIAL_WAIT_SHARE / 1000
+        if not await self.detector.trial_locks.try_acquire(
+            fingerprint, wait_seconds
+        ):
             return self._refuse(context, _TRIAL_RETRY_AFTER_SECONDS)
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self.detector.trial_locks.release, fingerprint)
@@ -61,17 +63,6 @@
                 return await self._try(context, suspicion, execute)
         return await self._execute(context, execute)
 
-    async def _acquire(self, context: RequestContext) -> bool:
-        """Wait for another trial on this daemon; return False if it lasts."""
-        wait_seconds = context.route.target_ms * _TRIAL_WAIT_SHARE / 1000
-        locks = self.detector.trial_locks
-        try:
-            async with asyncio.timeout(wait_seconds):
-                await locks.acquire(context.crash_watch.fingerprint)
-        except TimeoutError:
-            return False
-        return True
-
     async def _try(
         self, context: RequestContext, suspicion: Suspicion, execute: Execute
     ) -> Answer:
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -191,8 +191,12 @@
 
 
 def is_informed(synchronizer: ViewSynchronizer, now_seconds: float) -> bool:
-    """Return whether the store or another daemon has responded lately."""
-    if not synchronizer.cluster.is_isolated(now_seconds):
+    """Return whether the store or another daemon has responded lately.
+
+    The only daemon knows all that there is to know.
+    """
+    cluster = synchronizer.cluster
+    if cluster.daemon_count() == 1 or not cluster.is_isolated(now_seconds):
         return True
     ages_seconds = (
         view.age_seconds(now_seconds) for view in synchronizer.views.values()
--- a/tests/suspect_models.py
+++ b/tests/suspect_models.py
@@ -1,6 +1,7 @@
 """Model several fronts that decide on suspect requests, and their store."""
 
 import functools
+import math
 import types
 from typing import Any
 
@@ -160,7 +161,9 @@
                 answer = RelayedAnswer(reply=_make_reply())
                 break
             retries.record_lost(_ATTEMPT)
-            if not await retries.allows_next(needs_retry=True):
+            if not await retries.allows_next(
+                needs_retry=True, deadline_at_seconds=math.inf
+            ):
                 break
         retries.release()
         return answer
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,6 +12,7 @@
 import attrs
 import pytest
 
+from dragonflyramp import operators
 from dragonflyramp.members import SUSPECTS_KIND
 from tests.deployments import (
     Deployment,
@@ -46,6 +47,7 @@
     path: str
     method: str = 'GET'
     answers: list[FrontAnswer] = attrs.field(factory=list)
+    last_request_id: str = ''
 
     async def repeat(self, count: int = _REPEAT_COUNT) -> None:
         """Send the request several times, each with a new id."""
@@ -57,6 +59,7 @@
     async def send(self, front: FrontProcess) -> None:
         """Send the request once; a front that is down does not answer."""
         request_id = f'{self.path}-{len(self.answers)}-{time.monotonic_ns()}'
+        self.last_request_id = request_id
         async with aiohttp.ClientSession() as session:
             with contextlib.suppress(aiohttp.ClientError):
                 self.answers.append(
@@ -172,6 +175,14 @@
         assert len(_crash_times(deployment)) <= crash_count + 1
 
 
+def _explain(deployment: Deployment, request_id: str) -> str:
+    lines = itertools.chain.from_iterable(
+        operators.parse_log(front.name, front.program.lines)
+        for front in deployment.fronts
+    )
+    return '\n'.join(operators.explain_request(request_id, lines))
+
+
 async def test_released_request_is_run_again(tmp_path: pathlib.Path) -> None:
     """An operator must be able to let a request through that is mended."""
     async with run_deployment(
@@ -182,6 +193,9 @@
         await caller.repeat(6)
         store = deployment.store_server.store
         fingerprint = next(iter(store.objects_by_kind[SUSPECTS_KIND]))
+        explanation = _explain(deployment, caller.last_request_id)
+        assert 'replicas ended each time they ran it' in explanation
+        assert f'fingerprint {fingerprint}' in explanation
         for server in deployment.replicas['lookup']:
             server.faults.crash_text = ''
         store.remove(SUSPECTS_KIND, fingerprint)
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -16,11 +16,13 @@
 )
 from dragonflyramp.backends._fleets import preferred_replica
 from dragonflyramp.callers import MergedAnswer, Refusal, RelayedAnswer
+from dragonflyramp.fingerprints import compute_fingerprint
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, WeightedService
 from tests.front_harnesses import (
     RECORD_BYTES,
     FrontHarness,
+    make_request,
     make_route,
     make_table,
     run_harness,
@@ -159,6 +161,22 @@
         assert harness.run_count('c') == 0
 
 
+async def test_wait_for_other_trial_ends_in_time() -> None:
+    """A request must not wait beyond its deadline for the trial of another."""
+    async with run_harness(make_table(make_route())) as harness:
+        for server in harness.all_servers():
+            server.faults.crash_text = '/route/'
+        detector = harness.front.backend_client.crash_detector
+        assert await detector.trial_locks.try_acquire(
+            compute_fingerprint(make_request(path='/route/x')), 1
+        )
+        async with asyncio.timeout(20):
+            answer = await harness.send(deadline_ms=300)
+        assert isinstance(answer, Refusal)
+        assert answer.may_have_run
+        assert harness.run_count('a') == 1
+
+
 async def test_hung_replica_is_hedged() -> None:
     """A hung replica must not leave its shard out of the answer."""
     policies = Policies(hedging=QuantileHedging())
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -33,6 +33,7 @@
 from dragonflyramp.routing_state import RoutingState
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.slow_replicas import SlowReplicaDetector
+from dragonflyramp.suspects import Suspicion
 from dragonflyramp.tools._text_decoders import TextDecoder
 from dragonflyramp.views import Change, ChangeBatch, Listing, View
 from tests.deployments import make_configuration
@@ -220,11 +221,42 @@
 
 
 def test_messages_of_earlier_version_are_read() -> None:
-    """A daemon that reports no leaving replicas must not be cut off."""
+    """A daemon that reports no leaving replicas must not be cut off.
+
+    Nor may the suspicions that it does not take end each of its waits.
+    """
     fields = encode_request(_synchronizer('old').build_request(now_seconds=1))
-    for added in ('leaving', 'response_age'):
+    for added in (
+        'leaving',
+        'response_age',
+        'suspicions',
+        'suspicions_version',
+        'known_suspicions_version',
+    ):
         fields.pop(added)
-    assert not decode_request(fields).leaving
+    request = decode_request(fields)
+    assert not request.leaving
+    hub = _synchronizer('hub')
+    hub.crash_suspects.record_crash('f', Suspicion(crash_rounds=2), 1)
+    assert not hub.has_changes_for(request)
+
+
+def test_suspicions_reach_all_daemons() -> None:
+    """A request that ends replicas must be known to all daemons at once."""
+    reporter, hub = _synchronizer('reporter'), _synchronizer('hub')
+    stopped = Suspicion(service='a', request_id='q1', crash_rounds=3)
+    reporter.crash_suspects.record_crash('f', stopped, 100)
+    request = decode_request(
+        encode_request(reporter.build_request(now_seconds=101))
+    )
+    hub.crash_suspects.apply_report(request.suspicions, 101)
+    for late_seconds in (102, 900):
+        requester = _synchronizer('requester')
+        assert hub.has_changes_for(
+            requester.build_request(now_seconds=late_seconds)
+        )
+        _synchronize(requester, hub, late_seconds)
+        assert requester.crash_suspects.table.find('f') == stopped
 
 
 async def test_change_ends_wait_at_once() -> None:
