Tell callers to come back soon when another front tries their request

Callers saw: Retry-After of 900 s while another front tried the request, although a trial takes about one request.

Cause: a record with a claim counted as that of a blocked request; its next trial is due after 15 minutes. Change: a claim of the last 10 s delays callers 1 s. The test failed before (900 s).

Also: requests that are not sent any more are called blocked (gauge `requests_blocked`, column `blocked`), since `stopped` means a planned stop of a front.

--- a/benchmarks/false_refusals.py
+++ b/benchmarks/false_refusals.py
@@ -34,13 +34,13 @@
     logger.disable('dragonflyramp')
     sys.stdout.write(
         'end of a replica  served  failed  refused in a trial  '
-        'stopped (of a million)  cube of the probability\n'
+        'blocked (of a million)  cube of the probability\n'
     )
     for probability in _END_PROBABILITIES:
         counts = asyncio.run(_measure(probability, request_count))
         row = [
             counts[outcome] / request_count * 1e6
-            for outcome in ('served', 'failed', 'refused', 'stopped')
+            for outcome in ('served', 'failed', 'refused', 'blocked')
         ]
         cells = '  '.join(f'{cell:.0f}' for cell in row)
         cube = probability**MAX_CRASH_ROUNDS * 1e6
@@ -60,8 +60,8 @@
         ]
         counts[_outcome(await front.send(_PATH, replica_ends))] += 1
         await world.deliver_messages()
-        if _is_stopped(world):
-            counts['stopped'] += 1
+        if _is_blocked(world):
+            counts['blocked'] += 1
             world = World()
     return counts
 
@@ -75,7 +75,7 @@
     return 'refused' if is_refused else 'failed'
 
 
-def _is_stopped(world: World) -> bool:
+def _is_blocked(world: World) -> bool:
     table = world.fronts[0].suspects.table
     suspicion = table.find(compute_fingerprint(make_request(path=f'/{_PATH}')))
     return suspicion.crash_rounds >= MAX_CRASH_ROUNDS
--- a/dragonflyramp/callers/_suspect_guards.py
+++ b/dragonflyramp/callers/_suspect_guards.py
@@ -8,7 +8,10 @@
 
 from dragonflyramp.backends import CrashDetector, RequestContext
 from dragonflyramp.callers._queries import Answer, Refusal
-from dragonflyramp.callers._trial_claims import TrialClaims
+from dragonflyramp.callers._trial_claims import (
+    TRIAL_RETRY_AFTER_SECONDS,
+    TrialClaims,
+)
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 from dragonflyramp.suspects import (
@@ -17,8 +20,6 @@
     Suspicion,
 )
 
-#: Retry delay for a caller whose request another one tries now.
-_TRIAL_RETRY_AFTER_SECONDS = 1
 #: Maximum wait for the outcome of a trial on this daemon, as a share of the
 #: latency target.
 _TRIAL_WAIT_SHARE = 0.5
@@ -54,7 +55,7 @@
         if not await self.detector.trial_locks.try_acquire(
             fingerprint, wait_seconds
         ):
-            return self._refuse(context, _TRIAL_RETRY_AFTER_SECONDS)
+            return self._refuse(context, TRIAL_RETRY_AFTER_SECONDS)
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self.detector.trial_locks.release, fingerprint)
             # Another request may have changed it in the meantime.
@@ -68,14 +69,14 @@
     ) -> Answer:
         if suspicion.crash_rounds < CLAIMED_CRASH_ROUNDS:
             if not self.detector.is_informed(self.detector.clock()):
-                return self._refuse(context, _TRIAL_RETRY_AFTER_SECONDS)
+                return self._refuse(context, TRIAL_RETRY_AFTER_SECONDS)
             return await self._execute_trial(context, suspicion, execute)
         fingerprint = context.crash_watch.fingerprint
         delay_seconds = self.claims.delay_seconds(fingerprint, suspicion)
         if delay_seconds:
             return self._refuse(context, delay_seconds)
         if not await self.claims.claim(fingerprint, suspicion):
-            return self._refuse(context, _TRIAL_RETRY_AFTER_SECONDS)
+            return self._refuse(context, TRIAL_RETRY_AFTER_SECONDS)
         answer = await self._execute_trial(context, suspicion, execute)
         self.claims.settle(fingerprint, suspicion, answer)
         return answer
--- a/dragonflyramp/callers/_trial_claims.py
+++ b/dragonflyramp/callers/_trial_claims.py
@@ -18,6 +18,8 @@
     Suspicion,
 )
 
+#: Retry delay for a caller whose request another one tries now.
+TRIAL_RETRY_AFTER_SECONDS = 1
 #: Retry delay for a caller whose request is not sent any more.
 _MAX_RETRY_AFTER_SECONDS = 900
 #: Timeout of a claim, which normally takes a few milliseconds.
@@ -48,8 +50,11 @@
             return _MAX_RETRY_AFTER_SECONDS if is_limit_reached else 0
         if suspicion.order > record.suspicion.order:
             record = attrs.evolve(record, suspicion=suspicion)
+        now_ms = self.wall_clock_ms()
+        if record.is_tried(now_ms):
+            return TRIAL_RETRY_AFTER_SECONDS
         delay_ms = record.trial_delay_ms(
-            self.software_versions(suspicion.service), self.wall_clock_ms()
+            self.software_versions(suspicion.service), now_ms
         )
         return math.ceil(min(_MAX_RETRY_AFTER_SECONDS, delay_ms / 1000))
 
--- a/dragonflyramp/suspects/_records.py
+++ b/dragonflyramp/suspects/_records.py
@@ -15,6 +15,8 @@
 #: A request that is not sent any more is tried again this long after its record
 #: changed, in case what made replicas end is gone.
 _TRIAL_INTERVAL_MS = 900_000
+#: A trial has ended after this time, even with a long deadline.
+_MAX_TRIAL_MS = 10_000
 #: Limit on the trials after `MAX_CRASH_ROUNDS` rounds. With the last round they
 #: are at most three arrivals at replicas.
 _MAX_LATE_TRIALS = 2
@@ -43,6 +45,12 @@
         is_below_limit = self.suspicion.crash_rounds < MAX_CRASH_ROUNDS
         return is_below_limit and not self.claimed_by
 
+    def is_tried(self, now_ms: float) -> bool:
+        """Return whether a trial may be under way now."""
+        return bool(self.claimed_by) and (
+            now_ms - self.changed_ms < _MAX_TRIAL_MS
+        )
+
     def trial_delay_ms(
         self, software_versions: AbstractSet[str], now_ms: float
     ) -> float:
--- a/dragonflyramp/tools/_front_gauges.py
+++ b/dragonflyramp/tools/_front_gauges.py
@@ -59,7 +59,7 @@
 def _register_suspects(table: SuspicionTable) -> None:
     gauges.register('requests_suspect', lambda: count_suspicions(table, 1))
     gauges.register(
-        'requests_stopped', lambda: count_suspicions(table, MAX_CRASH_ROUNDS)
+        'requests_blocked', lambda: count_suspicions(table, MAX_CRASH_ROUNDS)
     )
 
 
--- a/dragonflyramp/tools/_reports.py
+++ b/dragonflyramp/tools/_reports.py
@@ -178,7 +178,7 @@
     ('suspect', 'replicas_suspect'),
     ('cold', 'replicas_cold'),
     ('skipped', 'entries_skipped'),
-    ('stopped', 'requests_stopped'),
+    ('blocked', 'requests_blocked'),
     ('bad holds', 'holds_unreadable'),
     ('budget', 'budget_left_share'),
     ('ok', 'answers_total{reason="ok"}'),
--- a/tests/suspect_models.py
+++ b/tests/suspect_models.py
@@ -97,11 +97,10 @@
         self.is_informed = True
         self._world = world
         self.suspects = CrashSuspects()
-        self.view = View(SUSPECTS_KIND)
         tasks = TaskSet()
         self.suspect_objects = SuspectObjects(
             store=world.model_store,  # type: ignore[arg-type]
-            view=self.view,
+            view=View(SUSPECTS_KIND),
             suspects=self.suspects,
             clock=world.clock,
         )
@@ -118,14 +117,12 @@
             is_informed=lambda now_seconds: self.is_informed,
         )
         self.detector.on_crash = functools.partial(world.save_crash, records)
-        self._guard = SuspectGuard(
+        self.claims = TrialClaims(
             detector=self.detector,
-            claims=TrialClaims(
-                detector=self.detector,
-                records=records,
-                wall_clock_ms=world.wall_clock_ms,
-            ),
+            records=records,
+            wall_clock_ms=world.wall_clock_ms,
         )
+        self._guard = SuspectGuard(detector=self.detector, claims=self.claims)
 
     async def send(self, path: str, replica_ends: list[bool]) -> Answer:
         """Send a request; the list says which attempts end their replicas."""
@@ -245,7 +242,7 @@
             return
         store = self.model_store.store
         records = store.objects_by_kind.get(SUSPECTS_KIND, {})
-        names = front.view.replace(
+        names = front.suspect_objects.view.replace(
             Listing(store.revision, dict(records)), self.clock()
         )
         front.suspect_objects.apply_changes(names)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -16,6 +16,7 @@
     has_changes_after,
     report_after,
 )
+from tests.suspect_models import World
 
 _TRIAL_INTERVAL_MS = 900_000
 
@@ -48,26 +49,39 @@
         ),
     ],
 )
-def test_stopped_request_is_tried_again_rarely(
+def test_blocked_request_is_tried_again_rarely(
     record: SuspectRecord, versions: set[str], expected_ms: float
 ) -> None:
-    """A stopped request must not be tried again by time or release forever.
+    """A blocked request must not be tried again by time or release forever.
 
     Nor may it be refused for ever while new software could run it.
     """
     assert record.trial_delay_ms(versions, 1000) == expected_ms
 
 
+async def test_other_trial_delays_callers_briefly() -> None:
+    """Callers must come back soon when another front tries their request."""
+    world = World()
+    trying, other = world.fronts[:2]
+    suspicion = Suspicion(crash_rounds=2)
+    other.suspects.record_crash('f', suspicion, 0)
+    assert await trying.claims.claim('f', suspicion)
+    world.read_store(other)
+    assert 0 < other.claims.delay_seconds('f', suspicion) <= 1
+    world.now_ms += 60_000
+    assert other.claims.delay_seconds('f', suspicion) > 100
+
+
 def test_many_crashing_requests_are_bounded() -> None:
     """Thousands of such requests must fill neither memory nor messages."""
     suspects = CrashSuspects()
-    stopped = Suspicion(crash_rounds=3)
-    suspects.record_crash('kept', stopped, 0)
+    blocked = Suspicion(crash_rounds=3)
+    suspects.record_crash('kept', blocked, 0)
     for number in range(5000):
         suspects.record_crash(f'f{number}', Suspicion(crash_rounds=1), number)
         suspects.share(f'f{number}')
     assert len(suspects.table) <= 1025
-    assert suspects.table.find('kept') == stopped
+    assert suspects.table.find('kept') == blocked
     report = report_after(suspects.table, 0)
     assert len(report.suspicions) <= 64
     known = CrashSuspects()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -99,7 +99,7 @@
         ('/order/poison', 'POST', 1),
     ],
 )
-async def test_crashing_request_is_stopped_fleet_wide(
+async def test_crashing_request_is_blocked_fleet_wide(
     tmp_path: pathlib.Path, path: str, method: str, shard_count: int
 ) -> None:
     """A repeated request must not end one replica after the other."""
@@ -155,7 +155,7 @@
 async def test_resumed_front_tries_request_once(
     tmp_path: pathlib.Path,
 ) -> None:
-    """A front that stood still has not heard that the request is stopped."""
+    """A front that stood still has not heard that the request is blocked."""
     async with run_deployment(
         tmp_path, _FRONT_COUNT, _REPLICA_COUNT
     ) as deployment:
--- a/tests/test_suspect_model.py
+++ b/tests/test_suspect_model.py
@@ -126,7 +126,7 @@
 
     @rule()
     def wait_for_late_trial(self) -> None:
-        """Let the time pass after which a stopped request is tried again."""
+        """Let the time pass after which a blocked request is tried again."""
         self.world.now_ms += _TRIAL_INTERVAL_MS
 
     @invariant()
@@ -152,7 +152,7 @@
 
 
 def test_suspicions_hold_under_faults() -> None:
-    """No fault between the fronts may send a stopped request on again."""
+    """No fault between the fronts may send a blocked request on again."""
     with contextlib.ExitStack() as cleanup:
         logger.disable('dragonflyramp')
         cleanup.callback(logger.enable, 'dragonflyramp')
