Test ends at many shards, resets by live replicas, and the check of a replica

Each guards against a false suspicion: a search whose replicas end at one moment at several shards is answered whole and leaves no suspicion; a live replica that resets a connection leaves none either. They pass on the code as it is.

--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from dragonflyramp.backends import ProbeOutcome
+from dragonflyramp.backends._probes import ConnectProbe
 from dragonflyramp.members import decode_record
 from dragonflyramp.members._suspect_objects import encode_record
 from dragonflyramp.suspects import (
@@ -16,6 +18,7 @@
     has_changes_after,
     report_after,
 )
+from tests.standins.replicas import ReplicaServer
 from tests.suspect_models import World
 
 _TRIAL_INTERVAL_MS = 900_000
@@ -59,6 +62,17 @@
     assert record.trial_delay_ms(versions, 1000) == expected_ms
 
 
+async def test_probe_tells_ended_process_from_live_one() -> None:
+    """Only a process that is gone may make a request suspect."""
+    server = ReplicaServer('r')
+    address = await server.start()
+    probe = ConnectProbe()
+    assert await probe(address) is ProbeOutcome.listening
+    await server.stop()
+    assert await probe(address) is ProbeOutcome.refused
+    assert await probe('127.0.0.1:99999') is ProbeOutcome.unknown
+
+
 async def test_other_trial_delays_callers_briefly() -> None:
     """Callers must come back soon when another front tries their request."""
     world = World()
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -161,6 +161,35 @@
         assert harness.run_count('c') == 0
 
 
+async def test_search_survives_ends_at_many_shards() -> None:
+    """Replicas that end at one moment must not make a search fail."""
+    shards = tuple('abcdefgh')
+    route = make_route(gather=GatherSettings(shards, top_count=3, min_share=1))
+    async with run_harness(make_table(route)) as harness:
+        for shard in shards:
+            ending_server = harness.server(shard, 0)
+            ending_server.faults.crash_text = '/route/'
+            ending_server.faults.restart_seconds = 60
+        answer = await harness.send()
+        assert isinstance(answer, MergedAnswer)
+        assert not answer.missing_count
+        crash_counts = [len(server.crashes) for server in harness.all_servers()]
+        assert sum(crash_counts) > 1
+        detector = harness.front.backend_client.crash_detector
+        assert not detector.suspects.table
+
+
+async def test_reset_connection_is_no_crash() -> None:
+    """A request whose connection was reset by a live replica is no suspect."""
+    async with run_harness(make_table(make_route())) as harness:
+        for server in harness.all_servers():
+            server.faults.reset_before_reply = 1
+        assert isinstance(await harness.send(), Refusal)
+        detector = harness.front.backend_client.crash_detector
+        assert not detector.suspects.table
+        assert isinstance(await harness.send(), RelayedAnswer)
+
+
 async def test_wait_for_other_trial_ends_in_time() -> None:
     """A request must not wait beyond its deadline for the trial of another."""
     async with run_harness(make_table(make_route())) as harness:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -14,12 +14,14 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.routing_state import RoutingState
 from dragonflyramp.runtime import (
+    Coalescer,
     StandstillDetector,
     TaskSet,
     run_all,
     run_until_first,
 )
 from dragonflyramp.tools._front_components import FrontComponents
+from tests.standins.waits import eventually
 
 
 def test_signal_may_be_older_than_standstill() -> None:
@@ -133,3 +135,15 @@
     assert output == 'stopped\n'
     assert not errors
     assert daemon.returncode == 0
+
+
+async def test_coalescer_calls_once_for_many_requests() -> None:
+    """Many changes at once must not end each wait of other daemons."""
+    calls: list[int] = []
+    coalescer = Coalescer(lambda: calls.append(1))
+    for _ in range(3):
+        coalescer.request()
+    await eventually(lambda: len(calls) == 1)
+    coalescer.request()
+    coalescer.request()
+    await eventually(lambda: len(calls) == 2)
