--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 
+from standins.configs import HOST, TIMEOUT_MS, build_config, build_route
 from standins.fronts import Machine, pick_host
 from standins.http import Message, call, encode
 from standins.records import Record, has_trouble
@@ -19,7 +20,6 @@
 _ZONES = ('recife', 'fortaleza')
 _CALLERS = 8
 _LOAD_SECONDS = 80
-_TIMEOUT_MS = 3000
 #: As in the site file: `garble`, how `extra late across`, for 0.04 of the
 #: answers of a replica.
 _LATE_COPY_SHARE = 0.04
@@ -62,42 +62,13 @@
         return all(are_ready)
 
     def _write_config(self) -> None:
-        route = {
-            'name': 'r-5xwyhks',
-            'host': 'hufi27.example',
-            'path_prefix': '/goka902/',
-            'kind': 'non_idempotent',
-            'timeout_ms': _TIMEOUT_MS,
-            'target_latency_ms': 542,
-            'priority': 1,
-            'service': 'huvo11a',
-            'max_attempts': 3,
-        }
-        service = {
-            'name': 'huvo11a',
-            'health_path': '/health',
-            'max_conns': 31,
-            'protocol': 'h1',
-            'tls': False,
-            'warmup_s': 3.0,
-            'warmup_per_s': 0.0,
-        }
-        limits = {
-            'max_header_bytes': 16384,
-            'max_body_bytes': 262144,
-            'header_timeout_ms': 3000,
-            'idle_timeout_ms': 15000,
-        }
-        self.store.put(
-            'config',
-            'main',
-            {
-                'version': 7,
-                'routes': [route],
-                'services': [service],
-                'limits': limits,
-            },
+        route = build_route(
+            '/goka902/',
+            kind='non_idempotent',
+            max_attempts=3,
+            service='huvo11a',
         )
+        self.store.put('config', 'main', build_config(7, [route], ['huvo11a']))
 
     async def load(self) -> None:
         """Run the callers, each with one request at a time."""
@@ -121,14 +92,14 @@
             encode(
                 'POST /goka902/2f HTTP/1.1',
                 {
-                    'Host': 'hufi27.example',
+                    'Host': HOST,
                     'Request-Id': request_id,
-                    'Deadline-Ms': str(_TIMEOUT_MS),
+                    'Deadline-Ms': str(TIMEOUT_MS),
                     'Connection': 'close',
                 },
                 b'book the band',
             ),
-            _TIMEOUT_MS / 1000 + 1,
+            TIMEOUT_MS / 1000 + 1,
         )
         status = str(answer.status if isinstance(answer, Message) else answer)
         self.answers[request_id] = status
--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import Callable
 
+from standins.configs import HOST
 from standins.http import encode, read_message
 
 CUT = 'connection closed without an answer'
@@ -54,7 +55,7 @@
             encode(
                 f'{self.method} {self.path} HTTP/1.1',
                 {
-                    'Host': 'hufi27.example',
+                    'Host': HOST,
                     'Request-Id': request_id,
                     'Deadline-Ms': str(self.timeout_ms),
                 },
--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -12,6 +12,9 @@
 from standins.stores import Store
 
 _IDLE_SECONDS = 10
+_OK = 200
+#: Five records of 16 bytes.
+_BODY_BYTES = 80
 
 
 class Replica:
@@ -22,7 +25,8 @@
         self.store = store
         self.service = service
         self.zone = zone
-        self.replica_id = f'i-{secrets.token_hex(5)}'
+        # Ids begin with the time of the start.
+        self.replica_id = f'i-{time.time_ns() // 1000:x}'
         self.slots = 3
         self.queue = 2
         self.work_seconds = 0.03
@@ -37,6 +41,7 @@
         self.late_copy_count = 0
         self.address = ''
         self._state = 'ready'
+        self._warmup_left_ms = 0
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._running = 0
@@ -50,6 +55,15 @@
         self.address = f'{host}:{port}'
         self.register()
 
+    async def warm_up(self, warmup_ms: int, heartbeat_ms: int) -> None:
+        """Write the entry at each heartbeat until this replica is warm."""
+        for left_ms in range(warmup_ms, 0, -heartbeat_ms):
+            self._warmup_left_ms = left_ms
+            self.register()
+            await asyncio.sleep(heartbeat_ms / 1000)
+        self._warmup_left_ms = 0
+        self.register()
+
     def register(self) -> None:
         """Write the entry of this replica."""
         self._sequence += 1
@@ -63,7 +77,7 @@
                 'version': 'v1',
                 'slots': self.slots,
                 'state': self._state,
-                'warmup_left_ms': 0,
+                'warmup_left_ms': self._warmup_left_ms,
                 'sequence': self._sequence,
             },
             born=self._born,
@@ -117,7 +131,7 @@
             await asyncio.sleep(self.work_seconds)
             self._running -= 1
         stamp = f'{self.replica_id}.{request_id}.{secrets.token_hex(4)}'
-        return self._encode(200, request_id, {'Server-Stamp': stamp})
+        return self._encode(_OK, request_id, {'Server-Stamp': stamp})
 
     def _encode(
         self, status: int, request_id: str, headers: dict[str, str]
@@ -131,7 +145,7 @@
                 'Keep-Alive': f'timeout={_IDLE_SECONDS}',
                 **headers,
             },
-            b'done' if status == 200 else b'',
+            secrets.token_bytes(_BODY_BYTES) if status == _OK else b'',
         )
 
 
--- a/review/standins/stores.py
+++ b/review/standins/stores.py
@@ -4,13 +4,12 @@
 import contextlib
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from standins.http import Message, encode_json, read_message
 
-_PAGE_SIZE = 500
-
 
 class Store:
     """Objects by kind and name, with one revision counter and a history."""
@@ -18,6 +17,13 @@
     def __init__(self) -> None:
         """Start empty."""
         self.revision = 100
+        #: Objects in a page of a listing, "about 500" at most.
+        self.page_size = 500
+        #: Age of the data in stale pages after the first one. One of two
+        #: followers answers each stale read, chosen by its URL, and one lags.
+        self.stale_seconds = 0.0
+        #: Called with each call.
+        self.record: Callable[[str], None] = lambda text: None
         self.objects: dict[str, dict[str, Any]] = {}
         #: Monotonic time and revision of each change, its kind and event.
         self.history: list[tuple[float, int, str, dict[str, Any]]] = []
@@ -106,17 +112,43 @@
         return encode_json(200, self.put(kind, name, body['spec']))
 
     def _list(self, kind: str, query: dict[str, str]) -> dict[str, Any]:
-        names = sorted(
-            name
-            for name in self.objects.get(kind, {})
-            if name > query.get('after', '')
+        after = query.get('after', '')
+        objects, revision = self.objects.get(kind, {}), self.revision
+        if after and 'allow_stale' in query and self.stale_seconds:
+            objects, revision = self._state_at(
+                kind, time.monotonic() - self.stale_seconds
+            )
+        names = sorted(name for name in objects if name > after)
+        page = names[: self.page_size]
+        self.record(
+            f'store lists {kind} after "{after}" as of revision {revision} '
+            f'(now {self.revision}): {len(page)} of {len(names)}'
         )
         return {
-            'items': [self.objects[kind][name] for name in names[:_PAGE_SIZE]],
-            'has_more': len(names) > _PAGE_SIZE,
-            'at_rev': self.revision,
+            'items': [objects[name] for name in page],
+            'has_more': len(names) > len(page),
+            'at_rev': revision,
         }
 
+    def _state_at(
+        self, kind: str, at_seconds: float
+    ) -> tuple[dict[str, Any], int]:
+        """Return the objects of a kind, and the revision, at a time."""
+        objects: dict[str, Any] = {}
+        revision = 100
+        for changed_at_seconds, changed_revision, name, event in self.history:
+            if changed_at_seconds > at_seconds:
+                break
+            revision = changed_revision
+            stored = event['object']
+            if name != kind:
+                continue
+            if event['tombstone']:
+                objects.pop(stored['meta']['name'], None)
+            else:
+                objects[stored['meta']['name']] = stored
+        return objects, revision
+
     async def _watch(self, kind: str, query: dict[str, str]) -> bytes:
         revision = int(query['watch'])
         with contextlib.suppress(TimeoutError):
