--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,34 +1,37 @@
-"""Change a grown configuration often, and watch the memory of the fronts."""
+"""Send a request that ends replicas to all fronts, again and again."""
 
 import asyncio
 import pathlib
+import secrets
 import signal
 import sys
 import time
 
-from standins.callers import CUT, KeptCaller
-from standins.configs import TIMEOUT_MS, build_config, build_route
+from standins.callers import KeptCaller
+from standins.configs import HOST, TIMEOUT_MS, build_config, build_route
 from standins.fronts import Machine, pick_host
+from standins.http import Message, call, encode
 from standins.records import Record, has_trouble
 from standins.replicas import Replica
 from standins.stores import Store
 
 _FOLDER = str(pathlib.Path(__file__).parent)
-_ZONES = ('recife', 'fortaleza')
-#: As in the site file: `big_config` with `count` 350, six times.
-_ADDED_ROUTES = 6 * 350
-#: As in the site file: `config_storm` with this `gap_s`.
-_GAP_SECONDS = 0.33
-_STORM_SECONDS = 95
-#: As in the site file. DEPLOY.md: a process that exceeds it is killed.
-_MEMORY_MB = 300
-_CALLERS_PER_FRONT = 10
-#: More than this many requests break the rule.
-_ALLOWED_CUTS = 3
+_ZONES = ('recife', 'fortaleza', 'salvador')
+_SERVICE = 'kafi81c'
+_FRONT_COUNT = 6
+_REPLICA_COUNT = 12
+_PATH = '/goka902/3a'
+#: The request comes to all fronts, one after the other, at this interval.
+_SPREAD_SECONDS = 0.05
+#: It comes again after this time.
+_INTERVAL_SECONDS = 6
+_WAVES = 4
+_CONTACT_SECONDS = 4
+_ALLOWED_ARRIVALS = 3
 
 
 class Case:
-    """One run: a store, one service, two fronts, callers."""
+    """One run: a store, one service, six fronts, callers."""
 
     def __init__(self) -> None:
         """Create the stand-ins."""
@@ -36,152 +39,134 @@
         self.store = Store()
         self.replicas: list[Replica] = []
         self.machines: list[Machine] = []
-        self.callers: list[list[KeptCaller]] = []
-        #: Highest memory of each front.
-        self.peak_mb: dict[str, float] = {}
-        self.killed: list[str] = []
-        self.version = 7
+        #: Monotonic times at which replicas began the request.
+        self.arrivals: list[float] = []
+        #: Monotonic times at which it ended a replica.
+        self.ends: list[float] = []
+        #: Ids under which the request was sent.
+        self.sent_ids: set[str] = set()
 
     async def start(self) -> bool:
         """Start all programs; return whether the fronts are ready."""
         host = pick_host()
         store_address = await self.store.start(host)
-        self._write_config(8)
-        for zone in (*_ZONES, *_ZONES):
-            replica = Replica(self.store, 'kafi81c', zone)
-            replica.slots = 6
+        route = build_route(
+            '/goka902/', kind='non_idempotent', service=_SERVICE
+        )
+        self.store.put('config', 'main', build_config(7, [route], [_SERVICE]))
+        for index in range(_REPLICA_COUNT):
+            replica = Replica(self.store, _SERVICE, _ZONES[index % len(_ZONES)])
             replica.queue = 24
-            replica.work_seconds = 0.12
+            if has_trouble():
+                replica.crash_text = _PATH
+            replica.record = lambda event, request_id, index=index: (
+                self._record_replica(index, event, request_id)
+            )
             await replica.start(host)
             self.replicas.append(replica)
         self.machines = [
-            Machine(f'front-{zone}-1', zone, store_address) for zone in _ZONES
+            Machine(
+                f'front-{index}', _ZONES[index % len(_ZONES)], store_address
+            )
+            for index in range(_FRONT_COUNT)
         ]
         for machine in self.machines:
-            machine.seeds = [other.control for other in self.machines]
+            machine.seeds = [other.control for other in self.machines[:3]]
             await machine.start()
         are_ready = [await machine.wait_ready() for machine in self.machines]
+        await asyncio.sleep(_CONTACT_SECONDS + 1)
         return all(are_ready)
 
-    def _write_config(self, route_count: int) -> None:
-        """Write the next version, with a time limit that changes."""
-        self.version += 1 + self.version % 3
-        routes = [
-            build_route(
-                f'/goka902/{number}/' if number else '/goka902/',
-                timeout_ms=TIMEOUT_MS + self.version % 2,
-                service='kafi81c',
-            )
-            for number in range(route_count)
+    def _record_replica(self, index: int, event: str, request_id: str) -> None:
+        if event == 'ends at':
+            self.ends.append(time.monotonic())
+        elif event == 'runs' and request_id in self.sent_ids:
+            self.arrivals.append(time.monotonic())
+        self.record.add(f'replica {index} {event} {request_id}')
+
+    async def play(self) -> int:
+        """Send the request in waves; apply BUDGET, return the exit code."""
+        callers = [
+            KeptCaller(machine.frontend, '/goka902/2f', TIMEOUT_MS, 'POST')
+            for machine in self.machines
         ]
-        self.store.put(
-            'config', 'main', build_config(self.version, routes, ['kafi81c'])
-        )
-        self.record.add(f'version {self.version} with {route_count} routes')
-
-    async def play(self) -> None:
-        """Run the callers while the configuration changes."""
-        tasks = []
-        for machine in self.machines:
-            group = [
-                KeptCaller(machine.frontend, '/goka902/2f', TIMEOUT_MS)
-                for _ in range(_CALLERS_PER_FRONT)
-            ]
-            self.callers.append(group)
-            for caller in group:
-                caller.record = lambda event, request_id, name=machine.name: (
-                    self.record.add(f'{name}: {event} {request_id}')
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        for _ in range(_WAVES):
+            await asyncio.gather(
+                *(
+                    self._send(machine, index * _SPREAD_SECONDS)
+                    for index, machine in enumerate(self.machines)
                 )
-                tasks.append(asyncio.create_task(caller.run()))
-        tasks.append(asyncio.create_task(self._watch_memory()))
-        await asyncio.sleep(5)
-        ends_at_seconds = time.monotonic() + _STORM_SECONDS
-        while time.monotonic() < ends_at_seconds and not self.killed:
-            if has_trouble():
-                self._write_config(8 + _ADDED_ROUTES)
-            await asyncio.sleep(_GAP_SECONDS)
-        await asyncio.sleep(2)
+            )
+            await asyncio.sleep(_INTERVAL_SECONDS)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _watch_memory(self) -> None:
-        """Kill a front that exceeds its memory, as the platform does."""
-        while True:
-            for machine in self.machines:
-                memory_mb = _memory_mb(machine)
-                known_mb = self.peak_mb.get(machine.name, 0)
-                self.peak_mb[machine.name] = max(known_mb, memory_mb)
-                if memory_mb > known_mb + 10:
-                    self.record.add(f'{machine.name} has {memory_mb:.0f} MB')
-                if memory_mb > _MEMORY_MB and machine.name not in self.killed:
-                    self.killed.append(machine.name)
-                    self.record.say(
-                        f'{machine.name} has {memory_mb:.0f} MB after '
-                        f'version {self.version} and is killed'
-                    )
-                    machine.send_signal(signal.SIGKILL)
-            await asyncio.sleep(0.1)
-
-    def judge(self) -> int:
-        """Apply LOST; return the exit code."""
-        run_ids = set().union(*(replica.runs for replica in self.replicas))
-        exit_code = 0
-        for machine, group in zip(self.machines, self.callers, strict=True):
-            answers = {}
-            for caller in group:
-                answers.update(caller.answers)
-            counts = {
-                status: list(answers.values()).count(status)
-                for status in sorted(set(answers.values()))
-            }
-            cut = [
-                request_id
-                for request_id, status in answers.items()
-                if status == CUT and request_id in run_ids
-            ]
+        served = sum(
+            status == '200'
+            for caller in callers
+            for status in caller.answers.values()
+        )
+        self.record.say(f'{served} other requests were served')
+        if not served:
+            return 2
+        if len(self.ends) < _ALLOWED_ARRIVALS:
+            return 0
+        later = [
+            round(at_seconds - self.ends[2], 3)
+            for at_seconds in self.arrivals
+            if at_seconds > self.ends[2] + _CONTACT_SECONDS
+        ]
+        self.record.say(
+            f'{len(self.arrivals)} arrivals, {len(self.ends)} replicas ended; '
+            f'arrivals later than contact_ms after the third end, in seconds '
+            f'from it: {later}'
+        )
+        if len(later) > _ALLOWED_ARRIVALS:
             self.record.say(
-                f'{machine.name}: peak {self.peak_mb[machine.name]:.0f} MB, '
-                f'answers {counts}'
+                f'BUDGET: a request that ends replicas reached {len(later)} '
+                f'more, later than contact_ms after the third end'
             )
-            if not counts.get('200'):
-                return 2
-            if len(cut) > _ALLOWED_CUTS:
-                self.record.say(
-                    f'LOST: {machine.name} passed {len(cut)} requests from '
-                    f'kept connections on and closed these without an answer'
-                )
-                exit_code = 1
-        return exit_code
+            return 1
+        return 0
+
+    async def _send(self, machine: Machine, delay_seconds: float) -> None:
+        await asyncio.sleep(delay_seconds)
+        request_id = secrets.token_hex(8)
+        self.sent_ids.add(request_id)
+        self.record.add(f'caller sends {request_id} to {machine.name}')
+        answer = await call(
+            machine.frontend,
+            encode(
+                f'POST {_PATH} HTTP/1.1',
+                {
+                    'Host': HOST,
+                    'Request-Id': request_id,
+                    'Deadline-Ms': str(TIMEOUT_MS),
+                    'Connection': 'close',
+                },
+                b'book the band',
+            ),
+            TIMEOUT_MS / 1000 + 1,
+        )
+        status = answer.status if isinstance(answer, Message) else answer
+        self.record.add(f'caller gets {status} for {request_id}')
 
     async def stop(self) -> None:
         """End all processes that this case started."""
+        for machine in self.machines:
+            machine.send_signal(signal.SIGTERM)
         for machine in self.machines:
             await machine.kill()
 
 
-def _memory_mb(machine: Machine) -> float:
-    assert machine.process is not None
-    path = pathlib.Path(f'/proc/{machine.process.pid}/status')
-    try:
-        lines = path.read_text().splitlines()
-    except OSError:
-        return 0
-    return sum(
-        int(line.split()[1]) / 1024
-        for line in lines
-        if line.startswith('VmRSS:')
-    )
-
-
 async def _main() -> int:
     case = Case()
     try:
         if not await case.start():
             case.record.say('a front did not become ready')
             return 2
-        await case.play()
-        return case.judge()
+        return await case.play()
     finally:
         await case.stop()
 
--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -33,6 +33,12 @@
         #: Share of the answers that are sent a second time, late.
         self.late_copy_share = 0.0
         self.rng = random.Random(0)
+        #: Requests with this text in their first line end the process.
+        self.crash_text = ''
+        #: Time for which such a request runs until the process ends.
+        self.crash_seconds = 0.4
+        #: Time from the end of the process until it has started again.
+        self.restart_seconds = 2.0
         #: Called with each event: its name and the id of the request.
         self.record: Callable[[str, str], None] = lambda event, request_id: None
         #: Ids of the requests that ran, with the number of their runs.
@@ -47,14 +53,44 @@
         self._running = 0
         self._waiting = 0
         self._slot = asyncio.Semaphore(self.slots)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._restart: asyncio.Task[None] | None = None
 
     async def start(self, host: str) -> None:
         """Listen on a free port and register."""
-        server = await asyncio.start_server(self._serve, host, 0)
-        port = server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
         self.address = f'{host}:{port}'
         self.register()
 
+    def crash(self) -> None:
+        """Close the port and all connections, and start again later."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+            for writer in self._writers:
+                writer.transport.abort()
+            self._restart = asyncio.create_task(self._start_again())
+
+    async def _run_until_crash(self, request_id: str) -> None:
+        server = self._server
+        await asyncio.sleep(self.crash_seconds)
+        if self._server is server:
+            self.record('ends at', request_id)
+            self.crash()
+        raise ConnectionAbortedError
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.restart_seconds)
+        host, _, port = self.address.rpartition(':')
+        self._running = 0
+        self._waiting = 0
+        self._slot = asyncio.Semaphore(self.slots)
+        self._born = int(time.time() * 1000)
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.register()
+
     async def warm_up(self, warmup_ms: int, heartbeat_ms: int) -> None:
         """Write the entry at each heartbeat until this replica is warm."""
         for left_ms in range(warmup_ms, 0, -heartbeat_ms):
@@ -86,10 +122,12 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             with contextlib.suppress(OSError, TimeoutError):
                 await self._serve_requests(reader, writer)
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_requests(
@@ -128,6 +166,8 @@
             self._running += 1
             self.runs[request_id] += 1
             self.record('runs', request_id)
+            if self.crash_text and self.crash_text in request.first_line:
+                await self._run_until_crash(request_id)
             await asyncio.sleep(self.work_seconds)
             self._running -= 1
         stamp = f'{self.replica_id}.{request_id}.{secrets.token_hex(4)}'
