Review case 1: let one of two replicas send late copies

A second service, whose replica sends none, keeps the share of the replicas at one half, as in the site file.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,22 +18,27 @@
 _FOLDER = str(pathlib.Path(__file__).parent)
 _SEED = int(os.environ.get('SEED', '1'))
 _ZONES = ('recife', 'fortaleza')
-_CALLERS = 8
+#: The first service gets a little more than it can take.
+_CALLERS = {'/goka902/': 8, '/goka903/': 2}
+_PREFIXES = {'huvo11a': '/goka902/', 'lohu93e': '/goka903/'}
 _LOAD_SECONDS = 80
 #: As in the site file: `garble`, how `extra late across`, for 0.04 of the
-#: answers of a replica.
+#: answers of half of the replicas.
 _LATE_COPY_SHARE = 0.04
 _PROMISES = (408, 421, 429, 503)
 
 
 class Case:
-    """One run: a store, a service with one replica, two fronts, callers."""
+    """One run: a store, two services, two fronts, callers."""
 
     def __init__(self) -> None:
         """Create the stand-ins."""
         self.record = Record(_FOLDER)
         self.store = Store()
-        self.replicas = [Replica(self.store, 'huvo11a', _ZONES[0])]
+        self.replicas = [
+            Replica(self.store, service, zone)
+            for service, zone in zip(_PREFIXES, _ZONES, strict=True)
+        ]
         self.machines: list[Machine] = []
         #: Status or reason of each request by its id.
         self.answers: dict[str, str] = {}
@@ -62,35 +67,41 @@
         return all(are_ready)
 
     def _write_config(self) -> None:
-        route = build_route(
-            '/goka902/',
-            kind='non_idempotent',
-            max_attempts=3,
-            service='huvo11a',
-        )
-        self.store.put('config', 'main', build_config(7, [route], ['huvo11a']))
+        routes = [
+            build_route(
+                prefix, kind='non_idempotent', max_attempts=3, service=service
+            )
+            for service, prefix in _PREFIXES.items()
+        ]
+        self.store.put('config', 'main', build_config(7, routes, _PREFIXES))
 
     async def load(self) -> None:
         """Run the callers, each with one request at a time."""
         async with asyncio.timeout(_LOAD_SECONDS + 20):
-            await asyncio.gather(*map(self._run_caller, range(_CALLERS)))
+            await asyncio.gather(
+                *(
+                    self._run_caller(prefix, number)
+                    for prefix, count in _CALLERS.items()
+                    for number in range(count)
+                )
+            )
 
-    async def _run_caller(self, number: int) -> None:
+    async def _run_caller(self, prefix: str, number: int) -> None:
         loop = asyncio.get_running_loop()
         ends_at_seconds = loop.time() + _LOAD_SECONDS
         machine = self.machines[number % len(self.machines)]
         while loop.time() < ends_at_seconds:
-            retry_after = await self._send(machine)
+            retry_after = await self._send(machine, prefix)
             await asyncio.sleep(max(0.02, retry_after))
 
-    async def _send(self, machine: Machine) -> float:
+    async def _send(self, machine: Machine, prefix: str) -> float:
         """Send one request with its own id; return its Retry-After."""
         request_id = secrets.token_hex(8)
         self.record.add(f'caller sends {request_id} to {machine.name}')
         answer = await call(
             machine.frontend,
             encode(
-                'POST /goka902/2f HTTP/1.1',
+                f'POST {prefix}2f HTTP/1.1',
                 {
                     'Host': HOST,
                     'Request-Id': request_id,
