--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,8 @@
 from standins.replicas import Replica
 from standins.stores import Store
 
-_FOLDER = str(pathlib.Path(__file__).parent)
+#: What was sent, answered and run.
+_RECORD_PATH = pathlib.Path(__file__).with_name('record.txt')
 _SEED = int(os.environ.get('SEED', '1'))
 _ZONES = ('recife', 'fortaleza')
 #: The first service gets a little more than it can take.
@@ -33,7 +34,7 @@
 
     def __init__(self) -> None:
         """Create the stand-ins."""
-        self.record = Record(_FOLDER)
+        self.record = Record(_RECORD_PATH)
         self.store = Store()
         self.replicas = [
             Replica(self.store, service, zone)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,8 @@
 from standins.replicas import Replica
 from standins.stores import Store
 
-_FOLDER = str(pathlib.Path(__file__).parent)
+#: What was sent, answered and run.
+_RECORD_PATH = pathlib.Path(__file__).with_name('record.txt')
 _ZONES = ('recife', 'fortaleza', 'salvador')
 #: As in the site file: `page` under `discovery`.
 _PAGE_SIZE = 50
@@ -43,7 +44,7 @@
 
     def __init__(self) -> None:
         """Create the stand-ins."""
-        self.record = Record(_FOLDER)
+        self.record = Record(_RECORD_PATH)
         self.store = Store()
         self.store.page_size = _PAGE_SIZE
         self.store.record = self.record.add
--- a/review/standins/records.py
+++ b/review/standins/records.py
@@ -8,9 +8,9 @@
 class Record:
     """Lines with the time since the start of the case."""
 
-    def __init__(self, folder: str) -> None:
-        """Write to record.txt in the folder of the case."""
-        self._file = pathlib.Path(folder, 'record.txt').open('w')
+    def __init__(self, path: pathlib.Path) -> None:
+        """Write to a file in the folder of the case."""
+        self._file = path.open('w')
         self._started_at_seconds = time.monotonic()
 
     def add(self, text: str) -> None:
