Bring all pages of a listing to one revision

Cause: pages of a stale listing may be as of different revisions. The listing took the revision of the first one, and the watch went on from there, so that changes between an older page and the first one were never heard of. Current pages differ as well when the store changes between two of them.

Fix: if the pages differ in revision, a watch from the oldest brings the changes after it, and the listing has the revision where that watch ends. If the history is gone, the listing is repeated with current calls. Taking the lowest revision only would repair the view with the next watch, but until then it would combine two moments and be passed on to other daemons.

Cost: none for pages of one revision (test_pages_of_one_revision_need_no_watch); otherwise one current call for each such listing.

Also: a page whose last object has an odd name no longer ends the listing, and a page that does not advance fails it.

--- a/dragonflyramp/members/_watchers.py
+++ b/dragonflyramp/members/_watchers.py
@@ -109,25 +109,26 @@
         if self.view.revision:
             code = await self._watch_changes()
         else:
-            code = await self._list_objects()
+            code = await self._list_objects(
+                allow_stale=self.timing.allows_stale_listing
+            )
         if code is ResultCode.history_gone:
             counters.add('watch_restarts', 'history_gone')
             logger.info(
                 'store lost the history of {}; listing again',
                 self.view.kind,
             )
-            code = await self._list_objects()
+            # A stale listing may need the same history, and a view that has a
+            # revision ignores an older listing.
+            code = await self._list_objects(allow_stale=False)
         await self._record_result(code)
 
-    async def _list_objects(self) -> ResultCode:
+    async def _list_objects(self, *, allow_stale: bool) -> ResultCode:
         started_at_seconds = self.clock()
         # The next watch or the next response of a hub brings the changes that
-        # a stale listing lacks. A view that already has a revision needs a
-        # current listing, because it ignores an older one.
+        # a stale listing lacks.
         list_result = await self.store.list_objects(
-            self.view.kind,
-            allow_stale=self.timing.allows_stale_listing
-            and not self.view.revision,
+            self.view.kind, allow_stale=allow_stale
         )
         if isinstance(list_result, Failure):
             code: ResultCode = list_result.failure()
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -6,23 +6,18 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-import attrs
 from returns.result import Failure, Result, Success
 
 from dragonflyramp.metrics import counters
-from dragonflyramp.object_limits import is_within_limits
 from dragonflyramp.platform._api_http import ApiCall, ApiClient, open_api_client
-from dragonflyramp.platform._json_replies import create_unreadable_object
-from dragonflyramp.platform._store_decoders import ENTRIES_KIND
+from dragonflyramp.platform._store_replies import parse_changes, parse_page
 from dragonflyramp.results import ResultCode
-from dragonflyramp.views import Change, ChangeBatch, Fields, Listing
+from dragonflyramp.views import ChangeBatch, Fields, Listing, ListingBuilder
 
-#: Limit of the platform on the bytes of an object.
-_MAX_OBJECT_SIZE = 1024 * 1024
-#: Daemons pass entries on to each other. One of a replica has about 300 bytes.
-_MAX_ENTRY_SIZE = 16_384
 #: Time after the end of the wait within which the reply to a watch must arrive.
 _WATCH_MARGIN_SECONDS = 0.8
+#: Wait of a watch for changes that have already happened.
+_CATCH_UP_WAIT_SECONDS = 0.001
 
 
 class StoreClient:
@@ -38,32 +33,18 @@
     async def list_objects(
         self, kind: str, *, allow_stale: bool = False
     ) -> Result[Listing, ResultCode]:
-        """List the objects of a kind; fail with platform_down or bad_reply.
+        """List the objects of a kind as of one revision.
 
-        The revision is that of the first page, so that a watch from there
-        repeats changes that were made between two pages but misses none.
+        Fail with history_gone, platform_down or bad_reply. If the pages are as
+        of different revisions, a watch from the oldest one is added.
         """
-        objects_by_name: dict[str, Fields] = {}
-        revision: int | None = None
-        base_query = {'allow_stale': '1'} if allow_stale else {}
-        query = base_query
-        while True:
-            page_result = await self._api.send(
-                ApiCall(
-                    purpose='list',
-                    path_and_query=_build_path_and_query(kind, '', query),
-                )
-            )
-            if isinstance(page_result, Failure):
-                return page_result
-            page = _parse_page(kind, page_result.unwrap())
-            if page is None:
-                return Failure(ResultCode.bad_reply)
-            objects_by_name.update(page.objects_by_name)
-            revision = page.revision if revision is None else revision
-            if not page.has_more:
-                return Success(Listing(revision, objects_by_name))
-            query = {**base_query, 'after': max(page.objects_by_name)}
+        builder = ListingBuilder()
+        list_result = await _read_pages(
+            self._api, kind, builder, allow_stale=allow_stale
+        )
+        while builder.needs_changes and not isinstance(list_result, Failure):
+            list_result = await _catch_up(self, kind, builder)
+        return list_result.map(lambda _: builder.build())
 
     async def watch(
         self, kind: str, revision: int, wait_seconds: float
@@ -81,7 +62,7 @@
                 timeout_seconds=wait_seconds + _WATCH_MARGIN_SECONDS,
             )
         )
-        return call_result.bind(functools.partial(_parse_changes, kind))
+        return call_result.bind(functools.partial(parse_changes, kind))
 
     async def read(self, kind: str, name: str) -> Result[Fields, ResultCode]:
         """Read an object.
@@ -149,11 +130,45 @@
         yield StoreClient(api)
 
 
-@attrs.frozen
-class _Page:
-    revision: int
-    objects_by_name: Mapping[str, Fields]
-    has_more: bool
+async def _read_pages(
+    api: ApiClient, kind: str, builder: ListingBuilder, *, allow_stale: bool
+) -> Result[None, ResultCode]:
+    base_query = {'allow_stale': '1'} if allow_stale else {}
+    query = base_query
+    while True:
+        page_result = await api.send(
+            ApiCall(
+                purpose='list',
+                path_and_query=_build_path_and_query(kind, '', query),
+            )
+        )
+        if isinstance(page_result, Failure):
+            return page_result
+        page = parse_page(kind, page_result.unwrap())
+        if page is None:
+            return Failure(ResultCode.bad_reply)
+        builder.add_page(page.listing)
+        if not page.next_after:
+            return Success(None)
+        if page.next_after <= query.get('after', ''):
+            return Failure(ResultCode.bad_reply)
+        query = {**base_query, 'after': page.next_after}
+
+
+async def _catch_up(
+    store: StoreClient, kind: str, builder: ListingBuilder
+) -> Result[None, ResultCode]:
+    """Apply the changes since the oldest page."""
+    counters.add('listing_catch_ups', kind)
+    revision = builder.revision
+    changes_result = await store.watch(kind, revision, _CATCH_UP_WAIT_SECONDS)
+    if isinstance(changes_result, Failure):
+        return changes_result
+    changes = changes_result.unwrap()
+    if changes.revision <= revision:
+        return Failure(ResultCode.bad_reply)
+    builder.apply(changes)
+    return Success(None)
 
 
 def _build_path_and_query(
@@ -164,58 +179,3 @@
         quoted = quote(name, safe='')
         path = f'{path}/{quoted}'
     return f'{path}?{urlencode(query)}' if query else path
-
-
-def _parse_page(kind: str, fields: Fields) -> _Page | None:
-    listed_objects = fields.get('items')
-    revision = fields.get('at_rev')
-    if not isinstance(listed_objects, list) or not isinstance(revision, int):
-        return None
-    objects_by_name = {
-        _object_name(stored_object): _limit(kind, stored_object)
-        for stored_object in listed_objects
-    }
-    if objects_by_name.pop('', None) is not None:
-        counters.add('bad_objects', 'unnamed')
-    has_more = bool(fields.get('has_more')) and bool(objects_by_name)
-    return _Page(revision, objects_by_name, has_more)
-
-
-def _parse_changes(
-    kind: str, fields: Fields
-) -> Result[ChangeBatch, ResultCode]:
-    events = fields.get('events')
-    revision = fields.get('at_rev')
-    if not isinstance(events, list) or not isinstance(revision, int):
-        return Failure(ResultCode.bad_reply)
-    changes = (_parse_event(kind, event) for event in events)
-    return Success(ChangeBatch(revision, tuple(filter(None, changes))))
-
-
-def _parse_event(kind: str, event: Any) -> Change | None:
-    """Parse an event of a watch; return None if it names no object."""
-    stored_object = event.get('object') if isinstance(event, dict) else None
-    name = _object_name(stored_object)
-    if not name:
-        counters.add('bad_objects', 'unnamed')
-        return None
-    is_removal = bool(event.get('tombstone'))
-    return Change(name, None if is_removal else _limit(kind, stored_object))
-
-
-def _limit(kind: str, stored_object: Any) -> Any:
-    """Remove the spec of an object that is too deep or too large."""
-    max_size = _MAX_ENTRY_SIZE if kind == ENTRIES_KIND else _MAX_OBJECT_SIZE
-    if is_within_limits(stored_object, max_size):
-        return stored_object
-    counters.add('bad_objects', 'too_large')
-    return create_unreadable_object(_object_name(stored_object))
-
-
-def _object_name(stored_object: Any) -> str:
-    meta = (
-        stored_object.get('meta') if isinstance(stored_object, dict) else None
-    )
-    name = meta.get('name') if isinstance(meta, dict) else ''
-    # An unprintable name, as with a lone surrogate, has no encoding.
-    return name if isinstance(name, str) and name.isprintable() else ''
--- a/dragonflyramp/stores.py
+++ b/dragonflyramp/stores.py
@@ -54,10 +54,11 @@
     async def list_objects(
         self, kind: str, *, allow_stale: bool = False
     ) -> Result[Listing, ResultCode]:
-        """Return all objects of a kind; fail with platform_down or bad_reply.
+        """Return all objects of a kind as of one revision.
 
         A stale listing may lack the changes of the last few seconds; the
-        platform serves it at lower cost.
+        platform serves it at lower cost. Fail with platform_down, bad_reply or
+        history_gone; after the last, only a current listing may succeed.
         """
 
     async def watch(
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -47,6 +47,45 @@
     changes: tuple[Change, ...]
 
 
+@attrs.define(eq=False)
+class ListingBuilder:
+    """Build a listing of one revision from pages, each of its own.
+
+    The store may serve the pages of a listing at different ages. With all
+    changes after the oldest page, they are the objects of the revision up to
+    which these changes go.
+    """
+
+    #: Revision of the oldest page, or of the last changes.
+    revision: int = 0
+    _newest_revision: int = 0
+    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict)
+
+    @property
+    def needs_changes(self) -> bool:
+        """Return whether the changes after `revision` are missing."""
+        return self.revision < self._newest_revision
+
+    def add_page(self, page: Listing) -> None:
+        """Add the objects of a page."""
+        is_first = not self._newest_revision
+        self.revision = (
+            page.revision if is_first else min(self.revision, page.revision)
+        )
+        self._newest_revision = max(self._newest_revision, page.revision)
+        self._objects_by_name.update(page.objects_by_name)
+
+    def apply(self, changes: ChangeBatch) -> None:
+        """Apply the changes after `revision`."""
+        for change in changes.changes:
+            _apply_change(self._objects_by_name, change)
+        self.revision = changes.revision
+
+    def build(self) -> Listing:
+        """Return the objects as of `revision`."""
+        return Listing(self.revision, self._objects_by_name)
+
+
 @attrs.frozen
 class _LoggedChange:
     revision: int
@@ -123,10 +162,7 @@
         for change in changes.changes:
             self._change_log.append(_LoggedChange(changes.revision, change))
             names.add(change.name)
-            if change.fields is None:
-                self.objects_by_name.pop(change.name, None)
-            else:
-                self.objects_by_name[change.name] = change.fields
+            _apply_change(self.objects_by_name, change)
         self.revision = changes.revision
         if names:
             self.last_change_revision = changes.revision
@@ -161,3 +197,10 @@
     def _trim_log(self) -> None:
         while len(self._change_log) > _MAX_LOGGED_CHANGES:
             self._log_start_revision = self._change_log.popleft().revision
+
+
+def _apply_change(objects_by_name: dict[str, Fields], change: Change) -> None:
+    if change.fields is None:
+        objects_by_name.pop(change.name, None)
+    else:
+        objects_by_name[change.name] = change.fields
--- a/tests/standins/stores.py
+++ b/tests/standins/stores.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -15,8 +16,6 @@
 
 from tests.standins.resets import reset_connection
 
-_PAGE_SIZE = 500
-
 
 @attrs.define(kw_only=True)
 class StoreFaults:
@@ -33,6 +32,8 @@
     lost_replies: int = 0
     #: Watches of older revisions are answered with 410.
     oldest_revision: int = 0
+    #: Revisions of the data in the next stale pages; later ones are current.
+    stale_revisions: tuple[int, ...] = ()
 
 
 @attrs.define(eq=False)
@@ -47,6 +48,10 @@
     raw_texts: dict[str, bytes] = attrs.field(factory=dict)
     #: Method and path with query of each call.
     calls: list[str] = attrs.field(factory=list)
+    #: Maximum number of objects in a page of a listing.
+    page_size: int = 500
+    #: Called after each page, such as to change objects between two pages.
+    on_page: Callable[[], None] = lambda: None
     #: Revision, kind and event of each change.
     _events: list[tuple[int, str, Any]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -67,6 +72,17 @@
         self._record_event(kind, {'tombstone': True, 'object': stored})
         return stored
 
+    def objects_at(self, kind: str, revision: int) -> dict[str, Any]:
+        """Return the objects of a kind as of a revision."""
+        objects_by_name: dict[str, Any] = {}
+        for event_revision, event_kind, event in self._events:
+            if event_kind == kind and event_revision <= revision:
+                stored = event['object']
+                objects_by_name[stored['meta']['name']] = stored
+                if event['tombstone']:
+                    objects_by_name.pop(stored['meta']['name'])
+        return objects_by_name
+
     def wake_watches(self) -> None:
         """Wake all watches; those without new events continue to wait."""
         self._changed.set()
@@ -159,19 +175,29 @@
         kind = request.match_info['kind']
         if 'watch' in request.query:
             return await self._watch(request, kind)
-        objects_by_name = self.store.objects_by_kind.get(kind, {})
+        store = self.store
+        revision = store.revision
+        faults = store.faults
+        if 'allow_stale' in request.query and faults.stale_revisions:
+            revision, *later = faults.stale_revisions
+            faults.stale_revisions = tuple(later)
+        objects_by_name = store.objects_at(kind, revision)
         names = sorted(
             name
             for name in objects_by_name
             if name > request.query.get('after', '')
         )
-        return self._encode(
+        page = self._encode(
             {
-                'items': [objects_by_name[name] for name in names[:_PAGE_SIZE]],
-                'has_more': len(names) > _PAGE_SIZE,
-                'at_rev': self.store.revision,
+                'items': [
+                    objects_by_name[name] for name in names[: store.page_size]
+                ],
+                'has_more': len(names) > store.page_size,
+                'at_rev': revision,
             }
         )
+        store.on_page()
+        return page
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         revision = int(request.query['watch'])
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -73,6 +73,28 @@
     return response
 
 
+async def test_watcher_lists_again_without_history(
+    store_server: StoreServer, store_client: StoreClient
+) -> None:
+    """Mixed pages must not keep a front from listing after lost history.
+
+    The changes after the oldest page are gone, and stale pages stay old.
+    """
+    store = store_server.store
+    for name in ('a', 'b', 'c'):
+        store.put(_ENTRIES_KIND, name, {})
+    first_revision = store.revision - 2
+    store.page_size = 1
+    store.faults.stale_revisions = (store.revision, first_revision)
+    store.faults.oldest_revision = store.revision
+    view = View(_ENTRIES_KIND)
+    task = asyncio.create_task(_watcher(store_client, view).run())
+    await eventually(lambda: set(view.objects_by_name) == {'a', 'b', 'c'})
+    assert view.revision == store.revision
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 def test_view_ignores_older_revisions() -> None:
     """An older listing or change must not undo a newer one."""
     view = View(_ENTRIES_KIND)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Test the platform adapter: settings, configuration, store and headers."""
 
+import random
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any
@@ -22,7 +23,7 @@
 from dragonflyramp.routes import GatherSettings
 from dragonflyramp.stores import ABSENT_VERSION
 from tests.front_harnesses import make_request
-from tests.standins.stores import StoreFaults, StoreServer
+from tests.standins.stores import Store, StoreFaults, StoreServer
 
 _SETTINGS = """
 node: "front-recife-1"
@@ -271,6 +272,77 @@
     assert listing.revision == store_server.store.revision
 
 
+_NAMES = tuple(f'i{index}' for index in range(7))
+
+
+def _change_object(store: Store, rng: random.Random) -> None:
+    """Create, change or remove one object."""
+    name = rng.choice(_NAMES)
+    kind = rng.choice(('servers', 'servers', 'another'))
+    is_known = name in store.objects_by_kind.get(kind, {})
+    if is_known and rng.choice((True, False)):
+        store.remove(kind, name)
+    else:
+        store.put(kind, name, {'address': rng.randrange(9)})
+
+
+@pytest.mark.parametrize('allow_stale', [True, False])
+@pytest.mark.parametrize('seed', range(40))
+async def test_listing_is_state_at_its_revision(
+    store_server: StoreServer,
+    store_client: StoreClient,
+    seed: int,
+    allow_stale: bool,
+) -> None:
+    """A listing must not combine pages of different ages.
+
+    A replica on an older page would stay unknown, or in use after its end.
+    """
+    rng = random.Random(seed)
+    store = store_server.store
+    for _ in range(30):
+        _change_object(store, rng)
+    store.page_size = rng.randint(1, 4)
+    store.on_page = lambda: _change_object(store, rng)
+    ages = rng.choices((0, 0, 3, 12, 25), k=20)
+    store.faults.stale_revisions = tuple(store.revision - age for age in ages)
+    listing = (
+        await store_client.list_objects('servers', allow_stale=allow_stale)
+    ).unwrap()
+    assert listing.objects_by_name == store.objects_at(
+        'servers', listing.revision
+    )
+
+
+async def test_pages_of_one_revision_need_no_watch(
+    store_server: StoreServer, store_client: StoreClient
+) -> None:
+    """A listing at start must not cost a current call without need.
+
+    A stale page costs a tenth of it.
+    """
+    store = store_server.store
+    for name in _NAMES:
+        store.put('servers', name, {})
+    store.page_size = 2
+    await store_client.list_objects('servers', allow_stale=True)
+    assert all('allow_stale' in call for call in store.calls)
+    store.faults.stale_revisions = (store.revision - 1,)
+    await store_client.list_objects('servers', allow_stale=True)
+    assert sum('allow_stale' not in call for call in store.calls) == 1
+
+
+async def test_unnamed_object_does_not_end_listing(
+    store_server: StoreServer, store_client: StoreClient
+) -> None:
+    """An odd name at the end of a page must not hide the pages after it."""
+    for name in ('a', 'b\u0007', 'c'):
+        store_server.store.put('servers', name, {})
+    store_server.store.page_size = 1
+    listing = (await store_client.list_objects('servers')).unwrap()
+    assert set(listing.objects_by_name) == {'a', 'c'}
+
+
 async def test_write_at_old_version_conflicts(
     store_client: StoreClient,
 ) -> None:
