Remember revisions between which a view knows no changes

Callers would see: a front keeps sending to a replica that is gone, until the entry changes again or the front restarts.

Cause: a view that listed again because its history was lost, and found the same objects, kept its log as if nothing had changed. A daemon at a revision in between, which knew of an object that came and went, was told that nothing had changed since and took the later revision.

Fix: the log of changes, now a class of its own, remembers the revisions between which changes are unknown; a daemon in between gets a listing. Daemons at the earlier revision still get the changes only, so a lost history costs no listing for daemons that have followed.

--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -3,93 +3,37 @@
 A view is updated by a watch on the platform's store or by another daemon. It
 never goes back to an older revision. A revision is a number that the store
 increments with every change of an object of any kind.
+
+_changes      listings and changes of objects
+_change_logs  recent changes, for daemons at an older revision
 """
 
-import collections
 import math
-from collections.abc import Mapping
-from typing import Any, TypeAlias
 
 import attrs
 
-#: Decoded JSON object.
-Fields: TypeAlias = dict[str, Any]
+from dragonflyramp._change_logs import ChangeLog
+from dragonflyramp._changes import (
+    Change,
+    ChangeBatch,
+    Fields,
+    Listing,
+    ListingBuilder,
+    apply_change,
+)
+
+__all__ = (
+    'Change',
+    'ChangeBatch',
+    'Fields',
+    'Listing',
+    'ListingBuilder',
+    'View',
+)
 
 #: While the store is available, a view is confirmed more often than this, by
 #: this daemon's watch or by another daemon. A longer gap counts as an outage.
 _OUTAGE_THRESHOLD_SECONDS = 5
-#: Number of recent changes that are kept for daemons with an older revision. A
-#: daemon that lacks more than these gets a listing.
-_MAX_LOGGED_CHANGES = 512
-
-
-@attrs.frozen
-class Listing:
-    """All objects of a kind by name, as of one revision."""
-
-    revision: int
-    objects_by_name: Mapping[str, Fields]
-
-
-@attrs.frozen
-class Change:
-    """One changed object; `fields` is None if it was removed."""
-
-    name: str
-    fields: Fields | None
-
-
-@attrs.frozen
-class ChangeBatch:
-    """Changes between an earlier revision and `revision`, in order."""
-
-    revision: int
-    changes: tuple[Change, ...]
-
-
-@attrs.define(eq=False)
-class ListingBuilder:
-    """Build a listing of one revision from pages, each of its own.
-
-    The store may serve the pages of a listing at different ages. With all
-    changes after the oldest page, they are the objects of the revision up to
-    which these changes go.
-    """
-
-    #: Revision of the oldest page, or of the last changes.
-    revision: int = 0
-    _newest_revision: int = 0
-    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict)
-
-    @property
-    def needs_changes(self) -> bool:
-        """Return whether the changes after `revision` are missing."""
-        return self.revision < self._newest_revision
-
-    def add_page(self, page: Listing) -> None:
-        """Add the objects of a page."""
-        is_first = not self._newest_revision
-        self.revision = (
-            page.revision if is_first else min(self.revision, page.revision)
-        )
-        self._newest_revision = max(self._newest_revision, page.revision)
-        self._objects_by_name.update(page.objects_by_name)
-
-    def apply(self, changes: ChangeBatch) -> None:
-        """Apply the changes after `revision`."""
-        for change in changes.changes:
-            _apply_change(self._objects_by_name, change)
-        self.revision = changes.revision
-
-    def build(self) -> Listing:
-        """Return the objects as of `revision`."""
-        return Listing(self.revision, self._objects_by_name)
-
-
-@attrs.frozen
-class _LoggedChange:
-    revision: int
-    change: Change
 
 
 @attrs.define(eq=False)
@@ -107,11 +51,7 @@
     confirmed_at_seconds: float = -math.inf
     #: When the store last became available again after an outage.
     outage_ended_at_seconds: float = -math.inf
-    _change_log: collections.deque[_LoggedChange] = attrs.field(
-        factory=collections.deque
-    )
-    #: The log contains every change after this revision.
-    _log_start_revision: int = 0
+    _change_log: ChangeLog = attrs.field(factory=ChangeLog)
 
     def age_seconds(self, now_seconds: float) -> float:
         """Return the seconds since the store last confirmed the view."""
@@ -133,7 +73,7 @@
         if listing.revision < self.revision:
             return set()
         previous = self.objects_by_name
-        is_first_listing = not self.revision
+        previous_revision = self.revision
         self.objects_by_name = dict(listing.objects_by_name)
         self.revision = listing.revision
         self._confirm(confirmed_at_seconds)
@@ -143,10 +83,12 @@
             for name in names
             if previous.get(name) != self.objects_by_name.get(name)
         }
-        if changed or is_first_listing:
+        if changed or not previous_revision:
             self.last_change_revision = listing.revision
-            self._change_log.clear()
-            self._log_start_revision = listing.revision
+            self._change_log.restart(listing.revision)
+        else:
+            # An object may have been created and removed in the meantime.
+            self._change_log.add_gap(previous_revision, listing.revision)
         return changed
 
     def apply(
@@ -160,13 +102,12 @@
             return set()
         names = set()
         for change in changes.changes:
-            self._change_log.append(_LoggedChange(changes.revision, change))
             names.add(change.name)
-            _apply_change(self.objects_by_name, change)
+            apply_change(self.objects_by_name, change)
         self.revision = changes.revision
         if names:
             self.last_change_revision = changes.revision
-        self._trim_log()
+        self._change_log.add(changes)
         self._confirm(confirmed_at_seconds)
         return names
 
@@ -175,16 +116,10 @@
 
         Return a listing if the log does not reach back to the revision.
         """
-        if revision and revision >= self.last_change_revision:
-            return ChangeBatch(self.revision, ())
-        if revision < self._log_start_revision:
+        changes = self._change_log.changes_since(revision)
+        if changes is None:
             return Listing(self.revision, self.objects_by_name)
-        later_changes = [
-            logged.change
-            for logged in self._change_log
-            if logged.revision > revision
-        ]
-        return ChangeBatch(self.revision, tuple(later_changes))
+        return ChangeBatch(self.revision, changes)
 
     def _confirm(self, confirmed_at_seconds: float) -> None:
         if confirmed_at_seconds <= self.confirmed_at_seconds:
@@ -193,14 +128,3 @@
         if _OUTAGE_THRESHOLD_SECONDS < gap_seconds < math.inf:
             self.record_outage_end(confirmed_at_seconds)
         self.confirmed_at_seconds = confirmed_at_seconds
-
-    def _trim_log(self) -> None:
-        while len(self._change_log) > _MAX_LOGGED_CHANGES:
-            self._log_start_revision = self._change_log.popleft().revision
-
-
-def _apply_change(objects_by_name: dict[str, Fields], change: Change) -> None:
-    if change.fields is None:
-        objects_by_name.pop(change.name, None)
-    else:
-        objects_by_name[change.name] = change.fields
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -119,6 +119,24 @@
     assert isinstance(view.changes_since(598), ChangeBatch)
 
 
+def test_relisting_hides_no_change() -> None:
+    """A daemon that knows an object of the meantime must learn of its end.
+
+    A new listing shows nothing of an object that came and went since.
+    """
+    view = View(_ENTRIES_KIND)
+    view.replace(Listing(5, {'a': {}}), 1)
+    view.apply(ChangeBatch(6, (Change('a', {'x': 1}),)), 2)
+    view.replace(Listing(10, {'a': {'x': 1}}), 3)
+    assert view.changes_since(8) == Listing(10, {'a': {'x': 1}})
+    assert view.changes_since(6) == ChangeBatch(10, ())
+    view.replace(Listing(14, {'a': {'x': 1}}), 4)
+    view.apply(ChangeBatch(15, ()), 5)
+    assert isinstance(view.changes_since(8), Listing)
+    assert isinstance(view.changes_since(12), Listing)
+    assert view.changes_since(5) == ChangeBatch(15, (Change('a', {'x': 1}),))
+
+
 def test_long_gap_counts_as_outage() -> None:
     """A long gap between confirmations must count as an outage of the store.
 
