Claim each trial of a suspect request in the store

Cause: all ends by fronts that did not know of each other are one round, and after one round each front tried the request once without a claim. The number of trials grew with the fronts.

Evidence: the record of the case shows one trial from each front, each with one round known. Ruled out: lost messages between the fronts, since all of them count the request as suspect before the second wave.

Fix: a trial needs a claim from the first round on. Other fronts wait for its outcome, at most half the latency target, so that a popular request is not refused. A first round that no retry has cleared is recorded in the store, for fronts that start or join. The end of a trial is written again after a conflict with the record of the end. While the store is not available, each front that hears of others tries a request of one round once.

Tests: test_waves_end_few_replicas plays 1 to 24 fronts, requests that may be repeated and that may not, and restarts of one or all fronts between two waves. Its model needs saves that wait for a front's own reading of the store.

--- a/dragonflyramp/backends/_crash_detectors.py
+++ b/dragonflyramp/backends/_crash_detectors.py
@@ -61,7 +61,7 @@
     probe: ReplicaProbe = attrs.field(factory=ConnectProbe)
     #: Returns whether this daemon hears from the store or from other daemons.
     is_informed: Callable[[float], bool] = lambda now_seconds: True
-    #: Called with each crash.
+    #: Called with each crash of which the other daemons are told.
     on_crash: Callable[[Crash], None] = _ignore_crash
     _unanswered: collections.deque[_UnansweredAttempt] = attrs.field(
         factory=lambda: collections.deque(maxlen=_MAX_UNANSWERED)
@@ -94,10 +94,18 @@
             ended_replica=crash.replica_id,
             rounds=crash.suspicion.crash_rounds,
         ).warning('replica ended while it ran a request')
-        self.suspects.record_crash(
+        if self.suspects.record_crash(
             crash.fingerprint, crash.suspicion, now_seconds
-        )
-        self.on_crash(crash)
+        ):
+            self.on_crash(crash)
+
+    def share_first_crash(self, crash: Crash) -> None:
+        """Tell the other daemons of a first round that no retry has cleared."""
+        current = self.suspects.table.find(crash.fingerprint)
+        is_first_round = crash.suspicion.crash_rounds == 1
+        if is_first_round and current.order == crash.suspicion.order:
+            self.suspects.share(crash.fingerprint)
+            self.on_crash(crash)
 
     def remember_unanswered(
         self, attempt: Attempt, crash: Crash, now_seconds: float
@@ -126,4 +134,4 @@
                 self._unanswered.remove(unanswered)
             if is_same_process and is_recent:
                 self.record_crash(unanswered.crash, now_seconds)
-                self.suspects.share(unanswered.crash.fingerprint)
+                self.share_first_crash(unanswered.crash)
--- a/dragonflyramp/backends/_crash_watches.py
+++ b/dragonflyramp/backends/_crash_watches.py
@@ -20,8 +20,8 @@
     #: Whether the request is suspect and is sent to one replica only, to find
     #: out whether it ends replicas.
     is_trial: bool = False
-    #: Whether a replica ended while it ran the request.
-    has_crashed: bool = False
+    #: End of a replica while it ran the request, the last of several.
+    last_crash: Crash | None = None
     #: Whether a replica has answered the request of a trial, or a retry after
     #: an end.
     is_answered: bool = False
@@ -37,12 +37,12 @@
     @property
     def allows_hedges(self) -> bool:
         """Return whether the request may run on several replicas at a time."""
-        return not (self.is_trial or self.has_crashed)
+        return not self.is_trial and self.last_crash is None
 
     def finish(self) -> None:
         """Tell the other daemons of an end that no retry has cleared."""
-        if self.has_crashed:
-            self.detector.suspects.share(self.fingerprint)
+        if self.last_crash is not None:
+            self.detector.share_first_crash(self.last_crash)
 
 
 @attrs.define(eq=False)
@@ -129,7 +129,7 @@
         crash = _create_crash(self._watch, self._service, self._known, attempt)
         if await detector.has_ended(attempt.replica.entry.address):
             self._has_crashed = True
-            self._watch.has_crashed = True
+            self._watch.last_crash = crash
             detector.record_crash(crash, detector.clock())
         else:
             detector.remember_unanswered(attempt, crash, detector.clock())
--- a/dragonflyramp/callers/_suspect_guards.py
+++ b/dragonflyramp/callers/_suspect_guards.py
@@ -1,5 +1,6 @@
 """Decide whether a request that may end replicas is sent."""
 
+import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
 
@@ -15,8 +16,8 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 from dragonflyramp.suspects import (
-    CLAIMED_CRASH_ROUNDS,
     MAX_CRASH_ROUNDS,
+    ClaimOutcome,
     Suspicion,
 )
 
@@ -61,26 +62,56 @@
             # Another request may have changed it in the meantime.
             suspicion = self.detector.suspects.table.find(fingerprint)
             if suspicion.crash_rounds:
-                return await self._try(context, suspicion, execute)
+                answer = await self._try(context, suspicion, execute)
+                if answer is not None:
+                    return answer
+                if not await self._is_cleared(
+                    fingerprint, suspicion, wait_seconds
+                ):
+                    return self._refuse(context, TRIAL_RETRY_AFTER_SECONDS)
         return await self._execute(context, execute)
 
     async def _try(
         self, context: RequestContext, suspicion: Suspicion, execute: Execute
-    ) -> Answer:
-        if suspicion.crash_rounds < CLAIMED_CRASH_ROUNDS:
-            if not self.detector.is_informed(self.detector.clock()):
-                return self._refuse(context, TRIAL_RETRY_AFTER_SECONDS)
-            return await self._execute_trial(context, suspicion, execute)
+    ) -> Answer | None:
+        """Try a suspect request, or refuse it.
+
+        Return None in the first round if another front tries it: a popular
+        request is cleared within a moment.
+        """
         fingerprint = context.crash_watch.fingerprint
+        is_first_round = suspicion.crash_rounds == 1
+        if is_first_round and self.claims.is_tried(fingerprint):
+            return None
         delay_seconds = self.claims.delay_seconds(fingerprint, suspicion)
         if delay_seconds:
             return self._refuse(context, delay_seconds)
-        if not await self.claims.claim(fingerprint, suspicion):
+        claim = await self.claims.claim(fingerprint, suspicion)
+        if is_first_round and claim is ClaimOutcome.taken:
+            return None
+        # Without the store, each front that hears of others tries it once.
+        is_tried_unclaimed = (
+            is_first_round
+            and claim is ClaimOutcome.unavailable
+            and self.detector.is_informed(self.detector.clock())
+        )
+        if claim is not ClaimOutcome.granted and not is_tried_unclaimed:
             return self._refuse(context, TRIAL_RETRY_AFTER_SECONDS)
         answer = await self._execute_trial(context, suspicion, execute)
         self.claims.settle(fingerprint, suspicion, answer)
         return answer
 
+    async def _is_cleared(
+        self, fingerprint: str, suspicion: Suspicion, wait_seconds: float
+    ) -> bool:
+        """Wait for the outcome of a trial of another front."""
+        suspects = self.detector.suspects
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_seconds):
+                while suspects.table.find(fingerprint) == suspicion:
+                    await suspects.changes.wait()
+        return not suspects.table.find(fingerprint).crash_rounds
+
     async def _execute_trial(
         self, context: RequestContext, suspicion: Suspicion, execute: Execute
     ) -> Answer:
--- a/dragonflyramp/callers/_trial_claims.py
+++ b/dragonflyramp/callers/_trial_claims.py
@@ -13,6 +13,7 @@
 from dragonflyramp.runtime import unix_ms
 from dragonflyramp.suspects import (
     MAX_CRASH_ROUNDS,
+    ClaimOutcome,
     LocalSuspectRecords,
     SuspectRecords,
     Suspicion,
@@ -42,6 +43,11 @@
     #: Returns the Unix time in ms.
     wall_clock_ms: Callable[[], int] = unix_ms
 
+    def is_tried(self, fingerprint: str) -> bool:
+        """Return whether a front may try the request now."""
+        record = self.records.find(fingerprint)
+        return record is not None and record.is_tried(self.wall_clock_ms())
+
     def delay_seconds(self, fingerprint: str, suspicion: Suspicion) -> float:
         """Return the time until a trial may be claimed; 0 for now."""
         record = self.records.find(fingerprint)
@@ -58,15 +64,17 @@
         )
         return math.ceil(min(_MAX_RETRY_AFTER_SECONDS, delay_ms / 1000))
 
-    async def claim(self, fingerprint: str, suspicion: Suspicion) -> bool:
-        """Claim a trial; return False if another front may have it."""
+    async def claim(
+        self, fingerprint: str, suspicion: Suspicion
+    ) -> ClaimOutcome:
+        """Claim a trial, which one front gets at a time."""
         versions = self.software_versions(suspicion.service)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_CLAIM_TIMEOUT_SECONDS):
                 return await self.records.claim_trial(
                     fingerprint, suspicion, min(versions, default='')
                 )
-        return False
+        return ClaimOutcome.unavailable
 
     def settle(
         self, fingerprint: str, suspicion: Suspicion, answer: Answer
--- a/dragonflyramp/members/_suspect_records.py
+++ b/dragonflyramp/members/_suspect_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from types import MappingProxyType
 
 import attrs
 from loguru import logger
@@ -11,6 +12,7 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 from dragonflyramp.suspects import (
+    ClaimOutcome,
     SuspectRecord,
     SuspectRecords,
     Suspicion,
@@ -19,15 +21,28 @@
 
 #: Limit on the records; beyond it, suspicions are kept by the daemons only.
 _MAX_RECORDS = 256
+#: With this many records, those of a first round are not added: most belong to
+#: requests that were running when replicas ended by themselves.
+_MAX_FIRST_ROUND_RECORDS = 192
 #: How often the time at which a request was seen is updated in its record.
 _SEEN_INTERVAL_MS = 3_600_000
 #: A record is removed this long after its request was seen; one of a request
 #: that is still tried, sooner.
 _RECORD_TTL_MS = 86_400_000
 _OPEN_RECORD_TTL_MS = 900_000
+_FIRST_ROUND_RECORD_TTL_MS = 120_000
 _MAINTENANCE_INTERVAL_SECONDS = 60
 #: Delays between attempts to save a record while the store is unavailable.
 _SAVE_DELAYS_SECONDS = (0.2, 0.5, 1, 2, 4, 8, 15, 30)
+_END_TRIAL_DELAYS_SECONDS = (0.2, 0.5, 1)
+_CLAIM_OUTCOMES = MappingProxyType(
+    {
+        ResultCode.ok: ClaimOutcome.granted,
+        ResultCode.version_conflict: ClaimOutcome.taken,
+        # Another daemon has cleared the suspicion.
+        ResultCode.object_missing: ClaimOutcome.taken,
+    }
+)
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -64,7 +79,7 @@
                 if known.suspicion.order >= suspicion.order:
                     return
             is_replaced = table.find(fingerprint).order > suspicion.order
-            if is_replaced or not self._has_room(fingerprint):
+            if is_replaced or not self._has_room(fingerprint, suspicion):
                 return
             now_ms = self.wall_clock_ms()
             code = await self.suspect_objects.write(
@@ -80,10 +95,10 @@
 
     async def claim_trial(
         self, fingerprint: str, suspicion: Suspicion, software_version: str
-    ) -> bool:
-        """Claim a trial; return False if another daemon may have one."""
-        if not self._has_room(fingerprint):
-            return False
+    ) -> ClaimOutcome:
+        """Claim a trial, which one daemon gets at a time."""
+        if not self._has_room(fingerprint, suspicion):
+            return ClaimOutcome.unavailable
         record = self.find(fingerprint) or SuspectRecord(suspicion=suspicion)
         if suspicion.order > record.suspicion.order:
             record = attrs.evolve(record, suspicion=suspicion)
@@ -94,16 +109,25 @@
         )
         code = await self.suspect_objects.write(fingerprint, claimed)
         counters.add('suspect_claims', code.name)
-        return code is ResultCode.ok
+        return _CLAIM_OUTCOMES.get(code, ClaimOutcome.unavailable)
 
     async def end_trial(self, fingerprint: str, suspicion: Suspicion) -> None:
-        """Give up the claim of this daemon, and record the suspicion."""
-        record = self.find(fingerprint)
-        if record is not None:
-            await self.suspect_objects.write(
+        """Give up the claim of this daemon, and record the suspicion.
+
+        Repeat it after a conflict with the write that records the end.
+        """
+        for delay_seconds in _END_TRIAL_DELAYS_SECONDS:
+            record = self.find(fingerprint)
+            own_name = self.cluster.own_daemon.name
+            if record is None or record.claimed_by != own_name:
+                return
+            code = await self.suspect_objects.write(
                 fingerprint,
                 attrs.evolve(record, suspicion=suspicion, claimed_by=''),
             )
+            if code is not ResultCode.version_conflict:
+                return
+            await asyncio.sleep(delay_seconds)
 
     async def remove(self, fingerprint: str) -> None:
         """Remove the record of a request that is no longer suspect."""
@@ -119,9 +143,11 @@
             fingerprint, attrs.evolve(record, seen_ms=now_ms)
         )
 
-    def _has_room(self, fingerprint: str) -> bool:
+    def _has_room(self, fingerprint: str, suspicion: Suspicion) -> bool:
         known = self.suspect_objects.by_fingerprint
-        if fingerprint in known or len(known) < _MAX_RECORDS:
+        is_first_round = suspicion.crash_rounds <= 1
+        max_count = _MAX_FIRST_ROUND_RECORDS if is_first_round else _MAX_RECORDS
+        if fingerprint in known or len(known) < max_count:
             return True
         counters.add('suspect_record_failures', 'too_many')
         return False
@@ -151,4 +177,7 @@
 
 
 def _ttl_ms(record: SuspectRecord) -> int:
-    return _OPEN_RECORD_TTL_MS if record.is_open else _RECORD_TTL_MS
+    if not record.is_open:
+        return _RECORD_TTL_MS
+    is_first_round = record.suspicion.crash_rounds <= 1
+    return _FIRST_ROUND_RECORD_TTL_MS if is_first_round else _OPEN_RECORD_TTL_MS
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -14,6 +14,7 @@
     ViewUpdate,
 )
 from dragonflyramp.replica_notices import ReplicaNotices
+from dragonflyramp.runtime import Broadcast
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.suspects import (
     CrashSuspects,
@@ -57,12 +58,11 @@
     slow_replica_detector: SlowReplicaDetector
     replica_notices: ReplicaNotices = attrs.field(factory=ReplicaNotices)
     crash_suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
-    _view_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _view_changes: Broadcast = attrs.field(factory=Broadcast)
 
     def wake_waiting_requests(self) -> None:
         """End the wait of all requests from other daemons."""
-        self._view_changed.set()
-        self._view_changed = asyncio.Event()
+        self._view_changes.wake()
 
     def build_request(
         self,
@@ -117,7 +117,7 @@
         try:
             async with asyncio.timeout(request.wait_seconds):
                 if not self.has_changes_for(request):
-                    await self._view_changed.wait()
+                    await self._view_changes.wait()
                     await asyncio.sleep(request.response_delay_seconds)
         except TimeoutError:
             return
--- a/dragonflyramp/runtime.py
+++ b/dragonflyramp/runtime.py
@@ -120,6 +120,22 @@
         _report_failure(task)
 
 
+@attrs.define(eq=False)
+class Broadcast:
+    """Wake all tasks that wait for the next change."""
+
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def wake(self) -> None:
+        """Wake the tasks that wait now."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait(self) -> None:
+        """Wait for the next change."""
+        await self._changed.wait()
+
+
 @attrs.define(eq=False)
 class Coalescer:
     """Call a function soon after a request for it, once for many requests."""
--- a/dragonflyramp/suspects/__init__.py
+++ b/dragonflyramp/suspects/__init__.py
@@ -8,12 +8,12 @@
 
 from dragonflyramp.suspects._crash_suspects import CrashSuspects
 from dragonflyramp.suspects._records import (
+    ClaimOutcome,
     LocalSuspectRecords,
     SuspectRecord,
     SuspectRecords,
 )
 from dragonflyramp.suspects._suspicions import (
-    CLAIMED_CRASH_ROUNDS,
     MAX_CRASH_ROUNDS,
     NO_SUSPICION,
     Suspicion,
@@ -30,11 +30,11 @@
 )
 
 __all__ = (
-    'CLAIMED_CRASH_ROUNDS',
     'MAX_CRASH_ROUNDS',
     'MAX_REPORTED_SUSPICIONS',
     'NOT_REPORTED_VERSION',
     'NO_SUSPICION',
+    'ClaimOutcome',
     'CrashSuspects',
     'LocalSuspectRecords',
     'SuspectRecord',
--- a/dragonflyramp/suspects/_crash_suspects.py
+++ b/dragonflyramp/suspects/_crash_suspects.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from dragonflyramp.runtime import Broadcast
 from dragonflyramp.suspects._suspicions import (
     Suspicion,
     SuspicionReport,
@@ -23,18 +24,24 @@
     #: Called when the other daemons have to be told.
     on_change: Callable[[], None] = _ignore_change
     table: SuspicionTable = attrs.field(factory=SuspicionTable)
+    #: Wakes tasks that wait for a change of any suspicion.
+    changes: Broadcast = attrs.field(factory=Broadcast)
 
     def record_crash(
         self, fingerprint: str, suspicion: Suspicion, now_seconds: float
-    ) -> None:
+    ) -> bool:
         """Record an end of a replica, with the suspicion that follows.
 
-        Other daemons are not told of the first round, because a retry may
-        clear it at once; `share` tells them.
+        Return whether the other daemons are told: not of the first round,
+        because a retry may clear it at once; `share` tells them.
         """
-        self.table.update(fingerprint, suspicion, now_seconds)
-        if suspicion.crash_rounds > 1:
-            self.share(fingerprint)
+        is_news = self.table.update(fingerprint, suspicion, now_seconds)
+        self.changes.wake()
+        if not is_news or suspicion.crash_rounds == 1:
+            return False
+        self.table.share(fingerprint)
+        self.on_change()
+        return True
 
     def share(self, fingerprint: str) -> None:
         """Tell the other daemons of a suspicion that no retry has cleared."""
@@ -49,6 +56,7 @@
         if not self.table.discard_unshared(fingerprint):
             self.table.update(fingerprint, suspicion.cleared(), now_seconds)
             self.on_change()
+        self.changes.wake()
 
     def apply_report(self, report: SuspicionReport, now_seconds: float) -> None:
         """Apply the report of another daemon."""
@@ -78,3 +86,4 @@
             self.table.share(fingerprint)
         if news:
             self.on_change()
+            self.changes.wake()
--- a/dragonflyramp/suspects/_records.py
+++ b/dragonflyramp/suspects/_records.py
@@ -4,6 +4,7 @@
 try a suspect request while all others refuse it.
 """
 
+import enum
 import math
 from collections.abc import Set as AbstractSet
 from typing import Protocol
@@ -84,6 +85,16 @@
         )
 
 
+class ClaimOutcome(enum.Enum):
+    """Outcome of a claim of a trial."""
+
+    granted = 'granted'
+    #: Another daemon has claimed it, or may have.
+    taken = 'taken'
+    #: The store is not available, or has no room for a record.
+    unavailable = 'unavailable'
+
+
 class SuspectRecords(Protocol):
     """Records of suspect requests that all daemons share."""
 
@@ -97,8 +108,8 @@
 
     async def claim_trial(
         self, fingerprint: str, suspicion: Suspicion, software_version: str
-    ) -> bool:
-        """Claim a trial; return False if another daemon may have one."""
+    ) -> ClaimOutcome:
+        """Claim a trial, which one daemon gets at a time."""
 
     async def end_trial(self, fingerprint: str, suspicion: Suspicion) -> None:
         """Give up the claim of this daemon, and record the suspicion."""
@@ -123,9 +134,11 @@
 
     async def claim_trial(
         self, fingerprint: str, suspicion: Suspicion, software_version: str
-    ) -> bool:
-        """Return whether the request is below the limit of rounds."""
-        return suspicion.crash_rounds < MAX_CRASH_ROUNDS
+    ) -> ClaimOutcome:
+        """Grant a trial below the limit of rounds."""
+        if suspicion.crash_rounds < MAX_CRASH_ROUNDS:
+            return ClaimOutcome.granted
+        return ClaimOutcome.unavailable
 
     async def end_trial(self, fingerprint: str, suspicion: Suspicion) -> None:
         """Do nothing."""
--- a/dragonflyramp/suspects/_suspicions.py
+++ b/dragonflyramp/suspects/_suspicions.py
@@ -12,9 +12,6 @@
 
 #: A request that ended replicas in this many rounds is not sent any more.
 MAX_CRASH_ROUNDS = 3
-#: From this many rounds on, a trial is claimed in the store, so that at most
-#: one daemon tries the request at a time.
-CLAIMED_CRASH_ROUNDS = 2
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/suspects/_tables.py
+++ b/dragonflyramp/suspects/_tables.py
@@ -5,7 +5,6 @@
 import attrs
 
 from dragonflyramp.suspects._suspicions import (
-    CLAIMED_CRASH_ROUNDS,
     NO_SUSPICION,
     Suspicion,
     SuspicionReport,
@@ -129,9 +128,10 @@
 def expire_suspicions(table: SuspicionTable, now_seconds: float) -> None:
     """Drop suspicions of requests that have not come again."""
     for fingerprint, entry in tuple(table.entries.items()):
-        ttl_seconds = _TTL_SECONDS
-        if entry.suspicion.crash_rounds < CLAIMED_CRASH_ROUNDS:
-            ttl_seconds = _FIRST_ROUND_TTL_SECONDS
+        is_first_round = entry.suspicion.crash_rounds <= 1
+        ttl_seconds = (
+            _FIRST_ROUND_TTL_SECONDS if is_first_round else _TTL_SECONDS
+        )
         is_expired = now_seconds - entry.touched_at_seconds > ttl_seconds
         if is_expired and fingerprint not in table.stored:
             table.entries.pop(fingerprint)
--- a/dragonflyramp/tools/_suspect_components.py
+++ b/dragonflyramp/tools/_suspect_components.py
@@ -15,7 +15,6 @@
 )
 from dragonflyramp.runtime import Coalescer, unix_ms
 from dragonflyramp.stores import KeyedStore
-from dragonflyramp.suspects import CLAIMED_CRASH_ROUNDS
 from dragonflyramp.tools._front_views import ChangeDispatcher
 
 
@@ -59,13 +58,12 @@
     detector.is_informed = functools.partial(is_informed, synchronizer)
 
     def save(crash: Crash) -> None:  # noqa: WPS430 - closes over the records
-        if crash.suspicion.crash_rounds >= CLAIMED_CRASH_ROUNDS:
-            detector.tasks.start(
-                records.save(
-                    crash.fingerprint, crash.suspicion, crash.software_version
-                ),
-                'suspect_record',
-            )
+        detector.tasks.start(
+            records.save(
+                crash.fingerprint, crash.suspicion, crash.software_version
+            ),
+            'suspect_record',
+        )
 
     detector.on_crash = save
 
--- a/tests/suspect_models.py
+++ b/tests/suspect_models.py
@@ -35,7 +35,6 @@
 from dragonflyramp.results import ResultCode
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.suspects import (
-    CLAIMED_CRASH_ROUNDS,
     CrashSuspects,
     report_after,
 )
@@ -116,7 +115,9 @@
             probe=_refuse_connection,
             is_informed=lambda now_seconds: self.is_informed,
         )
-        self.detector.on_crash = functools.partial(world.save_crash, records)
+        self.detector.on_crash = functools.partial(
+            world.save_crash, self, records
+        )
         self.claims = TrialClaims(
             detector=self.detector,
             records=records,
@@ -124,10 +125,12 @@
         )
         self._guard = SuspectGuard(detector=self.detector, claims=self.claims)
 
-    async def send(self, path: str, replica_ends: list[bool]) -> Answer:
+    async def send(
+        self, path: str, replica_ends: list[bool], *, needs_retry: bool = True
+    ) -> Answer:
         """Send a request; the list says which attempts end their replicas."""
         request = make_request(path=f'/{path}')
-        route = make_route()
+        route = make_route(target_ms=self._world.target_ms)
         context = RequestContext(
             request=request,
             route=route,
@@ -138,13 +141,20 @@
             crash_watch=CrashWatch(detector=self.detector, request=request),
         )
         answer = await self._guard.run(
-            context, functools.partial(self._execute, replica_ends)
+            context,
+            functools.partial(
+                self._execute, replica_ends, needs_retry=needs_retry
+            ),
         )
         await self.detector.tasks.wait()
         return answer
 
     async def _execute(
-        self, replica_ends: list[bool], context: RequestContext
+        self,
+        replica_ends: list[bool],
+        context: RequestContext,
+        *,
+        needs_retry: bool,
     ) -> Answer:
         watch = context.crash_watch
         retries = CrashRetries(watch, 'a', watch.suspicion)
@@ -159,7 +169,7 @@
                 break
             retries.record_lost(_ATTEMPT)
             if not await retries.allows_next(
-                needs_retry=True, deadline_at_seconds=math.inf
+                needs_retry=needs_retry, deadline_at_seconds=math.inf
             ):
                 break
         retries.release()
@@ -182,31 +192,33 @@
 )
 
 
-class World:
+class World:  # noqa: WPS230 - the state of a whole deployment
     """Fronts, the store, the time, and what reached the replicas."""
 
-    def __init__(self) -> None:
+    def __init__(self, front_count: int = FRONT_COUNT) -> None:
         """Start fronts that have read an empty store."""
         self.model_store = ModelStore()
+        #: Latency target, which bounds the wait for a trial elsewhere.
+        self.target_ms: float = 2
         self.now_ms = 1_000_000_000_000
-        self.pending_saves: list[Any] = []
+        self.pending_saves: list[tuple[ModelFront, Any]] = []
         self.crash_count = 0
         #: Arrivals after the limit, from fronts that are informed.
         self.later_arrival_count = 0
         self.fronts = [
-            ModelFront(f'front-{index}', self) for index in range(FRONT_COUNT)
+            ModelFront(f'front-{index}', self) for index in range(front_count)
         ]
         for front in self.fronts:
             self.read_store(front)
 
-    def save_crash(self, records: StoredSuspectRecords, crash: Crash) -> None:
+    def save_crash(
+        self, front: ModelFront, records: StoredSuspectRecords, crash: Crash
+    ) -> None:
         """Save a crash as a front does."""
-        if crash.suspicion.crash_rounds >= CLAIMED_CRASH_ROUNDS:
-            self.pending_saves.append(
-                functools.partial(
-                    records.save, crash.fingerprint, crash.suspicion, ''
-                )
-            )
+        save = functools.partial(
+            records.save, crash.fingerprint, crash.suspicion, ''
+        )
+        self.pending_saves.append((front, save))
 
     def clock(self) -> float:
         """Return the monotonic time in seconds."""
@@ -232,9 +244,21 @@
                     self.exchange(sender, receiver)
 
     async def complete_saves(self) -> None:
-        """Complete the writes under way, unless the store is down."""
-        while self.pending_saves and not self.model_store.is_down:
-            await self.pending_saves.pop(0)()
+        """Complete the writes under way, unless the store is down.
+
+        A front that is cut off from the store completes them later.
+        """
+        if self.model_store.is_down:
+            return
+        pending = self.pending_saves
+        self.pending_saves = []
+        for front, save in pending:
+            if front.is_informed:
+                # A front in a conflict waits until it has read the record.
+                self.read_store(front)
+                await save()
+            else:
+                self.pending_saves.append((front, save))
 
     def read_store(self, front: ModelFront) -> None:
         """Let a front read all records."""
--- a/tests/test_suspect_model.py
+++ b/tests/test_suspect_model.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import contextlib
+import math
 from typing import Any
 
+import pytest
 from hypothesis import settings, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -151,6 +153,76 @@
         self.runner.run(self.world.deliver_messages())
 
 
+async def _send_wave(world: World, *, needs_retry: bool) -> None:
+    """Send the crashing request at all fronts at once."""
+    async with asyncio.TaskGroup() as sending:
+        for front in world.fronts:
+            sending.create_task(
+                front.send(_CRASHING, [True], needs_retry=needs_retry)
+            )
+    await world.deliver_messages()
+
+
+@pytest.mark.parametrize('front_count', [1, 3, 6, 24])
+@pytest.mark.parametrize('needs_retry', [False, True])
+@pytest.mark.parametrize('restarts', [None, 1, math.inf])
+async def test_waves_end_few_replicas(
+    front_count: int,
+    needs_retry: bool,  # noqa: FBT001
+    restarts: float | None,
+) -> None:
+    """More fronts must not end more replicas after the first wave.
+
+    The request comes to all fronts at once, and again, at first while each
+    knows of its own end only. Fronts restart between two waves.
+    """
+    world = World(front_count)
+    await _send_wave(world, needs_retry=needs_retry)
+    first_count = world.crash_count
+    for _ in range(5):
+        if restarts is not None:
+            for index in range(min(front_count, int(min(restarts, 99)))):
+                world.fronts[index] = ModelFront(f'front-{index}', world)
+            await world.deliver_messages()
+        await _send_wave(world, needs_retry=needs_retry)
+    assert world.crash_count - first_count <= _MAX_LATER_ARRIVALS - 1
+
+
+async def test_first_round_is_cleared_for_all_fronts() -> None:
+    """A request that ends no replica must be served by all fronts at once.
+
+    Replicas ended by themselves while they ran it, at several fronts. One
+    front tries it, and the others wait for the outcome.
+    """
+    world = World(6)
+    world.target_ms = 20_000
+    for crashed_front in world.fronts[:3]:
+        await crashed_front.send(_INNOCENT, [True], needs_retry=False)
+    await world.deliver_messages()
+    async with asyncio.TaskGroup() as sending:
+        tasks = [
+            sending.create_task(front.send(_INNOCENT, [False]))
+            for front in world.fronts
+        ]
+        await asyncio.sleep(0.05)
+        await world.deliver_messages()
+    assert all(isinstance(task.result(), RelayedAnswer) for task in tasks)
+
+
+async def test_first_round_without_store_is_tried() -> None:
+    """An outage of the store must not make popular requests fail.
+
+    Each front tries the request once until it is cleared.
+    """
+    world = World(3)
+    await world.fronts[0].send(_INNOCENT, [True], needs_retry=False)
+    world.model_store.is_down = True
+    await world.deliver_messages()
+    for front in world.fronts:
+        answer = await front.send(_INNOCENT, [False])
+        assert isinstance(answer, RelayedAnswer)
+
+
 def test_suspicions_hold_under_faults() -> None:
     """No fault between the fronts may send a blocked request on again."""
     with contextlib.ExitStack() as cleanup:
