Log the names of changed objects instead of their versions

Cause: the log of changes that a view keeps for other daemons was bounded by 512 changes of any size, and a change holds the whole object.

Evidence: the memory that 300 versions of a large object leave behind (test_log_of_changes_is_bounded_in_bytes, which failed before).

Fix: the log holds names and revisions, bounded in number and bytes; the content is in the view. A daemon that lags gets the last change of each object, or a listing, as before. Counts that were trimmed only when somebody asked (budgets, sends to cold replicas) are trimmed as they are added, and what is kept by name (ranks, latencies, budgets, splits) has a limit (test_counts_that_nobody_reads_are_bounded failed before).

--- a/dragonflyramp/backends/_budgets.py
+++ b/dragonflyramp/backends/_budgets.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from dragonflyramp.bounded_maps import drop_oldest
 from dragonflyramp.rendezvous import rendezvous_hash
 
 #: Share of the budget that daemons spend. The rest is a margin, because a
@@ -15,6 +16,9 @@
 _HEDGE_SHARE = 0.9
 #: Requests are counted in buckets of this length.
 _BUCKET_SECONDS = 0.5
+#: Limit on the services whose budgets are kept, those of earlier configurations
+#: included.
+_MAX_SERVICES = 16_384
 
 
 @attrs.frozen(kw_only=True)
@@ -62,6 +66,7 @@
             or now_seconds - last.started_at_seconds > _BUCKET_SECONDS
         ):
             last = _Bucket(now_seconds)
+            self._expire(now_seconds - self._bounds.window_seconds)
             self._buckets.append(last)
         last.request_count += 1
 
@@ -138,6 +143,7 @@
         if budget is None:
             budget = Budget(self._bounds)
             self._by_service[service] = budget
+            drop_oldest(self._by_service, _MAX_SERVICES)
         return budget
 
     def min_remaining_share(
--- a/dragonflyramp/backends/_cold_limits.py
+++ b/dragonflyramp/backends/_cold_limits.py
@@ -32,6 +32,8 @@
                 replica.entry.replica_id, []
             )
             send_times.append(now_seconds)
+            while now_seconds - send_times[0] >= _COLD_RATE_WINDOW_SECONDS:
+                send_times.pop(0)
 
     def allows(
         self,
--- a/dragonflyramp/backends/_latencies.py
+++ b/dragonflyramp/backends/_latencies.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from dragonflyramp.bounded_maps import drop_oldest
 from dragonflyramp.routes import Route
 
 #: Enough samples for quantiles up to the 95th percentile, which includes the
@@ -18,6 +19,9 @@
 _INITIAL_TYPICAL_SHARE = 0.2
 _TYPICAL_QUANTILE = 0.5
 _TAIL_QUANTILE = 0.93
+#: Limit on the routes whose latencies are kept, those of earlier
+#: configurations included.
+_MAX_ROUTES = 1024
 
 
 @attrs.define(eq=False)
@@ -66,4 +70,5 @@
         if latencies is None:
             latencies = RouteLatencies(route.target_ms)
             self._by_route[route.name] = latencies
+            drop_oldest(self._by_route, _MAX_ROUTES)
         return latencies
--- a/dragonflyramp/callers/_traffic_splits.py
+++ b/dragonflyramp/callers/_traffic_splits.py
@@ -2,8 +2,12 @@
 
 import attrs
 
+from dragonflyramp.bounded_maps import drop_oldest
 from dragonflyramp.routes import Route, WeightedService
 
+#: Limit on the splits that are kept, those of earlier configurations included.
+_MAX_SPLITS = 1024
+
 
 @attrs.define(eq=False)
 class WeightedRoundRobin:
@@ -25,6 +29,7 @@
         current_weights = self._current_weights.setdefault(
             split, [0 for _ in split]
         )
+        drop_oldest(self._current_weights, _MAX_SPLITS)
         total_weight = sum(
             weighted_service.weight for weighted_service in split
         )
--- a/dragonflyramp/members/_clusters.py
+++ b/dragonflyramp/members/_clusters.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from dragonflyramp.bounded_maps import drop_oldest
 from dragonflyramp.members._memberships import Daemon, Membership
 from dragonflyramp.rendezvous import rendezvous_hash
 
@@ -33,6 +34,8 @@
 #: A daemon counts as isolated if it receives no response for the wait of a
 #: request to its primary hub plus this margin.
 _ISOLATION_MARGIN_SECONDS = 1.5
+#: Limit on the ranks that are kept. Keys are services and replicas.
+_MAX_RANKS = 16_384
 
 
 @attrs.define(eq=False)
@@ -108,6 +111,7 @@
                 for daemon in self.membership.hub_order()
             )
             self._ranks[key] = rank
+            drop_oldest(self._ranks, _MAX_RANKS)
         return rank
 
     def hubs(self) -> list[Daemon]:
--- a/dragonflyramp/suspects/_suspicions.py
+++ b/dragonflyramp/suspects/_suspicions.py
@@ -12,6 +12,8 @@
 
 #: A request that ended replicas in this many rounds is not sent any more.
 MAX_CRASH_ROUNDS = 3
+#: Longer ids of callers are cut off.
+_MAX_ID_CHARS = 128
 
 
 @attrs.frozen(kw_only=True)
@@ -36,7 +38,7 @@
         """Return the suspicion after one more round."""
         return Suspicion(
             service=service,
-            request_id=request_id,
+            request_id=request_id[:_MAX_ID_CHARS],
             clear_count=self.clear_count,
             crash_rounds=self.crash_rounds + 1,
         )
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -38,7 +38,7 @@
 
 @attrs.define(eq=False)
 class View:
-    """Local copy of the objects of one kind, with a log of recent changes."""
+    """Local copy of the objects of one kind, with a log of what changed."""
 
     kind: str
     revision: int = 0
@@ -103,23 +103,28 @@
         names = set()
         for change in changes.changes:
             names.add(change.name)
+            self._change_log.add(change.name, changes.revision)
             apply_change(self.objects_by_name, change)
         self.revision = changes.revision
         if names:
             self.last_change_revision = changes.revision
-        self._change_log.add(changes)
         self._confirm(confirmed_at_seconds)
         return names
 
     def changes_since(self, revision: int) -> ChangeBatch | Listing:
-        """Return the changes after a revision.
+        """Return the last change of each object after a revision.
 
         Return a listing if the log does not reach back to the revision.
         """
-        changes = self._change_log.changes_since(revision)
-        if changes is None:
+        names = self._change_log.names_since(revision)
+        if names is None:
             return Listing(self.revision, self.objects_by_name)
-        return ChangeBatch(self.revision, changes)
+        return ChangeBatch(
+            self.revision,
+            tuple(
+                Change(name, self.objects_by_name.get(name)) for name in names
+            ),
+        )
 
     def _confirm(self, confirmed_at_seconds: float) -> None:
         if confirmed_at_seconds <= self.confirmed_at_seconds:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,7 @@
 """Test the policies: selection, budget, hedging, cutoff and limits."""
 
 import random
+import tracemalloc
 
 import attrs
 import pytest
@@ -239,6 +240,24 @@
     return Budget(BudgetBounds(ratio=0.2, window_seconds=10, slack=slack))
 
 
+def test_counts_that_nobody_reads_are_bounded() -> None:
+    """Counts that nobody reads must not grow with the time.
+
+    Budgets are read for extra requests only, and cold limits only where the
+    configuration has one.
+    """
+    budget = Budget(BudgetBounds(ratio=0.2, window_seconds=10, slack=5))
+    limiter = ColdReplicaLimiter()
+    replica = _replica(cold_remaining_ms=1e9)
+    tracemalloc.start()
+    for number in range(20_000):
+        budget.record_request(float(number))
+        limiter.record_send(replica, float(number))
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < 20_000
+
+
 @given(
     st.lists(
         st.tuples(st.floats(0, 0.5), st.booleans(), st.booleans()),
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import tracemalloc
 from collections.abc import AsyncIterator
 
 import attrs
@@ -114,11 +115,40 @@
     assert view.changes_since(5) == ChangeBatch(6, (Change('b', {}),))
     assert view.changes_since(4) == Listing(6, {'a': {}, 'b': {}})
     for revision in range(7, 600):
-        view.apply(ChangeBatch(revision, (Change('c', {}),)), 3)
+        view.apply(ChangeBatch(revision, (Change(f'c{revision}', {}),)), 3)
     assert isinstance(view.changes_since(6), Listing)
     assert isinstance(view.changes_since(598), ChangeBatch)
 
 
+def test_log_of_long_names_is_bounded() -> None:
+    """Another writer's objects with long names must not fill the memory."""
+    view = View(_ENTRIES_KIND)
+    view.replace(Listing(5, {}), 1)
+    for revision in range(6, 26):
+        name = str(revision).zfill(8192)
+        view.apply(ChangeBatch(revision, (Change(name, {}),)), 3)
+    assert isinstance(view.changes_since(6), Listing)
+    assert isinstance(view.changes_since(24), ChangeBatch)
+
+
+def test_log_of_changes_is_bounded_in_bytes() -> None:
+    """Large objects that change often must not fill the memory.
+
+    The configuration is one object and may have a megabyte. A log of its
+    versions ended the processes of fronts.
+    """
+    view = View('config')
+    view.replace(Listing(1, {}), 1)
+    tracemalloc.start()
+    for revision in range(2, 302):
+        fields = {'routes': [f'{revision}-{index}' for index in range(2000)]}
+        view.apply(ChangeBatch(revision, (Change('main', fields),)), 2)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < 1_000_000
+    assert view.changes_since(2) == ChangeBatch(301, (Change('main', fields),))
+
+
 def test_relisting_hides_no_change() -> None:
     """A daemon that knows an object of the meantime must learn of its end.
 
