Bound the memory and the work that endless bytes take

Operators of a similar system saw: a replica sent bytes without end, the machine that had called it ran out of memory, and the requests of other callers ended with it (LOST).

Cause: the limit counted the received bytes of one reply. The sum over all connections, the size once parsed and the processor time had no limit; trailers were kept as headers.

Fix: trailers are not kept, and headers, calls of the parser and the framing of a body have limits that hold while a block is parsed. ReplyMemory bounds the sum of the replies that are being received, and gives up the largest; BodyMemory does so for the bodies of callers' requests, and refuses the one that grows. JSON texts of the store and of other daemons are not parsed beyond 400,000 values, and changes that are too large are listed instead.

Not fixed: the processor time of interim replies, tiny chunks and chunk extensions from the store, which aiohttp parses; complete replies that wait for slow callers.

--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -30,6 +30,7 @@
 _protocols_http   requests and replies on one connection
 _readers_http     parser of one reply
 _reply_matchers   which request of a connection a reply answers
+_reply_memory     limit on the memory of all replies that are being received
 """
 
 from dragonflyramp.backends._budgets import Budget, BudgetBounds, Budgets
@@ -65,6 +66,7 @@
 from dragonflyramp.backends._probes import ProbeOutcome, ReplicaProbe
 from dragonflyramp.backends._replica_orders import ReplicaOrder
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
+from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.backends._requests import AttemptRecord, FetchResult
 from dragonflyramp.backends._selectors import (
     LowestLatencySelector,
@@ -101,6 +103,7 @@
     'Replica',
     'ReplicaOrder',
     'ReplicaProbe',
+    'ReplyMemory',
     'RequestContext',
     'RouteLatencies',
     'apply_peer_latency_ratios',
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -13,6 +13,7 @@
 from dragonflyramp.backends._protocols_http import ReplyProtocol
 from dragonflyramp.backends._readers_http import RawReply
 from dragonflyramp.backends._reply_matchers import ReplyMatcher, can_identify
+from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 
@@ -45,10 +46,11 @@
         codec: Codec,
         clock: Clock,
         hooks: 'ConnectionHooks',
+        memory: ReplyMemory,
         on_closed: Callable[[], None],
     ) -> None:
         """Create a channel that is not open."""
-        self.protocol = ReplyProtocol(on_closed)
+        self.protocol = ReplyProtocol(on_closed, memory)
         #: Monotonic time until which the idle connection may be used.
         self.usable_until_seconds: float = 0
         self._address = address
@@ -56,6 +58,8 @@
         self._clock = clock
         self._hooks = hooks
         self.matcher = ReplyMatcher()
+        #: The reply that was decoded last.
+        self._decoded: tuple[RawReply, Reply] | None = None
 
     async def open(self) -> bool:
         """Connect to the server; return False if that fails."""
@@ -103,10 +107,14 @@
         return Outcome(kind)
 
     def _decode(self, raw: RawReply) -> Reply:
-        return self._codec.decode(raw.status, raw.headers, bytes(raw.body))
+        if self._decoded is None or self._decoded[0] is not raw:
+            reply = self._codec.decode(raw.status, raw.headers, bytes(raw.body))
+            self._decoded = (raw, reply)
+        return self._decoded[1]
 
     def _handle_reply(self, raw: RawReply) -> Outcome:
         reply = self._decode(raw)
+        self._decoded = None
         self._hooks.on_reply(reply, self._clock())
         if not self.matcher.accept(reply):
             counters.add('backend_faults', 'reply_of_another_request')
@@ -153,7 +161,12 @@
     """Connection to a replica; its task `run` executes queued exchanges."""
 
     def __init__(
-        self, address: str, hooks: ConnectionHooks, codec: Codec, clock: Clock
+        self,
+        address: str,
+        hooks: ConnectionHooks,
+        codec: Codec,
+        clock: Clock,
+        memory: ReplyMemory | None = None,
     ) -> None:
         """Create a connection that `run` opens."""
         self._hooks = hooks
@@ -161,7 +174,12 @@
         self._queue: asyncio.Queue[Exchange | None] = asyncio.Queue()
         self._current: Exchange | None = None
         self._channel = _HttpChannel(
-            address, codec, clock, hooks, lambda: self._queue.put_nowait(None)
+            address,
+            codec,
+            clock,
+            hooks,
+            memory or ReplyMemory(),
+            lambda: self._queue.put_nowait(None),
         )
 
     def is_usable(self, now_seconds: float) -> bool:
--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/backends/_protocols_http.py
@@ -7,6 +7,7 @@
 
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._readers_http import IsCopy, ReplyReader
+from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.metrics import counters
 
 
@@ -18,9 +19,12 @@
     the next request.
     """
 
-    def __init__(self, on_closed: Callable[[], None]) -> None:
+    def __init__(
+        self, on_closed: Callable[[], None], memory: ReplyMemory
+    ) -> None:
         """Create the protocol; `on_closed` is called once, when it closes."""
         self.is_open = False
+        self._memory = memory
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._reader: ReplyReader | None = None
@@ -63,7 +67,9 @@
         self, encoded: bytes, *, is_head: bool, is_copy: IsCopy
     ) -> ReplyReader:
         """Write a request and return the reader of its reply."""
-        reader = ReplyReader(is_head=is_head, is_copy=is_copy)
+        reader = ReplyReader(
+            is_head=is_head, is_copy=is_copy, memory=self._memory
+        )
         self._reader = reader
         assert self._transport is not None
         self._transport.write(encoded)
--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -8,13 +8,23 @@
 
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._reply_matchers import is_cut_by_status_line
+from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.metrics import counters
 
 #: Limit on all bytes of a reply, with interim ones and the framing of chunks.
 #: Those of backend servers have a few kilobytes.
 _MAX_REPLY_BYTES = 4 * 1024 * 1024
-#: Limit on all bytes before the body, with interim replies.
+#: Limit on all bytes before the body, with interim replies. The framing of the
+#: body may have as many, and one byte for each of the body.
 _MAX_HEAD_BYTES = 65_536
+_MAX_HEADERS = 256
+#: Limit on the headers, trailers, interim replies and pieces of the body in a
+#: reply; larger bodies may have one more piece for so many bytes. Each takes a
+#: call from the parser, and other requests wait meanwhile.
+_MAX_STEPS = 2048
+_MIN_PIECE_BYTES = 64
+#: Memory of a header besides its text.
+_HEADER_BYTES = 200
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
 #: Limit on late copies of earlier replies before the reply.
@@ -47,6 +57,10 @@
     return False
 
 
+class _LimitError(Exception):
+    """Raised in a callback of the parser to end a reply."""
+
+
 class _ReplyBuilder:
     """Build the first final reply that is no copy of an earlier one."""
 
@@ -56,19 +70,28 @@
         self.parser = httptools.HttpResponseParser(self)
         self.has_head = False
         self.copy_count = 0
+        #: Memory of the headers so far.
+        self.header_bytes = 0
+        self._step_count = 0
         self._is_head = is_head
         self._is_copy = is_copy
 
     def on_message_begin(self) -> None:
         """Mark bytes of a second reply as unexpected."""
+        self._count_step()
         self.raw.has_unexpected_bytes = self.raw.is_complete
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Add a header of the reply."""
-        if not self.raw.is_complete:
-            self.raw.headers.append(
-                (name.decode('latin-1'), value.decode('latin-1'))
-            )
+        """Add a header of the reply; ignore a trailer."""
+        self._count_step()
+        if self.has_head or self.raw.is_complete:
+            return
+        if len(self.raw.headers) >= _MAX_HEADERS:
+            raise _LimitError
+        self.raw.headers.append(
+            (name.decode('latin-1'), value.decode('latin-1'))
+        )
+        self.header_bytes += len(name) + len(value) + _HEADER_BYTES
 
     def on_headers_complete(self) -> None:
         """Determine how the body ends."""
@@ -89,6 +112,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body."""
+        self._count_step()
         if not self.raw.is_complete:
             self.raw.body.extend(body)
 
@@ -103,16 +127,30 @@
             self.copy_count += 1
             self.raw = RawReply()
             self.has_head = False
+            self.header_bytes = 0
+
+    def _count_step(self) -> None:
+        self._step_count += 1
+        max_steps = _MAX_STEPS + len(self.raw.body) // _MIN_PIECE_BYTES
+        if self._step_count > max_steps:
+            raise _LimitError
 
 
 class ReplyReader:
     """Read one reply incrementally; `outcome_kind` is set at its end."""
 
-    def __init__(self, *, is_head: bool, is_copy: IsCopy = _is_no_copy) -> None:
+    def __init__(
+        self,
+        *,
+        is_head: bool,
+        is_copy: IsCopy = _is_no_copy,
+        memory: ReplyMemory | None = None,
+    ) -> None:
         """Create the reader; a reply to HEAD has no body.
 
         Replies for which `is_copy` returns True are skipped.
         """
+        self._memory = memory or ReplyMemory()
         loop = asyncio.get_running_loop()
         self.outcome_kind: asyncio.Future[OutcomeKind] = loop.create_future()
         self._builder = _ReplyBuilder(is_head=is_head, is_copy=is_copy)
@@ -129,23 +167,27 @@
 
         A reply that passes a limit is garbled.
         """
+        if self.outcome_kind.done():
+            return
         self._received_bytes += len(received)
         copy_count = self._builder.copy_count
         # A status line that was sent into the body may begin in earlier bytes.
-        stream = bytes(self.raw.body[-_CONTEXT_BYTES:]) + received
+        context = self.raw.body[-_CONTEXT_BYTES:]
         try:
             self._builder.parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.raw.has_unexpected_bytes = True
         if self._builder.copy_count > copy_count:
             self._received_bytes = 0
+        self._memory.hold(self, _held_bytes(self._builder))
         if self.raw.is_complete:
-            self.finish(self._complete_kind(stream))
+            self.finish(self._complete_kind(bytes(context + received)))
         elif self.raw.has_unexpected_bytes:
             self.finish(OutcomeKind.garbled)
-        elif (
-            self._received_bytes > self._max_bytes()
-            or self._builder.copy_count > _MAX_COPIES
+        elif self._builder.copy_count > _MAX_COPIES or _is_too_large(
+            self._received_bytes,
+            len(self.raw.body),
+            has_head=self._builder.has_head,
         ):
             counters.add('backend_faults', 'too_large')
             self.finish(OutcomeKind.garbled)
@@ -158,9 +200,16 @@
 
     def finish(self, kind: OutcomeKind) -> None:
         """Set the outcome kind; a later one is ignored."""
+        self._memory.release(self)
         if not self.outcome_kind.done():
             self.outcome_kind.set_result(kind)
 
+    def discard(self) -> None:
+        """Give up the reply, and free its memory."""
+        self.raw.body.clear()
+        self.raw.headers.clear()
+        self.finish(OutcomeKind.garbled)
+
     def _complete_kind(self, stream: bytes) -> OutcomeKind:
         """Return the kind of a complete reply that ends in received bytes.
 
@@ -172,9 +221,22 @@
         )
         return OutcomeKind.garbled if is_mixed else OutcomeKind.replied
 
-    def _max_bytes(self) -> int:
-        has_head = self._builder.has_head
-        return _MAX_REPLY_BYTES if has_head else _MAX_HEAD_BYTES
+
+def _held_bytes(builder: _ReplyBuilder) -> int:
+    return builder.header_bytes + len(builder.raw.body)
+
+
+def _is_too_large(
+    received_bytes: int, body_bytes: int, *, has_head: bool
+) -> bool:
+    """Return whether a reply passes the limits on its bytes."""
+    max_framing_bytes = _MAX_HEAD_BYTES
+    if has_head:
+        max_framing_bytes += _MAX_HEAD_BYTES + body_bytes
+    return (
+        received_bytes > _MAX_REPLY_BYTES
+        or received_bytes - body_bytes > max_framing_bytes
+    )
 
 
 def _has_length(raw: RawReply) -> bool:
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -31,7 +31,7 @@
     ViewSynchronizer,
 )
 from dragonflyramp.metrics import counters
-from dragonflyramp.object_limits import DECODE_ERRORS
+from dragonflyramp.object_limits import DECODE_ERRORS, has_few_values
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.views import Fields
 
@@ -61,12 +61,13 @@
 _COMPRESSION_THRESHOLD_BYTES = 512
 #: Bounds the memory that a message takes. A longer one is cut off here and
 #: then rejected, because it is no longer valid JSON.
-_MAX_DECOMPRESSED_BYTES = 6 * _MAX_MESSAGE_BYTES
+_MAX_DECOMPRESSED_BYTES = 16_777_216
+#: Requests have samples, notices and suspicions, but no objects.
+_MAX_REQUEST_BYTES = 1_048_576
 #: The fastest level of zlib.
 _COMPRESSION_LEVEL = 1
 
 _OPTIONS = (
-    ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
     ('grpc.max_send_message_length', _MAX_MESSAGE_BYTES),
     ('grpc.initial_reconnect_backoff_ms', 200),
     ('grpc.min_reconnect_backoff_ms', 500),
@@ -74,6 +75,14 @@
     ('grpc.enable_http_proxy', 0),
     ('grpc.so_reuseport', 0),
 )
+_CLIENT_OPTIONS = (
+    ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
+    *_OPTIONS,
+)
+_SERVER_OPTIONS = (
+    ('grpc.max_receive_message_length', _MAX_REQUEST_BYTES),
+    *_OPTIONS,
+)
 
 
 @attrs.define(eq=False)
@@ -89,7 +98,7 @@
 
         Raise RuntimeError if the address cannot be bound.
         """
-        server = aio.server(options=_OPTIONS)
+        server = aio.server(options=_SERVER_OPTIONS)
         methods = {
             _METHOD: unary_unary_rpc_method_handler(self._handle_request)
         }
@@ -308,7 +317,7 @@
 
 
 def _open_channel(address: str) -> aio.Channel:
-    return aio.insecure_channel(f'ipv4:{address}', options=_OPTIONS)
+    return aio.insecure_channel(f'ipv4:{address}', options=_CLIENT_OPTIONS)
 
 
 def _serialize(fields: Fields) -> bytes:
@@ -327,6 +336,8 @@
     if not body.startswith(b'{'):
         decompressor = zlib.decompressobj()
         body = decompressor.decompress(body, _MAX_DECOMPRESSED_BYTES)
+    if not has_few_values(body):
+        raise ValueError('too many values')
     return json.loads(body)
 
 
--- a/dragonflyramp/object_limits.py
+++ b/dragonflyramp/object_limits.py
@@ -16,6 +16,15 @@
 )
 #: Objects of the product and the platform have at most 6 levels.
 MAX_DEPTH = 32
+#: Limit on the values in one JSON text. Each takes about 100 bytes of memory
+#: once it is parsed, which may be many times its text.
+MAX_VALUES = 400_000
+
+
+def has_few_values(body: bytes | bytearray) -> bool:
+    """Return whether a JSON text can be parsed without much memory."""
+    # Each value begins at a bracket or follows a comma.
+    return sum(map(body.count, (b',', b'[', b'{'))) <= MAX_VALUES
 
 
 def is_within_limits(
--- a/dragonflyramp/platform/_api_http.py
+++ b/dragonflyramp/platform/_api_http.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from dragonflyramp.metrics import counters, latencies
+from dragonflyramp.object_limits import has_few_values
 from dragonflyramp.platform._json_replies import decode_json_object
 from dragonflyramp.results import ResultCode
 from dragonflyramp.views import Fields
@@ -33,7 +34,7 @@
 _CONNECT_TIMEOUT_SECONDS = 1
 
 #: The store's pages have about 1 MB, and its objects too.
-_MAX_REPLY_BYTES = 16_777_216
+_MAX_REPLY_BYTES = 8_388_608
 
 _BASE_PATH = '/api/objects'
 
@@ -71,7 +72,8 @@
         Failures are result codes, never exceptions: object_missing (status
         404), version_conflict (409), history_gone (410), body_too_large (413),
         bad_reply if the body is not a JSON object, and platform_down for other
-        error statuses, connection errors and timeouts.
+        error statuses, connection errors and timeouts. A reply that is too
+        large to be held also gives body_too_large.
         """
         counters.add('platform_calls', call.purpose)
         started_at_seconds = time.monotonic()
@@ -99,7 +101,10 @@
         )
         try:
             async with request as reply:
-                return _decode_reply(reply.status, await _read_body(reply))
+                body = await _read_body(reply)
+                if body is None:
+                    return Failure(ResultCode.body_too_large)
+                return _decode_reply(reply.status, body)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return Failure(ResultCode.platform_down)
 
@@ -119,14 +124,15 @@
         yield ApiClient(session, address, timeout_seconds)
 
 
-async def _read_body(reply: aiohttp.ClientResponse) -> bytes:
-    """Read a body; raise ClientPayloadError if it is too large."""
+async def _read_body(reply: aiohttp.ClientResponse) -> bytes | None:
+    """Read a body; return None if it is too large, parsed or not."""
     body = bytearray()
     async for piece in reply.content.iter_any():
         body.extend(piece)
         if len(body) > _MAX_REPLY_BYTES:
-            raise aiohttp.ClientPayloadError(f'over {_MAX_REPLY_BYTES} bytes')
-    return bytes(body)
+            reply.close()
+            return None
+    return bytes(body) if has_few_values(body) else None
 
 
 async def _single_use_body(body: Fields) -> AsyncIterator[bytes]:
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -1,6 +1,7 @@
 """Serve callers and the platform's readiness checks over HTTP."""
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -21,6 +22,7 @@
 from dragonflyramp.messages import Request
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import _headers as http_headers
+from dragonflyramp.platform._body_memory import BodyMemory
 from dragonflyramp.results import ResultCode
 
 _READINESS_PATH = '/api/ready'
@@ -34,6 +36,8 @@
 _DEFAULT_MAX_BODY_BYTES = 1024 * 1024
 #: Timeout for reading a body when the caller sends no deadline.
 _BODY_TIMEOUT_SECONDS = 10.0
+#: Retry delay for callers whose bodies do not fit into the memory.
+_MEMORY_RETRY_AFTER_SECONDS = 0.2
 #: Interval between checks for running requests while draining.
 _DRAIN_POLL_INTERVAL_SECONDS = 0.05
 #: Consecutive checks without a running request that complete the drain.
@@ -55,6 +59,7 @@
     _front: Front
     _clock: Callable[[], float]
     _queries: RunningQueries = attrs.field(init=False)
+    _body_memory: BodyMemory = attrs.field(factory=BodyMemory)
     _runner: web.ServerRunner | None = None
     _readiness_runner: web.ServerRunner | None = None
 
@@ -113,7 +118,9 @@
 
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
         try:
-            response = await self._answer_request(request)
+            with contextlib.ExitStack() as cleanup:
+                cleanup.callback(self._body_memory.release, id(request))
+                response = await self._answer_request(request)
         except Exception:
             counters.add('task_failures', 'request')
             logger.exception(
@@ -133,10 +140,15 @@
         body = await _read_body(
             request,
             deadline_ms,
-            _DEFAULT_MAX_BODY_BYTES if table is None else table.max_body_bytes,
+            BodyLimits(
+                _DEFAULT_MAX_BODY_BYTES
+                if table is None
+                else table.max_body_bytes,
+                self._body_memory,
+            ),
         )
         if isinstance(body, ResultCode):
-            refusal = _encode_refusal(Refusal(code=body))
+            refusal = _encode_refusal(_refuse_body(body))
             # The rest of the body is not read.
             refusal.force_close()
             return refusal
@@ -219,33 +231,56 @@
     return runner
 
 
+@attrs.frozen
+class BodyLimits:
+    """Limits on the body of one request, and on those of all together."""
+
+    max_bytes: int
+    memory: BodyMemory
+
+
+def _refuse_body(code: ResultCode) -> Refusal:
+    if code is ResultCode.queue_full:
+        counters.add('refusals', code.name)
+        return Refusal(
+            code=code, retry_after_seconds=_MEMORY_RETRY_AFTER_SECONDS
+        )
+    return Refusal(code=code)
+
+
 async def _read_body(
-    request: web.BaseRequest, deadline_ms: float | None, max_bytes: int
+    request: web.BaseRequest, deadline_ms: float | None, limits: BodyLimits
 ) -> bytes | ResultCode:
-    """Read the body; return body_too_large or bad_request on failure."""
+    """Read the body.
+
+    Return body_too_large, bad_request, or queue_full if the bodies of all
+    requests take too much memory.
+    """
     if not request.body_exists:
         return b''
-    if (request.content_length or 0) > max_bytes:
+    if (request.content_length or 0) > limits.max_bytes:
         return ResultCode.body_too_large
     timeout_seconds = (
         _BODY_TIMEOUT_SECONDS if deadline_ms is None else deadline_ms / 1000
     )
     try:
         async with asyncio.timeout(timeout_seconds):
-            return await _read_pieces(request, max_bytes)
+            return await _read_pieces(request, limits)
     except (TimeoutError, web.RequestPayloadError) as error:
         logger.bind(reason=repr(error)).info('failed to read the request body')
         return ResultCode.bad_request
 
 
 async def _read_pieces(
-    request: web.BaseRequest, max_bytes: int
+    request: web.BaseRequest, limits: BodyLimits
 ) -> bytes | ResultCode:
     body = bytearray()
     async for piece in request.content.iter_any():
         body.extend(piece)
-        if len(body) > max_bytes:
+        if len(body) > limits.max_bytes:
             return ResultCode.body_too_large
+        if not limits.memory.try_hold(id(request), len(body)):
+            return ResultCode.queue_full
     return bytes(body)
 
 
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -51,7 +51,8 @@
     ) -> Result[ChangeBatch, ResultCode]:
         """Wait up to `wait_seconds` for changes after a revision; return them.
 
-        Fail with history_gone, platform_down or bad_reply.
+        Fail with history_gone, platform_down or bad_reply. Changes that are too
+        large to be held count as gone; a listing has smaller pages.
         """
         wait_ms = int(wait_seconds * 1000)
         query = {'watch': str(revision), 'wait_ms': str(wait_ms)}
@@ -62,6 +63,8 @@
                 timeout_seconds=wait_seconds + _WATCH_MARGIN_SECONDS,
             )
         )
+        if call_result == Failure(ResultCode.body_too_large):
+            return Failure(ResultCode.history_gone)
         return call_result.bind(functools.partial(parse_changes, kind))
 
     async def read(self, kind: str, name: str) -> Result[Fields, ResultCode]:
--- a/dragonflyramp/tools/_backend_components.py
+++ b/dragonflyramp/tools/_backend_components.py
@@ -12,6 +12,7 @@
     Connection,
     Fleet,
     ReplicaOrder,
+    ReplyMemory,
 )
 from dragonflyramp.machine_settings import MachineSettings
 from dragonflyramp.members import ViewSynchronizer
@@ -27,7 +28,10 @@
     """Create the fleet of replicas; its connections run in the task set."""
     return Fleet(
         create_connection=functools.partial(
-            Connection, codec=ReplicaCodec(), clock=clock
+            Connection,
+            codec=ReplicaCodec(),
+            clock=clock,
+            memory=ReplyMemory(),
         ),
         tasks=connection_tasks,
         order=ReplicaOrder(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Test the platform adapter: settings, configuration, store and headers."""
 
 import random
+import tracemalloc
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any
@@ -18,6 +19,7 @@
     decode_settings,
 )
 from dragonflyramp.platform import _headers as http_headers
+from dragonflyramp.platform._body_memory import BodyMemory
 from dragonflyramp.platform._front_http import encode_answer
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
@@ -343,6 +345,47 @@
     assert set(listing.objects_by_name) == {'a', 'c'}
 
 
+async def test_large_parsed_reply_is_not_held(
+    store_server: StoreServer, store_client: StoreClient
+) -> None:
+    """A reply of the store must not take many times its size once parsed."""
+    store_server.store.put('servers', 'a', '@lists')
+    lists = b''.join((b'[', b'[],' * 2_000_000, b'[]]'))
+    store_server.store.raw_texts['@lists'] = lists
+    tracemalloc.start()
+    list_result = await store_client.list_objects('servers')
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert list_result == Failure(ResultCode.body_too_large)
+    # The stand-in and the client each hold the text a few times.
+    assert peak_bytes < 10 * len(lists)
+
+
+async def test_changes_too_large_are_listed(
+    store_server: StoreServer, store_client: StoreClient
+) -> None:
+    """A front must not ask again and again for changes it cannot hold."""
+    store = store_server.store
+    first_revision = store.revision
+    for _ in range(5):
+        store.put('servers', 'a', list(range(100_000)))
+    changes_result = await store_client.watch('servers', first_revision, 0)
+    assert changes_result == Failure(ResultCode.history_gone)
+    assert isinstance(await store_client.list_objects('servers'), Success)
+
+
+def test_bodies_of_callers_are_bounded_together() -> None:
+    """Many large bodies must not exhaust the memory of a front."""
+    memory = BodyMemory(max_bytes=100)
+    assert memory.try_hold(1, 40)
+    assert memory.try_hold(2, 50)
+    assert not memory.try_hold(1, 60)
+    memory.release(2)
+    assert memory.try_hold(1, 100)
+    memory.release(1)
+    assert memory.held_bytes == 0
+
+
 async def test_write_at_old_version_conflicts(
     store_client: StoreClient,
 ) -> None:
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -5,7 +5,10 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+import tracemalloc
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import TypeAlias
 
 import pytest
 import uvloop
@@ -16,6 +19,7 @@
 )
 from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
 from dragonflyramp.backends._readers_http import ReplyReader
+from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.platform import ReplicaCodec
 from tests.front_harnesses import make_request
 from tests.standins.listeners import address_of, listen
@@ -372,3 +376,115 @@
             )
         )
         assert outcomes[1].kind is not OutcomeKind.replied
+
+
+_CHUNK_BLOCK = b''.join((b'100\r\n', bytes(256), b'\r\n'))
+#: Start of a reply, and a piece that is repeated without end.
+_EndlessForm: TypeAlias = tuple[tuple[bytes, ...], bytes]
+_ENDLESS_FORMS: Mapping[str, _EndlessForm] = MappingProxyType(
+    {
+        'status line': ((b'HTTP/1.1 200 ',), b'O'),
+        'header name': ((_OK_HEAD,), b'X'),
+        'header text': ((_OK_HEAD, b'X: '), b'y'),
+        'headers': ((_OK_HEAD,), b'a:\r\n'),
+        'interim replies': ((), b'HTTP/1.1 100 A\r\n\r\n'),
+        'interim headers': ((b'HTTP/1.1 103 A\r\n',), b'a:\r\n'),
+        'body by length': (
+            (_OK_HEAD, b'Content-Length: 99999999999\r\n\r\n'),
+            b'x',
+        ),
+        'body without length': ((_OK_HEAD, b'\r\n'), b'x'),
+        'one chunk': ((_CHUNKED_HEAD, b'fffffff\r\n'), b'x'),
+        'chunks': ((_CHUNKED_HEAD,), _CHUNK_BLOCK),
+        'tiny chunks': ((_CHUNKED_HEAD,), b'1\r\nx\r\n'),
+        'chunk size': ((_CHUNKED_HEAD,), b'0'),
+        'chunk extension': ((_CHUNKED_HEAD, b'1;'), b'x'),
+        'chunk extensions': ((_CHUNKED_HEAD,), b'1;a=b;c=d\r\nx\r\n'),
+        'trailers': ((_CHUNKED_HEAD, b'0\r\n'), b'a:\r\n'),
+        'trailer name': ((_CHUNKED_HEAD, b'0\r\n'), b'a'),
+        'trailer text': ((_CHUNKED_HEAD, b'0\r\na: '), b'b'),
+        'trailer lines': ((_CHUNKED_HEAD, b'0\r\na: '), b'b\r\n c'),
+    }
+)
+#: As uvloop passes on at once at the most.
+_FED_BYTES = 256_000
+_MAX_FED_BYTES = 64 * 1024 * 1024
+
+
+def _feed_until_done(reader: ReplyReader, form: str) -> None:
+    """Feed bytes without end until the reader gives up."""
+    start, piece = _ENDLESS_FORMS[form]
+    block = piece * (_FED_BYTES // len(piece))
+    reader.feed(b''.join(start))
+    for _ in range(_MAX_FED_BYTES // _FED_BYTES):
+        if reader.outcome_kind.done():
+            return
+        reader.feed(block)
+
+
+@pytest.mark.parametrize('form', _ENDLESS_FORMS)
+async def test_endless_reply_is_given_up(form: str) -> None:
+    """A reply without end must be given up before it takes much memory."""
+    tracemalloc.start()
+    reader = ReplyReader(is_head=False)
+    _feed_until_done(reader, form)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert reader.outcome_kind.result() is OutcomeKind.garbled
+    assert peak_bytes < 12 * 1024 * 1024
+
+
+@pytest.mark.parametrize('form', _ENDLESS_FORMS)
+async def test_endless_replies_together_are_bounded(form: str) -> None:
+    """Many replies without end must not exhaust the memory of a front.
+
+    Each stays a little below its own limit, and the connections stay open.
+    """
+    tracemalloc.start()
+    memory = ReplyMemory(max_bytes=8 * 1024 * 1024)
+    readers = [ReplyReader(is_head=False, memory=memory) for _ in range(40)]
+    start, piece = _ENDLESS_FORMS[form]
+    for reader in readers:
+        reader.feed(b''.join(start))
+        for _ in range(15):
+            reader.feed(piece * (_FED_BYTES // len(piece)))
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < 2 * 8 * 1024 * 1024
+    assert memory.held_bytes <= 8 * 1024 * 1024
+
+
+async def test_sound_reply_beside_endless_ones_is_read() -> None:
+    """Replies without end must not take the memory of a sound one."""
+    memory = ReplyMemory(max_bytes=1024 * 1024)
+    reader = ReplyReader(is_head=False, memory=memory)
+    body = b'x' * 200_000
+    reader.feed(b''.join((_OK_HEAD, b'Content-Length: 200000\r\n\r\n')))
+    reader.feed(body[:100_000])
+    for _ in range(20):
+        _feed_until_done(ReplyReader(is_head=False, memory=memory), 'chunks')
+    reader.feed(body[100_000:])
+    assert reader.outcome_kind.result() is OutcomeKind.replied
+    assert bytes(reader.raw.body) == body
+    assert not memory.held_bytes
+
+
+async def test_tiny_pieces_end_early() -> None:
+    """A reply of tiny pieces must not hold up the requests of others.
+
+    Each piece takes a call from the parser.
+    """
+    reader = ReplyReader(is_head=False)
+    reader.feed(b''.join((_CHUNKED_HEAD, b'1\r\nx\r\n' * 40_000)))
+    assert reader.outcome_kind.result() is OutcomeKind.garbled
+    assert len(reader.raw.body) < 4096
+    small = ReplyReader(is_head=False)
+    small.feed(b''.join((_CHUNKED_HEAD, b'10\r\n0123456789abcdef\r\n' * 1000)))
+    small.feed(b'0\r\nX: y\r\n\r\n')
+    assert small.outcome_kind.result() is OutcomeKind.replied
+    assert len(small.raw.body) == 16_000
+    assert small.raw.headers == [
+        ('Server-Stamp', 's'),
+        ('Request-Id', 'q1'),
+        ('Transfer-Encoding', 'chunked'),
+    ]
