Free replies that are given up at once

Callers saw (trial: 40 callers for 6 s, one of two replicas sends a body without end): the front grew to 235 MB, above the 200 MB of the smallest VM, although the replies that were being received had a limit of 16 MiB together.

Cause: the parser of a reply and its callbacks refer to each other, so a reply that was given up stayed in memory until the next garbage collection.

Evidence: tracemalloc showed 301 MB in 1,286 pieces of bodies while ReplyMemory held none. Ruled out: fragmentation; with a low threshold for mmap the memory stayed as high.

Fix: a reply that is given up drops its headers and its body, and a reply that is decoded drops its pieces. The body is kept in pieces, since a growing buffer is copied as it grows.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -108,13 +108,14 @@
 
     def _decode(self, raw: RawReply) -> Reply:
         if self._decoded is None or self._decoded[0] is not raw:
-            reply = self._codec.decode(raw.status, raw.headers, bytes(raw.body))
+            reply = self._codec.decode(raw.status, raw.headers, raw.body)
             self._decoded = (raw, reply)
         return self._decoded[1]
 
     def _handle_reply(self, raw: RawReply) -> Outcome:
         reply = self._decode(raw)
         self._decoded = None
+        raw.pieces.clear()
         self._hooks.on_reply(reply, self._clock())
         if not self.matcher.accept(reply):
             counters.add('backend_faults', 'reply_of_another_request')
--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -39,7 +39,10 @@
 
     status: int = 0
     headers: list[tuple[str, str]] = attrs.field(factory=list)
-    body: bytearray = attrs.field(factory=bytearray)
+    #: The body as received. One growing buffer would be copied as it grows, and
+    #: leave gaps in the memory that other large bodies do not fill.
+    pieces: list[bytes] = attrs.field(factory=list)
+    body_bytes: int = 0
     is_keep_alive: bool = False
     #: The body has no length and ends when the connection closes.
     is_close_delimited: bool = False
@@ -47,6 +50,21 @@
     #: Bytes followed the complete reply, or the reply is invalid.
     has_unexpected_bytes: bool = False
 
+    @property
+    def body(self) -> bytes:
+        """Return the body so far."""
+        return b''.join(self.pieces)
+
+    def free(self) -> None:
+        """Drop the headers and the body."""
+        self.headers.clear()
+        self.pieces.clear()
+
+    @property
+    def end_of_body(self) -> bytes:
+        """Return some of the last bytes of the body."""
+        return b''.join(self.pieces[-_CONTEXT_BYTES:])[-_CONTEXT_BYTES:]
+
 
 #: Returns whether a reply is a late copy of one to an earlier request.
 IsCopy = Callable[[RawReply], bool]
@@ -67,7 +85,10 @@
     def __init__(self, *, is_head: bool, is_copy: IsCopy) -> None:
         """Start with an empty reply; a reply to HEAD has no body."""
         self.raw = RawReply()
-        self.parser = httptools.HttpResponseParser(self)
+        #: None once the reply has ended.
+        self.parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self.has_head = False
         self.copy_count = 0
         #: Memory of the headers so far.
@@ -98,6 +119,7 @@
         raw = self.raw
         if raw.is_complete:
             return
+        assert self.parser is not None
         raw.status = self.parser.get_status_code()
         self.has_head = raw.status >= _FIRST_FINAL_STATUS
         has_body = not (
@@ -114,7 +136,8 @@
         """Append a piece of the body."""
         self._count_step()
         if not self.raw.is_complete:
-            self.raw.body.extend(body)
+            self.raw.pieces.append(body)
+            self.raw.body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Complete the reply, or skip an interim one or a copy."""
@@ -131,7 +154,7 @@
 
     def _count_step(self) -> None:
         self._step_count += 1
-        max_steps = _MAX_STEPS + len(self.raw.body) // _MIN_PIECE_BYTES
+        max_steps = _MAX_STEPS + self.raw.body_bytes // _MIN_PIECE_BYTES
         if self._step_count > max_steps:
             raise _LimitError
 
@@ -167,26 +190,27 @@
 
         A reply that passes a limit is garbled.
         """
-        if self.outcome_kind.done():
+        parser = self._builder.parser
+        if parser is None:
             return
         self._received_bytes += len(received)
         copy_count = self._builder.copy_count
         # A status line that was sent into the body may begin in earlier bytes.
-        context = self.raw.body[-_CONTEXT_BYTES:]
+        context = self.raw.end_of_body
         try:
-            self._builder.parser.feed_data(received)
+            parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.raw.has_unexpected_bytes = True
         if self._builder.copy_count > copy_count:
             self._received_bytes = 0
         self._memory.hold(self, _held_bytes(self._builder))
         if self.raw.is_complete:
-            self.finish(self._complete_kind(bytes(context + received)))
+            self.finish(self._complete_kind(context + received))
         elif self.raw.has_unexpected_bytes:
             self.finish(OutcomeKind.garbled)
         elif self._builder.copy_count > _MAX_COPIES or _is_too_large(
             self._received_bytes,
-            len(self.raw.body),
+            self.raw.body_bytes,
             has_head=self._builder.has_head,
         ):
             counters.add('backend_faults', 'too_large')
@@ -201,13 +225,16 @@
     def finish(self, kind: OutcomeKind) -> None:
         """Set the outcome kind; a later one is ignored."""
         self._memory.release(self)
+        # The parser refers to its callbacks, and may hold part of a header:
+        # with it, both would stay until the next garbage collection.
+        self._builder.parser = None
+        if kind is not OutcomeKind.replied:
+            self.raw.free()
         if not self.outcome_kind.done():
             self.outcome_kind.set_result(kind)
 
     def discard(self) -> None:
         """Give up the reply, and free its memory."""
-        self.raw.body.clear()
-        self.raw.headers.clear()
         self.finish(OutcomeKind.garbled)
 
     def _complete_kind(self, stream: bytes) -> OutcomeKind:
@@ -223,7 +250,7 @@
 
 
 def _held_bytes(builder: _ReplyBuilder) -> int:
-    return builder.header_bytes + len(builder.raw.body)
+    return builder.header_bytes + builder.raw.body_bytes
 
 
 def _is_too_large(
--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -85,7 +85,7 @@
     return bool(reply.request_id or reply.stamp)
 
 
-def is_cut_by_status_line(body: bytes | bytearray, stream: bytes) -> bool:
+def is_cut_by_status_line(body: bytes, stream: bytes) -> bool:
     """Return whether a status line begins in a body or across its end.
 
     `stream` is the end of the received bytes, which go on after the body.
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -488,3 +488,19 @@
         ('Request-Id', 'q1'),
         ('Transfer-Encoding', 'chunked'),
     ]
+
+
+@pytest.mark.parametrize('form', _ENDLESS_FORMS)
+async def test_given_up_reply_frees_its_memory(form: str) -> None:
+    """A reply that was given up must not stay in memory.
+
+    The parser and its callbacks refer to each other, so that a reply is freed
+    by the next garbage collection only, which may be seconds later.
+    """
+    tracemalloc.start()
+    readers = [ReplyReader(is_head=False) for _ in range(20)]
+    for reader in readers:
+        _feed_until_done(reader, form)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < 3 * 1024 * 1024
