Name the limits of the reply parser after what they count

What a newcomer would stop at: steps of a reader are calls from the parser, the matcher starts a request, and limits that no other module uses are private. The headers of interim replies no longer count after they are dropped.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -94,7 +94,7 @@
         request = exchange.request
         encoded = self._codec.encode(request, exchange.replica_id, remaining_ms)
         exchange.written_at_seconds = now_seconds
-        self.matcher.start(request.request_id)
+        self.matcher.start_request(request.request_id)
         reader = self.protocol.send_request(
             encoded,
             is_head=request.method == 'HEAD',
--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -18,10 +18,10 @@
 #: body may have as many, and one byte for each of the body.
 _MAX_HEAD_BYTES = 65_536
 _MAX_HEADERS = 256
-#: Limit on the headers, trailers, interim replies and pieces of the body in a
-#: reply; larger bodies may have one more piece for so many bytes. Each takes a
-#: call from the parser, and other requests wait meanwhile.
-_MAX_STEPS = 2048
+#: Limit on the calls from the parser in a reply: one for each header, trailer,
+#: interim reply and piece of the body. Other requests wait meanwhile. Larger
+#: bodies may take one more for each `_MIN_PIECE_BYTES`.
+_MAX_PARSER_CALLS = 2048
 _MIN_PIECE_BYTES = 64
 #: Memory of a header besides its text.
 _HEADER_BYTES = 200
@@ -93,18 +93,18 @@
         self.copy_count = 0
         #: Memory of the headers so far.
         self.header_bytes = 0
-        self._step_count = 0
+        self._parser_call_count = 0
         self._is_head = is_head
         self._is_copy = is_copy
 
     def on_message_begin(self) -> None:
         """Mark bytes of a second reply as unexpected."""
-        self._count_step()
+        self._count_parser_call()
         self.raw.has_unexpected_bytes = self.raw.is_complete
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Add a header of the reply; ignore a trailer."""
-        self._count_step()
+        self._count_parser_call()
         if self.has_head or self.raw.is_complete:
             return
         if len(self.raw.headers) >= _MAX_HEADERS:
@@ -134,7 +134,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body."""
-        self._count_step()
+        self._count_parser_call()
         if not self.raw.is_complete:
             self.raw.pieces.append(body)
             self.raw.body_bytes += len(body)
@@ -143,6 +143,7 @@
         """Complete the reply, or skip an interim one or a copy."""
         if self.raw.status < _FIRST_FINAL_STATUS:
             self.raw.headers.clear()
+            self.header_bytes = 0
         elif self.raw.is_complete or not self._is_copy(self.raw):
             self.raw.is_complete = True
         else:
@@ -152,10 +153,10 @@
             self.has_head = False
             self.header_bytes = 0
 
-    def _count_step(self) -> None:
-        self._step_count += 1
-        max_steps = _MAX_STEPS + self.raw.body_bytes // _MIN_PIECE_BYTES
-        if self._step_count > max_steps:
+    def _count_parser_call(self) -> None:
+        self._parser_call_count += 1
+        max_calls = _MAX_PARSER_CALLS + self.raw.body_bytes // _MIN_PIECE_BYTES
+        if self._parser_call_count > max_calls:
             raise _LimitError
 
 
--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -41,7 +41,7 @@
             text != current_text and text not in self._earlier_ids
         )
 
-    def start(self, request_id: str) -> None:
+    def start_request(self, request_id: str) -> None:
         """Record a request that is about to be written."""
         if self._current_id:
             self._earlier_ids.append(self._current_id[:_MAX_TEXT_CHARS])
--- a/dragonflyramp/backends/_reply_memory.py
+++ b/dragonflyramp/backends/_reply_memory.py
@@ -8,7 +8,7 @@
 
 #: A front has at least 200 MB. Replies have a few kilobytes, so that this is
 #: reached by faulty replicas only.
-MAX_HELD_BYTES = 16_777_216
+_MAX_HELD_BYTES = 16_777_216
 
 
 class ReplyHolder(Protocol):
@@ -26,7 +26,7 @@
     end outgrows the others.
     """
 
-    max_bytes: int = MAX_HELD_BYTES
+    max_bytes: int = _MAX_HELD_BYTES
     held_bytes: int = 0
     _by_holder: dict[ReplyHolder, int] = attrs.field(factory=dict)
 
--- a/dragonflyramp/callers/_trial_claims.py
+++ b/dragonflyramp/callers/_trial_claims.py
@@ -44,7 +44,7 @@
     wall_clock_ms: Callable[[], int] = unix_ms
 
     def is_tried(self, fingerprint: str) -> bool:
-        """Return whether a front may try the request now."""
+        """Return whether a front may be trying the request."""
         record = self.records.find(fingerprint)
         return record is not None and record.is_tried(self.wall_clock_ms())
 
--- a/dragonflyramp/platform/_body_memory.py
+++ b/dragonflyramp/platform/_body_memory.py
@@ -3,7 +3,7 @@
 import attrs
 
 #: A front has at least 200 MB, and bodies normally have a few kilobytes.
-MAX_HELD_BYTES = 16_777_216
+_MAX_HELD_BYTES = 16_777_216
 
 
 @attrs.define(eq=False)
@@ -13,7 +13,7 @@
     Beyond the limit, the request whose body grows is refused: it has not run.
     """
 
-    max_bytes: int = MAX_HELD_BYTES
+    max_bytes: int = _MAX_HELD_BYTES
     held_bytes: int = 0
     _by_request: dict[int, int] = attrs.field(factory=dict)
 
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -140,7 +140,7 @@
         body = await _read_body(
             request,
             deadline_ms,
-            BodyLimits(
+            _BodyLimits(
                 _DEFAULT_MAX_BODY_BYTES
                 if table is None
                 else table.max_body_bytes,
@@ -232,7 +232,7 @@
 
 
 @attrs.frozen
-class BodyLimits:
+class _BodyLimits:
     """Limits on the body of one request, and on those of all together."""
 
     max_bytes: int
@@ -249,7 +249,7 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, deadline_ms: float | None, limits: BodyLimits
+    request: web.BaseRequest, deadline_ms: float | None, limits: _BodyLimits
 ) -> bytes | ResultCode:
     """Read the body.
 
@@ -272,7 +272,7 @@
 
 
 async def _read_pieces(
-    request: web.BaseRequest, limits: BodyLimits
+    request: web.BaseRequest, limits: _BodyLimits
 ) -> bytes | ResultCode:
     body = bytearray()
     async for piece in request.content.iter_any():
