Do no work for endless bytes on replies that come whole

Cause: on each block of a reply, its last bytes were copied to find a status line within a body, and its memory was recorded. Both are needed only if bytes follow the reply, or if it is not complete yet.

--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -60,11 +60,6 @@
         self.headers.clear()
         self.pieces.clear()
 
-    @property
-    def end_of_body(self) -> bytes:
-        """Return some of the last bytes of the body."""
-        return b''.join(self.pieces[-_CONTEXT_BYTES:])[-_CONTEXT_BYTES:]
-
 
 #: Returns whether a reply is a late copy of one to an earlier request.
 IsCopy = Callable[[RawReply], bool]
@@ -196,17 +191,15 @@
             return
         self._received_bytes += len(received)
         copy_count = self._builder.copy_count
-        # A status line that was sent into the body may begin in earlier bytes.
-        context = self.raw.end_of_body
+        earlier_pieces = len(self.raw.pieces)
         try:
             parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.raw.has_unexpected_bytes = True
         if self._builder.copy_count > copy_count:
             self._received_bytes = 0
-        self._memory.hold(self, _held_bytes(self._builder))
         if self.raw.is_complete:
-            self.finish(self._complete_kind(context + received))
+            self.finish(self._complete_kind(earlier_pieces, received))
         elif self.raw.has_unexpected_bytes:
             self.finish(OutcomeKind.garbled)
         elif self._builder.copy_count > _MAX_COPIES or _is_too_large(
@@ -216,6 +209,8 @@
         ):
             counters.add('backend_faults', 'too_large')
             self.finish(OutcomeKind.garbled)
+        else:
+            self._memory.hold(self, _held_bytes(self._builder))
 
     def finish_at_eof(self) -> None:
         """Complete a body without a length at the end of the stream."""
@@ -238,15 +233,20 @@
         """Give up the reply, and free its memory."""
         self.finish(OutcomeKind.garbled)
 
-    def _complete_kind(self, stream: bytes) -> OutcomeKind:
+    def _complete_kind(
+        self, earlier_pieces: int, received: bytes
+    ) -> OutcomeKind:
         """Return the kind of a complete reply that ends in received bytes.
 
         Bytes after a reply belong to no request. If they begin within its body,
         the body is a mix of two replies.
         """
-        is_mixed = self.raw.has_unexpected_bytes and is_cut_by_status_line(
-            self.raw.body, stream
-        )
+        if not self.raw.has_unexpected_bytes:
+            return OutcomeKind.replied
+        # A status line that was sent into the body may begin in earlier bytes.
+        earlier = b''.join(self.raw.pieces[:earlier_pieces])
+        stream = earlier[-_CONTEXT_BYTES:] + received
+        is_mixed = is_cut_by_status_line(self.raw.body, stream)
         return OutcomeKind.garbled if is_mixed else OutcomeKind.replied
 
 
