Record a first round only if no retry was sent

Cause: each first round that no retry had cleared was recorded in the store, and sent to all daemons. Most belong to searches whose retry was under way when the search ended.

Fix: the record is written if no retry was sent. If one was sent and ended a replica, too, there is a second round, which is recorded as before.

--- a/dragonflyramp/backends/_crash_detectors.py
+++ b/dragonflyramp/backends/_crash_detectors.py
@@ -99,13 +99,17 @@
         ):
             self.on_crash(crash)
 
-    def share_first_crash(self, crash: Crash) -> None:
-        """Tell the other daemons of a first round that no retry has cleared."""
+    def share_first_crash(self, crash: Crash, *, is_recorded: bool) -> None:
+        """Tell the other daemons of a first round that no retry has cleared.
+
+        A record in the store costs calls, and reaches all daemons.
+        """
         current = self.suspects.table.find(crash.fingerprint)
         is_first_round = crash.suspicion.crash_rounds == 1
         if is_first_round and current.order == crash.suspicion.order:
             self.suspects.share(crash.fingerprint)
-            self.on_crash(crash)
+            if is_recorded:
+                self.on_crash(crash)
 
     def remember_unanswered(
         self, attempt: Attempt, crash: Crash, now_seconds: float
@@ -134,4 +138,4 @@
                 self._unanswered.remove(unanswered)
             if is_same_process and is_recent:
                 self.record_crash(unanswered.crash, now_seconds)
-                self.share_first_crash(unanswered.crash)
+                self.share_first_crash(unanswered.crash, is_recorded=True)
--- a/dragonflyramp/backends/_crash_watches.py
+++ b/dragonflyramp/backends/_crash_watches.py
@@ -22,6 +22,8 @@
     is_trial: bool = False
     #: End of a replica while it ran the request, the last of several.
     last_crash: Crash | None = None
+    #: Whether the request was sent again after an end.
+    was_retried: bool = False
     #: Whether a replica has answered the request of a trial, or a retry after
     #: an end.
     is_answered: bool = False
@@ -39,10 +41,17 @@
         """Return whether the request may run on several replicas at a time."""
         return not self.is_trial and self.last_crash is None
 
+    def record_retry(self) -> None:
+        """Record that the request was sent again, perhaps after an end."""
+        self.was_retried = self.last_crash is not None
+
     def finish(self) -> None:
         """Tell the other daemons of an end that no retry has cleared."""
         if self.last_crash is not None:
-            self.detector.share_first_crash(self.last_crash)
+            # A retry that ends a replica, too, makes a second round.
+            self.detector.share_first_crash(
+                self.last_crash, is_recorded=not self.was_retried
+            )
 
 
 @attrs.define(eq=False)
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -98,6 +98,8 @@
             self._client.clock(),
             may_have_run=self._failure_summary.may_have_run,
         )
+        if scheduler.attempts.in_flight:
+            self._context.crash_watch.record_retry()
         return None
 
     def _handle_outcome(
--- a/tests/suspect_models.py
+++ b/tests/suspect_models.py
@@ -162,6 +162,8 @@
             code=ResultCode.connection_reset, may_have_run=True
         )
         for has_ended in replica_ends:
+            if watch.last_crash is not None:
+                watch.record_retry()
             self._world.record_arrival(self, has_ended=has_ended)
             if not has_ended:
                 retries.record_reply(self._world.clock(), is_success=True)
