Log successes without the replica's stamp, and count how replies end

Such an answer is now logged as unsigned, with the stamp as decoded and the headers that are left; replies that end with their connection are counted; a reply of another request has a line in the log.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -116,9 +116,20 @@
         reply = self._decode(raw)
         self._decoded = None
         raw.pieces.clear()
+        counters.add(
+            'reply_ends',
+            'connection' if raw.is_close_delimited else 'framing',
+        )
         self._hooks.on_reply(reply, self._clock())
         if not self.matcher.accept(reply):
             counters.add('backend_faults', 'reply_of_another_request')
+            logger.bind(
+                address=self._address,
+                request=self.matcher.current_id,
+                reply_request=reply.request_id,
+                stamp=reply.stamp,
+                body_bytes=len(reply.body),
+            ).info('reply of another request')
             self.protocol.close()
             return Outcome(OutcomeKind.garbled)
         is_kept = raw.is_keep_alive and not reply.closes_connection
--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -25,7 +25,7 @@
 class ReplyMatcher:
     """Requests and replies of one connection."""
 
-    _current_id: str = ''
+    current_id: str = ''
     #: Ids of the requests before the current one.
     _earlier_ids: collections.deque[str] = attrs.field(factory=_create_memory)
     #: Stamps of the replies without an id.
@@ -36,22 +36,22 @@
     def may_carry(self, request_id: str) -> bool:
         """Return whether a reply to a request could not be an earlier one."""
         text = request_id[:_MAX_TEXT_CHARS]
-        current_text = self._current_id[:_MAX_TEXT_CHARS]
+        current_text = self.current_id[:_MAX_TEXT_CHARS]
         return not text or (
             text != current_text and text not in self._earlier_ids
         )
 
     def start_request(self, request_id: str) -> None:
         """Record a request that is about to be written."""
-        if self._current_id:
-            self._earlier_ids.append(self._current_id[:_MAX_TEXT_CHARS])
-        self._current_id = request_id
+        if self.current_id:
+            self._earlier_ids.append(self.current_id[:_MAX_TEXT_CHARS])
+        self.current_id = request_id
 
     def is_copy(self, reply: Reply) -> bool:
         """Return whether a reply is a late copy of an earlier one."""
         if reply.request_id:
             return (
-                reply.request_id != self._current_id
+                reply.request_id != self.current_id
                 and reply.request_id[:_MAX_TEXT_CHARS] in self._earlier_ids
             )
         return bool(reply.stamp) and (
@@ -68,7 +68,7 @@
             return False
         if reply.request_id:
             self._echoes_ids = True
-            return reply.request_id == self._current_id
+            return reply.request_id == self.current_id
         if reply.stamp:
             self._stamps.append(reply.stamp[:_MAX_TEXT_CHARS])
         return not self._echoes_ids
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -14,6 +14,7 @@
     RelayedAnswer,
 )
 from dragonflyramp.fingerprints import compute_fingerprint
+from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters, latencies
 from dragonflyramp.results import ResultCode
 
@@ -56,6 +57,7 @@
             target_ms=context.route.target_ms,
             daemons=self._peers.daemon_count(),
             fingerprint=_lost_request_fingerprint(context, fetch_results),
+            relayed=_describe_relayed(answer),
             parts=[
                 _describe_part(fetch_result)
                 for fetch_result in fetch_results
@@ -85,11 +87,32 @@
         return answer.code.name
     if isinstance(answer, MergedAnswer) and answer.missing_count:
         return 'partial'
-    if isinstance(answer, RelayedAnswer) and not answer.reply.is_success:
-        return 'backend_failure'
+    if isinstance(answer, RelayedAnswer):
+        if not answer.reply.is_success:
+            return 'backend_failure'
+        return ResultCode.ok.name if _is_signed(answer.reply) else 'unsigned'
     return ResultCode.ok.name
 
 
+def _is_signed(reply: Reply) -> bool:
+    """Return whether the headers for the caller hold the server's stamp."""
+    return bool(reply.stamp) and any(
+        text == reply.stamp for _, text in reply.headers
+    )
+
+
+def _describe_relayed(answer: Answer) -> dict[str, object] | None:
+    if not isinstance(answer, RelayedAnswer):
+        return None
+    reply = answer.reply
+    return {
+        'status': reply.status,
+        'stamp': reply.stamp,
+        'header_count': len(reply.headers),
+        'body_bytes': len(reply.body),
+    }
+
+
 def _is_failed_or_repeated(fetch_result: FetchResult) -> bool:
     return (
         fetch_result.code is not ResultCode.ok or len(fetch_result.records) > 1
