--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -6,7 +6,7 @@
 import threading
 import time
 import tracemalloc
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from types import MappingProxyType
 from typing import TypeAlias
 
@@ -33,6 +33,14 @@
 #: Many times the limits on a reply, and more than the buffers of sockets.
 _MAX_SENT_BLOCKS = 1024
 
+_Outcomes: TypeAlias = list[Outcome]
+_Exchanges: TypeAlias = Coroutine[None, None, _Outcomes]
+_RunLoop: TypeAlias = Callable[[_Exchanges], _Outcomes]
+#: The order of the last callbacks of a connection differs between event loops.
+_LOOPS: Mapping[str, _RunLoop] = MappingProxyType(
+    {'uvloop': uvloop.run, 'asyncio': asyncio.run}
+)
+
 ServerAction = Callable[[socket.socket], None]
 
 
@@ -288,6 +296,19 @@
     return outcomes
 
 
+@pytest.mark.parametrize('loop', ['uvloop', 'asyncio'])
+def test_end_of_connection_keeps_headers(loop: str) -> None:
+    """A success must not lose the server's stamp when its connection ends."""
+    run_loop = _LOOPS[loop]
+    outcomes = run_loop(
+        _serve_in_turn([[_OK_HEAD, b'\r\nabc']], ('q1',), closes_at_end=True)
+    )
+    reply = outcomes[0].reply
+    assert reply is not None
+    assert reply.body == b'abc'
+    assert ('Server-Stamp', 's') in reply.headers
+
+
 def _reply(request_id: str, body: bytes = b'', status: str = '200 OK') -> bytes:
     head = f'HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n'
     extra = 'Not-Executed: 1' if status == '503 Full' else 'Server-Stamp: s'
