Forget a suspect record that was removed before the reply to its write

A front keeps a copy of each record of a request that ends replicas, and its later writes are conditional on the revision of the copy. If another daemon removes a record, and the front reads this before the reply to its own write of the record, the late reply put the copy back. All later writes then failed with object_missing, which counts as a claim of another front: had the request ended a replica again, this front would have refused it until another one had recorded it or this one started again. The removal of old records, each minute, would have called the store in vain.

The test fails without the change: the record is found after its removal.

--- a/dragonflyramp/members/_suspect_objects.py
+++ b/dragonflyramp/members/_suspect_objects.py
@@ -86,11 +86,15 @@
             code: ResultCode = write_result.failure()
             counters.add('suspect_record_failures', code.name)
             return code
-        # The view has it later.
         stored = decode_record(write_result.unwrap())
         if stored is None:
             return ResultCode.bad_reply
-        self._apply(fingerprint, stored, self.clock())
+        now_seconds = self.clock()
+        self._apply(fingerprint, stored, now_seconds)
+        # Normally the view has the record later. It may also have read already
+        # that another daemon has removed it.
+        if fingerprint not in self.view.objects_by_name:
+            self._apply_removal(fingerprint, now_seconds)
         return ResultCode.ok
 
     async def remove(self, fingerprint: str) -> None:
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,95 @@
+"""Test that what one part hands on is not changed by its former owner."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from returns.result import Result
+
+from dragonflyramp.members import (
+    SUSPECTS_KIND,
+    SuspectObjects,
+)
+from dragonflyramp.members._suspect_objects import encode_record
+from dragonflyramp.results import ResultCode
+from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
+from dragonflyramp.views import Change, ChangeBatch, View
+from tests.suspect_models import ModelStore
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
+@attrs.define(eq=False)
+class _InterruptedStore(ModelStore):
+    """Store of which another daemon makes a call before the next reply."""
+
+    before_reply: Callable[[], None] = _do_nothing
+
+    async def create(
+        self, kind: str, name: str, spec: Any
+    ) -> Result[Any, ResultCode]:
+        """Create an object unless it exists."""
+        create_result = await super().create(kind, name, spec)
+        self._interrupt()
+        return create_result
+
+    def _interrupt(self) -> None:
+        interrupt = self.before_reply
+        self.before_reply = _do_nothing
+        interrupt()
+
+
+@attrs.define(eq=False)
+class _SuspectHarness:
+    """Records of one daemon, and a store that other daemons write to."""
+
+    store: _InterruptedStore = attrs.field(factory=_InterruptedStore)
+    suspect_objects: SuspectObjects = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Read an empty store."""
+        self.suspect_objects = SuspectObjects(
+            store=self.store,  # type: ignore[arg-type]
+            view=View(SUSPECTS_KIND),
+            suspects=CrashSuspects(),
+            clock=time.monotonic,
+        )
+
+    def put(self, name: str, record: SuspectRecord) -> None:
+        """Write a record as another daemon, and read it."""
+        stored = self.store.store.put(
+            SUSPECTS_KIND, name, encode_record(record)
+        )
+        self._read(Change(name, stored))
+
+    def remove(self, name: str) -> None:
+        """Remove a record as another daemon, and read the change."""
+        self.store.store.remove(SUSPECTS_KIND, name)
+        self._read(Change(name, None))
+
+    def _read(self, change: Change) -> None:
+        changes = ChangeBatch(self.store.store.revision, (change,))
+        self.suspect_objects.apply_changes(
+            self.suspect_objects.view.apply(changes, 0)
+        )
+
+
+def _record(**changes: Any) -> SuspectRecord:
+    suspicion = Suspicion(service='a', crash_rounds=3)
+    return SuspectRecord(**{'suspicion': suspicion, **changes})
+
+
+async def test_late_reply_restores_no_removed_record() -> None:
+    """A record that was removed before the reply to its write must stay away.
+
+    Later writes would be conditional on its revision and fail for ever.
+    """
+    harness = _SuspectHarness()
+    harness.store.before_reply = lambda: harness.remove('f')
+    await harness.suspect_objects.write('f', _record())
+    assert harness.suspect_objects.find('f') is None
+    code = await harness.suspect_objects.write('f', _record())
+    assert code is ResultCode.ok
