Check again before each removal of an old suspect record

It selected them all before the first removal, and each removal is a call to the store. A record that another daemon renewed meanwhile was removed too, which clears the suspicion: a request that had ended replicas in three rounds would have been sent again.

Now each record is checked just before its removal. A record that is renewed while its own removal is under way is still lost, because the store's delete has no condition.

Found by reading; not seen in a run. The test fails with the former selection: no record is left.

--- a/dragonflyramp/members/_suspect_records.py
+++ b/dragonflyramp/members/_suspect_records.py
@@ -162,18 +162,20 @@
             suspect_objects.suspects.table, suspect_objects.clock()
         )
         if records.cluster.hubs()[:1] == [records.cluster.own_daemon]:
-            for fingerprint in _old_records(
-                suspect_objects, records.wall_clock_ms()
-            ):
-                await suspect_objects.remove(fingerprint)
-
-
-def _old_records(suspect_objects: SuspectObjects, now_ms: int) -> list[str]:
-    return [
-        fingerprint
-        for fingerprint, stored in suspect_objects.by_fingerprint.items()
-        if now_ms - stored.record.seen_ms > _ttl_ms(stored.record)
-    ]
+            await remove_old_records(records)
+
+
+async def remove_old_records(records: StoredSuspectRecords) -> None:
+    """Remove the records of requests that nobody has sent for long."""
+    for fingerprint in tuple(records.suspect_objects.by_fingerprint):
+        # Another daemon may have renewed it during an earlier removal.
+        record = records.find(fingerprint)
+        if record is not None and _is_old(record, records.wall_clock_ms()):
+            await records.remove(fingerprint)
+
+
+def _is_old(record: SuspectRecord, now_ms: int) -> bool:
+    return now_ms - record.seen_ms > _ttl_ms(record)
 
 
 def _ttl_ms(record: SuspectRecord) -> int:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,14 +9,21 @@
 
 from dragonflyramp.members import (
     SUSPECTS_KIND,
+    Cluster,
+    Daemon,
+    Membership,
+    StoredSuspectRecords,
     SuspectObjects,
 )
 from dragonflyramp.members._suspect_objects import encode_record
+from dragonflyramp.members._suspect_records import remove_old_records
 from dragonflyramp.results import ResultCode
 from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
 from dragonflyramp.views import Change, ChangeBatch, View
 from tests.suspect_models import ModelStore
 
+_OLD_RECORD_MS = 100_000_000
+
 
 def _do_nothing() -> None:
     """Do nothing."""
@@ -36,6 +43,12 @@
         self._interrupt()
         return create_result
 
+    async def delete(self, kind: str, name: str) -> Result[Any, ResultCode]:
+        """Delete an object."""
+        delete_result = await super().delete(kind, name)
+        self._interrupt()
+        return delete_result
+
     def _interrupt(self) -> None:
         interrupt = self.before_reply
         self.before_reply = _do_nothing
@@ -93,3 +106,23 @@
     assert harness.suspect_objects.find('f') is None
     code = await harness.suspect_objects.write('f', _record())
     assert code is ResultCode.ok
+
+
+async def test_renewed_record_is_not_removed_as_old() -> None:
+    """A record that is renewed while older ones are removed must stay.
+
+    Its request would be sent to replicas again.
+    """
+    harness = _SuspectHarness()
+    for name in ('first', 'second'):
+        harness.put(name, _record())
+    records = StoredSuspectRecords(
+        suspect_objects=harness.suspect_objects,
+        cluster=Cluster(Membership(Daemon('front', '', ''))),
+        wall_clock_ms=lambda: _OLD_RECORD_MS,
+    )
+    harness.store.before_reply = lambda: harness.put(
+        'second', _record(seen_ms=_OLD_RECORD_MS)
+    )
+    await remove_old_records(records)
+    assert set(harness.store.store.objects_by_kind[SUSPECTS_KIND]) == {'second'}
