Give each listing a copy of the objects, and views read-only ones

`View.changes_since` returned a listing "as of one revision" that shared the view's dictionary, and `ListingBuilder.build` one that shared the builder's. Nothing has gone wrong with it: a response to another daemon is encoded in the same step in which it is built. With any wait between the two, a daemon would have got later objects under an earlier revision, and missed what was removed in between.

A listing now copies its objects into a read-only mapping, and `View.objects_by_name` is one. Found by reading. Both tests fail without the change: the listings have the later objects.

--- a/dragonflyramp/_changes.py
+++ b/dragonflyramp/_changes.py
@@ -1,6 +1,7 @@
 """Define listings of the store's objects, and changes of them."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, TypeAlias
 
 import attrs
@@ -9,12 +10,17 @@
 Fields: TypeAlias = dict[str, Any]
 
 
+def _frozen_copy(objects_by_name: Mapping[str, Fields]) -> Mapping[str, Fields]:
+    return MappingProxyType(dict(objects_by_name))
+
+
 @attrs.frozen
 class Listing:
     """All objects of a kind by name, as of one revision."""
 
     revision: int
-    objects_by_name: Mapping[str, Fields]
+    #: A copy, because views and builders go on changing theirs.
+    objects_by_name: Mapping[str, Fields] = attrs.field(converter=_frozen_copy)
 
 
 @attrs.frozen
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -9,6 +9,8 @@
 """
 
 import math
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import attrs
 
@@ -42,7 +44,6 @@
 
     kind: str
     revision: int = 0
-    objects_by_name: dict[str, Fields] = attrs.field(factory=dict)
     #: Revision of the last change of this kind; `revision` also counts the
     #: changes of other kinds.
     last_change_revision: int = 0
@@ -51,8 +52,14 @@
     confirmed_at_seconds: float = -math.inf
     #: When the store last became available again after an outage.
     outage_ended_at_seconds: float = -math.inf
+    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict)
     _change_log: ChangeLog = attrs.field(factory=ChangeLog)
 
+    @property
+    def objects_by_name(self) -> Mapping[str, Fields]:
+        """Return the present objects, which change with the view."""
+        return MappingProxyType(self._objects_by_name)
+
     def age_seconds(self, now_seconds: float) -> float:
         """Return the seconds since the store last confirmed the view."""
         return now_seconds - self.confirmed_at_seconds
@@ -72,16 +79,16 @@
         """
         if listing.revision < self.revision:
             return set()
-        previous = self.objects_by_name
+        previous = self._objects_by_name
         previous_revision = self.revision
-        self.objects_by_name = dict(listing.objects_by_name)
+        self._objects_by_name = dict(listing.objects_by_name)
         self.revision = listing.revision
         self._confirm(confirmed_at_seconds)
-        names = previous.keys() | self.objects_by_name.keys()
+        names = previous.keys() | self._objects_by_name.keys()
         changed = {
             name
             for name in names
-            if previous.get(name) != self.objects_by_name.get(name)
+            if previous.get(name) != self._objects_by_name.get(name)
         }
         if changed or not previous_revision:
             self.last_change_revision = listing.revision
@@ -104,7 +111,7 @@
         for change in changes.changes:
             names.add(change.name)
             self._change_log.add(change.name, changes.revision)
-            apply_change(self.objects_by_name, change)
+            apply_change(self._objects_by_name, change)
         self.revision = changes.revision
         if names:
             self.last_change_revision = changes.revision
@@ -118,11 +125,11 @@
         """
         names = self._change_log.names_since(revision)
         if names is None:
-            return Listing(self.revision, self.objects_by_name)
+            return Listing(self.revision, self._objects_by_name)
         return ChangeBatch(
             self.revision,
             tuple(
-                Change(name, self.objects_by_name.get(name)) for name in names
+                Change(name, self._objects_by_name.get(name)) for name in names
             ),
         )
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -19,7 +19,13 @@
 from dragonflyramp.members._suspect_records import remove_old_records
 from dragonflyramp.results import ResultCode
 from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
-from dragonflyramp.views import Change, ChangeBatch, View
+from dragonflyramp.views import (
+    Change,
+    ChangeBatch,
+    Listing,
+    ListingBuilder,
+    View,
+)
 from tests.suspect_models import ModelStore
 
 _OLD_RECORD_MS = 100_000_000
@@ -126,3 +132,25 @@
     )
     await remove_old_records(records)
     assert set(harness.store.store.objects_by_kind[SUSPECTS_KIND]) == {'second'}
+
+
+def test_listing_does_not_change_with_its_view() -> None:
+    """A listing of a view must stay as of its revision.
+
+    A daemon that got later objects under an earlier revision would miss their
+    removal.
+    """
+    view = View('servers')
+    view.replace(Listing(5, {'a': {}}), 0)
+    listing = view.changes_since(1)
+    view.apply(ChangeBatch(6, (Change('b', {}), Change('a', None))), 0)
+    assert listing == Listing(5, {'a': {}})
+
+
+def test_listing_does_not_change_with_builder() -> None:
+    """A listing must not get the pages of a later one."""
+    builder = ListingBuilder()
+    builder.add_page(Listing(5, {'a': {}}))
+    listing = builder.build()
+    builder.add_page(Listing(6, {'b': {}}))
+    assert listing == Listing(5, {'a': {}})
