Open a connection early to a replica that has started again

The preconnector remembered the replicas to which it had opened a connection by id. A process that starts again, or moves, under the id of an earlier one is another replica with no connection, but its id was remembered: its first search waited for a new connection.

Now it remembers the replicas themselves, for as long as the fleet has them. Found by reading. The test fails without the change: the new replicas get no connection within the bounded wait.

--- a/dragonflyramp/backends/_preconnectors.py
+++ b/dragonflyramp/backends/_preconnectors.py
@@ -1,6 +1,7 @@
 """Open connections to shards before their first search."""
 
 import asyncio
+import weakref
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -26,8 +27,9 @@
     #: Returns the shards of all searches in the current configuration.
     _searched_shards: Callable[[], Iterable[str]]
     _clock: Callable[[], float]
-    #: Ids of the replicas to which this task opened a connection.
-    _connected_replica_ids: set[str] = attrs.field(factory=set)
+    #: Replicas to which this task opened a connection. A process that takes the
+    #: id of an earlier one is another replica.
+    _connected: weakref.WeakSet[Replica] = attrs.field(factory=weakref.WeakSet)
 
     async def run(self) -> None:
         """Open connections to new shards until cancelled."""
@@ -47,15 +49,13 @@
             for replica in replicas
             if self._needs_connection(replica, now_seconds)
         ]
-        if unconnected:
-            self._connected_replica_ids &= self._fleet.all_replicas().keys()
         for replica in unconnected[:_MAX_CONNECTIONS_PER_INTERVAL]:
-            self._connected_replica_ids.add(replica.entry.replica_id)
+            self._connected.add(replica)
             replica.connections.open()
 
     def _needs_connection(self, replica: Replica, now_seconds: float) -> bool:
         """Return whether this task should open a connection to the replica."""
-        if replica.entry.replica_id in self._connected_replica_ids:
+        if replica in self._connected:
             return False
         is_used = replica.in_flight or replica.connections.has_idle(now_seconds)
         return not is_used
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -7,6 +7,7 @@
 import attrs
 from returns.result import Result
 
+from dragonflyramp.backends import Preconnector
 from dragonflyramp.members import (
     SUSPECTS_KIND,
     Cluster,
@@ -18,6 +19,7 @@
 from dragonflyramp.members._suspect_objects import encode_record
 from dragonflyramp.members._suspect_records import remove_old_records
 from dragonflyramp.results import ResultCode
+from dragonflyramp.routes import GatherSettings
 from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
 from dragonflyramp.views import (
     Change,
@@ -26,8 +28,13 @@
     ListingBuilder,
     View,
 )
+from tests.front_harnesses import make_route, make_table, run_harness
+from tests.standins.waits import eventually
 from tests.suspect_models import ModelStore
 
+_SEARCH_TABLE = make_table(
+    make_route(gather=GatherSettings(('a', 'b'), top_count=3, min_share=1))
+)
 _OLD_RECORD_MS = 100_000_000
 
 
@@ -154,3 +161,26 @@
     listing = builder.build()
     builder.add_page(Listing(6, {'b': {}}))
     assert listing == Listing(5, {'a': {}})
+
+
+async def test_restarted_replica_gets_connection_early() -> None:
+    """The first search after a restart must not wait for a new connection.
+
+    The new process has the id and the address of the one before.
+    """
+    async with run_harness(_SEARCH_TABLE, 1) as harness:
+        fleet = harness.front.backend_client.fleet
+        preconnector = Preconnector(
+            fleet, _SEARCH_TABLE.searched_shards, harness.front.clock
+        )
+        preconnector.open_missing(harness.front.clock())
+        for stopped in tuple(fleet.all_replicas().values()):
+            entry = attrs.evolve(stopped.entry, start_time_ms=1)
+            fleet.update(entry.replica_id, entry, harness.front.clock())
+        preconnector.open_missing(harness.front.clock())
+        await eventually(
+            lambda: all(
+                replica.connections.has_idle(harness.front.clock())
+                for replica in fleet.all_replicas().values()
+            )
+        )
