Compare each reply without an id with earlier stamps

Callers could get the answer of an earlier request: a late copy of a reply without a request id, on a connection whose server echoes none, was accepted if it had no length, or if the request was a HEAD.

Cause: copies were looked for only when the parser completed a message. A body that ends with its connection, and a reply to HEAD, end without that call.

Evidence: test_stamp_answers_one_request failed before for both. The comparison is part of the decision that every reply passes now. Ruled out: replies with an id, which were compared for every end.

--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -54,9 +54,7 @@
                 reply.request_id != self.current_id
                 and reply.request_id[:_MAX_TEXT_CHARS] in self._earlier_ids
             )
-        return bool(reply.stamp) and (
-            reply.stamp[:_MAX_TEXT_CHARS] in self._stamps
-        )
+        return self._has_earlier_stamp(reply)
 
     def accept(self, reply: Reply) -> bool:
         """Return whether a reply answers the current request.
@@ -69,9 +67,16 @@
         if reply.request_id:
             self._echoes_ids = True
             return reply.request_id == self.current_id
+        if self._echoes_ids or self._has_earlier_stamp(reply):
+            return False
         if reply.stamp:
             self._stamps.append(reply.stamp[:_MAX_TEXT_CHARS])
-        return not self._echoes_ids
+        return True
+
+    def _has_earlier_stamp(self, reply: Reply) -> bool:
+        return bool(reply.stamp) and (
+            reply.stamp[:_MAX_TEXT_CHARS] in self._stamps
+        )
 
     def _is_spliced(self, body: bytes) -> bool:
         """Return whether a copy of an earlier reply is within a body."""
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -259,6 +259,7 @@
     request_ids: tuple[str, ...],
     *,
     closes_at_end: bool = False,
+    method: str = 'GET',
 ) -> list[Outcome]:
     """Send requests on one connection; return their outcomes.
 
@@ -290,7 +291,7 @@
     outcomes = []
     for request_id in request_ids:
         exchange = Exchange(
-            request=make_request(request_id),
+            request=make_request(request_id, method=method),
             replica_id='r',
             deadline_at_seconds=time.monotonic() + 20,
             outcome=asyncio.get_running_loop().create_future(),
@@ -365,6 +366,26 @@
     assert outcomes[1].reply.body == b'second'
 
 
+_STAMPED_ONLY = b'HTTP/1.1 200 OK\r\nServer-Stamp: s1\r\n'
+
+
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+def test_stamp_answers_one_request(method: str) -> None:
+    """A copy without an id must not answer the next request.
+
+    Its end shows only with the connection, or it has no body.
+    """
+    first = b''.join((_STAMPED_ONLY, b'Content-Length: 0\r\n\r\n'))
+    copy = b''.join((_STAMPED_ONLY, b'\r\n'))
+    outcomes = uvloop.run(
+        _serve_in_turn(
+            [[first], [copy]], ('q1', 'q2'), closes_at_end=True, method=method
+        )
+    )
+    assert outcomes[0].kind is OutcomeKind.replied
+    assert outcomes[1].kind is not OutcomeKind.replied
+
+
 def test_copies_without_end_are_no_reply() -> None:
     """A server that sends copies for ever must not keep a request waiting."""
     outcomes = uvloop.run(
