Return frozen results of a search

`ScatterGather.run` returned the lists to which the tasks of its shards add. They are cancelled by then, so nothing was added in practice; but a task that fails while it is cancelled, such as in the release of its attempts, would have added a failed shard to results of which the coverage was computed already.

The results are now a frozen class with tuples; the search replaces its own as shards end, and what it has returned stays. No fault was seen, so there is no test that failed before; the tests of searches pass.

--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -18,25 +18,26 @@
 from dragonflyramp.routes import GatherSettings
 
 
-@attrs.define(eq=False)
+@attrs.frozen
 class ShardResults:
     """Results of the shards of one search."""
 
     shard_count: int
-    succeeded: list[FetchResult] = attrs.field(factory=list)
-    failed: list[FetchResult] = attrs.field(factory=list)
+    succeeded: tuple[FetchResult, ...] = ()
+    failed: tuple[FetchResult, ...] = ()
     #: Shards that had not finished when the search ended.
-    cancelled: list[FetchResult] = attrs.field(factory=list)
+    cancelled: tuple[FetchResult, ...] = ()
 
     @property
     def all_results(self) -> tuple[FetchResult, ...]:
         """Return the results of all shards, for the request log."""
         return (*self.succeeded, *self.failed, *self.cancelled)
 
-    def add(self, fetch_result: FetchResult) -> None:
-        """Add the result of one shard."""
-        is_success = fetch_result.code is ResultCode.ok
-        (self.succeeded if is_success else self.failed).append(fetch_result)
+    def with_result(self, fetch_result: FetchResult) -> 'ShardResults':
+        """Return the results with that of one more shard."""
+        if fetch_result.code is ResultCode.ok:
+            return attrs.evolve(self, succeeded=(*self.succeeded, fetch_result))
+        return attrs.evolve(self, failed=(*self.failed, fetch_result))
 
     def progress(self, min_share: float) -> Progress:
         """Return the progress of the search.
@@ -60,14 +61,17 @@
     gather: GatherSettings
     #: Monotonic time from which a partial answer is allowed.
     cutoff_at_seconds: float
-    shard_results: ShardResults = attrs.field(init=False)
+    #: Results so far; `run` returns those at the end of the search.
+    shard_results: ShardResults = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda search: ShardResults(len(search.gather.shards)),
+            takes_self=True,
+        ),
+    )
     _ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_past_cutoff: bool = False
 
-    def __attrs_post_init__(self) -> None:
-        """Create the empty results."""
-        self.shard_results = ShardResults(len(self.gather.shards))
-
     async def run(self) -> ShardResults:
         """Run the search; cancel the fetches that are unfinished at its end."""
         fetches = [
@@ -88,13 +92,12 @@
             self._is_past_cutoff = True
             self._end_if_possible()
             await self._wait_until_ended(self.context.deadline_at_seconds)
+            cancelled = []
             for fetch, task in zip(fetches, tasks, strict=True):
                 fetch.accepts_late_replies = True
                 if not task.done():
-                    self.shard_results.cancelled.append(
-                        fetch.cancelled_result()
-                    )
-        return self.shard_results
+                    cancelled.append(fetch.cancelled_result())
+        return attrs.evolve(self.shard_results, cancelled=tuple(cancelled))
 
     async def _try_shards(self, fetches: list[Fetch]) -> list[Fetch]:
         """Try a suspect search at one shard after another.
@@ -113,7 +116,7 @@
             if fetch_result.may_have_run:
                 break
         for unsent in remaining:
-            self.shard_results.add(
+            self._add(
                 FetchResult(
                     service=unsent.service, code=ResultCode.crash_suspect
                 )
@@ -134,7 +137,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0, remaining_seconds)):
                 fetch_result = await fetch.run()
-        self.shard_results.add(fetch_result)
+        self._add(fetch_result)
         self._end_if_possible()
         return fetch_result
 
@@ -152,9 +155,12 @@
                 code=ResultCode.internal_error,
                 may_have_run=True,
             )
-        self.shard_results.add(fetch_result)
+        self._add(fetch_result)
         self._end_if_possible()
 
+    def _add(self, fetch_result: FetchResult) -> None:
+        self.shard_results = self.shard_results.with_result(fetch_result)
+
     def _end_if_possible(self) -> None:
         progress = self.shard_results.progress(self.gather.min_share)
         is_partial_allowed = self._is_past_cutoff and progress.is_sufficient
