Hand out the hub order, ranks, replicas and policies read-only

The order of the daemons and the ranks of replicas are cached and handed out, the replicas of a service and the policies of a routing table are dictionaries of their owners. Nobody wrote to them, but nothing prevented it, and a write would have changed the limits of all later requests. They are now a tuple and read-only mappings; the routing table copies its policies. No fault was seen; the tests that use them pass.

--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -19,8 +19,6 @@
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
 
-_NO_REPLICAS: Mapping[str, Replica] = MappingProxyType({})
-
 
 @attrs.define(eq=False)
 class ServiceCache:
@@ -93,7 +91,7 @@
 
     def service_replicas(self, service: str) -> Mapping[str, Replica]:
         """Return the replicas of one service by id."""
-        return self._by_service.get(service, _NO_REPLICAS)
+        return MappingProxyType(self._by_service.get(service, {}))
 
     def usable_replicas(
         self, service: str, now_seconds: float
--- a/dragonflyramp/backends/_replica_orders.py
+++ b/dragonflyramp/backends/_replica_orders.py
@@ -1,6 +1,7 @@
 """Order the replicas of a service differently on each daemon."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 
 import attrs
 
@@ -18,19 +19,21 @@
 
     daemon_name: str = ''
     failure_domain: str = ''
-    _ranks: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    _ranks: dict[str, Mapping[str, int]] = attrs.field(factory=dict)
 
     def ranks(
         self, service: str, replicas: Mapping[str, Replica]
-    ) -> dict[str, int]:
+    ) -> Mapping[str, int]:
         """Return the rank of each replica by id, from 0."""
         ranks = self._ranks.get(service)
         if ranks is None:
             ordered = sorted(replicas.values(), key=self._sort_key)
-            ranks = {
-                replica.entry.replica_id: rank
-                for rank, replica in enumerate(ordered)
-            }
+            ranks = MappingProxyType(
+                {
+                    replica.entry.replica_id: rank
+                    for rank, replica in enumerate(ordered)
+                }
+            )
             self._ranks[service] = ranks
         return ranks
 
--- a/dragonflyramp/members/_memberships.py
+++ b/dragonflyramp/members/_memberships.py
@@ -51,7 +51,7 @@
     version: int = 0
     _registered: dict[str, Daemon] = attrs.field(factory=dict)
     _contacts: dict[str, _Contact] = attrs.field(factory=dict)
-    _hub_order: list[Daemon] = attrs.field(factory=list)
+    _hub_order: tuple[Daemon, ...] = ()
 
     def update_registered(self, objects_by_name: Mapping[str, Fields]) -> None:
         """Replace the registered daemons; skip malformed entries."""
@@ -86,7 +86,7 @@
             if name != self.own_daemon.name and name not in self._contacts
         )
 
-    def hub_order(self) -> list[Daemon]:
+    def hub_order(self) -> tuple[Daemon, ...]:
         """Return all known daemons in the order in which they become hubs.
 
         It is the same on all daemons that know the same daemons.
@@ -97,12 +97,14 @@
             }
             daemons.update(self._registered)
             daemons[self.own_daemon.name] = self.own_daemon
-            self._hub_order = sorted(daemons.values(), key=_hub_order_key)
+            self._hub_order = tuple(
+                sorted(daemons.values(), key=_hub_order_key)
+            )
         return self._hub_order
 
     def _invalidate(self) -> None:
         self.version += 1
-        self._hub_order = []
+        self._hub_order = ()
 
 
 def _decode_daemon(named_entry: tuple[str, Fields]) -> Daemon | None:
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Mapping
+from types import MappingProxyType
 
 import attrs
 
@@ -73,6 +74,12 @@
     cold_requests_per_second: float = 0
 
 
+def _read_only_copy(
+    service_policies: Mapping[str, ServicePolicy],
+) -> Mapping[str, ServicePolicy]:
+    return MappingProxyType(dict(service_policies))
+
+
 @attrs.frozen(kw_only=True)
 class RoutingTable:
     """Immutable routing table of one accepted configuration version."""
@@ -80,7 +87,9 @@
     version: int
     routes: tuple[Route, ...]
     #: Policies by service name.
-    service_policies: Mapping[str, ServicePolicy]
+    service_policies: Mapping[str, ServicePolicy] = attrs.field(
+        converter=_read_only_copy
+    )
     #: Limit on the body of a caller's request.
     max_body_bytes: int
     _routes_by_host: Mapping[str, tuple[Route, ...]] = attrs.field(init=False)
