--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,13 +1,15 @@
 """Test that what one part hands on is not changed by its former owner."""
 
 import time
+import types
 from collections.abc import Callable
 from typing import Any
 
 import attrs
+import pytest
 from returns.result import Result
 
-from dragonflyramp.backends import Preconnector
+from dragonflyramp.backends import Crash, CrashDetector, Preconnector
 from dragonflyramp.members import (
     SUSPECTS_KIND,
     Cluster,
@@ -18,9 +20,16 @@
 )
 from dragonflyramp.members._suspect_objects import encode_record
 from dragonflyramp.members._suspect_records import remove_old_records
+from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
-from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
+from dragonflyramp.runtime import TaskSet
+from dragonflyramp.suspects import (
+    NO_SUSPICION,
+    CrashSuspects,
+    SuspectRecord,
+    Suspicion,
+)
 from dragonflyramp.views import (
     Change,
     ChangeBatch,
@@ -184,3 +193,37 @@
                 for replica in fleet.all_replicas().values()
             )
         )
+
+
+@pytest.mark.parametrize('is_end_known_first', [True, False])
+def test_end_of_replica_counts_in_any_order(
+    is_end_known_first: bool,  # noqa: FBT001 - a parameter of the test
+) -> None:
+    """An attempt must count that is given up after its replica was replaced.
+
+    A connection to a lost VM stays open without a reply, and the new process
+    may be listed before the attempt ends.
+    """
+    detector = CrashDetector(tasks=TaskSet(), clock=time.monotonic)
+    entry = ReplicaEntry(
+        replica_id='r',
+        service='a',
+        address='127.0.0.1:1',
+        failure_domain='recife',
+        state=ReplicaState.ready,
+        start_time_ms=5,
+    )
+    attempt: Any = types.SimpleNamespace(
+        replica=types.SimpleNamespace(entry=entry)
+    )
+    crash = Crash(
+        fingerprint='f',
+        suspicion=NO_SUSPICION.with_next_round('a', 'q'),
+        replica_id=entry.replica_id,
+    )
+    if is_end_known_first:
+        detector.record_process_end(entry, 1)
+    detector.remember_unanswered(attempt, crash, 2)
+    if not is_end_known_first:
+        detector.record_process_end(entry, 3)
+    assert detector.suspects.table.find('f').crash_rounds == 1
