Hand a held trial lock to its holder, who alone can release it

`TrialLocks.release` took the fingerprint of a request, so whoever called it released the lock of whichever task held it.

`try_acquire` now returns the held lock, which releases itself once.

--- a/dragonflyramp/backends/_crash_watches.py
+++ b/dragonflyramp/backends/_crash_watches.py
@@ -4,6 +4,7 @@
 
 from dragonflyramp.backends._attempts import Attempt
 from dragonflyramp.backends._crash_detectors import Crash, CrashDetector
+from dragonflyramp.backends._trial_locks import HeldTrialLock
 from dragonflyramp.fingerprints import compute_fingerprint
 from dragonflyramp.messages import Request
 from dragonflyramp.suspects import NO_SUSPICION, Suspicion
@@ -66,7 +67,7 @@
     #: What this daemon knew when the last attempt was sent.
     _known: Suspicion
     _has_crashed: bool = False
-    _holds_lock: bool = False
+    _held_lock: HeldTrialLock | None = None
     #: Lost attempts whose replicas are not checked yet.
     _lost: list[Attempt] = attrs.field(factory=list)
 
@@ -95,11 +96,11 @@
         if not detector.is_informed(detector.clock()):
             return False
         remaining_seconds = deadline_at_seconds - detector.clock()
-        if not self._holds_lock:
-            self._holds_lock = await detector.trial_locks.try_acquire(
+        if self._held_lock is None:
+            self._held_lock = await detector.trial_locks.try_acquire(
                 self._watch.fingerprint, remaining_seconds
             )
-        return self._holds_lock and self._allows_retry(
+        return self._held_lock is not None and self._allows_retry(
             detector.suspects.table.find(self._watch.fingerprint)
         )
 
@@ -129,9 +130,9 @@
             self.remember_unanswered(
                 self._lost.pop(), self._watch.detector.clock()
             )
-        if self._holds_lock:
-            self._holds_lock = False
-            self._watch.detector.trial_locks.release(self._watch.fingerprint)
+        if self._held_lock is not None:
+            self._held_lock.release()
+            self._held_lock = None
 
     async def _check_replica(self, attempt: Attempt) -> None:
         detector = self._watch.detector
--- a/dragonflyramp/backends/_trial_locks.py
+++ b/dragonflyramp/backends/_trial_locks.py
@@ -1,6 +1,7 @@
 """Let one attempt at a suspect request run at a time."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -12,6 +13,23 @@
     user_count: int = 0
 
 
+def _do_nothing() -> None:
+    """Do nothing, for a lock that was released."""
+
+
+@attrs.define(eq=False)
+class HeldTrialLock:
+    """Lock of a request, held by one task."""
+
+    _release: Callable[[], None]
+
+    def release(self) -> None:
+        """Release the lock; later calls do not release that of another task."""
+        release = self._release
+        self._release = _do_nothing
+        release()
+
+
 @attrs.define(eq=False)
 class TrialLocks:
     """Locks by the fingerprints of requests; unused ones are dropped."""
@@ -20,8 +38,8 @@
 
     async def try_acquire(
         self, fingerprint: str, timeout_seconds: float
-    ) -> bool:
-        """Take the lock of a request; return False if another task keeps it."""
+    ) -> HeldTrialLock | None:
+        """Take the lock of a request; return None if another task keeps it."""
         counted = self._locks.setdefault(fingerprint, _CountedLock())
         counted.user_count += 1
         is_acquired = False
@@ -29,15 +47,13 @@
             async with asyncio.timeout(max(0, timeout_seconds)):
                 is_acquired = await counted.lock.acquire()
         except TimeoutError:
-            return False
+            return None
         finally:
             if not is_acquired:
                 self._discard(fingerprint, counted)
-        return True
+        return HeldTrialLock(lambda: self._release(fingerprint, counted))
 
-    def release(self, fingerprint: str) -> None:
-        """Release the lock of a request."""
-        counted = self._locks[fingerprint]
+    def _release(self, fingerprint: str, counted: _CountedLock) -> None:
         counted.lock.release()
         self._discard(fingerprint, counted)
 
--- a/dragonflyramp/callers/_suspect_guards.py
+++ b/dragonflyramp/callers/_suspect_guards.py
@@ -53,12 +53,13 @@
         if not self.detector.suspects.table.find(fingerprint).crash_rounds:
             return await self._execute(context, execute)
         wait_seconds = context.route.target_ms * _TRIAL_WAIT_SHARE / 1000
-        if not await self.detector.trial_locks.try_acquire(
+        held_lock = await self.detector.trial_locks.try_acquire(
             fingerprint, wait_seconds
-        ):
+        )
+        if held_lock is None:
             return self._refuse(context, TRIAL_RETRY_AFTER_SECONDS)
         with contextlib.ExitStack() as cleanup:
-            cleanup.callback(self.detector.trial_locks.release, fingerprint)
+            cleanup.callback(held_lock.release)
             # Another request may have changed it in the meantime.
             suspicion = self.detector.suspects.table.find(fingerprint)
             if suspicion.crash_rounds:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -10,6 +10,7 @@
 from returns.result import Result
 
 from dragonflyramp.backends import Crash, CrashDetector, Preconnector
+from dragonflyramp.backends._trial_locks import TrialLocks
 from dragonflyramp.members import (
     SUSPECTS_KIND,
     Cluster,
@@ -227,3 +228,17 @@
     if not is_end_known_first:
         detector.record_process_end(entry, 3)
     assert detector.suspects.table.find('f').crash_rounds == 1
+
+
+async def test_lock_is_released_by_its_holder_only() -> None:
+    """A task that releases twice must not release the lock of the next one.
+
+    Two attempts at a suspect request would run at the same time.
+    """
+    locks = TrialLocks()
+    first = await locks.try_acquire('f', 0)
+    assert first
+    first.release()
+    assert await locks.try_acquire('f', 0)
+    first.release()
+    assert await locks.try_acquire('f', 0) is None
