Use no body with the head of another reply in it

Callers could get a body that was not whole: where a replica answered twice, the second time without waiting, a body without a length took the second reply as its end; and a second copy of the same reply within a body of known length was passed on if a block ended exactly with the body.

Cause: nothing but the end of the connection ends a body without a length, and what arrives before it was not looked at. Bodies were searched for ids of earlier requests only, not for the id or the stamp of the reply itself.

Evidence: test_body_without_length_ends_at_second_reply failed before in all 16 cases, test_second_reply_in_body_is_not_passed_on in one of two. A second reply of which fewer than five bytes arrived cannot be told from the body. test_text_with_status_line_is_a_body held before and holds: a body that mentions a status line is passed on.

--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -7,7 +7,10 @@
 import httptools
 
 from dragonflyramp.backends._exchanges import OutcomeKind
-from dragonflyramp.backends._reply_matchers import is_cut_by_status_line
+from dragonflyramp.backends._reply_matchers import (
+    has_second_reply,
+    is_cut_by_status_line,
+)
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.messages import Headers
 from dragonflyramp.metrics import counters
@@ -244,7 +247,9 @@
         if self._builder is not None:
             partial = self._builder.partial
             if partial.is_close_delimited:
-                self.finish(partial.freeze())
+                raw = partial.freeze()
+                is_mixed = has_second_reply(raw.body)
+                self.finish(OutcomeKind.garbled if is_mixed else raw)
 
     def finish(self, outcome: RawReply | OutcomeKind) -> None:
         """Set the outcome and drop what is held; a later one is ignored."""
--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import re
 
 import attrs
 
@@ -15,6 +16,13 @@
 #: Longer ids and stamps are compared by their first characters.
 _MAX_TEXT_CHARS = 64
 _STATUS_LINE_START = b'HTTP/1.'
+#: Status line with the start of a header, or cut off by the end of the bytes.
+#: Its repeats are bounded, as a faulty server may send anything.
+_REPLY_HEAD_PATTERN = re.compile(
+    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,40}+'
+    rb'(?:\r\n[!-9;-~]{1,40}+:|(?:\r\n?)?[!-9;-~]{0,40}+\Z)'
+    rb'|HTTP/[\d. ]{0,6}\Z'
+)
 
 
 def _create_memory() -> collections.deque[str]:
@@ -62,7 +70,7 @@
         A server that has echoed ids on this connection does so in each reply;
         one without an id may be a late copy of an earlier reply.
         """
-        if self._is_spliced(reply.body):
+        if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
             return False
         if reply.request_id:
             self._echoes_ids = True
@@ -78,10 +86,16 @@
             reply.stamp[:_MAX_TEXT_CHARS] in self._stamps
         )
 
-    def _is_spliced(self, body: bytes) -> bool:
-        """Return whether a copy of an earlier reply is within a body."""
-        return _STATUS_LINE_START in body and any(
-            earlier_id.encode() in body for earlier_id in self._earlier_ids
+    def _is_spliced(self, reply: Reply) -> bool:
+        """Return whether another reply of the connection is within a body."""
+        own_marks = (self.current_id, reply.stamp)
+        if _REPLY_HEAD_PATTERN.search(reply.body) and any(
+            mark and mark.encode() in reply.body for mark in own_marks
+        ):
+            return True
+        return any(
+            mark.encode() in reply.body
+            for mark in (*self._earlier_ids, *self._stamps)
         )
 
 
@@ -90,6 +104,14 @@
     return bool(reply.request_id or reply.stamp)
 
 
+def has_second_reply(body: bytes) -> bool:
+    """Return whether the head of a reply begins within a body.
+
+    Nothing else tells where a body without a length ends.
+    """
+    return _REPLY_HEAD_PATTERN.search(body) is not None
+
+
 def is_cut_by_status_line(body: bytes, stream: bytes) -> bool:
     """Return whether a status line begins in a body or across its end.
 
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -366,6 +366,43 @@
     assert outcomes[1].reply.body == b'second'
 
 
+@pytest.mark.parametrize('split_at', [5, 12, 40, None])
+@pytest.mark.parametrize('second_id', ['q0', 'q1', 'q9', ''])
+def test_body_without_length_ends_at_second_reply(
+    split_at: int | None, second_id: str
+) -> None:
+    """A second reply must not be passed on as the end of a body."""
+    second = _reply(second_id, b'abc')
+    if not second_id:
+        second = b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n'
+    pieces = [_OK_HEAD, b'\r\nabc', second[:split_at]]
+    for sent in (pieces, [b''.join(pieces)]):
+        outcomes = uvloop.run(
+            _serve_in_turn([sent], ('q1',), closes_at_end=True)
+        )
+        assert outcomes[0].kind is not OutcomeKind.replied
+
+
+def test_text_with_status_line_is_a_body() -> None:
+    """A body that only mentions a status line must be passed on."""
+    body = b'curl said HTTP/1.1 200 OK\nand HTTP/2 is newer'
+    outcomes = uvloop.run(
+        _serve_in_turn([[_OK_HEAD, b'\r\n', body]], ('q1',), closes_at_end=True)
+    )
+    assert outcomes[0].reply is not None
+    assert outcomes[0].reply.body == body
+
+
+def test_second_reply_in_body_is_not_passed_on() -> None:
+    """A body with a copy of its own reply in it must not be used as whole."""
+    own = _reply('q1', b'x' * 400)
+    body_at = len(own) - 300
+    for copy_bytes in (300, len(own)):
+        pieces = [own[:body_at], own[:copy_bytes], own[copy_bytes:]]
+        outcomes = uvloop.run(_serve_in_turn([pieces], ('q1',)))
+        assert outcomes[0].kind is not OutcomeKind.replied
+
+
 _STAMPED_ONLY = b'HTTP/1.1 200 OK\r\nServer-Stamp: s1\r\n'
 
 
