Test that the end of an idle connection is seen at once (red)

Between eof_received and connection_lost, one step of the event loop later, an idle connection counts as usable on both event loops. A request that is given to it then is dropped by the closing transport, but counts as written.

--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -11,7 +11,9 @@
 import uvloop
 
 from dragonflyramp.backends._exchanges import OutcomeKind
+from dragonflyramp.backends._protocols_http import ReplyProtocol
 from tests.reply_servers import (
+    TIMEOUT_SECONDS,
     ScriptedServer,
     SentReply,
     Step,
@@ -147,3 +149,35 @@
     with run_scripted_server() as server:
         problems = _LOOPS[loop](check())
     assert not problems, '\n'.join((f'{len(problems)} of', *problems[:60]))
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_end_of_idle_connection_is_seen_at_once(
+    loop: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A request must not be written to a connection whose end was received.
+
+    The event loop reports the loss of the connection later than its end.
+    """
+    seen: list[str] = []
+
+    async def check() -> list[str]:  # noqa: WPS430
+        async with run_client(server.address) as client:
+            receive_eof = ReplyProtocol.eof_received
+
+            def spy(protocol: ReplyProtocol) -> bool:  # noqa: WPS430
+                stays_open = receive_eof(protocol)
+                seen.append(f'usable: {client.is_usable}')
+                return stays_open
+
+            monkeypatch.setattr(ReplyProtocol, 'eof_received', spy)
+            exchange = await client.start(make_numbered_request(1, 'GET'))
+            outcome = await outcome_of(exchange)
+            await asyncio.wait_for(client.task, TIMEOUT_SECONDS)
+        return [find_difference(outcome, reply)]
+
+    reply = SentReply(number=1)
+    with run_scripted_server() as server:
+        server.add(Step.receive, reply.encoded, Step.fin)
+        assert _LOOPS[loop](check()) == ['']
+    assert seen == ['usable: False']
