Send nothing on a connection whose end was received

Callers could get 502 for a request that had never been read: between the end of an idle connection and its loss, one step of the event loop later, the connection counted as usable. A request written to it was lost, and counted as one that may have run.

Evidence: test_end_of_idle_connection_is_seen_at_once failed before on both event loops; a scratch script that started an exchange in eof_received saw 'lost', written, and no request at the server. Found while the ends of replies were gone through.

--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/backends/_protocols_http.py
@@ -55,7 +55,11 @@
                 self.close()
 
     def eof_received(self) -> bool:
-        """Complete a reply whose body ends with the connection."""
+        """Complete a reply whose body ends with the connection.
+
+        Nothing is sent from now on: the server no longer reads.
+        """
+        self.is_open = False
         if self._reader is not None and not _was_reset(self._transport):
             self._reader.finish_at_eof()
         return False
