Remember the stamps of all replies of a connection

Callers could get a copy of an earlier answer, or a body with one in it: a copy that lost its id was compared with the stamps of replies without an id only, and on a connection whose server sends stamps and no ids, a copy that lost its stamp was accepted.

Cause: stamps were remembered for replies without an id only. Now all are, and a server that has stamped replies on a connection does so in each that ran.

Evidence: test_copy_answers_nothing failed before for the copies 'without id', 'without stamp' and 'without both', on both event loops.

--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -36,7 +36,7 @@
     current_id: str = ''
     #: Ids of the requests before the current one.
     _earlier_ids: collections.deque[str] = attrs.field(factory=_create_memory)
-    #: Stamps of the replies without an id.
+    #: Stamps of the earlier replies.
     _stamps: collections.deque[str] = attrs.field(factory=_create_memory)
     #: Whether a reply on this connection had a request id.
     _echoes_ids: bool = False
@@ -67,19 +67,24 @@
     def accept(self, reply: Reply) -> bool:
         """Return whether a reply answers the current request.
 
-        A server that has echoed ids on this connection does so in each reply;
-        one without an id may be a late copy of an earlier reply.
+        A server that has echoed ids on this connection does so in each reply,
+        and one that has stamped replies does so in each that ran; one without
+        them may be a late copy of an earlier reply.
         """
         if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
             return False
+        is_own = self._has_own_mark(reply)
+        if reply.stamp:
+            self._stamps.append(reply.stamp[:_MAX_TEXT_CHARS])
+        return is_own
+
+    def _has_own_mark(self, reply: Reply) -> bool:
         if reply.request_id:
             self._echoes_ids = True
             return reply.request_id == self.current_id
         if self._echoes_ids or self._has_earlier_stamp(reply):
             return False
-        if reply.stamp:
-            self._stamps.append(reply.stamp[:_MAX_TEXT_CHARS])
-        return True
+        return bool(reply.stamp) or reply.is_not_run or not self._stamps
 
     def _has_earlier_stamp(self, reply: Reply) -> bool:
         return bool(reply.stamp) and (
