--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,7 +1,11 @@
 """Test that what one part hands on is not changed by its former owner."""
 
+import asyncio
+import gc
+import socket
 import time
 import types
+import weakref
 from collections.abc import Callable
 from typing import Any
 
@@ -9,8 +13,16 @@
 import pytest
 from returns.result import Result
 
-from dragonflyramp.backends import Crash, CrashDetector, Preconnector
+from dragonflyramp.backends import (
+    Connection,
+    ConnectionHooks,
+    Crash,
+    CrashDetector,
+    Preconnector,
+)
+from dragonflyramp.backends._exchanges import Exchange
 from dragonflyramp.backends._trial_locks import TrialLocks
+from dragonflyramp.callers import RelayedAnswer
 from dragonflyramp.members import (
     SUSPECTS_KIND,
     Cluster,
@@ -21,6 +33,7 @@
 )
 from dragonflyramp.members._suspect_objects import encode_record
 from dragonflyramp.members._suspect_records import remove_old_records
+from dragonflyramp.platform import ReplicaCodec
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
@@ -38,7 +51,13 @@
     ListingBuilder,
     View,
 )
-from tests.front_harnesses import make_route, make_table, run_harness
+from tests.front_harnesses import (
+    FrontHarness,
+    make_request,
+    make_route,
+    make_table,
+    run_harness,
+)
 from tests.standins.waits import eventually
 from tests.suspect_models import ModelStore
 
@@ -46,6 +65,9 @@
     make_route(gather=GatherSettings(('a', 'b'), top_count=3, min_share=1))
 )
 _OLD_RECORD_MS = 100_000_000
+#: More than the buffers of both ends of a loopback connection hold.
+_UNREAD_BODY_BYTES = 16_777_216
+_RECEIVED_BYTES = 65_536
 
 
 def _do_nothing() -> None:
@@ -242,3 +264,96 @@
     assert await locks.try_acquire('f', 0)
     first.release()
     assert await locks.try_acquire('f', 0) is None
+
+
+async def test_idle_connection_holds_no_reply() -> None:
+    """An idle connection must not hold the last request and its reply.
+
+    A reply may have 4 MB, and no limit counts it once it is complete.
+    """
+    async with run_harness(make_table(make_route())) as harness:
+        answer = await harness.send()
+        assert isinstance(answer, RelayedAnswer)
+        reply = weakref.ref(answer.reply)
+        answer = None
+        await eventually(lambda: _is_any_idle(harness))
+        gc.collect()
+        assert reply() is None
+
+
+def _is_any_idle(harness: FrontHarness) -> bool:
+    replicas = harness.front.backend_client.fleet.all_replicas().values()
+    return any(
+        replica.connections.has_idle(harness.front.clock())
+        for replica in replicas
+    )
+
+
+async def _start_exchange(
+    server: socket.socket, body: bytes = b''
+) -> tuple[Connection, asyncio.Task[None], socket.socket]:
+    """Send a request that is not answered; return both ends."""
+    host, port = server.getsockname()
+    connection = Connection(
+        f'{host}:{port}',
+        ConnectionHooks(on_idle=lambda _: None, on_end=lambda _: None),
+        ReplicaCodec(),
+        time.monotonic,
+    )
+    exchange = Exchange(
+        request=attrs.evolve(make_request(), body=body, has_body=bool(body)),
+        replica_id='r',
+        deadline_at_seconds=time.monotonic() + 20,
+        outcome=asyncio.get_running_loop().create_future(),
+    )
+    connection.start(exchange)
+    task = asyncio.create_task(connection.run())
+    await eventually(lambda: exchange.is_written)
+    sock, _ = server.accept()
+    return connection, task, sock
+
+
+async def test_cancelled_connection_ends_without_error() -> None:
+    """A stop must not fail at connections that wait for a reply.
+
+    The end of the connection sets an outcome that was cancelled with its task.
+    """
+    failures: list[object] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: failures.append(context))
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        _, task, sock = await _start_exchange(server)
+        with sock:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await eventually(lambda: _has_ended(sock))
+    await asyncio.sleep(0)
+    assert not failures
+
+
+def _has_ended(sock: socket.socket) -> bool:
+    """Return whether the other end has closed or reset the connection."""
+    sock.setblocking(False)  # noqa: FBT003 - the parameter has no name
+    try:
+        return not sock.recv(_RECEIVED_BYTES)
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+
+
+async def test_half_closed_connection_is_given_up() -> None:
+    """A caller that leaves must free a connection whose server went silent.
+
+    The server has sent its end, but reads no more, so that the rest of the
+    request is never written.
+    """
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        connection, task, sock = await _start_exchange(
+            server, bytes(_UNREAD_BODY_BYTES)
+        )
+        with sock:
+            sock.shutdown(socket.SHUT_WR)
+            await eventually(lambda: not connection.is_usable(0))
+            connection.close()
+            await eventually(task.done)
