--- a/dragonflyramp/backends/_crash_detectors.py
+++ b/dragonflyramp/backends/_crash_detectors.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import math
 from collections.abc import Callable
 
 import attrs
@@ -15,7 +14,6 @@
     ReplicaProbe,
 )
 from dragonflyramp.backends._trial_locks import TrialLocks
-from dragonflyramp.bounded_maps import drop_oldest
 from dragonflyramp.metrics import counters
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.runtime import TaskSet
@@ -27,8 +25,6 @@
 _UNANSWERED_TTL_SECONDS = 20
 #: Limit on the attempts without a reply that are remembered.
 _MAX_UNANSWERED = 256
-#: Limit on the ended processes that are remembered.
-_MAX_ENDED = 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -42,18 +38,10 @@
     software_version: str = ''
 
 
-@attrs.frozen
-class _Process:
-    """Process of a replica; its successor may have the same id."""
-
-    replica_id: str
-    start_time_ms: int
-
-
 @attrs.frozen
 class _UnansweredAttempt:
     crash: Crash
-    process: _Process
+    start_time_ms: int
     ended_at_seconds: float
 
 
@@ -78,8 +66,6 @@
     _unanswered: collections.deque[_UnansweredAttempt] = attrs.field(
         factory=lambda: collections.deque(maxlen=_MAX_UNANSWERED)
     )
-    #: Monotonic times at which entries showed the ends of processes.
-    _ended: dict[_Process, float] = attrs.field(factory=dict)
     _probes: dict[str, asyncio.Task[object]] = attrs.field(factory=dict)
 
     async def has_ended(self, address: str) -> bool:
@@ -128,37 +114,28 @@
     def remember_unanswered(
         self, attempt: Attempt, crash: Crash, now_seconds: float
     ) -> None:
-        """Remember an attempt without a reply, whose replica may have ended.
-
-        Record the end at once if it is known.
-        """
-        process = _Process(
-            crash.replica_id, attempt.replica.entry.start_time_ms
-        )
-        if _is_recent(self._ended.get(process, -math.inf), now_seconds):
-            self._record_shared_crash(crash, now_seconds)
-        else:
-            self._unanswered.append(
-                _UnansweredAttempt(crash, process, now_seconds)
+        """Remember an attempt without a reply, whose replica may have ended."""
+        self._unanswered.append(
+            _UnansweredAttempt(
+                crash, attempt.replica.entry.start_time_ms, now_seconds
             )
+        )
 
     def record_process_end(
         self, entry: ReplicaEntry, now_seconds: float
     ) -> None:
         """Record that the process of a replica has ended or was replaced."""
-        process = _Process(entry.replica_id, entry.start_time_ms)
-        self._ended[process] = now_seconds
-        drop_oldest(self._ended, _MAX_ENDED)
         for unanswered in tuple(self._unanswered):
-            if unanswered.process == process:
+            is_recent = (
+                now_seconds - unanswered.ended_at_seconds
+                < _UNANSWERED_TTL_SECONDS
+            )
+            is_same_process = (
+                unanswered.crash.replica_id == entry.replica_id
+                and unanswered.start_time_ms == entry.start_time_ms
+            )
+            if is_same_process:
                 self._unanswered.remove(unanswered)
-                if _is_recent(unanswered.ended_at_seconds, now_seconds):
-                    self._record_shared_crash(unanswered.crash, now_seconds)
-
-    def _record_shared_crash(self, crash: Crash, now_seconds: float) -> None:
-        self.record_crash(crash, now_seconds)
-        self.share_first_crash(crash, is_recorded=True)
-
-
-def _is_recent(at_seconds: float, now_seconds: float) -> bool:
-    return now_seconds - at_seconds < _UNANSWERED_TTL_SECONDS
+            if is_same_process and is_recent:
+                self.record_crash(unanswered.crash, now_seconds)
+                self.share_first_crash(unanswered.crash, is_recorded=True)
