Do not set the outcome of a reply whose task was cancelled

Operators would have seen event loop errors (InvalidStateError in connection_lost) at each planned stop, and a reply that came just then ended data_received with CancelledError.

The task of a connection awaits the outcome of its reader, so cancelling the task cancels the outcome; the end of the connection then set it.

Evidence: test_cancelled_connection_ends_without_error failed before. The reader keeps the kind of its end itself, and the protocol does not ask the future.

--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/backends/_protocols_http.py
@@ -6,11 +6,7 @@
 from typing import cast
 
 from dragonflyramp.backends._exchanges import OutcomeKind
-from dragonflyramp.backends._readers_http import (
-    IsCopy,
-    RawReply,
-    ReplyReader,
-)
+from dragonflyramp.backends._readers_http import IsCopy, ReplyReader
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.metrics import counters
 
@@ -47,10 +43,10 @@
             self.close()
             return
         reader.feed(data)
-        if reader.outcome.done():
+        if reader.kind is not None:
             self._reader = None
-            is_reply = isinstance(reader.outcome.result(), RawReply)
-            if reader.has_unexpected_bytes or not is_reply:
+            is_replied = reader.kind is OutcomeKind.replied
+            if reader.has_unexpected_bytes or not is_replied:
                 counters.add('backend_faults', 'extra_or_garbled_bytes')
                 self.close()
 
--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -212,6 +212,8 @@
         self.outcome: asyncio.Future[RawReply | OutcomeKind] = (
             loop.create_future()
         )
+        #: Kind of the outcome; None before the end.
+        self.kind: OutcomeKind | None = None
         #: Whether the connection carried bytes that belong to no reply.
         self.has_unexpected_bytes = False
         #: None once the reply has ended.
@@ -261,7 +263,12 @@
         # with it, both would stay until the next garbage collection.
         builder.parser = None
         self._builder = None
-        self.outcome.set_result(outcome)
+        self.kind = OutcomeKind.replied
+        if isinstance(outcome, OutcomeKind):
+            self.kind = outcome
+        # The task that waits for it may have been cancelled.
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
 
     def discard(self) -> None:
         """Give up the reply, and free its memory."""
