Close a connection whose end was received when its caller leaves

Each caller who left during a request to a replica that had closed its side, and read no more, would have taken a connection for good: the rest of the request was never written, and the connection was not closed.

Connection.close closed only what still accepts requests.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -218,8 +218,7 @@
         """
         if self._current is not None:
             self._current.finish(Outcome(OutcomeKind.cancelled))
-        if self._channel.protocol.is_open:
-            self._channel.protocol.close()
+        self._channel.protocol.close()
 
     async def run(self) -> None:
         """Open the connection and execute exchanges until it is closed.
