Let an idle connection refer to neither its last exchange nor the reply

Each exchange is executed in a call of its own now. test_idle_connection_holds_no_reply failed before.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -229,22 +229,25 @@
             cleanup.callback(self._hooks.on_end, self)
             cleanup.callback(self._channel.protocol.close)
             cleanup.callback(self.close)
-            await self._execute_exchanges()
-
-    async def _execute_exchanges(self) -> None:
-        is_open = await self._channel.open()
-        if self._queue.empty():
-            if not is_open:
-                return
-            self._hooks.on_idle(self)
+            is_open = await self._channel.open()
+            if self._queue.empty():
+                if not is_open:
+                    return
+                self._hooks.on_idle(self)
+            while await self._execute_next(is_open=is_open):
+                self._hooks.on_idle(self)
+
+    async def _execute_next(self, *, is_open: bool) -> bool:
+        """Execute the next exchange; return whether another one may follow.
+
+        An idle connection refers neither to its last exchange nor to the reply.
+        """
         exchange = await self._queue.get()
-        while exchange is not None:
-            outcome = Outcome(OutcomeKind.unreachable)
-            if is_open:
-                outcome = await self._channel.execute(exchange)
-            self._current = None
-            exchange.finish(outcome)
-            if not self._channel.protocol.is_open:
-                return
-            self._hooks.on_idle(self)
-            exchange = await self._queue.get()
+        if exchange is None:
+            return False
+        outcome = Outcome(OutcomeKind.unreachable)
+        if is_open:
+            outcome = await self._channel.execute(exchange)
+        self._current = None
+        exchange.finish(outcome)
+        return self._channel.protocol.is_open
