Drop budgets and latencies by last use, not by first use

Budgets are kept for 16,384 services, latencies for 1024 routes, weights for 1024 traffic splits. Beyond the limit, the entry that was created first was dropped: normally that of a service in steady use. Its budget began anew with nothing spent, so that extra requests could exceed the limit, and with more names in use than entries every use would have begun anew.

Now the entry whose last use is the oldest is dropped. It takes many names to meet this, as configurations with ever new services do; it was found by reading, not seen in a run. The test fails without the change: the budget in use is replaced.

--- a/dragonflyramp/backends/_budgets.py
+++ b/dragonflyramp/backends/_budgets.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from dragonflyramp.bounded_maps import drop_oldest
+from dragonflyramp.bounded_maps import use_entry
 from dragonflyramp.rendezvous import rendezvous_hash
 
 #: Share of the budget that daemons spend. The rest is a margin, because a
@@ -139,12 +139,12 @@
 
     def for_service(self, service: str) -> Budget:
         """Return the budget of a service, created on first use."""
-        budget = self._by_service.get(service)
-        if budget is None:
-            budget = Budget(self._bounds)
-            self._by_service[service] = budget
-            drop_oldest(self._by_service, _MAX_SERVICES)
-        return budget
+        return use_entry(
+            self._by_service,
+            service,
+            lambda: Budget(self._bounds),
+            _MAX_SERVICES,
+        )
 
     def min_remaining_share(
         self, daemon_count: int, now_seconds: float
--- a/dragonflyramp/backends/_latencies.py
+++ b/dragonflyramp/backends/_latencies.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from dragonflyramp.bounded_maps import drop_oldest
+from dragonflyramp.bounded_maps import use_entry
 from dragonflyramp.routes import Route
 
 #: Enough samples for quantiles up to the 95th percentile, which includes the
@@ -66,9 +66,9 @@
 
     def for_route(self, route: Route) -> RouteLatencies:
         """Return the latencies of a route, created on first use."""
-        latencies = self._by_route.get(route.name)
-        if latencies is None:
-            latencies = RouteLatencies(route.target_ms)
-            self._by_route[route.name] = latencies
-            drop_oldest(self._by_route, _MAX_ROUTES)
-        return latencies
+        return use_entry(
+            self._by_route,
+            route.name,
+            lambda: RouteLatencies(route.target_ms),
+            _MAX_ROUTES,
+        )
--- a/dragonflyramp/callers/_traffic_splits.py
+++ b/dragonflyramp/callers/_traffic_splits.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from dragonflyramp.bounded_maps import drop_oldest
+from dragonflyramp.bounded_maps import use_entry
 from dragonflyramp.routes import Route, WeightedService
 
 #: Limit on the splits that are kept, those of earlier configurations included.
@@ -26,10 +26,12 @@
         split = route.split
         if len(split) == 1:
             return split[0].service
-        current_weights = self._current_weights.setdefault(
-            split, [0 for _ in split]
+        current_weights = use_entry(
+            self._current_weights,
+            split,
+            lambda: [0 for _ in split],
+            _MAX_SPLITS,
         )
-        drop_oldest(self._current_weights, _MAX_SPLITS)
         total_weight = sum(
             weighted_service.weight for weighted_service in split
         )
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from dragonflyramp.backends import (
     Budget,
     BudgetBounds,
+    Budgets,
     ColdReplicaLimiter,
     ConnectionPool,
     LowestLatencySelector,
@@ -39,6 +40,8 @@
 _INPUTS = SelectionInputs(
     failure_domain='recife', typical_ms=20, target_ms=100, now_seconds=1000
 )
+#: More services than budgets are kept.
+_SERVICE_COUNT = 20_000
 
 
 class _ConnectedPool(ConnectionPool):
@@ -240,6 +243,18 @@
     return Budget(BudgetBounds(ratio=0.2, window_seconds=10, slack=slack))
 
 
+def test_budget_in_use_is_not_dropped() -> None:
+    """Budgets of later services must not replace one that is in use.
+
+    A new budget has not spent anything, so the limit would be exceeded.
+    """
+    budgets = Budgets(BudgetBounds(ratio=0, window_seconds=10, slack=10))
+    budget = budgets.for_service('busy')
+    for number in range(_SERVICE_COUNT):
+        budgets.for_service(f's{number}')
+        assert budgets.for_service('busy') is budget
+
+
 def test_counts_that_nobody_reads_are_bounded() -> None:
     """Counts that nobody reads must not grow with the time.
 
