Run the cases of copies of replies on one event loop

Now the server shares the event loop of the client and sends between its turns, 64 connections at once, so that it is known what one poll reports together. The copy on an idle connection arrives before, with and after the next request. The due reply after a copy that is recognized must be used.

--- a/tests/reply_servers.py
+++ b/tests/reply_servers.py
@@ -1,13 +1,15 @@
-"""Play scripted replies and ends of connections from a thread."""
+"""Play scripted replies and ends of connections over sockets.
+
+Client and server share an event loop, which polls the client's socket as if the
+server ran elsewhere.
+"""
 
 import asyncio
 import contextlib
 import enum
-import queue
 import socket
-import threading
 import time
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncIterator
 
 import attrs
 
@@ -23,8 +25,8 @@
 from tests.standins.resets import reset_on_close
 
 TIMEOUT_SECONDS = 10
-#: Time in which the event loop reads a piece before the next one is sent.
-_PAUSE_SECONDS = 0.001
+#: Turns in which the event loop reads a piece and runs what follows from it.
+_PAUSE_TURNS = 5
 _NO_BODY_STATUSES = (204, 304)
 _MAX_SHOWN_CHARS = 90
 
@@ -36,7 +38,7 @@
     number: int
     status: int = 200
     framing: str = 'length'
-    is_head: bool = False
+    method: str = 'GET'
     has_id: bool = True
     has_stamp: bool = True
     body_bytes: int = 12
@@ -44,8 +46,9 @@
     def __str__(self) -> str:
         """Return the fields that tell how it differs from other replies."""
         identity = [self.request_id or 'no id', self.stamp or 'no stamp']
-        method = 'HEAD' if self.is_head else 'GET'
-        return ' '.join((method, str(self.status), self.framing, *identity))
+        return ' '.join(
+            (self.method, str(self.status), self.framing, *identity)
+        )
 
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
@@ -75,7 +78,20 @@
     @property
     def has_body(self) -> bool:
         """Return whether a body follows the head."""
-        return not self.is_head and self.status not in _NO_BODY_STATUSES
+        return self.method != 'HEAD' and self.status not in _NO_BODY_STATUSES
+
+    @property
+    def is_close_delimited(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        return self.has_body and self.framing == 'close'
+
+    @property
+    def request(self) -> Request:
+        """Return the request that the reply answers."""
+        request = make_request(f'id-{self.number}', method=self.method)
+        if self.method == 'POST':
+            return attrs.evolve(request, body=b'posted', has_body=True)
+        return request
 
     @property
     def body(self) -> bytes:
@@ -112,114 +128,59 @@
 
     #: Read one request.
     receive = 'receive'
-    #: Wait until the client says so.
-    wait = 'wait'
-    #: Tell the client that all before was done.
-    sent = 'sent'
+    #: Let the event loop read what was sent.
+    pause = 'pause'
     fin = 'fin'
+    #: Close for sending, and read on.
     half = 'half'
     reset = 'reset'
 
 
+async def pause(turn_count: int = _PAUSE_TURNS) -> None:
+    """Let the event loop poll and run callbacks a few times."""
+    for _ in range(turn_count):
+        await asyncio.sleep(0)
+
+
 @attrs.define(eq=False)
-class Script:
-    """What a server does on one connection; it stays open at the end."""
+class ReplyServer:
+    """Server side of one connection."""
 
-    steps: Sequence[bytes | Step]
-    sent: threading.Semaphore = attrs.field(
-        factory=lambda: threading.Semaphore(0)
-    )
-    may_go_on: threading.Semaphore = attrs.field(
-        factory=lambda: threading.Semaphore(0)
-    )
+    sock: socket.socket
     requests: list[bytes] = attrs.field(factory=list)
 
-    def play(self, sock: socket.socket) -> None:
-        """Play the script on an accepted connection."""
-        sock.settimeout(TIMEOUT_SECONDS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    async def play(self, *steps: bytes | Step) -> None:
+        """Play a script; what is sent without a pause arrives together."""
         # The client closes the connection at bytes that it does not expect.
-        with sock, contextlib.suppress(ConnectionError, TimeoutError):
-            for step in self.steps:
+        with contextlib.suppress(ConnectionError):
+            for step in steps:
                 if isinstance(step, bytes):
-                    sock.sendall(step)
-                    time.sleep(_PAUSE_SECONDS)
+                    self.sock.send(step)
+                elif step is Step.receive:
+                    await self._receive()
+                elif step is Step.pause:
+                    await pause()
                 else:
-                    self._play_step(sock, step)
-            if sock.fileno() >= 0:
-                self.requests.append(sock.recv(4096))
-
-    def _play_step(self, sock: socket.socket, step: Step) -> None:
-        if step is Step.receive:
-            self.requests.append(_receive_request(sock))
-        elif step is Step.wait:
-            self.may_go_on.acquire(timeout=TIMEOUT_SECONDS)
-        elif step is Step.sent:
-            self.sent.release()
-        else:
-            _end(sock, step)
-
-
-def _end(sock: socket.socket, step: Step) -> None:
-    if step is Step.half:
-        sock.shutdown(socket.SHUT_WR)
-        return
-    if step is Step.reset:
-        reset_on_close(sock)
-    sock.close()
-
-
-def _receive_request(sock: socket.socket) -> bytes:
-    received = b''
-    while b'\r\n\r\n' not in received:
-        block = sock.recv(4096)
-        if not block:
-            raise ConnectionError
-        received += block
-    # A request with a body is sent in one write.
-    return received
-
-
-@attrs.define(eq=False)
-class ScriptedServer:
-    """Loopback server that plays one script for each connection."""
-
-    address: str
-    _scripts: queue.SimpleQueue[Script | None] = attrs.field(
-        factory=queue.SimpleQueue
-    )
-
-    def add(self, *steps: bytes | Step) -> Script:
-        """Add the script of the next connection."""
-        script = Script(steps)
-        self._scripts.put(script)
-        return script
-
-    def stop(self) -> None:
-        """End the thread after the scripts."""
-        self._scripts.put(None)
-
-    def serve(self, listener: socket.socket) -> None:
-        """Play the scripts in order."""
-        for script in iter(self._scripts.get, None):
-            sock, _ = listener.accept()
-            script.play(sock)
-
-
-@contextlib.contextmanager
-def run_scripted_server() -> Iterator[ScriptedServer]:
-    """Run a server in a thread."""
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        listener.settimeout(TIMEOUT_SECONDS)
-        host, port = listener.getsockname()
-        server = ScriptedServer(f'{host}:{port}')
-        thread = threading.Thread(target=server.serve, args=(listener,))
-        thread.start()
-        try:
-            yield server
-        finally:
-            server.stop()
-            thread.join()
+                    self._end(step)
+
+    async def _receive(self) -> None:
+        loop = asyncio.get_running_loop()
+        received = b''
+        # A request with a body is sent in one write.
+        while b'\r\n\r\n' not in received:
+            block = await loop.sock_recv(self.sock, 4096)
+            if not block:
+                raise ConnectionError
+            received += block
+        self.requests.append(received)
+
+    def _end(self, step: Step) -> None:
+        if step is Step.half:
+            self.sock.shutdown(socket.SHUT_WR)
+            return
+        if step is Step.reset:
+            reset_on_close(self.sock)
+        self.sock.close()
 
 
 @attrs.define(eq=False)
@@ -228,71 +189,86 @@
 
     connection: Connection
     task: asyncio.Task[None]
+    server: ReplyServer
     _idle: asyncio.Event
+    _playing: list[asyncio.Task[None]] = attrs.field(factory=list)
 
     @property
     def is_usable(self) -> bool:
         """Return whether the connection may carry another request."""
         return self.connection.is_usable(time.monotonic())
 
-    async def start(self, request: Request) -> Exchange:
-        """Write a request."""
+    async def start(self, reply: SentReply) -> Exchange:
+        """Write the request that a reply answers."""
         async with asyncio.timeout(TIMEOUT_SECONDS):
             await self._idle.wait()
         self._idle.clear()
-        exchange = Exchange(
-            request=request,
-            replica_id='r',
-            deadline_at_seconds=time.monotonic() + 2 * TIMEOUT_SECONDS,
-            outcome=asyncio.get_running_loop().create_future(),
-        )
+        exchange = make_exchange(reply.request)
         self.connection.start(exchange)
         # The task of the connection runs before this one goes on.
         await asyncio.sleep(0)
         return exchange
 
-    async def end(self) -> None:
-        """Close the connection, and run its last callbacks."""
-        self.connection.close()
+    def play(self, *steps: bytes | Step) -> None:
+        """Start the server's script."""
+        self._playing.append(asyncio.create_task(self.server.play(*steps)))
+
+    async def wait_end(self) -> None:
+        """Wait until the connection has ended, and run its last callbacks."""
         async with asyncio.timeout(TIMEOUT_SECONDS):
             await self.task
+            for playing in self._playing:
+                await playing
+        await pause()
 
 
 @contextlib.asynccontextmanager
 async def run_client(
-    address: str, memory: ReplyMemory | None = None
+    memory: ReplyMemory | None = None,
 ) -> AsyncIterator[ReplyClient]:
-    """Open a connection whose end is awaited."""
+    """Open a connection to a server of its own, and await its end."""
     idle = asyncio.Event()
-    connection = Connection(
-        address,
-        ConnectionHooks(on_idle=lambda _: idle.set(), on_end=lambda _: None),
-        ReplicaCodec(),
-        time.monotonic,
-        memory,
-    )
-    client = ReplyClient(
-        connection, asyncio.create_task(connection.run()), idle
-    )
-    try:
-        yield client
-    finally:
-        await client.end()
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        listener.settimeout(TIMEOUT_SECONDS)
+        host, port = listener.getsockname()
+        connection = Connection(
+            f'{host}:{port}',
+            ConnectionHooks(
+                on_idle=lambda _: idle.set(), on_end=lambda _: None
+            ),
+            ReplicaCodec(),
+            time.monotonic,
+            memory,
+        )
+        task = asyncio.create_task(connection.run())
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await idle.wait()
+        sock, _ = listener.accept()
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    client = ReplyClient(connection, task, ReplyServer(sock), idle)
+    with sock:
+        try:
+            yield client
+        finally:
+            connection.close()
+            await client.wait_end()
 
 
-async def outcome_of(exchange: Exchange) -> Outcome:
-    """Return the outcome, which must be set in time."""
-    return await asyncio.wait_for(
-        asyncio.shield(exchange.outcome), TIMEOUT_SECONDS
+def make_exchange(request: Request) -> Exchange:
+    """Create an exchange whose deadline is not reached."""
+    return Exchange(
+        request=request,
+        replica_id='r',
+        deadline_at_seconds=time.monotonic() + 2 * TIMEOUT_SECONDS,
+        outcome=asyncio.get_running_loop().create_future(),
     )
 
 
-def make_numbered_request(number: int, method: str) -> Request:
-    """Create the request that a `SentReply` with a number answers."""
-    request = make_request(f'id-{number}', method=method)
-    if method == 'POST':
-        return attrs.evolve(request, body=b'posted', has_body=True)
-    return request
+async def outcome_of(exchange: Exchange) -> Outcome:
+    """Return the outcome, which must be set in time."""
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        return await exchange.outcome
 
 
 def find_difference(outcome: Outcome, sent: SentReply) -> str:
--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -13,15 +13,12 @@
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._protocols_http import ReplyProtocol
 from tests.reply_servers import (
-    TIMEOUT_SECONDS,
-    ScriptedServer,
     SentReply,
     Step,
     find_difference,
-    make_numbered_request,
     outcome_of,
+    pause,
     run_client,
-    run_scripted_server,
 )
 
 _Run: TypeAlias = Callable[[Coroutine[Any, Any, list[str]]], list[str]]
@@ -29,6 +26,22 @@
 _LOOPS: Mapping[str, _Run] = MappingProxyType(
     {'uvloop': uvloop.run, 'asyncio': asyncio.run}
 )
+_FRAMINGS = ('length', 'chunked', 'close')
+#: Cases that run on one event loop at once.
+_BATCH_SIZE = 64
+
+
+def _check_cases(loop: str, checks: Iterator[Coroutine[Any, Any, str]]) -> None:
+    """Run cases over connections of their own, a batch at once."""
+
+    async def check() -> list[str]:  # noqa: WPS430
+        problems: list[str] = []
+        while batch := list(itertools.islice(checks, _BATCH_SIZE)):
+            problems.extend(await asyncio.gather(*batch))
+        return [problem for problem in problems if problem]
+
+    problems = _LOOPS[loop](check())
+    assert not problems, '\n'.join((f'{len(problems)} of', *problems[:60]))
 
 
 @attrs.frozen(kw_only=True)
@@ -38,6 +51,8 @@
     replies: tuple[SentReply, SentReply]
     copy: SentReply
     place: str
+    #: Turns of the event loop between the first reply and the second request.
+    idle_turn_count: int
 
     @property
     def steps(self) -> list[bytes | Step]:
@@ -60,7 +75,25 @@
             'appended': [first, Step.receive, second + copy, Step.fin],
             'appended late': [first, Step.receive, second, copy, Step.fin],
         }
-        return [Step.receive, *steps_by_place[self.place]]
+        return [Step.receive, *_with_pauses(steps_by_place[self.place])]
+
+    @property
+    def is_alive(self) -> bool:
+        """Return whether the second reply must be used: it follows a copy."""
+        methods = {reply.method for reply in (*self.replies, self.copy)}
+        return (
+            self.place.startswith('front')
+            and methods == {'GET'}
+            and self.copy.framing != 'close'
+            and bool(self.copy.request_id or self.copy.stamp)
+        )
+
+
+def _with_pauses(steps: list[bytes | Step]) -> Iterator[bytes | Step]:
+    for step in steps:
+        yield step
+        if isinstance(step, bytes):
+            yield Step.pause
 
 
 #: What a copy keeps of the id and the stamp; `own` is one of the reply itself.
@@ -73,16 +106,18 @@
         'without both': (False, False),
     }
 )
-_FRAMINGS = ('length', 'chunked', 'close')
+#: The copy arrives before, with and after the second request.
+_IDLE_TURN_COUNTS = (0, 1, 2, 4, 10)
 
 
 def _doubled_cases(place: str, copy_kind: str) -> Iterator[_Doubled]:
     keeps_id, keeps_stamp = _COPY_KEEPS[copy_kind]
-    for first, is_head, framing, copy_framing in itertools.product(
-        _first_replies(), (False, True), _FRAMINGS, _FRAMINGS
+    idle_turn_counts = itertools.cycle(_IDLE_TURN_COUNTS)
+    for first, method, framing, copy_framing in itertools.product(
+        _first_replies(), ('GET', 'HEAD'), _FRAMINGS, _FRAMINGS
     ):
         second = attrs.evolve(
-            first, number=2, is_head=is_head, framing=framing, body_bytes=400
+            first, number=2, method=method, framing=framing, body_bytes=400
         )
         copy = attrs.evolve(
             attrs.evolve(second, body_bytes=first.body_bytes)
@@ -94,33 +129,35 @@
         )
         # Bytes without a mark cannot be told from a body: docs/unproved.md.
         if place != 'inside to length' or copy.has_id or copy.has_stamp:
-            yield _Doubled(replies=(first, second), copy=copy, place=place)
+            yield _Doubled(
+                replies=(first, second),
+                copy=copy,
+                place=place,
+                idle_turn_count=next(idle_turn_counts),
+            )
 
 
 def _first_replies() -> Iterator[SentReply]:
     for has_id, has_stamp in ((True, True), (True, False), (False, True)):
-        for is_head in (False, True):
+        for method in ('GET', 'HEAD'):
             yield SentReply(
-                number=1, is_head=is_head, has_id=has_id, has_stamp=has_stamp
+                number=1, method=method, has_id=has_id, has_stamp=has_stamp
             )
 
 
-async def _run_doubled(server: ScriptedServer, case: _Doubled) -> list[str]:
-    server.add(*case.steps)
-    problems = []
-    async with run_client(server.address) as client:
+async def _check_doubled(case: _Doubled) -> str:
+    async with run_client() as client:
+        client.play(*case.steps)
         for reply in case.replies:
-            method = 'HEAD' if reply.is_head else 'GET'
-            exchange = await client.start(
-                make_numbered_request(reply.number, method)
-            )
-            outcome = await outcome_of(exchange)
+            outcome = await outcome_of(await client.start(reply))
             difference = find_difference(outcome, reply)
-            if difference and outcome.kind is OutcomeKind.replied:
-                problems.append(f'{case.copy} at {reply}: {difference}')
+            is_used = outcome.kind is OutcomeKind.replied
+            if difference and (is_used or case.is_alive):
+                return f'{case.place} {case.copy} at {reply}: {difference}'
+            await pause(case.idle_turn_count)
             if not client.is_usable:
                 break
-    return problems
+    return ''
 
 
 _PLACES_BEFORE = ('at once', 'idle', 'front', 'front at once', 'alone')
@@ -142,18 +179,11 @@
     ],
 )
 def test_copy_answers_nothing(loop: str, place: str, copy_kind: str) -> None:
-    """A copy must neither answer another request nor lengthen a body."""
+    """A copy must neither answer another request nor lengthen a body.
 
-    async def check() -> list[str]:  # noqa: WPS430
-        return [
-            problem
-            for case in _doubled_cases(place, copy_kind)
-            for problem in await _run_doubled(server, case)
-        ]
-
-    with run_scripted_server() as server:
-        problems = _LOOPS[loop](check())
-    assert not problems, '\n'.join((f'{len(problems)} of', *problems[:60]))
+    The due reply after a copy that is recognized must be used.
+    """
+    _check_cases(loop, map(_check_doubled, _doubled_cases(place, copy_kind)))
 
 
 @pytest.mark.parametrize('loop', _LOOPS)
@@ -167,7 +197,7 @@
     seen: list[str] = []
 
     async def check() -> list[str]:  # noqa: WPS430
-        async with run_client(server.address) as client:
+        async with run_client() as client:
             receive_eof = ReplyProtocol.eof_received
 
             def spy(protocol: ReplyProtocol) -> bool:  # noqa: WPS430
@@ -176,13 +206,11 @@
                 return stays_open
 
             monkeypatch.setattr(ReplyProtocol, 'eof_received', spy)
-            exchange = await client.start(make_numbered_request(1, 'GET'))
-            outcome = await outcome_of(exchange)
-            await asyncio.wait_for(client.task, TIMEOUT_SECONDS)
+            client.play(Step.receive, reply.encoded, Step.pause, Step.fin)
+            outcome = await outcome_of(await client.start(reply))
+            await client.wait_end()
         return [find_difference(outcome, reply)]
 
     reply = SentReply(number=1)
-    with run_scripted_server() as server:
-        server.add(Step.receive, reply.encoded, Step.fin)
-        assert _LOOPS[loop](check()) == ['']
+    assert _LOOPS[loop](check()) == ['']
     assert seen == ['usable: False']
