Test each end of a reply over sockets

Replies by length, in chunks and until the end of the connection, to GET, POST and HEAD, with and without a body, whole, cut and followed by garbage, first and later on a connection that ends by FIN, half close, reset or not at all. One poll reports the last bytes and the end, or not. A reply must be used exactly as sent, also after the last callbacks of its connection, and only if it is whole.

--- a/tests/reply_servers.py
+++ b/tests/reply_servers.py
@@ -9,7 +9,7 @@
 import enum
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import attrs
 
@@ -151,8 +151,9 @@
 
     async def play(self, *steps: bytes | Step) -> None:
         """Play a script; what is sent without a pause arrives together."""
-        # The client closes the connection at bytes that it does not expect.
-        with contextlib.suppress(ConnectionError):
+        # The client closes the connection at bytes that it does not expect. A
+        # socket is then not connected, which is no ConnectionError.
+        with contextlib.suppress(OSError):
             for step in steps:
                 if isinstance(step, bytes):
                     self.sock.send(step)
@@ -221,16 +222,30 @@
                 await playing
         await pause()
 
+    async def end(self) -> None:
+        """Close the connection."""
+        self.connection.close()
+        await self.wait_end()
+        # A reset frees the ports at once.
+        if self.server.sock.fileno() >= 0:
+            reset_on_close(self.server.sock)
 
-@contextlib.asynccontextmanager
-async def run_client(
-    memory: ReplyMemory | None = None,
-) -> AsyncIterator[ReplyClient]:
-    """Open a connection to a server of its own, and await its end."""
-    idle = asyncio.Event()
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        listener.settimeout(TIMEOUT_SECONDS)
-        host, port = listener.getsockname()
+
+@attrs.define(eq=False)
+class ReplyListener:
+    """Listening socket of the servers."""
+
+    _sock: socket.socket
+    #: Pairs each accepted connection with its client.
+    _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    @contextlib.asynccontextmanager
+    async def run_client(
+        self, memory: ReplyMemory | None = None
+    ) -> AsyncIterator[ReplyClient]:
+        """Open a connection to a server of its own, and await its end."""
+        idle = asyncio.Event()
+        host, port = self._sock.getsockname()
         connection = Connection(
             f'{host}:{port}',
             ConnectionHooks(
@@ -240,19 +255,27 @@
             time.monotonic,
             memory,
         )
-        task = asyncio.create_task(connection.run())
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            await idle.wait()
-        sock, _ = listener.accept()
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    client = ReplyClient(connection, task, ReplyServer(sock), idle)
-    with sock:
-        try:
-            yield client
-        finally:
-            connection.close()
-            await client.wait_end()
+        async with self._lock:
+            task = asyncio.create_task(connection.run())
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await idle.wait()
+            sock, _ = self._sock.accept()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = ReplyClient(connection, task, ReplyServer(sock), idle)
+        with sock:
+            try:
+                yield client
+            finally:
+                await client.end()
+
+
+@contextlib.contextmanager
+def listen_for_clients() -> Iterator[ReplyListener]:
+    """Listen on a loopback port."""
+    with socket.create_server(('127.0.0.1', 0)) as sock:
+        sock.settimeout(TIMEOUT_SECONDS)
+        yield ReplyListener(sock)
 
 
 def make_exchange(request: Request) -> Exchange:
--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -4,23 +4,25 @@
 import itertools
 from collections.abc import Callable, Coroutine, Iterator, Mapping
 from types import MappingProxyType
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, TypeVar
 
 import attrs
 import pytest
 import uvloop
 
-from dragonflyramp.backends._exchanges import OutcomeKind
+from dragonflyramp.backends._exchanges import Outcome, OutcomeKind
 from dragonflyramp.backends._protocols_http import ReplyProtocol
 from tests.reply_servers import (
+    ReplyListener,
     SentReply,
     Step,
     find_difference,
+    listen_for_clients,
     outcome_of,
     pause,
-    run_client,
 )
 
+_Case = TypeVar('_Case')
 _Run: TypeAlias = Callable[[Coroutine[Any, Any, list[str]]], list[str]]
 #: The order of the last callbacks of a connection differs between event loops.
 _LOOPS: Mapping[str, _Run] = MappingProxyType(
@@ -31,13 +33,19 @@
 _BATCH_SIZE = 64
 
 
-def _check_cases(loop: str, checks: Iterator[Coroutine[Any, Any, str]]) -> None:
+def _check_cases(
+    loop: str,
+    check_case: Callable[[ReplyListener, _Case], Coroutine[Any, Any, str]],
+    cases: Iterator[_Case],
+) -> None:
     """Run cases over connections of their own, a batch at once."""
 
     async def check() -> list[str]:  # noqa: WPS430
         problems: list[str] = []
-        while batch := list(itertools.islice(checks, _BATCH_SIZE)):
-            problems.extend(await asyncio.gather(*batch))
+        with listen_for_clients() as listener:
+            while batch := list(itertools.islice(cases, _BATCH_SIZE)):
+                checks = (check_case(listener, case) for case in batch)
+                problems.extend(await asyncio.gather(*checks))
         return [problem for problem in problems if problem]
 
     problems = _LOOPS[loop](check())
@@ -145,8 +153,8 @@
             )
 
 
-async def _check_doubled(case: _Doubled) -> str:
-    async with run_client() as client:
+async def _check_doubled(listener: ReplyListener, case: _Doubled) -> str:
+    async with listener.run_client() as client:
         client.play(*case.steps)
         for reply in case.replies:
             outcome = await outcome_of(await client.start(reply))
@@ -183,7 +191,7 @@
 
     The due reply after a copy that is recognized must be used.
     """
-    _check_cases(loop, map(_check_doubled, _doubled_cases(place, copy_kind)))
+    _check_cases(loop, _check_doubled, _doubled_cases(place, copy_kind))
 
 
 @pytest.mark.parametrize('loop', _LOOPS)
@@ -196,8 +204,10 @@
     """
     seen: list[str] = []
 
-    async def check() -> list[str]:  # noqa: WPS430
-        async with run_client() as client:
+    async def check(  # noqa: WPS430
+        listener: ReplyListener, reply: SentReply
+    ) -> str:
+        async with listener.run_client() as client:
             receive_eof = ReplyProtocol.eof_received
 
             def spy(protocol: ReplyProtocol) -> bool:  # noqa: WPS430
@@ -209,8 +219,163 @@
             client.play(Step.receive, reply.encoded, Step.pause, Step.fin)
             outcome = await outcome_of(await client.start(reply))
             await client.wait_end()
-        return [find_difference(outcome, reply)]
+        return find_difference(outcome, reply)
 
-    reply = SentReply(number=1)
-    assert _LOOPS[loop](check()) == ['']
+    _check_cases(loop, check, iter([SentReply(number=1)]))
     assert seen == ['usable: False']
+
+
+@attrs.frozen(kw_only=True)
+class _Ended:
+    """What a server sends of a reply, and the end of its connection."""
+
+    reply: SentReply
+    sent: bytes
+    #: Which part is missing or added; empty if the reply is sent as it is.
+    fault: str
+    #: None if the connection stays open.
+    end: Step | None
+    is_later: bool
+    is_split: bool
+    #: One poll reports the last bytes and the end.
+    is_end_together: bool
+
+    def __str__(self) -> str:
+        """Return how the case differs from others."""
+        fields = ('fault', 'end', 'is_later', 'is_split', 'is_end_together')
+        shown = [f'{name}={getattr(self, name)}' for name in fields]
+        return ' '.join((str(self.reply), f'{len(self.sent)} bytes', *shown))
+
+    @property
+    def may_be_used(self) -> bool:
+        """Return whether the reply is whole by its framing."""
+        if self.reply.is_close_delimited:
+            return not self.fault and self.end in {Step.fin, Step.half}
+        return not self.fault.startswith('cut')
+
+    @property
+    def must_be_used(self) -> bool:
+        """Return whether the reply cannot be lost: a reset may discard it."""
+        return self.may_be_used and self.end is not Step.reset
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the client must close the connection.
+
+        It also closes it after a reply to HEAD without a length.
+        """
+        as_get = attrs.evolve(self.reply, method='GET')
+        is_unframed = as_get.is_close_delimited and not self.fault
+        return bool(self.end or is_unframed or self.fault == 'garbage')
+
+    @property
+    def steps(self) -> Iterator[bytes | Step]:
+        """Return the steps of the server."""
+        yield Step.receive
+        if self.is_split:
+            head_bytes = len(self.reply.head)
+            cuts = (0, head_bytes // 3, head_bytes - 1, head_bytes + 2, None)
+            for start, stop in itertools.pairwise(cuts):
+                piece = self.sent[start:stop]
+                if piece:
+                    yield from (Step.pause, piece)
+        else:
+            yield self.sent
+        if not self.is_end_together:
+            yield Step.pause
+        if self.end is not None:
+            yield self.end
+
+    def find_problem(self, outcome: Outcome) -> str:
+        """Return why an outcome is wrong, or an empty text."""
+        if outcome.kind is OutcomeKind.replied:
+            difference = find_difference(outcome, self.reply)
+            return difference if self.may_be_used else 'used'
+        allowed = {OutcomeKind.lost, OutcomeKind.garbled}
+        if self.end is None:
+            allowed = {OutcomeKind.cancelled}
+        if self.must_be_used or outcome.kind not in allowed or outcome.reply:
+            return str(outcome)
+        return ''
+
+
+def _faulty_bytes(reply: SentReply) -> Iterator[tuple[str, bytes]]:
+    """Return faults, and the bytes that are sent of a reply."""
+    encoded = reply.encoded
+    head_bytes = len(reply.head)
+    yield '', encoded
+    for size in (5, head_bytes // 2, head_bytes - 2, head_bytes - 1):
+        yield 'cut in head', encoded[:size]
+    # Bytes up to the end of the connection are the body.
+    if reply.is_close_delimited:
+        return
+    yield 'garbage', b''.join((encoded, b'\x00\x01garbage\r\n'))
+    if reply.has_body:
+        for size in (head_bytes, head_bytes + 4, len(encoded) - 1):
+            yield 'cut in body', encoded[:size]
+        if reply.framing == 'chunked':
+            yield 'cut in chunk', encoded[: head_bytes + 1]
+            yield 'cut after chunks', encoded[: encoded.index(b'0\r\n\r\n')]
+
+
+def _ended_cases(
+    framing: str, end: Step | None, *, is_later: bool
+) -> Iterator[_Ended]:
+    for method, status, is_split, is_end_together in itertools.product(
+        ('GET', 'POST', 'HEAD'),
+        (200, 204, 304, 500),
+        (False, True),
+        (False, True) if end else (False,),
+    ):
+        reply = SentReply(
+            number=2, method=method, status=status, framing=framing
+        )
+        for fault, sent in _faulty_bytes(reply):
+            yield _Ended(
+                reply=reply,
+                sent=sent,
+                fault=fault,
+                end=end,
+                is_later=is_later,
+                is_split=is_split,
+                is_end_together=is_end_together,
+            )
+
+
+async def _check_ended(listener: ReplyListener, case: _Ended) -> str:
+    async with listener.run_client() as client:
+        if case.is_later:
+            first = SentReply(number=1)
+            client.play(Step.receive, first.encoded)
+            await outcome_of(await client.start(first))
+        exchange = await client.start(case.reply)
+        client.play(*case.steps)
+        if case.end is None and not case.may_be_used:
+            await pause(40)
+            if exchange.outcome.done():
+                return f'{case}: ended early'
+            client.connection.close()
+        outcome = await outcome_of(exchange)
+        problems = [case.find_problem(outcome)]
+        if case.is_closed:
+            await client.wait_end()
+        elif case.may_be_used and not client.is_usable:
+            problems.append('connection is closed')
+    # Nothing that runs later may change a reply that was handed on.
+    problems.append(case.find_problem(outcome))
+    return ' '.join((str(case), *problems)) if any(problems) else ''
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+@pytest.mark.parametrize('is_later', [False, True])
+@pytest.mark.parametrize('end', [Step.fin, Step.reset, Step.half, None])
+@pytest.mark.parametrize('framing', _FRAMINGS)
+def test_reply_is_used_only_whole(
+    framing: str, end: Step | None, loop: str, *, is_later: bool
+) -> None:
+    """A reply must be used exactly as sent if it is whole, and else not.
+
+    Without a length, only the regular end of the connection completes it.
+    """
+    cases = _ended_cases(framing, end, is_later=is_later)
+    _check_cases(loop, _check_ended, cases)
