Test replies that are given up as they end

A reply is given up for memory by another reader, or as its caller leaves, before and after each of the last callbacks of its connection and some turns of the event loop after its end. It must be used as a whole or not at all, and hold no memory afterwards.

--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -1,6 +1,7 @@
 """Test each end of a reply over sockets, against what was sent."""
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Callable, Coroutine, Iterator, Mapping
 from types import MappingProxyType
@@ -12,7 +13,10 @@
 
 from dragonflyramp.backends._exchanges import Outcome, OutcomeKind
 from dragonflyramp.backends._protocols_http import ReplyProtocol
+from dragonflyramp.backends._readers_http import ReplyReader
+from dragonflyramp.backends._reply_memory import ReplyMemory
 from tests.reply_servers import (
+    TIMEOUT_SECONDS,
     ReplyListener,
     SentReply,
     Step,
@@ -379,3 +383,160 @@
     """
     cases = _ended_cases(framing, end, is_later=is_later)
     _check_cases(loop, _check_ended, cases)
+
+
+#: Shorter than all that is sent before.
+_LAST_PIECE_BYTES = 6
+
+
+@attrs.frozen(kw_only=True)
+class _Moment:
+    """When something happens to a connection whose reply ends."""
+
+    #: Callback of the protocol; empty if the turns after the end count.
+    callback: str = ''
+    is_before: bool = False
+    turn_count: int = 0
+
+    def __str__(self) -> str:
+        """Return the id of the test."""
+        if self.callback:
+            order = 'before' if self.is_before else 'after'
+            return f'{order} {self.callback}'
+        return f'turn {self.turn_count}'
+
+    def is_before_end(self, reply: SentReply) -> bool:
+        """Return whether a reply is surely not complete yet."""
+        if self.callback == 'eof_received':
+            return self.is_before and reply.is_close_delimited
+        return self.callback == 'data_received' and (
+            self.is_before or reply.is_close_delimited
+        )
+
+    def call_then(
+        self, action: Callable[[], None], patch: pytest.MonkeyPatch
+    ) -> None:
+        """Call an action at a callback, of bytes at the last piece."""
+        callback = getattr(ReplyProtocol, self.callback)
+
+        def spy(protocol: ReplyProtocol, *args: Any) -> Any:  # noqa: WPS430
+            is_due = (
+                self.callback != 'data_received'
+                or len(args[0]) == _LAST_PIECE_BYTES
+            )
+            if is_due and self.is_before:
+                action()
+            returned = callback(protocol, *args)
+            if is_due and not self.is_before:
+                action()
+            return returned
+
+        patch.setattr(ReplyProtocol, self.callback, spy)
+
+
+_MOMENTS = (
+    *(
+        _Moment(callback=callback, is_before=is_before)
+        for callback in ('data_received', 'eof_received', 'connection_lost')
+        for is_before in (True, False)
+    ),
+    *(_Moment(turn_count=turn_count) for turn_count in range(5)),
+)
+
+
+@attrs.frozen(kw_only=True)
+class _GivenUp:
+    """A reply that is given up close to its end."""
+
+    reply: SentReply
+    end: Step
+    moment: _Moment
+    #: Its caller leaves; else it is given up for memory.
+    is_left: bool
+
+    def __str__(self) -> str:
+        """Return how the case differs from others."""
+        cause = 'left' if self.is_left else 'memory'
+        return f'{self.reply} {self.end} {self.moment} {cause}'
+
+    def find_problem(self, outcome: Outcome) -> str:
+        """Return why an outcome is wrong, or an empty text."""
+        is_early = self.moment.is_before_end(self.reply)
+        is_reset = self.end is Step.reset
+        if outcome.kind is OutcomeKind.replied:
+            if is_early or (is_reset and self.reply.is_close_delimited):
+                return 'used'
+            return find_difference(outcome, self.reply)
+        if outcome.reply:
+            return 'handed on'
+        is_due = bool(self.moment.callback) and not (
+            is_early or is_reset or self.is_left
+        )
+        return f'not used: {outcome}' if is_due else ''
+
+
+def _given_up_cases(moment: _Moment, *, is_left: bool) -> Iterator[_GivenUp]:
+    for framing, end in itertools.product(
+        _FRAMINGS, (Step.fin, Step.half, Step.reset)
+    ):
+        reply = SentReply(number=2, framing=framing, body_bytes=4000)
+        yield _GivenUp(reply=reply, end=end, moment=moment, is_left=is_left)
+
+
+async def _check_given_up(listener: ReplyListener, case: _GivenUp) -> str:
+    memory = ReplyMemory()
+    other = ReplyReader(is_head=False, memory=memory)
+    problems: list[str] = []
+
+    def give_up() -> None:  # noqa: WPS430
+        if not case.is_left:
+            other.feed(_OTHER_REPLY)
+            return
+        client.connection.close()
+        if client.is_usable:
+            problems.append('usable')
+
+    async with contextlib.AsyncExitStack() as stack:
+        # uvloop looks up some callbacks as a connection opens.
+        patch = stack.enter_context(pytest.MonkeyPatch.context())
+        if case.moment.callback:
+            case.moment.call_then(give_up, patch)
+        client = await stack.enter_async_context(listener.run_client(memory))
+        exchange = await client.start(case.reply)
+        encoded = case.reply.encoded
+        client.play(Step.receive, encoded[:-_LAST_PIECE_BYTES])
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not memory.held_bytes:
+                await asyncio.sleep(0.001)
+        memory.max_bytes = memory.held_bytes + 100
+        client.play(encoded[-_LAST_PIECE_BYTES:], case.end)
+        if not case.moment.callback:
+            await pause(case.moment.turn_count)
+            give_up()
+        outcome = await outcome_of(exchange)
+        problems.append(case.find_problem(outcome))
+        await client.wait_end()
+    problems.append(case.find_problem(outcome))
+    other.discard()
+    if memory.held_bytes:
+        problems.append(f'{memory.held_bytes} bytes held')
+    return ' '.join((str(case), *problems)) if any(problems) else ''
+
+
+#: Not complete, and smaller than the other reply.
+_OTHER_REPLY = b''.join((b'HTTP/1.1 200 OK\r\nX: y\r\n\r\n', b'o' * 150))
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+@pytest.mark.parametrize('is_left', [False, True])
+@pytest.mark.parametrize('moment', _MOMENTS, ids=str)
+def test_reply_given_up_is_whole_or_none(
+    moment: _Moment, loop: str, *, is_left: bool
+) -> None:
+    """A reply that is given up as it ends must not be used in part.
+
+    It is given up for memory by another reader, or as its caller leaves.
+    """
+    for case in _given_up_cases(moment, is_left=is_left):
+        # The callbacks are those of all connections.
+        _check_cases(loop, _check_given_up, iter([case]))
