Test that a front that stops reports no failure of connections (red)

A front that stops, or a connection whose task is cancelled otherwise, logs an error with a trace and counts task_failures{event_loop} for each reply that is pending: the cancelled task cancels the outcome of the reader, and the last callbacks of the connection set or read it.

connection_lost: ReplyReader.finish: self.outcome.set_result(outcome) InvalidStateError, on both event loops, with any framing. The connection then keeps its reader, and on_closed is not called.

No caller gets a wrong reply: the exchange is cancelled in each case.

test_cancelled_connection_reports_no_failure fails in its 6 cases.

--- a/tests/reply_servers.py
+++ b/tests/reply_servers.py
@@ -217,9 +217,10 @@
     async def wait_end(self) -> None:
         """Wait until the connection has ended, and run its last callbacks."""
         async with asyncio.timeout(TIMEOUT_SECONDS):
-            await self.task
-            for playing in self._playing:
-                await playing
+            await asyncio.wait((self.task, *self._playing))
+        for task in (self.task, *self._playing):
+            if not task.cancelled():
+                task.result()
         await pause()
 
     async def end(self) -> None:
--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -540,3 +540,40 @@
     for case in _given_up_cases(moment, is_left=is_left):
         # The callbacks are those of all connections.
         _check_cases(loop, _check_given_up, iter([case]))
+
+
+async def _check_cancelled(
+    listener: ReplyListener, pieces: tuple[bytes, bytes]
+) -> str:
+    """Cancel a connection between two pieces; the second one may be read."""
+    failures: list[str] = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: failures.append(repr(context['exception']))
+    )
+    async with listener.run_client() as client:
+        exchange = await client.start(SentReply(number=1))
+        client.play(Step.receive, pieces[0])
+        await pause()
+        client.server.sock.send(pieces[1])
+        client.task.cancel()
+        outcome = await outcome_of(exchange)
+        await client.wait_end()
+    if outcome != Outcome(OutcomeKind.cancelled):
+        failures.append(str(outcome))
+    return ' '.join((str(pieces), *failures)) if failures else ''
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+@pytest.mark.parametrize('framing', _FRAMINGS)
+def test_cancelled_connection_reports_no_failure(
+    loop: str, framing: str
+) -> None:
+    """A front that stops must not report a failure for each pending reply.
+
+    The last callbacks of a connection run after its task was cancelled.
+    """
+    encoded = SentReply(number=1, framing=framing).encoded
+    for at in (0, 20, len(encoded) - 5):
+        for pieces in ((encoded[:at], b''), (encoded[:at], encoded[at:])):
+            # The event loop reports failures of all its connections.
+            _check_cases(loop, _check_cancelled, iter([pieces]))
