Relay no success without the server's stamp on a plain route

The stamp of a reply was demanded only of the parts of a search; a plain route passed any 2xx on. A reply's meaning is now decided once, for both kinds of route, in `_reply_checks`: a success without a stamp is invalid. An idempotent request is sent again within its limits, one that may run once is answered 502, because it may have run; nothing of the reply is relayed. The attempt is logged as `invalid`, the result is `bad_reply`, the replica counts an error, and `invalid_replies` counts the reason.

tests/test_success_checks.py: the 29 cases on plain routes failed before, in all framings, with GET, POST and HEAD, first and later on a connection; the 9 searches passed.

--- a/dragonflyramp/backends/_attempts.py
+++ b/dragonflyramp/backends/_attempts.py
@@ -8,6 +8,7 @@
 from dragonflyramp.backends._connections_http import Connection
 from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
 from dragonflyramp.backends._replicas import Replica
+from dragonflyramp.backends._reply_checks import ReplyVerdict
 from dragonflyramp.backends._requests import AttemptRecord, FetchResult
 from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
@@ -124,16 +125,21 @@
 class FailureSummary:
     """Failure of a fetch; its last unsuccessful attempt sets the code."""
 
+    _service: str
+    _attempts: Attempts
     failure_code: ResultCode = ResultCode.no_replica
     may_have_run: bool = False
     _failed_reply: Reply | None = None
 
-    def add_reply(self, reply: Reply) -> None:
-        """Set the failure code from a reply that is not a usable part."""
-        if reply.is_misdirected or reply.is_not_run:
+    def add_reply(self, reply: Reply, verdict: ReplyVerdict) -> None:
+        """Set the failure code from a reply that is no success."""
+        if verdict is ReplyVerdict.not_run:
             self.failure_code = ResultCode.shed
             return
         self.may_have_run = True
+        if verdict.is_invalid:
+            self.failure_code = ResultCode.bad_reply
+            return
         self.failure_code = ResultCode.backend_error
         self._failed_reply = reply
 
@@ -145,22 +151,18 @@
         self.may_have_run = self.may_have_run or attempt.exchange.is_written
 
     def failed_result(
-        self,
-        service: str,
-        code: ResultCode,
-        attempts: Attempts,
-        now_seconds: float,
+        self, code: ResultCode, now_seconds: float
     ) -> FetchResult:
         """Return the result for `code`, with any reply that caused it."""
-        in_flight = attempts.in_flight.values()
+        in_flight = self._attempts.in_flight.values()
         may_have_run = self.may_have_run or any(
             attempt.exchange.is_written for attempt in in_flight
         )
         reply = self._failed_reply if code is self.failure_code else None
         return FetchResult(
-            service=service,
+            service=self._service,
             code=code,
             reply=reply,
             may_have_run=may_have_run,
-            records=attempts.all_records(now_seconds),
+            records=self._attempts.all_records(now_seconds),
         )
--- a/dragonflyramp/backends/_exchanges.py
+++ b/dragonflyramp/backends/_exchanges.py
@@ -22,6 +22,8 @@
     lost = 'lost'
     #: The received bytes are not a valid reply, or belong to another request.
     garbled = 'garbled'
+    #: The reply is complete, but no caller may get it.
+    invalid = 'invalid'
     #: This daemon no longer waits for the reply.
     cancelled = 'cancelled'
 
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -6,12 +6,18 @@
 
 import attrs
 
-from dragonflyramp.backends._attempts import Attempts, FailureSummary
+from dragonflyramp.backends._attempts import (
+    Attempt,
+    Attempts,
+    FailureSummary,
+)
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_watches import CrashRetries
 from dragonflyramp.backends._exchanges import Outcome, OutcomeKind
+from dragonflyramp.backends._reply_checks import ReplyVerdict, check_reply
 from dragonflyramp.backends._requests import FetchResult
 from dragonflyramp.backends._schedulers import AttemptScheduler
+from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
 
 if TYPE_CHECKING:
@@ -30,10 +36,10 @@
     service: str
     _scheduler: AttemptScheduler
     _crash_retries: CrashRetries
+    _failure_summary: FailureSummary
     #: Whether a cancelled fetch keeps the connections of written requests for a
     #: short time, so that late replies are still read.
     accepts_late_replies: bool = False
-    _failure_summary: FailureSummary = attrs.field(factory=FailureSummary)
 
     async def run(self) -> FetchResult:
         """Return the result; always release the attempts still in flight."""
@@ -66,14 +72,17 @@
     async def _run(self) -> FetchResult:
         scheduler = self._scheduler
         if not await scheduler.start_first():
-            return self._failed_result(
-                _unavailable_code(self._client, self.service)
+            return self._failure_summary.failed_result(
+                _unavailable_code(self._client, self.service),
+                self._client.clock(),
             )
         while scheduler.attempts.in_flight:
             fetch_result = await self._advance(scheduler)
             if fetch_result is not None:
                 return fetch_result
-        return self._failed_result(self._failure_summary.failure_code)
+        return self._failure_summary.failed_result(
+            self._failure_summary.failure_code, self._client.clock()
+        )
 
     async def _advance(self, scheduler: AttemptScheduler) -> FetchResult | None:
         """Handle the next outcomes, and start the attempts that follow.
@@ -87,13 +96,17 @@
             if fetch_result is not None:
                 return fetch_result
         if now_seconds >= self._context.deadline_at_seconds:
-            return self._failed_result(ResultCode.deadline_exceeded)
+            return self._failure_summary.failed_result(
+                ResultCode.deadline_exceeded, now_seconds
+            )
         is_idempotent = self._context.route.is_idempotent
         if not await self._crash_retries.allows_next(
             needs_retry=is_idempotent and not scheduler.attempts.in_flight,
             deadline_at_seconds=self._context.deadline_at_seconds,
         ):
-            return self._failed_result(self._failure_summary.failure_code)
+            return self._failure_summary.failed_result(
+                self._failure_summary.failure_code, self._client.clock()
+            )
         scheduler.retry_or_hedge(
             self._client.clock(),
             may_have_run=self._failure_summary.may_have_run,
@@ -108,29 +121,35 @@
         """Record an outcome; return the result if the attempt succeeded."""
         attempt = self._scheduler.attempts.in_flight[future]
         outcome = future.result()
+        if outcome.reply is not None:
+            return self._handle_reply(attempt, outcome.reply, now_seconds)
         self._scheduler.attempts.finish(attempt, outcome.kind, now_seconds)
-        reply = outcome.reply
-        if reply is None:
-            self._failure_summary.add_missing_reply(attempt, outcome.kind)
-            if outcome.kind is OutcomeKind.lost:
-                self._crash_retries.record_lost(attempt)
-            self._client.recorder.record_missing_reply(
-                attempt, outcome.kind, now_seconds
-            )
-            return None
-        self._client.recorder.record_reply(
-            attempt, reply, self._context, now_seconds
+        self._failure_summary.add_missing_reply(attempt, outcome.kind)
+        if outcome.kind is OutcomeKind.lost:
+            self._crash_retries.record_lost(attempt)
+        self._client.recorder.record_missing_reply(
+            attempt, outcome.kind, now_seconds
         )
-        if not (reply.is_not_run or reply.is_misdirected):
-            self._crash_retries.record_reply(
-                now_seconds, is_success=reply.is_success
-            )
-        # The merged answer to a search lists the stamps of its parts.
-        has_required_stamp = (
-            bool(reply.stamp) or self._context.route.gather is None
+        return None
+
+    def _handle_reply(
+        self, attempt: Attempt, reply: Reply, now_seconds: float
+    ) -> FetchResult | None:
+        """Record a reply; return the result if it is a success."""
+        verdict = check_reply(reply)
+        self._scheduler.attempts.finish(
+            attempt,
+            OutcomeKind.invalid if verdict.is_invalid else OutcomeKind.replied,
+            now_seconds,
+        )
+        self._client.recorder.record_reply(
+            attempt, reply, verdict, self._context, now_seconds
         )
-        if not reply.is_success or not has_required_stamp:
-            self._failure_summary.add_reply(reply)
+        is_success = verdict is ReplyVerdict.success
+        if verdict is not ReplyVerdict.not_run:
+            self._crash_retries.record_reply(now_seconds, is_success=is_success)
+        if not is_success:
+            self._failure_summary.add_reply(reply, verdict)
             return None
         return FetchResult(
             service=self.service,
@@ -158,11 +177,6 @@
             else:
                 attempt.close()
 
-    def _failed_result(self, code: ResultCode) -> FetchResult:
-        return self._failure_summary.failed_result(
-            self.service, code, self._scheduler.attempts, self._client.clock()
-        )
-
 
 def create_fetch(
     client: 'BackendClient', context: RequestContext, service: str
@@ -176,6 +190,7 @@
         service,
         AttemptScheduler(client, context, service, attempts),
         CrashRetries(watch, service, watch.suspicion),
+        FailureSummary(service, attempts),
     )
 
 
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -8,6 +8,7 @@
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._latencies import LatenciesByRoute
+from dragonflyramp.backends._reply_checks import ReplyVerdict
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
@@ -30,16 +31,19 @@
         self,
         attempt: Attempt,
         reply: Reply,
+        verdict: ReplyVerdict,
         context: RequestContext,
         now_seconds: float,
     ) -> None:
         """Record a reply, its reported load and its latency."""
+        if verdict.is_invalid:
+            counters.add('invalid_replies', verdict.value)
         replica = attempt.replica
         if reply.load is not None:
             replica.stats.record_load(reply.load, now_seconds)
         if reply.is_misdirected:
             replica.health.record_misdirected(now_seconds)
-        elif reply.is_success:
+        elif verdict is ReplyVerdict.success:
             replica.health.record_success()
             self._record_latency(attempt, context, now_seconds)
         else:
--- /dev/null
+++ b/dragonflyramp/backends/_reply_checks.py
@@ -0,0 +1,40 @@
+"""Decide what a complete reply means for the request that it answers."""
+
+import enum
+
+from dragonflyramp.messages import Reply
+
+
+class ReplyVerdict(enum.Enum):
+    """Meaning of a complete reply."""
+
+    #: The replica ran the request; the caller may get the reply.
+    success = 'success'
+    #: The replica ran the request and failed; the caller may get the reply.
+    failure = 'failure'
+    #: The replica did not run the request.
+    not_run = 'not_run'
+    #: A success without the server's stamp.
+    unsigned = 'unsigned'
+
+    @property
+    def is_invalid(self) -> bool:
+        """Return whether no caller may get the reply.
+
+        The replica may have run the request.
+        """
+        return self not in _VALID_VERDICTS
+
+
+def check_reply(reply: Reply) -> ReplyVerdict:
+    """Return what a reply means, on a plain route as in a search."""
+    if reply.is_success:
+        return ReplyVerdict.success if reply.stamp else ReplyVerdict.unsigned
+    if reply.is_not_run or reply.is_misdirected:
+        return ReplyVerdict.not_run
+    return ReplyVerdict.failure
+
+
+_VALID_VERDICTS = frozenset(
+    (ReplyVerdict.success, ReplyVerdict.failure, ReplyVerdict.not_run)
+)
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -166,7 +166,8 @@
         ),
         ResultCode.bad_reply: _run_unknown(
             HTTPStatus.BAD_GATEWAY,
-            'The reply of the backend server is malformed.',
+            'The reply of the backend server is malformed, or lacks what a '
+            'reply must have.',
         ),
         ResultCode.outcome_unknown: _run_unknown(
             HTTPStatus.CONFLICT,
--- /dev/null
+++ b/tests/test_success_checks.py
@@ -0,0 +1,336 @@
+"""Test that a caller gets a success only for a signed, whole reply."""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import time
+from collections.abc import AsyncIterator, Iterable, Sequence
+from typing import Any
+
+import attrs
+import pytest
+from loguru import logger
+
+from dragonflyramp.backends import NoHedging, Policies
+from dragonflyramp.callers import Front
+from dragonflyramp.metrics import counters
+from dragonflyramp.platform import FrontServer
+from dragonflyramp.replicas import ReplicaEntry, ReplicaState
+from dragonflyramp.routes import GatherSettings
+from dragonflyramp.runtime import TaskSet
+from tests.front_harnesses import (
+    RECORD_BYTES,
+    make_front,
+    make_route,
+    make_table,
+)
+from tests.standins.listeners import address_of, listen
+
+_BODY = b'w' * RECORD_BYTES
+_SHARDS = ('a', 'b')
+_TABLE = make_table(
+    make_route('lookup'),
+    make_route('order', is_idempotent=False),
+    make_route(
+        'search',
+        gather=GatherSettings(shards=_SHARDS, top_count=3, min_share=0),
+    ),
+)
+_METHODS = ('GET', 'POST', 'HEAD')
+_FRAMINGS = ('length', 'chunked', 'close')
+
+
+@attrs.frozen(kw_only=True)
+class _WireReply:
+    """Reply as a replica sends it.
+
+    `{id}` and `{stamp}` in a header stand for those of the reply.
+    """
+
+    status: str = '200 OK'
+    headers: tuple[str, ...] = ('Request-Id: {id}', 'Server-Stamp: {stamp}')
+    body: bytes = _BODY
+    #: What ends the body: its length, its last chunk, or the connection.
+    framing: str = 'length'
+
+    def encode(self, request_id: str, stamp: str, *, is_head: bool) -> bytes:
+        """Return the bytes of the reply."""
+        lines = [f'HTTP/1.1 {self.status}']
+        lines.extend(
+            header.replace('{id}', request_id).replace('{stamp}', stamp)
+            for header in self.headers
+        )
+        body = self.body
+        if self.framing == 'length':
+            lines.append(f'Content-Length: {len(body)}')
+        if self.framing == 'chunked':
+            lines.append('Transfer-Encoding: chunked')
+            body = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+        head = '\r\n'.join((*lines, '\r\n')).encode('latin-1')
+        return head if is_head else head + body
+
+
+@attrs.define(eq=False)
+class _Replica:
+    """Replica that sends scripted replies, then good ones."""
+
+    replica_id: str
+    #: Replies to the next requests, to this or another replica.
+    script: collections.deque[_WireReply]
+    #: Head of each request, and the number of requests on its connection.
+    requests: list[tuple[bytes, int]] = attrs.field(factory=list)
+    _server: asyncio.Server | None = None
+    _writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
+
+    async def start(self, service: str) -> ReplicaEntry:
+        """Listen and return the entry of the replica."""
+        self._server = await listen(self._serve)
+        return ReplicaEntry(
+            replica_id=self.replica_id,
+            service=service,
+            address=address_of(self._server),
+            failure_domain='recife',
+            state=ReplicaState.ready,
+            slots=3,
+        )
+
+    def stop(self) -> None:
+        """Close the port and every connection."""
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.append(writer)
+        request_count = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing():
+                request_count += 1
+                head = await reader.readuntil(b'\r\n\r\n')
+                fields = _parse_fields(head)
+                await reader.readexactly(int(fields.get(b'content-length', 0)))
+                self.requests.append((head, request_count))
+                reply = self.script.popleft() if self.script else _WireReply()
+                encoded = reply.encode(
+                    fields.get(b'request-id', b'').decode(),
+                    f'{self.replica_id}.{len(self.requests)}',
+                    is_head=head.startswith(b'HEAD '),
+                )
+                writer.write(encoded)
+                if reply.framing == 'close':
+                    writer.close()
+
+
+@attrs.frozen(kw_only=True)
+class _CallerReply:
+    """Answer as a caller receives it."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return the values of a header."""
+        return [text for key, text in self.headers if key.lower() == name]
+
+    @property
+    def stamps(self) -> list[bytes]:
+        """Return the stamp, or the stamps of the parts."""
+        fields = (
+            *self.get_all(b'server-stamp'),
+            *self.get_all(b'part-stamps'),
+        )
+        return [stamp for text in fields for stamp in text.split(b', ')]
+
+
+@attrs.define(eq=False, kw_only=True)
+class _System:
+    """Front with its HTTP server, and scripted replicas by service."""
+
+    front: Front
+    address: str
+    replicas: dict[str, list[_Replica]]
+
+    def script(self, service: str, *replies: _WireReply) -> None:
+        """Set the next replies of the replicas of a service."""
+        first_replica = self.replicas[service][0]
+        first_replica.script.extend(replies)
+
+    def requests(self, service: str) -> list[tuple[bytes, int]]:
+        """Return the requests to all replicas of a service."""
+        return [
+            request
+            for replica in self.replicas[service]
+            for request in replica.requests
+        ]
+
+    async def call(
+        self,
+        path: str,
+        method: str = 'GET',
+        headers: Sequence[bytes] = (),
+        request_id: bytes = b'q1',
+    ) -> _CallerReply:
+        """Send a request on a new connection and read the answer."""
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = (
+            f'{method} {path} HTTP/1.1'.encode(),
+            b'Host: h',
+            b'Request-Id: %s' % request_id,
+            b'Deadline-Ms: 2000',
+            *headers,
+            b'Connection: close',
+        )
+        body = b'abc' if method == 'POST' else b''
+        if body:
+            lines = (*lines, b'Content-Length: %d' % len(body))
+        writer.write(b'\r\n'.join((*lines, b'', body)))
+        async with asyncio.timeout(5):
+            head = await reader.readuntil(b'\r\n\r\n')
+            received = await reader.read()
+        writer.close()
+        return _CallerReply(
+            status=int(head.split()[1]),
+            headers=_split_fields(head),
+            body=received,
+        )
+
+
+def _split_fields(head: bytes) -> tuple[tuple[bytes, bytes], ...]:
+    fields = (line.partition(b': ') for line in head.split(b'\r\n')[1:-2])
+    return tuple((name, text) for name, _, text in fields)
+
+
+def _parse_fields(head: bytes) -> dict[bytes, bytes]:
+    return {name.lower(): text for name, text in _split_fields(head)}
+
+
+@contextlib.asynccontextmanager
+async def _run_system(replica_count: int = 2) -> AsyncIterator[_System]:
+    """Run a front that never hedges, and the replicas of each service."""
+    replicas: dict[str, list[_Replica]] = {}
+    entries = []
+    for service in _TABLE.service_policies:
+        script: collections.deque[_WireReply] = collections.deque()
+        replicas[service] = [
+            _Replica(f'{service}{index}', script)
+            for index in range(replica_count)
+        ]
+        for replica in replicas[service]:
+            entries.append(await replica.start(service))
+    tasks = TaskSet()
+    front = make_front(
+        _TABLE,
+        entries,
+        tasks,
+        budget_slack=50,
+        policies=Policies(hedging=NoHedging()),
+    )
+    server = FrontServer(front, time.monotonic)
+    address = await server.start('127.0.0.1:0', '127.0.0.1:0')
+    try:
+        yield _System(front=front, address=address, replicas=replicas)
+    finally:
+        await server.stop()
+        await _stop(tasks, replicas.values())
+
+
+async def _stop(tasks: TaskSet, replicas: Iterable[Sequence[_Replica]]) -> None:
+    await tasks.cancel()
+    for replica in itertools.chain(*replicas):
+        replica.stop()
+
+
+def _is_failure_without_promise(reply: _CallerReply) -> bool:
+    """Return whether a caller gets nothing that a replica sent.
+
+    The status must not promise that the request has not run.
+    """
+    return (
+        reply.status == 502
+        and not reply.body
+        and not reply.stamps
+        and not reply.get_all(b'x-marker')
+    )
+
+
+_UNSIGNED_HEADERS = ('Request-Id: {id}', 'X-Marker: 1')
+
+
+@pytest.mark.parametrize('method', _METHODS)
+@pytest.mark.parametrize('framing', _FRAMINGS)
+@pytest.mark.parametrize('earlier_count', [0, 1])
+async def test_unsigned_success_is_not_relayed(
+    method: str, framing: str, earlier_count: int
+) -> None:
+    """A request that may run once must get no success without a stamp.
+
+    It has run, so that it must not be sent again, nor be answered as not run.
+    """
+    async with _run_system(1) as system:
+        for _ in range(earlier_count):
+            await system.call('/lookup/x', request_id=b'earlier')
+        system.script(
+            'a', _WireReply(headers=_UNSIGNED_HEADERS, framing=framing)
+        )
+        answer = await system.call('/order/x', method)
+        on_connection = [count for _, count in system.requests('a')]
+    assert _is_failure_without_promise(answer)
+    assert on_connection == list(range(1, earlier_count + 2))
+
+
+@pytest.mark.parametrize('method', _METHODS)
+@pytest.mark.parametrize('framing', _FRAMINGS)
+@pytest.mark.parametrize('path', ['/lookup/x', '/search/x'])
+async def test_unsigned_success_is_retried(
+    method: str, framing: str, path: str
+) -> None:
+    """An idempotent request must get the signed reply of another replica."""
+    async with _run_system() as system:
+        system.script(
+            'a',
+            _WireReply(
+                headers=_UNSIGNED_HEADERS, framing=framing, body=b'x' * 16
+            ),
+        )
+        answer = await system.call(path, method)
+    assert answer.status == 200
+    assert answer.stamps
+    assert b'x' not in answer.body
+    assert len(system.requests('a')) == 2
+
+
+async def test_last_retry_relays_no_unsigned_success() -> None:
+    """An idempotent request must not get the last bad reply instead."""
+    async with _run_system() as system:
+        unsigned = _WireReply(headers=_UNSIGNED_HEADERS)
+        system.script('a', unsigned, unsigned)
+        answer = await system.call('/lookup/x')
+    assert _is_failure_without_promise(answer)
+    assert len(system.requests('a')) == 2
+
+
+async def test_invalid_reply_is_recorded() -> None:
+    """An operator must see the reply in the log, counters and statistics."""
+    before_count = counters.get('invalid_replies', 'unsigned')
+    lines: list[dict[str, Any]] = []
+    sink_id = logger.add(
+        lambda message: lines.append(message.record['extra']), level='INFO'
+    )
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(headers=_UNSIGNED_HEADERS))
+        await system.call('/order/x', request_id=b'recorded')
+        fleet = system.front.backend_client.fleet
+        replicas = fleet.usable_replicas('a', time.monotonic())
+    logger.remove(sink_id)
+    logged = next(line for line in lines if line.get('request') == 'recorded')
+    assert logged['outcome'] == 'bad_reply'
+    attempts = logged['parts'][0][-1]
+    assert attempts[0][-1] == 'invalid'
+    assert counters.get('invalid_replies', 'unsigned') == before_count + 1
+    assert replicas[0].health.failure_rate > 0
