Answer 502 if a replica's 408, 429 or 503 does not say "not run"

These statuses promise a caller that its request has not run and never will. A replica states this only with `Not-Executed` or status 421; any other reply with such a status was relayed, so that a caller could send a request again that had run. Such a reply is invalid now: an idempotent request is sent again, another one is answered 502, without the stamp, which belongs to the replica's own status.

tests/test_success_checks.py::test_refusal_without_proof_is_no_promise failed before in all 18 cases; the refusals with `Not-Executed` stay 503.

--- a/dragonflyramp/backends/_reply_checks.py
+++ b/dragonflyramp/backends/_reply_checks.py
@@ -1,6 +1,7 @@
 """Decide what a complete reply means for the request that it answers."""
 
 import enum
+from http import HTTPStatus
 
 from dragonflyramp.messages import Reply
 
@@ -16,6 +17,9 @@
     not_run = 'not_run'
     #: A success without the server's stamp.
     unsigned = 'unsigned'
+    #: A status that promises "not run", although the replica does not say that
+    #: it did not run the request.
+    unproven_refusal = 'unproven_refusal'
 
     @property
     def is_invalid(self) -> bool:
@@ -32,9 +36,19 @@
         return ReplyVerdict.success if reply.stamp else ReplyVerdict.unsigned
     if reply.is_not_run or reply.is_misdirected:
         return ReplyVerdict.not_run
+    if reply.status in _NOT_RUN_STATUSES:
+        return ReplyVerdict.unproven_refusal
     return ReplyVerdict.failure
 
 
+#: Statuses with which a caller is promised that its request never runs.
+_NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 _VALID_VERDICTS = frozenset(
     (ReplyVerdict.success, ReplyVerdict.failure, ReplyVerdict.not_run)
 )
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -334,3 +334,37 @@
     assert attempts[0][-1] == 'invalid'
     assert counters.get('invalid_replies', 'unsigned') == before_count + 1
     assert replicas[0].health.failure_rate > 0
+
+
+_PROMISES = ('408 Late', '429 Slow', '503 Full')
+
+
+@pytest.mark.parametrize('status', _PROMISES)
+@pytest.mark.parametrize(
+    'headers', [_UNSIGNED_HEADERS, ('Server-Stamp: {stamp}', 'X-Marker: 1')]
+)
+@pytest.mark.parametrize('method', _METHODS)
+async def test_refusal_without_proof_is_no_promise(
+    status: str, headers: tuple[str, ...], method: str
+) -> None:
+    """A caller must not hear "not run" from a replica that may have run it.
+
+    Only `Not-Executed` says so; the replica's stamp must not come with another
+    status than its own.
+    """
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(status=status, headers=headers))
+        answer = await system.call('/order/x', method)
+    assert _is_failure_without_promise(answer)
+    assert not answer.get_all(b'retry-after')
+
+
+@pytest.mark.parametrize('status', [*_PROMISES, '421 No', '400 Bad'])
+async def test_refusal_with_proof_stays_a_promise(status: str) -> None:
+    """A request that no replica ran must be answered as not run."""
+    refusal = _WireReply(status=status, headers=('Not-Executed: 1',))
+    async with _run_system(1) as system:
+        system.script('a', refusal, refusal)
+        answer = await system.call('/order/x')
+    assert answer.status == 503
+    assert answer.get_all(b'retry-after')
