Relay no failure without the server's stamp

A 3xx or 4xx without a stamp counts as a refusal of the front's own, though the request was proper, and a caller gives up after 400, 401, 404, 413 and 431. Only the stamp shows that a status is the replica's; without it nothing says what happened, so the caller is told 502: it may have run. An idempotent request is sent again.

A signed failure is relayed as before.

--- a/dragonflyramp/backends/_reply_checks.py
+++ b/dragonflyramp/backends/_reply_checks.py
@@ -15,7 +15,7 @@
     failure = 'failure'
     #: The replica did not run the request.
     not_run = 'not_run'
-    #: A success without the server's stamp.
+    #: A success or failure without the server's stamp.
     unsigned = 'unsigned'
     #: A status that promises "not run", although the replica does not say that
     #: it did not run the request.
@@ -38,7 +38,7 @@
         return ReplyVerdict.not_run
     if reply.status in _NOT_RUN_STATUSES:
         return ReplyVerdict.unproven_refusal
-    return ReplyVerdict.failure
+    return ReplyVerdict.failure if reply.stamp else ReplyVerdict.unsigned
 
 
 #: Statuses with which a caller is promised that its request never runs.
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -368,3 +368,36 @@
         answer = await system.call('/order/x')
     assert answer.status == 503
     assert answer.get_all(b'retry-after')
+
+
+@pytest.mark.parametrize(
+    'status', ['204 No', '302 Found', '404 Not', '500 Bad', '504 Late']
+)
+@pytest.mark.parametrize('method', _METHODS)
+async def test_unsigned_failure_is_not_relayed(
+    status: str, method: str
+) -> None:
+    """A caller must not take a reply of unknown origin for a refusal.
+
+    After 400, 401, 404, 413 and 431 it would give up a proper request.
+    """
+    failure = _WireReply(status=status, headers=_UNSIGNED_HEADERS, body=b'')
+    async with _run_system(1) as system:
+        system.script('a', failure)
+        answer = await system.call('/order/x', method)
+    assert _is_failure_without_promise(answer)
+
+
+@pytest.mark.parametrize('status', ['302 Found', '404 Not', '500 Bad'])
+@pytest.mark.parametrize('method', _METHODS)
+@pytest.mark.parametrize('framing', ['length', 'chunked'])
+async def test_signed_failure_is_relayed(
+    status: str, method: str, framing: str
+) -> None:
+    """A replica's failure must keep its status, stamp and body."""
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(status=status, framing=framing))
+        answer = await system.call('/order/x', method)
+    assert answer.status == int(status.split()[0])
+    assert answer.stamps == [b'a0.1']
+    assert answer.body == (b'' if method == 'HEAD' else _BODY)
