Relay no reply with a status above 599

A caller got statuses such as 600 and 999, which HTTP doesn't define; clients differ in what they make of them. Such a reply is invalid now. One with status 101 was garbled already, and other statuses below 200 are interim replies.

tests/test_success_checks.py::test_undefined_status_is_not_relayed failed before with 600 and 999, and passed with 101.

--- a/dragonflyramp/backends/_reply_checks.py
+++ b/dragonflyramp/backends/_reply_checks.py
@@ -20,6 +20,8 @@
     #: A status that promises "not run", although the replica does not say that
     #: it did not run the request.
     unproven_refusal = 'unproven_refusal'
+    #: A status to which HTTP gives no meaning.
+    undefined_status = 'undefined_status'
 
     @property
     def is_invalid(self) -> bool:
@@ -38,6 +40,8 @@
         return ReplyVerdict.not_run
     if reply.status in _NOT_RUN_STATUSES:
         return ReplyVerdict.unproven_refusal
+    if reply.status > _MAX_STATUS:
+        return ReplyVerdict.undefined_status
     return ReplyVerdict.failure if reply.stamp else ReplyVerdict.unsigned
 
 
@@ -49,6 +53,7 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
+_MAX_STATUS = 599
 _VALID_VERDICTS = frozenset(
     (ReplyVerdict.success, ReplyVerdict.failure, ReplyVerdict.not_run)
 )
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -401,3 +401,12 @@
     assert answer.status == int(status.split()[0])
     assert answer.stamps == [b'a0.1']
     assert answer.body == (b'' if method == 'HEAD' else _BODY)
+
+
+@pytest.mark.parametrize('status', ['101 Switch', '600 Odd', '999 Odd'])
+async def test_undefined_status_is_not_relayed(status: str) -> None:
+    """A caller must not get a status that HTTP gives no meaning."""
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(status=status))
+        answer = await system.call('/order/x')
+    assert _is_failure_without_promise(answer)
