Relay no success that says it did not run

A 2xx with `Not-Executed` was relayed as a success. PROTOCOL: "A response that has `Not-Executed` states that the replica did not run the request". The reply contradicts itself, so it proves neither: it is invalid, and the request may have run.

tests/test_success_checks.py::test_success_that_did_not_run_is_none failed before.

--- a/dragonflyramp/backends/_reply_checks.py
+++ b/dragonflyramp/backends/_reply_checks.py
@@ -17,6 +17,8 @@
     not_run = 'not_run'
     #: A success or failure without the server's stamp.
     unsigned = 'unsigned'
+    #: A success which says that the replica did not run the request.
+    contradictory = 'contradictory'
     #: A status that promises "not run", although the replica does not say that
     #: it did not run the request.
     unproven_refusal = 'unproven_refusal'
@@ -35,7 +37,7 @@
 def check_reply(reply: Reply) -> ReplyVerdict:
     """Return what a reply means, on a plain route as in a search."""
     if reply.is_success:
-        return ReplyVerdict.success if reply.stamp else ReplyVerdict.unsigned
+        return _check_success(reply)
     if reply.is_not_run or reply.is_misdirected:
         return ReplyVerdict.not_run
     if reply.status in _NOT_RUN_STATUSES:
@@ -45,6 +47,14 @@
     return ReplyVerdict.failure if reply.stamp else ReplyVerdict.unsigned
 
 
+def _check_success(reply: Reply) -> ReplyVerdict:
+    if not reply.stamp:
+        return ReplyVerdict.unsigned
+    if reply.is_not_run:
+        return ReplyVerdict.contradictory
+    return ReplyVerdict.success
+
+
 #: Statuses with which a caller is promised that its request never runs.
 _NOT_RUN_STATUSES = frozenset(
     (
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -410,3 +410,12 @@
         system.script('a', _WireReply(status=status))
         answer = await system.call('/order/x')
     assert _is_failure_without_promise(answer)
+
+
+async def test_success_that_did_not_run_is_none() -> None:
+    """A caller must not get a success that says it did not run."""
+    headers = ('Server-Stamp: {stamp}', 'Not-Executed: 1')
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(headers=headers))
+        answer = await system.call('/order/x')
+    assert _is_failure_without_promise(answer)
