Let requests and replies tell the codings of their bodies

For the check of successes: a reply with a coding that was not asked for does not have the replica's own body. Nothing reads the fields yet.

--- a/dragonflyramp/messages.py
+++ b/dragonflyramp/messages.py
@@ -21,6 +21,8 @@
     body: bytes = b''
     #: Whether the caller sent a body, which may be empty.
     has_body: bool = False
+    #: Whether the caller asked for a content coding of the reply, such as gzip.
+    accepts_content_coding: bool = False
 
 
 @attrs.frozen
@@ -51,6 +53,10 @@
     #: How long the server keeps an idle connection open; None if unknown.
     keep_alive_seconds: float | None = None
     closes_connection: bool = False
+    #: Whether the body has a content coding.
+    has_content_coding: bool = False
+    #: Whether the body has a transfer coding other than chunked.
+    has_transfer_coding: bool = False
     #: Whether the server states that it leaves and wants no further requests.
     is_leaving: bool = False
     #: For how long the server wants no requests; None if it does not say.
