Relay no success in a coding that the caller did not ask for

A transfer coding besides chunked was lost on the way: the caller got the coded body as if it were plain. It is invalid, too.

tests/test_success_checks.py: test_encoded_body_is_no_success (18 cases) and test_asked_coding_is_no_part_of_search failed before.

--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -136,7 +136,12 @@
         self, attempt: Attempt, reply: Reply, now_seconds: float
     ) -> FetchResult | None:
         """Record a reply; return the result if it is a success."""
-        verdict = check_reply(reply)
+        verdict = check_reply(
+            reply,
+            # The records of a part are read from its body.
+            accepts_content_coding=self._context.request.accepts_content_coding
+            and self._context.route.gather is None,
+        )
         self._scheduler.attempts.finish(
             attempt,
             OutcomeKind.invalid if verdict.is_invalid else OutcomeKind.replied,
--- a/dragonflyramp/backends/_reply_checks.py
+++ b/dragonflyramp/backends/_reply_checks.py
@@ -17,6 +17,8 @@
     not_run = 'not_run'
     #: A success or failure without the server's stamp.
     unsigned = 'unsigned'
+    #: A success whose body has a coding that was not asked for.
+    encoded_body = 'encoded_body'
     #: A success which says that the replica did not run the request.
     contradictory = 'contradictory'
     #: A status that promises "not run", although the replica does not say that
@@ -34,10 +36,12 @@
         return self not in _VALID_VERDICTS
 
 
-def check_reply(reply: Reply) -> ReplyVerdict:
+def check_reply(
+    reply: Reply, *, accepts_content_coding: bool = False
+) -> ReplyVerdict:
     """Return what a reply means, on a plain route as in a search."""
     if reply.is_success:
-        return _check_success(reply)
+        return _check_success(reply, accepts_content_coding)
     if reply.is_not_run or reply.is_misdirected:
         return ReplyVerdict.not_run
     if reply.status in _NOT_RUN_STATUSES:
@@ -47,11 +51,15 @@
     return ReplyVerdict.failure if reply.stamp else ReplyVerdict.unsigned
 
 
-def _check_success(reply: Reply) -> ReplyVerdict:
+def _check_success(reply: Reply, accepts_content_coding: bool) -> ReplyVerdict:
     if not reply.stamp:
         return ReplyVerdict.unsigned
     if reply.is_not_run:
         return ReplyVerdict.contradictory
+    if reply.has_transfer_coding:
+        return ReplyVerdict.encoded_body
+    if reply.has_content_coding and not accepts_content_coding:
+        return ReplyVerdict.encoded_body
     return ReplyVerdict.success
 
 
--- a/dragonflyramp/platform/_backend_http.py
+++ b/dragonflyramp/platform/_backend_http.py
@@ -49,6 +49,11 @@
                 by_name.get('keep-alive')
             ),
             closes_connection='close' in connection,
+            has_content_coding=_CONTENT_CODING_KEY in by_name,
+            has_transfer_coding=by_name.get(
+                _TRANSFER_CODING_KEY, _CHUNKED
+            ).lower()
+            != _CHUNKED,
             is_leaving=by_name.get(_LEAVING_KEY, '').strip() == '1',
             pause_seconds=pause_seconds,
         )
@@ -67,6 +72,9 @@
 _NOT_EXECUTED_KEY = http_headers.NOT_EXECUTED.lower()
 _LOAD_KEY = http_headers.LOAD.lower()
 _LEAVING_KEY = http_headers.LEAVING.lower()
+_CONTENT_CODING_KEY = 'content-encoding'
+_TRANSFER_CODING_KEY = 'transfer-encoding'
+_CHUNKED = 'chunked'
 _RETRY_AFTER_KEY = http_headers.RETRY_AFTER.lower()
 #: Statuses with which a replica turns a request away.
 _PAUSE_STATUSES = (
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -153,16 +153,18 @@
             refusal.force_close()
             return refusal
         raw_path = request.raw_path
+        headers = _decode_headers(request)
         query = Query(
             request=Request(
                 request_id=request.headers.get(http_headers.REQUEST_ID, ''),
                 method=request.method,
                 path_and_query=raw_path,
-                headers=tuple(
-                    http_headers.end_to_end_headers(_decode_headers(request))
-                ),
+                headers=tuple(http_headers.end_to_end_headers(headers)),
                 body=body,
                 has_body=request.body_exists,
+                accepts_content_coding=http_headers.accepts_content_coding(
+                    headers
+                ),
             ),
             host=request.headers.get('Host', '').partition(':')[0].lower(),
             path=raw_path.partition('?')[0],
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -53,6 +53,23 @@
             yield name, text
 
 
+def accepts_content_coding(headers: Headers) -> bool:
+    """Return whether Accept-Encoding names a content coding.
+
+    Callers without the header ask for none.
+
+    >>> accepts_content_coding((('Accept-Encoding', 'identity, br;q=0'),))
+    False
+    >>> accepts_content_coding((('Accept-Encoding', 'gzip;q=0.5'),))
+    True
+    """
+    return any(
+        _is_accepted_coding(element)
+        for text in _header_values(headers, 'accept-encoding')
+        for element in text.split(',')
+    )
+
+
 def parse_number(text: str | None) -> float | None:
     """Parse a number of at least 0 and below 1e12; return None otherwise."""
     try:
@@ -92,6 +109,14 @@
     return None
 
 
+def _is_accepted_coding(element: str) -> bool:
+    compact_element = element.replace(' ', '').lower()
+    coding, _, weight = compact_element.partition(';q=')
+    if coding in _NO_CODINGS:
+        return False
+    return not weight or parse_number(weight) != 0
+
+
 def _is_count(text: str) -> bool:
     number = text.strip()
     return number.isdecimal() and len(number) <= _MAX_COUNT_DIGITS
@@ -109,5 +134,6 @@
     return (text for name, text in headers if name.lower() == lowercase_name)
 
 
+_NO_CODINGS = frozenset(('', 'identity'))
 _NUMBER_LIMIT = 1e12
 _MAX_COUNT_DIGITS = 9
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -400,7 +400,7 @@
         answer = await system.call('/order/x', method)
     assert answer.status == int(status.split()[0])
     assert answer.stamps == [b'a0.1']
-    assert answer.body == (b'' if method == 'HEAD' else _BODY)
+    assert answer.body == {'HEAD': b''}.get(method, _BODY)
 
 
 @pytest.mark.parametrize('status', ['101 Switch', '600 Odd', '999 Odd'])
@@ -419,3 +419,57 @@
         system.script('a', _WireReply(headers=headers))
         answer = await system.call('/order/x')
     assert _is_failure_without_promise(answer)
+
+
+@pytest.mark.parametrize(
+    'header', ['Content-Encoding: gzip', 'Transfer-Encoding: gzip, chunked']
+)
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [('/lookup/x', 200), ('/order/x', 502), ('/search/x', 200)],
+)
+@pytest.mark.parametrize('asked', [b'', b'identity', b'gzip;q=0, identity'])
+async def test_encoded_body_is_no_success(
+    header: str, path: str, status: int, asked: bytes
+) -> None:
+    """A caller must not get a body in a coding that it did not ask for.
+
+    Records cannot be read from it, either.
+    """
+    encoded = _WireReply(
+        headers=('Request-Id: {id}', 'Server-Stamp: {stamp}', header),
+        body=b'10\r\nnot plain at all\r\n0\r\n\r\n',
+        framing='none' if 'chunked' in header else 'length',
+    )
+    async with _run_system() as system:
+        system.script('a', encoded)
+        answer = await system.call(
+            path, headers=[b'Accept-Encoding: %s' % asked][: len(asked)]
+        )
+    assert answer.status == status
+    assert b'not plain' not in answer.body
+    assert bool(answer.stamps) == (status == 200)
+
+
+async def test_coding_is_relayed_if_asked_for() -> None:
+    """A caller that reads gzip must get what the replica encoded for it."""
+    headers = ('Server-Stamp: {stamp}', 'Content-Encoding: gzip')
+    async with _run_system() as system:
+        system.script('a', _WireReply(headers=headers, body=b'zipped'))
+        answer = await system.call(
+            '/lookup/x', headers=[b'Accept-Encoding: br;q=0, gzip;q=0.5']
+        )
+    assert (answer.status, answer.body) == (200, b'zipped')
+    assert answer.get_all(b'content-encoding') == [b'gzip']
+
+
+async def test_asked_coding_is_no_part_of_search() -> None:
+    """Records must not be taken from a body with a content coding."""
+    headers = ('Server-Stamp: {stamp}', 'Content-Encoding: gzip')
+    async with _run_system() as system:
+        system.script('a', _WireReply(headers=headers, body=b'z' * 32))
+        answer = await system.call(
+            '/search/x', headers=[b'Accept-Encoding: gzip']
+        )
+    assert answer.status == 200
+    assert b'z' not in answer.body
