--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import re
 
 import attrs
 
@@ -15,6 +16,13 @@
 #: Longer ids and stamps are compared by their first characters.
 _MAX_TEXT_CHARS = 64
 _STATUS_LINE_START = b'HTTP/1.'
+#: Status line with the start of a header, or cut off by the end of the bytes.
+#: Its repeats are bounded, as a faulty server may send anything.
+_REPLY_HEAD_PATTERN = re.compile(
+    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,40}+'
+    rb'(?:\r\n[!-9;-~]{1,40}+:|(?:\r\n?)?[!-9;-~]{0,40}+\Z)'
+    rb'|HTTP/[\d. ]{0,6}\Z'
+)
 
 
 def _create_memory() -> collections.deque[str]:
@@ -28,7 +36,7 @@
     current_id: str = ''
     #: Ids of the requests before the current one.
     _earlier_ids: collections.deque[str] = attrs.field(factory=_create_memory)
-    #: Stamps of the replies without an id.
+    #: Stamps of the earlier replies.
     _stamps: collections.deque[str] = attrs.field(factory=_create_memory)
     #: Whether a reply on this connection had a request id.
     _echoes_ids: bool = False
@@ -54,29 +62,45 @@
                 reply.request_id != self.current_id
                 and reply.request_id[:_MAX_TEXT_CHARS] in self._earlier_ids
             )
-        return bool(reply.stamp) and (
-            reply.stamp[:_MAX_TEXT_CHARS] in self._stamps
-        )
+        return self._has_earlier_stamp(reply)
 
     def accept(self, reply: Reply) -> bool:
         """Return whether a reply answers the current request.
 
-        A server that has echoed ids on this connection does so in each reply;
-        one without an id may be a late copy of an earlier reply.
+        A server that has echoed ids on this connection does so in each reply,
+        and one that has stamped replies does so in each that ran; one without
+        them may be a late copy of an earlier reply.
         """
-        if self._is_spliced(reply.body):
+        if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
             return False
+        is_own = self._has_own_mark(reply)
+        if reply.stamp:
+            self._stamps.append(reply.stamp[:_MAX_TEXT_CHARS])
+        return is_own
+
+    def _has_own_mark(self, reply: Reply) -> bool:
         if reply.request_id:
             self._echoes_ids = True
             return reply.request_id == self.current_id
-        if reply.stamp:
-            self._stamps.append(reply.stamp[:_MAX_TEXT_CHARS])
-        return not self._echoes_ids
+        if self._echoes_ids or self._has_earlier_stamp(reply):
+            return False
+        return bool(reply.stamp) or reply.is_not_run or not self._stamps
 
-    def _is_spliced(self, body: bytes) -> bool:
-        """Return whether a copy of an earlier reply is within a body."""
-        return _STATUS_LINE_START in body and any(
-            earlier_id.encode() in body for earlier_id in self._earlier_ids
+    def _has_earlier_stamp(self, reply: Reply) -> bool:
+        return bool(reply.stamp) and (
+            reply.stamp[:_MAX_TEXT_CHARS] in self._stamps
+        )
+
+    def _is_spliced(self, reply: Reply) -> bool:
+        """Return whether another reply of the connection is within a body."""
+        own_marks = (self.current_id, reply.stamp)
+        if _REPLY_HEAD_PATTERN.search(reply.body) and any(
+            mark and mark.encode() in reply.body for mark in own_marks
+        ):
+            return True
+        return any(
+            mark.encode() in reply.body
+            for mark in (*self._earlier_ids, *self._stamps)
         )
 
 
@@ -85,6 +109,14 @@
     return bool(reply.request_id or reply.stamp)
 
 
+def has_second_reply(body: bytes) -> bool:
+    """Return whether the head of a reply begins within a body.
+
+    Nothing else tells where a body without a length ends.
+    """
+    return _REPLY_HEAD_PATTERN.search(body) is not None
+
+
 def is_cut_by_status_line(body: bytes, stream: bytes) -> bool:
     """Return whether a status line begins in a body or across its end.
 
