--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -390,7 +390,7 @@
 
 @pytest.mark.parametrize('status', ['302 Found', '404 Not', '500 Bad'])
 @pytest.mark.parametrize('method', _METHODS)
-@pytest.mark.parametrize('framing', ['length', 'chunked'])
+@pytest.mark.parametrize('framing', _FRAMINGS)
 async def test_signed_failure_is_relayed(
     status: str, method: str, framing: str
 ) -> None:
