Forward the stamp, id and host even if Connection names them

A reply with `Connection: Server-Stamp` reached its caller as a success without the stamp, since the headers that `Connection` names were dropped on the way. A request with `Connection: Request-Id, Host` reached the replica without both.

--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -42,14 +42,19 @@
         EXPECT_INSTANCE.lower(),
     )
 )
+#: Headers that are forwarded even if Connection names them: without them, a
+#: request has no route or id, and a reply no signature or a coding that nobody
+#: knows.
+_ALWAYS_FORWARDED = frozenset(
+    ('host', REQUEST_ID.lower(), STAMP.lower(), 'content-encoding')
+)
 
 
 def end_to_end_headers(headers: Headers) -> Iterator[tuple[str, str]]:
     """Yield the headers to forward, without the hop-by-hop headers."""
-    options = _connection_options(headers)
+    dropped = _HOP_BY_HOP | (_connection_options(headers) - _ALWAYS_FORWARDED)
     for name, text in headers:
-        lowercase_name = name.lower()
-        if lowercase_name not in _HOP_BY_HOP and lowercase_name not in options:
+        if name.lower() not in dropped:
             yield name, text
 
 
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -473,3 +473,30 @@
         )
     assert answer.status == 200
     assert b'z' not in answer.body
+
+
+@pytest.mark.parametrize('options', ['Server-Stamp', 'x, SERVER-STAMP ,close'])
+@pytest.mark.parametrize('method', _METHODS)
+async def test_connection_header_keeps_the_stamp(
+    options: str, method: str
+) -> None:
+    """A success must not lose its stamp because `Connection` names it."""
+    headers = ('Server-Stamp: {stamp}', f'Connection: {options}', 'X: y')
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(headers=headers))
+        answer = await system.call('/order/x', method)
+    assert answer.status == 200
+    assert answer.stamps == [b'a0.1']
+    assert not answer.get_all(b'x') or 'x' not in options
+
+
+async def test_connection_header_keeps_the_request_id() -> None:
+    """A request must not lose its id or host, nor run as another one."""
+    options = b'Connection: Request-Id, host, X-Hop'
+    async with _run_system(1) as system:
+        answer = await system.call('/order/x', headers=[options, b'X-Hop: 1'])
+        head, _ = system.requests('a')[0]
+    assert answer.status == 200
+    assert b'\r\nRequest-Id: q1\r\n' in head
+    assert b'\r\nHost: h\r\n' in head
+    assert b'X-Hop' not in head
