Send the bytes of a reply's headers as they were received

Headers are read as Latin-1 and aiohttp sends UTF-8, so that a caller got each byte above 127 as two others. Values are decoded as UTF-8 before they are sent, which gives the received bytes again. CR, LF and other control characters end the reply in the parser already.

--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -19,7 +19,7 @@
     RelayedAnswer,
     RunningQueries,
 )
-from dragonflyramp.messages import Headers, Request
+from dragonflyramp.messages import Headers, Reply, Request
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import _headers as http_headers
 from dragonflyramp.platform._body_memory import BodyMemory
@@ -188,14 +188,29 @@
 
 
 def _encode_relayed(answer: RelayedAnswer) -> web.Response:
+    """Encode a reply, or a failure if its headers cannot be sent as received."""
     reply = answer.reply
     response = web.Response(status=reply.status, body=reply.body)
     response.headers.clear()
-    for name, text in http_headers.end_to_end_headers(reply.headers):
-        response.headers.add(name, text)
+    try:
+        for name, text in http_headers.end_to_end_headers(reply.headers):
+            response.headers.add(name, http_headers.decode_utf8(text))
+    except UnicodeError:
+        return _encode_invalid(reply, 'not_encodable')
     return response
 
 
+def _encode_invalid(reply: Reply, reason: str) -> web.Response:
+    """Encode the failure of a request whose reply cannot be relayed."""
+    counters.add('invalid_replies', reason)
+    logger.bind(
+        reason=reason, request=reply.request_id, stamp=reply.stamp
+    ).warning('reply cannot be relayed')
+    return _encode_refusal(
+        Refusal(code=ResultCode.bad_reply, may_have_run=True)
+    )
+
+
 def _encode_refusal(refusal: Refusal) -> web.Response:
     """Encode a refusal; status 503 promises that the request never runs."""
     status = _REFUSAL_STATUSES.get(refusal.code, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -58,6 +58,14 @@
             yield name, text
 
 
+def decode_utf8(text: str) -> str:
+    """Decode a value that was read as Latin-1, as aiohttp sends UTF-8.
+
+    Raise UnicodeError if UTF-8 cannot represent the received bytes.
+    """
+    return text if text.isascii() else text.encode('latin-1').decode()
+
+
 def accepts_content_coding(headers: Headers) -> bool:
     """Return whether Accept-Encoding names a content coding.
 
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -500,3 +500,50 @@
     assert b'\r\nRequest-Id: q1\r\n' in head
     assert b'\r\nHost: h\r\n' in head
     assert b'X-Hop' not in head
+
+
+@pytest.mark.parametrize('status', ['200 OK', '500 Bad'])
+async def test_header_bytes_are_relayed_unchanged(status: str) -> None:
+    """A header must not reach the caller in another character encoding."""
+    name = 'São João'.encode()
+    headers = ('Server-Stamp: {stamp}', f'X-Feast: {name.decode("latin-1")}')
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(status=status, headers=headers))
+        answer = await system.call('/order/x')
+    assert answer.status == int(status.split()[0])
+    assert answer.get_all(b'x-feast') == [name]
+    assert answer.stamps == [b'a0.1']
+
+
+@pytest.mark.parametrize('text', ['S\xe3o', 'a\rb', 'a\r\n b', 'a\x01b'])
+@pytest.mark.parametrize('status', ['200 OK', '500 Bad'])
+async def test_header_that_cannot_be_sent_is_no_success(
+    status: str, text: str
+) -> None:
+    """A caller must not get altered bytes, nor a failure of the front."""
+    headers = ('Server-Stamp: {stamp}', f'X-Feast: {text}')
+    async with _run_system(1) as system:
+        system.script('a', _WireReply(status=status, headers=headers))
+        answer = await system.call('/order/x')
+    assert _is_failure_without_promise(answer)
+
+
+async def test_header_bytes_reach_the_replica_unchanged() -> None:
+    """A replica must get the headers and the path as the caller sent them."""
+    async with _run_system(1) as system:
+        answer = await system.call(
+            '/order/%C3%A3', headers=[b'X: \xe3\xc3\xa3']
+        )
+        head, _ = system.requests('a')[0]
+    assert answer.status == 200
+    assert head.startswith(b'GET /order/%C3%A3 HTTP/1.1\r\n')
+    assert b'\r\nX: \xe3\xc3\xa3\r\n' in head
+
+
+async def test_path_with_raw_bytes_gets_an_answer() -> None:
+    """A path that is no ASCII must be answered and not end a connection."""
+    async with _run_system(1) as system:
+        answer = await system.call('/order/\xe3')
+        heads = [head for head, _ in system.requests('a')]
+    assert (answer.status, len(heads)) in {(200, 1), (400, 0)}
+    assert all('/order/\xe3 '.encode() in head for head in heads)
