Answer 502 if a reply loses its stamp on the way to the caller

It now compares the stamp that it is about to send with the one that was decoded. A reply without it leaves as a failure, whatever changed the reply, and is counted as `stamp_lost`.

tests/test_success_checks.py::test_answer_without_its_stamp_is_no_success failed before.

--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -188,7 +188,10 @@
 
 
 def _encode_relayed(answer: RelayedAnswer) -> web.Response:
-    """Encode a reply, or a failure if its headers cannot be sent as received."""
+    """Encode a reply, or a failure if its headers cannot be sent as received.
+
+    The check for the stamp holds for whatever changes a reply on its way here.
+    """
     reply = answer.reply
     response = web.Response(status=reply.status, body=reply.body)
     response.headers.clear()
@@ -197,6 +200,8 @@
             response.headers.add(name, http_headers.decode_utf8(text))
     except UnicodeError:
         return _encode_invalid(reply, 'not_encodable')
+    if response.headers.getall(http_headers.STAMP, None) != [reply.stamp]:
+        return _encode_invalid(reply, 'stamp_lost')
     return response
 
 
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -13,9 +13,11 @@
 from loguru import logger
 
 from dragonflyramp.backends import NoHedging, Policies
-from dragonflyramp.callers import Front
+from dragonflyramp.callers import Front, RelayedAnswer
+from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import FrontServer
+from dragonflyramp.platform._front_http import encode_answer
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import GatherSettings
 from dragonflyramp.runtime import TaskSet
@@ -502,6 +504,13 @@
     assert b'X-Hop' not in head
 
 
+def test_answer_without_its_stamp_is_no_success() -> None:
+    """A reply whose headers are lost after its check must not be relayed."""
+    reply = Reply(status=200, headers=(), body=b'abc', stamp='a0.1')
+    response = encode_answer(RelayedAnswer(reply=reply))
+    assert (response.status, response.body) == (502, None)
+
+
 @pytest.mark.parametrize('status', ['200 OK', '500 Bad'])
 async def test_header_bytes_are_relayed_unchanged(status: str) -> None:
     """A header must not reach the caller in another character encoding."""
