Accept no stamp or request id that can be read in two ways

A reply with several stamps was relayed with all of them, and a search named the last one. Repeated headers are now joined by commas, as HTTP defines it, instead of the last one winning; a stamp must be one visible word of ASCII, and an id must be the request's. A transfer coding in a header of its own was overlooked for the same reason.

--- a/dragonflyramp/backends/_reply_checks.py
+++ b/dragonflyramp/backends/_reply_checks.py
@@ -15,7 +15,7 @@
     failure = 'failure'
     #: The replica did not run the request.
     not_run = 'not_run'
-    #: A success or failure without the server's stamp.
+    #: A success or failure without a valid stamp.
     unsigned = 'unsigned'
     #: A success whose body has a coding that was not asked for.
     encoded_body = 'encoded_body'
--- a/dragonflyramp/platform/_backend_http.py
+++ b/dragonflyramp/platform/_backend_http.py
@@ -30,7 +30,7 @@
 
     def decode(self, status: int, headers: Headers, body: bytes) -> Reply:
         """Decode a reply and the headers that the backend client uses."""
-        by_name = {name.lower(): text for name, text in headers}
+        by_name = _combine_by_name(headers)
         is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
         pause_seconds = None
         if status in _PAUSE_STATUSES:
@@ -40,7 +40,7 @@
             status=status,
             headers=headers,
             body=body,
-            stamp=by_name.get(_STAMP_KEY, ''),
+            stamp=_decode_stamp(by_name.get(_STAMP_KEY, '')),
             request_id=by_name.get(_REQUEST_ID_KEY, ''),
             is_not_run=_NOT_EXECUTED_KEY in by_name or is_misdirected,
             is_misdirected=is_misdirected,
@@ -59,6 +59,24 @@
         )
 
 
+def _combine_by_name(headers: Headers) -> dict[str, str]:
+    """Return the headers by lower-case name, equal names joined by commas."""
+    by_name = {name.lower(): text for name, text in headers}
+    if len(by_name) < len(headers):
+        by_name.clear()
+        for name, text in headers:
+            key = name.lower()
+            by_name[key] = f'{by_name[key]}, {text}' if key in by_name else text
+    return by_name
+
+
+def _decode_stamp(text: str) -> str:
+    """Return a stamp that can be an entry of Part-Stamps, else ''."""
+    is_visible = text.isascii() and text.isprintable()
+    is_single = ',' not in text and ' ' not in text
+    return text if is_visible and is_single else ''
+
+
 def _parse_pause_seconds(text: str | None) -> float | None:
     """Parse Retry-After in seconds; count and ignore a malformed one."""
     pause_seconds = http_headers.parse_number(text)
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -424,7 +424,12 @@
 
 
 @pytest.mark.parametrize(
-    'header', ['Content-Encoding: gzip', 'Transfer-Encoding: gzip, chunked']
+    'header',
+    [
+        'Content-Encoding: gzip',
+        'Transfer-Encoding: gzip, chunked',
+        'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked',
+    ],
 )
 @pytest.mark.parametrize(
     ('path', 'status'),
@@ -556,3 +561,42 @@
         heads = [head for head, _ in system.requests('a')]
     assert (answer.status, len(heads)) in {(200, 1), (400, 0)}
     assert all('/order/\xe3 '.encode() in head for head in heads)
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        ('Server-Stamp: {stamp}', 'Server-Stamp: other'),
+        ('Server-Stamp: other', 'Server-Stamp: {stamp}'),
+        ('Server-Stamp: {stamp}', 'server-stamp: {stamp}'),
+        ('Server-Stamp: {stamp},other',),
+        ('Server-Stamp: {stamp} other',),
+        ('Server-Stamp: {stamp}\tother',),
+        ('Server-Stamp: \xe3',),
+        ('Server-Stamp: {stamp}', 'Request-Id: {id}', 'Request-Id: other'),
+        ('Server-Stamp: {stamp}', 'Request-Id: other', 'Request-Id: {id}'),
+    ],
+)
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [('/lookup/x', 200), ('/order/x', 502), ('/search/x', 200)],
+)
+async def test_ambiguous_signature_is_no_success(
+    headers: tuple[str, ...], path: str, status: int
+) -> None:
+    """A caller must not get a stamp or an id that can be read in two ways.
+
+    In `Part-Stamps`, a stamp with a comma would be two entries.
+    """
+    async with _run_system() as system:
+        system.script('a', _WireReply(headers=headers, body=b'x' * 16))
+        answer = await system.call(path)
+    assert answer.status == status
+    assert b'x' not in answer.body
+    expected = {
+        '/lookup/x': [b'a'],
+        '/order/x': [],
+        '/search/x': [b'a', b'b'],
+    }
+    signers = [stamp[:1] for stamp in answer.stamps]
+    assert sorted(signers) == expected[path]
