Merge no parts with the same stamp

A stamp signs one reply, so at least one of these parts is not the signed one, and nothing tells which: all of them count as failed, and as missing from the answer.

tests/test_success_checks.py: test_parts_with_one_stamp_are_no_parts and test_part_beside_copied_stamps_is_kept failed before.

--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -27,6 +27,7 @@
     failed: list[FetchResult] = attrs.field(factory=list)
     #: Shards that had not finished when the search ended.
     cancelled: list[FetchResult] = attrs.field(factory=list)
+    _stamps: set[str] = attrs.field(factory=set)
 
     @property
     def all_results(self) -> tuple[FetchResult, ...]:
@@ -34,9 +35,18 @@
         return (*self.succeeded, *self.failed, *self.cancelled)
 
     def add(self, fetch_result: FetchResult) -> None:
-        """Add the result of one shard."""
-        is_success = fetch_result.code is ResultCode.ok
-        (self.succeeded if is_success else self.failed).append(fetch_result)
+        """Add the result of one shard.
+
+        Of parts with the same stamp, none is known to be the signed one.
+        """
+        reply = fetch_result.reply
+        if fetch_result.code is not ResultCode.ok or reply is None:
+            self.failed.append(fetch_result)
+        elif reply.stamp in self._stamps:
+            self._fail_copies(fetch_result, reply.stamp)
+        else:
+            self._stamps.add(reply.stamp)
+            self.succeeded.append(fetch_result)
 
     def progress(self, min_share: float) -> Progress:
         """Return the progress of the search.
@@ -50,6 +60,21 @@
             min_share=min_share,
         )
 
+    def _fail_copies(self, fetch_result: FetchResult, stamp: str) -> None:
+        """Fail a part and the earlier one with its stamp, if that is left."""
+        copies = [
+            part
+            for part in self.succeeded
+            if part.reply is not None and part.reply.stamp == stamp
+        ]
+        for copy in copies:
+            self.succeeded.remove(copy)
+        for failed in (*copies, fetch_result):
+            counters.add('invalid_replies', 'repeated_stamp')
+            self.failed.append(
+                attrs.evolve(failed, code=ResultCode.bad_reply, reply=None)
+            )
+
 
 @attrs.define(eq=False, kw_only=True)
 class ScatterGather:
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -12,13 +12,15 @@
 import pytest
 from loguru import logger
 
-from dragonflyramp.backends import NoHedging, Policies
+from dragonflyramp.backends import FetchResult, NoHedging, Policies
 from dragonflyramp.callers import Front, RelayedAnswer
+from dragonflyramp.callers._scatter_gather import ShardResults
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import FrontServer
 from dragonflyramp.platform._front_http import encode_answer
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
+from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
 from dragonflyramp.runtime import TaskSet
 from tests.front_harnesses import (
@@ -600,3 +602,32 @@
     }
     signers = [stamp[:1] for stamp in answer.stamps]
     assert sorted(signers) == expected[path]
+
+
+async def test_parts_with_one_stamp_are_no_parts() -> None:
+    """A search must not name a stamp twice, nor guess whose it is."""
+    async with _run_system() as system:
+        for shard in _SHARDS:
+            system.script(shard, _WireReply(headers=('Server-Stamp: same',)))
+        answer = await system.call('/search/x')
+    assert _is_failure_without_promise(answer)
+
+
+def test_part_beside_copied_stamps_is_kept() -> None:
+    """A search must keep its other parts, and count the missing ones."""
+    shard_results = ShardResults(shard_count=4)
+    for service, stamp in zip('abcd', ('same', 'own', 'same', 'same')):
+        reply = Reply(status=200, headers=(), body=_BODY, stamp=stamp)
+        shard_results.add(
+            FetchResult(
+                service=service,
+                code=ResultCode.ok,
+                reply=reply,
+                may_have_run=True,
+            )
+        )
+    assert [part.service for part in shard_results.succeeded] == ['b']
+    assert {part.code for part in shard_results.failed} == {
+        ResultCode.bad_reply
+    }
+    assert all(part.may_have_run for part in shard_results.failed)
