Record no failure as the outcome of a submit

The native API answered 200 with the body of any reply that was relayed, a replica's 500 or 404 too, and replayed it for the key. Only a success is an outcome now. A failure is answered with `backend_error`; the claim stays without an outcome, because the request may have run.

tests/test_success_checks.py::test_submit_relays_no_other_success failed before with 500, 302 and 404.

--- a/dragonflyramp/callers/_claims.py
+++ b/dragonflyramp/callers/_claims.py
@@ -2,8 +2,8 @@
 
 A claim is created in the store before the request is sent. Only the process
 that created the claim sends the request. It deletes the claim if the request
-is known not to have run. After a reply it records the body of the reply as the
-outcome in the claim. Otherwise the claim stays without an outcome, and the
+is known not to have run. After a success it records the body of the reply as
+the outcome in the claim. Otherwise the claim stays without an outcome, and the
 request is never sent again.
 """
 
@@ -89,6 +89,8 @@
     ) -> KeyedResult:
         answer = await send()
         if isinstance(answer, RelayedAnswer):
+            if not answer.reply.is_success:
+                return KeyedResult(ResultCode.backend_error)
             outcome = answer.reply.body.decode(errors='replace')
             spec = {
                 _DIGEST_KEY: keyed_request.body_digest,
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -4,20 +4,28 @@
 import collections
 import contextlib
 import itertools
+import json
 import time
 from collections.abc import AsyncIterator, Iterable, Sequence
 from typing import Any
 
+import aiohttp
 import attrs
 import pytest
 from loguru import logger
 
 from dragonflyramp.backends import FetchResult, NoHedging, Policies
-from dragonflyramp.callers import Front, RelayedAnswer
+from dragonflyramp.callers import (
+    Claims,
+    Front,
+    NativeApi,
+    NativeApiServer,
+    RelayedAnswer,
+)
 from dragonflyramp.callers._scatter_gather import ShardResults
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
-from dragonflyramp.platform import FrontServer
+from dragonflyramp.platform import FrontServer, StoreClient
 from dragonflyramp.platform._front_http import encode_answer
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
@@ -631,3 +639,98 @@
         ResultCode.bad_reply
     }
     assert all(part.may_have_run for part in shard_results.failed)
+
+
+@contextlib.asynccontextmanager
+async def _run_native_api(
+    store_client: StoreClient, *replies: _WireReply
+) -> AsyncIterator[tuple[str, _System]]:
+    """Run the native API on one replica with scripted replies."""
+    async with _run_system(1) as system:
+        system.script('a', *replies)
+        server = NativeApiServer(
+            NativeApi(
+                front=system.front,
+                claims=Claims(store_client),
+                clock=time.monotonic,
+                name_search_route=lambda _: 'search',
+                name_submit_route=lambda _: 'order',
+            )
+        )
+        address = await server.start('127.0.0.1:0')
+        yield f'http://{address}', system
+        await server.stop()
+
+
+async def _submit(address: str) -> tuple[int, str]:
+    """Submit a request and return the status and the name of the code."""
+    async with aiohttp.request(
+        'POST',
+        f'{address}/submit/a',
+        data=b'{}',
+        headers={'X-Deadline-Ms': '2000', 'Idempotency-Key': 'k'},
+    ) as answer:
+        fields = json.loads(await answer.read())
+        return answer.status, fields.get('name', 'ok')
+
+
+_SIGNED_HEADERS = ('Server-Stamp: {stamp}',)
+
+
+@pytest.mark.parametrize(
+    ('reply', 'name'),
+    [
+        (_WireReply(headers=_UNSIGNED_HEADERS), 'outcome_unknown'),
+        (
+            _WireReply(status='503 Full', headers=_SIGNED_HEADERS),
+            'outcome_unknown',
+        ),
+        (
+            _WireReply(headers=(*_SIGNED_HEADERS, 'Content-Encoding: gzip')),
+            'outcome_unknown',
+        ),
+        (_WireReply(status='500 Bad'), 'backend_error'),
+        (_WireReply(status='302 Found'), 'backend_error'),
+        (_WireReply(status='404 Not'), 'backend_error'),
+    ],
+)
+async def test_submit_relays_no_other_success(
+    store_client: StoreClient, reply: _WireReply, name: str
+) -> None:
+    """A submit must not record as its outcome what is no success.
+
+    It may have run, so that its key is not sent again.
+    """
+    async with _run_native_api(store_client, reply) as (address, system):
+        first_answer = await _submit(address)
+        repeat_answer = await _submit(address)
+        assert len(system.requests('a')) == 1
+    assert first_answer[1] == name
+    assert first_answer[0] in {409, 502}
+    assert repeat_answer == (409, 'already_claimed')
+
+
+async def test_submit_relays_signed_success(store_client: StoreClient) -> None:
+    """A submit must record the outcome of a signed success."""
+    async with _run_native_api(store_client) as (address, system):
+        assert await _submit(address) == (200, 'ok')
+        assert await _submit(address) == (200, 'ok')
+        assert len(system.requests('a')) == 1
+
+
+async def test_native_search_counts_no_unsigned_part(
+    store_client: StoreClient,
+) -> None:
+    """The stated coverage must not count a part without a stamp."""
+    unsigned = _WireReply(headers=_UNSIGNED_HEADERS)
+    replies = (unsigned, unsigned)
+    async with _run_native_api(store_client, *replies) as (address, _):
+        async with aiohttp.request(
+            'POST',
+            f'{address}/search/s',
+            data=b'{}',
+            headers={'X-Deadline-Ms': '2000'},
+        ) as answer:
+            fields = json.loads(await answer.read())
+    assert fields['coverage']['merged'] == 1
+    assert fields['hits'] == [_BODY.hex()]
