Record no outcome of a submit whose body is no UTF-8

The native API replaced bytes that are no UTF-8 and answered 200 with an outcome that the replica did not send. JSON cannot hold them; the answer is `bad_reply` now, and the claim stays without an outcome.

tests/test_success_checks.py::test_submit_relays_no_other_success failed before with such a body.

--- a/dragonflyramp/callers/_claims.py
+++ b/dragonflyramp/callers/_claims.py
@@ -91,7 +91,11 @@
         if isinstance(answer, RelayedAnswer):
             if not answer.reply.is_success:
                 return KeyedResult(ResultCode.backend_error)
-            outcome = answer.reply.body.decode(errors='replace')
+            try:
+                outcome = answer.reply.body.decode()
+            except UnicodeDecodeError:
+                # JSON cannot hold it, and another text is not the outcome.
+                return KeyedResult(ResultCode.bad_reply)
             spec = {
                 _DIGEST_KEY: keyed_request.body_digest,
                 _OUTCOME_KEY: outcome,
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -692,6 +692,7 @@
         (_WireReply(status='500 Bad'), 'backend_error'),
         (_WireReply(status='302 Found'), 'backend_error'),
         (_WireReply(status='404 Not'), 'backend_error'),
+        (_WireReply(body=b'\xff'), 'bad_reply'),
     ],
 )
 async def test_submit_relays_no_other_success(
