--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -735,3 +735,41 @@
             fields = json.loads(await answer.read())
     assert fields['coverage']['merged'] == 1
     assert fields['hits'] == [_BODY.hex()]
+
+
+@pytest.mark.parametrize('method', _METHODS)
+@pytest.mark.parametrize('framing', _FRAMINGS)
+@pytest.mark.parametrize('earlier_count', [0, 1])
+@pytest.mark.parametrize(
+    ('status', 'body'),
+    [
+        ('200 OK', _BODY),
+        ('200 OK', b''),
+        ('201 Made', _BODY),
+        ('204 No', b''),
+        ('205 Reset', b''),
+        ('206 Part', _BODY),
+        ('299 Odd', _BODY),
+        ('304 Same', b''),
+    ],
+)
+async def test_signed_reply_is_relayed_whole(
+    method: str, framing: str, earlier_count: int, status: str, body: bytes
+) -> None:
+    """A signed reply must keep its status, stamp and body, however it ends."""
+    if status[:3] in {'204', '304'}:
+        framing = 'none'
+    async with _run_system(1) as system:
+        for _ in range(earlier_count):
+            await system.call('/lookup/x', request_id=b'earlier')
+        system.script(
+            'a', _WireReply(status=status, body=body, framing=framing)
+        )
+        answer = await system.call('/order/x', method)
+        _, count_on_connection = system.requests('a')[-1]
+    assert answer.status == int(status.split()[0])
+    assert answer.stamps == [b'a0.%d' % count_on_connection]
+    assert answer.body == {'HEAD': b''}.get(method, body)
+    lengths = answer.get_all(b'content-length')
+    assert lengths in ([], [b'%d' % len(answer.body)])
+    assert count_on_connection == earlier_count + 1
