Give each reply of the parts benchmark a stamp of its own

Its replicas sent one constant stamp, so that all parts of a search had the same, which is refused now.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import cProfile
+import itertools
 import pstats
 import random
 import subprocess
@@ -40,6 +41,8 @@
 _BUDGET_SLACK = 50
 _RECORDS_PER_PART = 60
 _RECORD_BYTES = 16
+#: Numbers of the replies of all replicas, since each has a stamp of its own.
+_stamp_numbers = itertools.count()
 
 
 def main() -> None:
@@ -87,8 +90,9 @@
         request_id = data.partition(b'Request-Id: ')[2].partition(b'\r\n')[0]
         head = (
             b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\nRequest-Id: %s\r\n'
-            b'Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n'
-            b'Server-Load: 1,0,4\r\n\r\n' % (len(self._body), request_id)
+            b'Server-Stamp: 3e1b.07.5a2.600.0.%08x\r\n'
+            b'Server-Load: 1,0,4\r\n\r\n'
+            % (len(self._body), request_id, next(_stamp_numbers))
         )
         assert self._transport is not None
         self._transport.write(head + self._body)
