--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -1,6 +1,7 @@
 """Send a search to all its shards and collect their results."""
 
 import asyncio
+import collections
 import contextlib
 
 import attrs
@@ -18,35 +19,26 @@
 from dragonflyramp.routes import GatherSettings
 
 
-@attrs.define(eq=False)
+@attrs.frozen
 class ShardResults:
     """Results of the shards of one search."""
 
     shard_count: int
-    succeeded: list[FetchResult] = attrs.field(factory=list)
-    failed: list[FetchResult] = attrs.field(factory=list)
+    succeeded: tuple[FetchResult, ...] = ()
+    failed: tuple[FetchResult, ...] = ()
     #: Shards that had not finished when the search ended.
-    cancelled: list[FetchResult] = attrs.field(factory=list)
-    _stamps: set[str] = attrs.field(factory=set)
+    cancelled: tuple[FetchResult, ...] = ()
 
     @property
     def all_results(self) -> tuple[FetchResult, ...]:
         """Return the results of all shards, for the request log."""
         return (*self.succeeded, *self.failed, *self.cancelled)
 
-    def add(self, fetch_result: FetchResult) -> None:
-        """Add the result of one shard.
-
-        Of parts with the same stamp, none is known to be the signed one.
-        """
-        reply = fetch_result.reply
-        if fetch_result.code is not ResultCode.ok or reply is None:
-            self.failed.append(fetch_result)
-        elif reply.stamp in self._stamps:
-            self._fail_copies(fetch_result, reply.stamp)
-        else:
-            self._stamps.add(reply.stamp)
-            self.succeeded.append(fetch_result)
+    def with_result(self, fetch_result: FetchResult) -> 'ShardResults':
+        """Return the results with that of one more shard."""
+        if fetch_result.code is ResultCode.ok:
+            return attrs.evolve(self, succeeded=(*self.succeeded, fetch_result))
+        return attrs.evolve(self, failed=(*self.failed, fetch_result))
 
     def progress(self, min_share: float) -> Progress:
         """Return the progress of the search.
@@ -60,20 +52,26 @@
             min_share=min_share,
         )
 
-    def _fail_copies(self, fetch_result: FetchResult, stamp: str) -> None:
-        """Fail a part and the earlier one with its stamp, if that is left."""
-        copies = [
-            part
-            for part in self.succeeded
-            if part.reply is not None and part.reply.stamp == stamp
-        ]
-        for copy in copies:
-            self.succeeded.remove(copy)
-        for failed in (*copies, fetch_result):
+    def without_copies(self) -> 'ShardResults':
+        """Return the results with parts that have the same stamp as failed.
+
+        A stamp signs one reply, and nothing tells which part that is.
+        """
+        stamps = [_stamp_of(part) for part in self.succeeded]
+        counts = collections.Counter(stamps)
+        if len(counts) == len(stamps):
+            return self
+        valid = []
+        failed = list(self.failed)
+        for part, stamp in zip(self.succeeded, stamps, strict=True):
+            if counts[stamp] == 1:
+                valid.append(part)
+                continue
             counters.add('invalid_replies', 'repeated_stamp')
-            self.failed.append(
-                attrs.evolve(failed, code=ResultCode.bad_reply, reply=None)
+            failed.append(
+                attrs.evolve(part, code=ResultCode.bad_reply, reply=None)
             )
+        return attrs.evolve(self, succeeded=tuple(valid), failed=tuple(failed))
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -85,14 +83,17 @@
     gather: GatherSettings
     #: Monotonic time from which a partial answer is allowed.
     cutoff_at_seconds: float
-    shard_results: ShardResults = attrs.field(init=False)
+    #: Results so far; `run` returns those at the end of the search.
+    shard_results: ShardResults = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda search: ShardResults(len(search.gather.shards)),
+            takes_self=True,
+        ),
+    )
     _ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_past_cutoff: bool = False
 
-    def __attrs_post_init__(self) -> None:
-        """Create the empty results."""
-        self.shard_results = ShardResults(len(self.gather.shards))
-
     async def run(self) -> ShardResults:
         """Run the search; cancel the fetches that are unfinished at its end."""
         fetches = [
@@ -113,13 +114,14 @@
             self._is_past_cutoff = True
             self._end_if_possible()
             await self._wait_until_ended(self.context.deadline_at_seconds)
+            cancelled = []
             for fetch, task in zip(fetches, tasks, strict=True):
                 fetch.accepts_late_replies = True
                 if not task.done():
-                    self.shard_results.cancelled.append(
-                        fetch.cancelled_result()
-                    )
-        return self.shard_results
+                    cancelled.append(fetch.cancelled_result())
+        return attrs.evolve(
+            self.shard_results.without_copies(), cancelled=tuple(cancelled)
+        )
 
     async def _try_shards(self, fetches: list[Fetch]) -> list[Fetch]:
         """Try a suspect search at one shard after another.
@@ -138,7 +140,7 @@
             if fetch_result.may_have_run:
                 break
         for unsent in remaining:
-            self.shard_results.add(
+            self._add(
                 FetchResult(
                     service=unsent.service, code=ResultCode.crash_suspect
                 )
@@ -159,7 +161,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0, remaining_seconds)):
                 fetch_result = await fetch.run()
-        self.shard_results.add(fetch_result)
+        self._add(fetch_result)
         self._end_if_possible()
         return fetch_result
 
@@ -177,9 +179,12 @@
                 code=ResultCode.internal_error,
                 may_have_run=True,
             )
-        self.shard_results.add(fetch_result)
+        self._add(fetch_result)
         self._end_if_possible()
 
+    def _add(self, fetch_result: FetchResult) -> None:
+        self.shard_results = self.shard_results.with_result(fetch_result)
+
     def _end_if_possible(self) -> None:
         progress = self.shard_results.progress(self.gather.min_share)
         is_partial_allowed = self._is_past_cutoff and progress.is_sufficient
@@ -195,3 +200,7 @@
                 await self._ended.wait()
         except TimeoutError:
             return
+
+
+def _stamp_of(part: FetchResult) -> str:
+    return '' if part.reply is None else part.reply.stamp
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -626,7 +626,7 @@
     shard_results = ShardResults(shard_count=4)
     for service, stamp in zip('abcd', ('same', 'own', 'same', 'same')):
         reply = Reply(status=200, headers=(), body=_BODY, stamp=stamp)
-        shard_results.add(
+        shard_results = shard_results.with_result(
             FetchResult(
                 service=service,
                 code=ResultCode.ok,
@@ -634,6 +634,7 @@
                 may_have_run=True,
             )
         )
+    shard_results = shard_results.without_copies()
     assert [part.service for part in shard_results.succeeded] == ['b']
     assert {part.code for part in shard_results.failed} == {
         ResultCode.bad_reply
