--- /dev/null
+++ b/tests/test_review_findings.py
@@ -0,0 +1,184 @@
+"""Test faults that a review of the incident MIXED found."""
+
+import asyncio
+import time
+import tracemalloc
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+
+from dragonflyramp.backends import Policies
+from dragonflyramp.backends._reply_matchers import ReplyMatcher
+from dragonflyramp.messages import Reply
+from dragonflyramp.platform import FrontServer
+from dragonflyramp.runtime import TaskSet
+from tests.front_harnesses import (
+    make_front,
+    make_replica_entry,
+    make_route,
+    make_table,
+)
+from tests.reply_servers import (
+    SentReply,
+    Step,
+    find_difference,
+    listen_for_clients,
+    make_exchange,
+    outcome_of,
+    pause,
+)
+from tests.standins.listeners import address_of, listen
+from tests.standins.replicas import ReplicaServer
+
+_ID_PREFIX = b'request-id: '
+_COPY_BYTES = 3_000_000
+_PIECE_BYTES = 32_768
+#: More than the buffers of both ends of a loopback connection hold.
+_UNREAD_BODY_BYTES = 16_777_216
+
+
+@attrs.define(eq=False)
+class _EchoingServer:
+    """Replica that echoes the ids of requests as received, if there are any."""
+
+    run_count: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of one connection."""
+        while True:
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                return
+            self.run_count += 1
+            ids = [
+                line
+                for line in head.split(b'\r\n')
+                if line.lower().startswith(_ID_PREFIX)
+            ]
+            stamp = b'Server-Stamp: s%d' % self.run_count
+            lines = (b'HTTP/1.1 200 OK', stamp, *ids, b'Content-Length: 3')
+            writer.write(b'\r\n'.join((*lines, b'', b'abc')))
+
+
+@asynccontextmanager
+async def _run_front(server: _EchoingServer) -> AsyncIterator[str]:
+    """Run a front with one replica; yield its address."""
+    listener = await listen(server.serve)
+    replica = ReplicaServer('a-0', address=address_of(listener))
+    tasks = TaskSet()
+    front = make_front(
+        make_table(make_route()),
+        [make_replica_entry(replica, 'a')],
+        tasks,
+        budget_slack=50,
+        policies=Policies(),
+    )
+    front_server = FrontServer(front, time.monotonic)
+    yield await front_server.start('127.0.0.1:0', '127.0.0.1:0')
+    await front_server.stop()
+    await tasks.cancel()
+    listener.close()
+
+
+async def _send(address: str, *id_lines: bytes) -> bytes:
+    """Send a request as a caller; return the status line of the answer."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = (b'GET /route/x HTTP/1.1', b'Host: h', b'Deadline-Ms: 2000')
+    writer.write(
+        b'\r\n'.join((*lines, *id_lines, b'Connection: close', b'\r\n'))
+    )
+    answer = await reader.read()
+    writer.close()
+    return answer.partition(b'\r\n')[0]
+
+
+async def test_request_without_id_is_answered() -> None:
+    """A reply to a request without an id must not need an id to be accepted.
+
+    The connection has carried a request whose id was echoed.
+    """
+    server = _EchoingServer()
+    async with _run_front(server) as address:
+        assert await _send(address, b'Request-Id: q1') == b'HTTP/1.1 200 OK'
+        assert await _send(address) == b'HTTP/1.1 200 OK'
+    assert server.run_count == 2
+
+
+@pytest.mark.parametrize('request_id', [b'\xc3\xa9', b'\xff'])
+async def test_id_outside_of_ascii_is_recognized(request_id: bytes) -> None:
+    """A reply that echoes the received bytes of an id must be accepted."""
+    server = _EchoingServer()
+    async with _run_front(server) as address:
+        line = b'Request-Id: %b' % request_id
+        assert await _send(address, line) == b'HTTP/1.1 200 OK'
+    assert server.run_count == 1
+
+
+def test_undecodable_id_does_not_end_connection() -> None:
+    """An id that is not UTF-8 must not end the task of a connection.
+
+    The replies are searched for the ids of earlier requests, too.
+    """
+    matcher = ReplyMatcher()
+    body = b'see HTTP/1.1 200 OK'
+    for number, request_id in enumerate(('\udcff', 'q2')):
+        matcher.start_request(request_id)
+        reply = Reply(status=200, headers=(), body=body, stamp=f's{number}')
+        assert matcher.accept(reply)
+
+
+async def test_skipped_copy_holds_no_memory() -> None:
+    """A late copy that was skipped must not stay in memory.
+
+    No limit counts it, and the reply that is waited for may never come.
+    """
+    replies = [SentReply(number=number) for number in (1, 2)]
+    copy = attrs.evolve(replies[0], body_bytes=_COPY_BYTES).encoded
+    pieces = [
+        copy[start : start + _PIECE_BYTES]
+        for start in range(0, len(copy), _PIECE_BYTES)
+    ]
+    with listen_for_clients() as listener:
+        async with listener.run_client() as client:
+            client.play(Step.receive, replies[0].encoded)
+            await outcome_of(await client.start(replies[0]))
+            tracemalloc.start()
+            exchange = await client.start(replies[1])
+            await client.server.play(Step.receive)
+            for piece in pieces:
+                await client.server.play(piece, Step.pause)
+            held_bytes, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            await client.server.play(replies[1].encoded)
+            outcome = await outcome_of(exchange)
+    assert not find_difference(outcome, replies[1])
+    assert peak_bytes > _COPY_BYTES
+    assert held_bytes < _COPY_BYTES / 2
+
+
+async def test_no_request_waits_behind_an_unsent_one() -> None:
+    """A connection must not be idle while its last request is being written.
+
+    The server replied before it had read the whole request, and reads no more:
+    a request behind it would never arrive.
+    """
+    reply = SentReply(number=1, method='POST')
+    with listen_for_clients() as listener:
+        async with listener.run_client() as client:
+            exchange = make_exchange(
+                attrs.evolve(reply.request, body=bytes(_UNREAD_BODY_BYTES))
+            )
+            client.connection.start(exchange)
+            await client.server.play(Step.receive, reply.encoded)
+            outcome = await outcome_of(exchange)
+            await pause()
+            is_usable = client.is_usable
+    assert not find_difference(outcome, reply)
+    assert not is_usable
