--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -10,7 +10,10 @@
 import pytest
 
 from dragonflyramp.backends import Policies
-from dragonflyramp.backends._reply_matchers import ReplyMatcher
+from dragonflyramp.backends._reply_matchers import (
+    ReplyMatcher,
+    has_second_reply,
+)
 from dragonflyramp.messages import Reply
 from dragonflyramp.platform import FrontServer
 from dragonflyramp.runtime import TaskSet
@@ -182,3 +185,12 @@
             is_usable = client.is_usable
     assert not find_difference(outcome, reply)
     assert not is_usable
+
+
+@pytest.mark.parametrize('body', [b'served over HTTP/2', b'use HTTP/3'])
+def test_version_at_end_is_no_second_reply(body: bytes) -> None:
+    """A body without a length must not be refused for another version of HTTP.
+
+    Such bytes cannot be the start of a reply in HTTP/1.
+    """
+    assert not has_second_reply(body)
