Pass on a body that ends with the name of another version of HTTP

Callers got 502, or their request ran again, for a body without a length that ends with a text such as HTTP/2.

test_version_at_end_is_no_second_reply failed before; found by the review.

--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -21,7 +21,7 @@
 _REPLY_HEAD_PATTERN = re.compile(
     rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,40}+'
     rb'(?:\r\n[!-9;-~]{1,40}+:|(?:\r\n?)?[!-9;-~]{0,40}+\Z)'
-    rb'|HTTP/[\d. ]{0,6}\Z'
+    rb'|HTTP/(?:1(?:\.(?:[01](?: [1-5]?\d?)?)?)?)?\Z'
 )
 
 
