Accept the reply to a request without an id

Callers who send no id got 502, or their request ran again, on a connection whose server had echoed the id of another request: a reply without an id was taken for a late copy. There is no id to echo for such a request; stamps still tell copies.

--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -67,8 +67,8 @@
     def accept(self, reply: Reply) -> bool:
         """Return whether a reply answers the current request.
 
-        A server that has echoed ids on this connection does so in each reply,
-        and one that has stamped replies does so in each that ran; one without
+        A server that has echoed ids on this connection does so in each reply
+        to a request with an id, and one that has stamped replies does so in each that ran; one without
         them may be a late copy of an earlier reply.
         """
         if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
@@ -82,7 +82,8 @@
         if reply.request_id:
             self._echoes_ids = True
             return reply.request_id == self.current_id
-        if self._echoes_ids or self._has_earlier_stamp(reply):
+        is_id_due = self._echoes_ids and bool(self.current_id)
+        if is_id_due or self._has_earlier_stamp(reply):
             return False
         return bool(reply.stamp) or reply.is_not_run or not self._stamps
 
