--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -68,8 +68,8 @@
         """Return whether a reply answers the current request.
 
         A server that has echoed ids on this connection does so in each reply
-        to a request with an id, and one that has stamped replies does so in each that ran; one without
-        them may be a late copy of an earlier reply.
+        to a request with an id, and one that has stamped replies does so in
+        each that ran; one without them may be a late copy of an earlier reply.
         """
         if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
             return False
@@ -96,15 +96,20 @@
         """Return whether another reply of the connection is within a body."""
         own_marks = (self.current_id, reply.stamp)
         if _REPLY_HEAD_PATTERN.search(reply.body) and any(
-            mark and mark.encode() in reply.body for mark in own_marks
+            mark and _encode(mark) in reply.body for mark in own_marks
         ):
             return True
         return any(
-            mark.encode() in reply.body
+            _encode(mark) in reply.body
             for mark in (*self._earlier_ids, *self._stamps)
         )
 
 
+def _encode(mark: str) -> bytes:
+    """Return the bytes of an id or a stamp as received."""
+    return mark.encode('latin-1', errors='replace')
+
+
 def can_identify(reply: Reply) -> bool:
     """Return whether a copy of a reply would be recognized later."""
     return bool(reply.request_id or reply.stamp)
--- a/dragonflyramp/callers/_native_api_http.py
+++ b/dragonflyramp/callers/_native_api_http.py
@@ -231,4 +231,5 @@
 
 
 def _is_valid_id(text: str) -> bool:
-    return 0 < len(text) <= _MAX_ID_CHARACTERS and text.isprintable()
+    is_visible = text.isascii() and text.isprintable()
+    return is_visible and 0 < len(text) <= _MAX_ID_CHARACTERS
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -83,6 +83,11 @@
     )
 
 
+def find(headers: Headers, name: str) -> str:
+    """Return the first value of a header, or an empty string."""
+    return next(iter(_header_values(headers, name.lower())), '')
+
+
 def parse_number(text: str | None) -> float | None:
     """Parse a number of at least 0 and below 1e12; return None otherwise."""
     try:
