Hold no copy that was skipped

A late copy of a reply of up to 4 MB stayed in memory for each connection that waited for the reply behind it, and no limit counted it: the channel kept the reply that it had decoded last. test_skipped_copy_holds_no_memory failed before; found by the review.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -98,7 +98,7 @@
         reader = self.protocol.send_request(
             encoded,
             is_head=request.method == 'HEAD',
-            is_copy=lambda raw: self.matcher.is_copy(self._decode(raw)),
+            is_copy=self._is_copy,
         )
         raw = await reader.outcome
         if isinstance(raw, RawReply):
@@ -106,6 +106,12 @@
         self.protocol.close()
         return Outcome(raw)
 
+    def _is_copy(self, raw: RawReply) -> bool:
+        is_copy = self.matcher.is_copy(self._decode(raw))
+        if is_copy:
+            self._decoded = None
+        return is_copy
+
     def _decode(self, raw: RawReply) -> Reply:
         if self._decoded is None or self._decoded[0] is not raw:
             reply = self._codec.decode(raw.status, raw.headers, raw.body)
