Send no request behind one that is not written whole

A caller got 504 for a request that was never sent, and that could not be told apart from one that ran: a replica had answered before it had read a long body, the connection became idle with the rest in the buffer of its transport, and the next request waited behind it.

A connection with unsent bytes is closed after its reply. test_no_request_waits_behind_an_unsent_one failed before; found by the review.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -138,6 +138,9 @@
             self.protocol.close()
             return Outcome(OutcomeKind.garbled)
         is_kept = raw.is_keep_alive and not reply.closes_connection
+        if self.protocol.has_unsent_bytes:
+            # The next request would wait until the server reads this one.
+            is_kept = False
         if not (is_kept and can_identify(reply)):
             self.protocol.close()
         if reply.keep_alive_seconds is None:
--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/backends/_protocols_http.py
@@ -5,12 +5,15 @@
 from collections.abc import Callable
 from typing import cast
 
+import attrs
+
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._readers_http import IsCopy, ReplyReader
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.metrics import counters
 
 
+@attrs.define(eq=False)
 class ReplyProtocol(asyncio.Protocol):
     """Send one request at a time and receive its reply.
 
@@ -19,15 +22,19 @@
     the next request.
     """
 
-    def __init__(
-        self, on_closed: Callable[[], None], memory: ReplyMemory
-    ) -> None:
-        """Create the protocol; `on_closed` is called once, when it closes."""
-        self.is_open = False
-        self._memory = memory
-        self._on_closed = on_closed
-        self._transport: asyncio.Transport | None = None
-        self._reader: ReplyReader | None = None
+    #: Called once, when the connection closes.
+    _on_closed: Callable[[], None]
+    _memory: ReplyMemory
+    #: Whether a request may be sent.
+    is_open: bool = False
+    _transport: asyncio.Transport | None = None
+    _reader: ReplyReader | None = None
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a part of a request waits for the server to read."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open connection."""
