Show that a copied refusal lets a request without an id run twice (red)

A connection refused a request with an id; a copy of the refusal that has lost its id is taken for the answer to a later request without an id. The request runs, and is sent to another replica or refused with 503.

An id-less request on a connection that has carried none would need no such comparison.

--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -70,13 +70,15 @@
 
 
 @asynccontextmanager
-async def _run_front(server: _EchoingServer) -> AsyncIterator[str]:
+async def _run_front(
+    server: '_EchoingServer | _CopyingServer', *, is_idempotent: bool = True
+) -> AsyncIterator[str]:
     """Run a front with one replica; yield its address."""
     listener = await listen(server.serve)
     replica = ReplicaServer('a-0', address=address_of(listener))
     tasks = TaskSet()
     front = make_front(
-        make_table(make_route()),
+        make_table(make_route(is_idempotent=is_idempotent)),
         [make_replica_entry(replica, 'a')],
         tasks,
         budget_slack=50,
@@ -194,3 +196,52 @@
     Such bytes cannot be the start of a reply in HTTP/1.
     """
     assert not has_second_reply(body)
+
+
+@attrs.define(eq=False)
+class _CopyingServer:
+    """Replica that refuses requests with an id, and runs those without.
+
+    Before a reply it repeats the one before on the connection, without its id.
+    """
+
+    run_count: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of one connection."""
+        copy = b''
+        while True:
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                return
+            writer.write(copy)
+            if _ID_PREFIX in head.lower():
+                copy = _REFUSAL % b''
+                writer.write(_REFUSAL % b'Request-Id: q1\r\n')
+                continue
+            self.run_count += 1
+            copy = _SUCCESS % self.run_count
+            writer.write(copy)
+
+
+_REFUSAL = (
+    b'HTTP/1.1 503 Full\r\n%bNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+_SUCCESS = b'HTTP/1.1 200 OK\r\nServer-Stamp: s%d\r\nContent-Length: 0\r\n\r\n'
+
+
+async def test_refusal_of_another_request_is_no_refusal() -> None:
+    """A copy of a refusal must not let a request without an id run twice.
+
+    The copy has lost its id, and refusals have no stamp.
+    """
+    server = _CopyingServer()
+    async with _run_front(server, is_idempotent=False) as address:
+        assert await _send(address, b'Request-Id: q1') != b'HTTP/1.1 200 OK'
+        status_line = await _send(address)
+    assert server.run_count <= 1
+    assert server.run_count == 0 or b' 503 ' not in status_line
