--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -34,6 +34,7 @@
     """Requests and replies of one connection."""
 
     current_id: str = ''
+    _is_used: bool = False
     #: Ids of the requests before the current one.
     _earlier_ids: collections.deque[str] = attrs.field(factory=_create_memory)
     #: Stamps of the earlier replies.
@@ -42,15 +43,19 @@
     _echoes_ids: bool = False
 
     def may_carry(self, request_id: str) -> bool:
-        """Return whether a reply to a request could not be an earlier one."""
+        """Return whether a reply to a request could not be an earlier one.
+
+        Nothing tells the replies to requests without an id apart.
+        """
         text = request_id[:_MAX_TEXT_CHARS]
         current_text = self.current_id[:_MAX_TEXT_CHARS]
-        return not text or (
-            text != current_text and text not in self._earlier_ids
-        )
+        if not text:
+            return not self._is_used
+        return text != current_text and text not in self._earlier_ids
 
     def start_request(self, request_id: str) -> None:
         """Record a request that is about to be written."""
+        self._is_used = True
         if self.current_id:
             self._earlier_ids.append(self.current_id[:_MAX_TEXT_CHARS])
         self.current_id = request_id
@@ -67,9 +72,9 @@
     def accept(self, reply: Reply) -> bool:
         """Return whether a reply answers the current request.
 
-        A server that has echoed ids on this connection does so in each reply
-        to a request with an id, and one that has stamped replies does so in
-        each that ran; one without them may be a late copy of an earlier reply.
+        A server that has echoed ids on this connection does so in each reply,
+        and one that has stamped replies does so in each that ran; one without
+        them may be a late copy of an earlier reply.
         """
         if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
             return False
@@ -82,8 +87,7 @@
         if reply.request_id:
             self._echoes_ids = True
             return reply.request_id == self.current_id
-        is_id_due = self._echoes_ids and bool(self.current_id)
-        if is_id_due or self._has_earlier_stamp(reply):
+        if self._echoes_ids or self._has_earlier_stamp(reply):
             return False
         return bool(reply.stamp) or reply.is_not_run or not self._stamps
 
