Test what callers get when a replica spoils, doubles or cuts its replies

The stand-in gets a fault for each way to end or spoil a reply: without a length, whole, reset, doubled, or followed by the reply before it; without a stamp; cut short; in chunks, whole, cut or with a copy inside; a reply to HEAD with a body; a rejection before the body is read. tests/test_spoiled_replies.py plays each on the first and on a later request of a connection, on a plain route, idempotent or not, and on a search, and checks the success that a caller gets (stamp, own and whole body) or that a failure does not deny that the request ran.

run_harness stops its servers when the test fails, too: without it, the garbage of a failed test made the report of the next one crash in one run.

--- a/tests/front_harnesses.py
+++ b/tests/front_harnesses.py
@@ -1,8 +1,8 @@
 """Run a front and loopback replicas in the process of the test."""
 
-import asyncio
 import contextlib
 import functools
+import itertools
 import random
 import time
 from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
@@ -233,9 +233,8 @@
         budget_slack=budget_slack,
         policies=policies or Policies(),
     )
-    harness = FrontHarness(front, servers)
-    yield harness
-    await tasks.cancel()
-    await asyncio.gather(
-        *(running_server.stop() for running_server in harness.all_servers())
-    )
+    async with contextlib.AsyncExitStack() as cleanup:
+        for running_server in itertools.chain.from_iterable(servers.values()):
+            cleanup.push_async_callback(running_server.stop)
+        cleanup.push_async_callback(tasks.cancel)
+        yield FrontHarness(front, servers)
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -7,6 +7,13 @@
 
 import attrs
 
+from tests.standins.faulty_replies import (
+    FAULTY_REPLIES,
+    ConnectionEnd,
+    FaultyReply,
+    ReplyParts,
+    with_length,
+)
 from tests.standins.listeners import address_of, listen
 from tests.standins.resets import reset_on_close
 
@@ -31,6 +38,28 @@
     #: Whether each reply is sent a second time, late: when the next request
     #: has arrived on the connection.
     late_copies: bool = False
+    #: Replies without a length that end with the connection: whole, reset
+    #: after the last byte, with a copy of themselves, or with the reply to the
+    #: request before.
+    unframed: int = 0
+    unframed_reset: int = 0
+    unframed_copied: int = 0
+    unframed_with_previous: int = 0
+    #: Successes without a stamp, with and without a length.
+    unsigned: int = 0
+    unsigned_unframed: int = 0
+    #: Replies with a length whose last byte is missing.
+    cut_short: int = 0
+    #: Replies in chunks: whole, without the empty chunk at the end, or with a
+    #: copy of the reply within a chunk.
+    chunked: int = 0
+    chunked_cut: int = 0
+    chunked_copied: int = 0
+    #: Replies to HEAD that have a body.
+    head_with_body: int = 0
+    #: Requests that are answered with 503, and do not run, before their body
+    #: is read.
+    early: int = 0
     #: Replies with the id of another request.
     wrong_id: int = 0
     #: Replies that are not HTTP.
@@ -63,9 +92,13 @@
 
     replica_id: str
     body: bytes = b''
+    #: Whether the body of each reply ends with the id of its request.
+    appends_id: bool = False
     faults: ReplicaFaults = attrs.field(factory=ReplicaFaults)
     #: Ids of the requests that ran.
     run_ids: list[str] = attrs.field(factory=list)
+    #: Body of each request that has one and was received in full.
+    received_bodies: list[bytes] = attrs.field(factory=list)
     #: Headers of each received request, and its request line under `line`.
     heads: list[dict[str, str]] = attrs.field(factory=list)
     #: Monotonic start time and id of each request that ran.
@@ -119,6 +152,10 @@
             writer.transport.abort()
         self._writers.clear()
 
+    def body_for(self, request_id: str) -> bytes:
+        """Return the body of the reply to a request."""
+        return self.body + request_id.encode() * self.appends_id
+
     async def _start_again(self) -> None:
         await asyncio.sleep(self.faults.restart_seconds)
         port = int(self.address.rpartition(':')[2])
@@ -146,13 +183,16 @@
         head['line'] = request_line
         self.heads.append(head)
         self.arrivals.append((time.monotonic(), head['Request-Id']))
-        await reader.readexactly(int(head.get('Content-Length', 0)))
+        if self._consume_fault('early'):
+            self._write(writer, self._encode(head, '503 Full', ''))
+            await self._receive_body(reader, head)
+            return True
+        await self._receive_body(reader, head)
         if self.faults.late_copies:
             writer.write(self._last_replies.get(writer, b''))
-        if head.get('Expect-Instance') != self.replica_id:
-            return self._write(writer, self._encode(head, '421 No', ''))
-        if self._consume_fault('shed'):
-            return self._write(writer, self._encode(head, '503 Full', ''))
+        rejection = self._rejection(head)
+        if rejection:
+            return self._write(writer, self._encode(head, rejection, ''))
         self.run_ids.append(head['Request-Id'])
         self.executions.append((time.monotonic(), head['Request-Id']))
         if self.faults.crash_text and self.faults.crash_text in request_line:
@@ -166,6 +206,19 @@
             await _send_until_closed(writer)
         return self._reply(writer, head)
 
+    def _rejection(self, head: dict[str, str]) -> str:
+        """Return the status with which a request is rejected, or nothing."""
+        if head.get('Expect-Instance') != self.replica_id:
+            return '421 No'
+        return '503 Full' if self._consume_fault('shed') else ''
+
+    async def _receive_body(
+        self, reader: asyncio.StreamReader, head: dict[str, str]
+    ) -> None:
+        body_bytes = int(head.get('Content-Length', 0))
+        if body_bytes:
+            self.received_bodies.append(await reader.readexactly(body_bytes))
+
     async def _hang(self, reader: asyncio.StreamReader) -> bool:
         """Wait until the front closes the connection."""
         await reader.read()
@@ -180,18 +233,18 @@
             return self._write(writer, self._encode(head, '500 Bad', stamp))
         if self._consume_fault('reset_before_reply'):
             return _reset(writer)
-        if self._consume_fault('truncated'):
-            reply_head = _HEAD.format(
-                status='200 OK', stamp=stamp, id=head['Request-Id']
-            )
-            writer.write(f'{reply_head}\r\n'.encode() + self.body[:1])
-            return _reset(writer)
-        if self._consume_fault('garbled'):
-            writer.write(b'\x00\x01garbage\r\n\r\n')
-            return True
         if self._consume_fault('wrong_id'):
             head = {**head, 'Request-Id': 'another'}
-        reply = self._encode(head, '200 OK', stamp, body=self.body)
+        body = self.body_for(head['Request-Id'])
+        fault = next(filter(self._consume_fault, FAULTY_REPLIES), None)
+        if fault is not None:
+            parts = ReplyParts(
+                head=_encode_head(head, '200 OK', stamp),
+                body=b'' if _is_head(head) else body,
+                previous=self._last_replies.get(writer, b''),
+            )
+            return _send_faulty_reply(writer, FAULTY_REPLIES[fault](parts))
+        reply = self._encode(head, '200 OK', stamp, body=body)
         if self._consume_fault('duplicated'):
             reply += reply
         return self._write(writer, reply)
@@ -216,7 +269,11 @@
         if pause and not stamp:
             self._record_notice(head, float(pause))
             headers.append(f'Retry-After: {pause}\r\n')
-        return _encode_reply(head, status, stamp, ''.join(headers), body)
+        reply_head = _encode_head(head, status, stamp, ''.join(headers))
+        reply = with_length(reply_head, body)
+        if _is_head(head) and not self._consume_fault('head_with_body'):
+            return reply.removesuffix(body)
+        return reply
 
     def _record_notice(self, head: dict[str, str], seconds: float) -> None:
         self.notices.append((time.monotonic(), head['Request-Id'], seconds))
@@ -227,16 +284,27 @@
         return remaining > 0
 
 
-def _encode_reply(
-    head: dict[str, str],
-    status: str,
-    stamp: str,
-    extra_headers: str,
-    body: bytes,
+def _is_head(head: dict[str, str]) -> bool:
+    return head['line'].startswith('HEAD ')
+
+
+def _encode_head(
+    head: dict[str, str], status: str, stamp: str, extra_headers: str = ''
 ) -> bytes:
     reply_head = _HEAD.format(status=status, stamp=stamp, id=head['Request-Id'])
-    length = f'Content-Length: {len(body)}\r\n\r\n'
-    return f'{reply_head}{extra_headers}{length}'.encode() + body
+    return f'{reply_head}{extra_headers}'.encode()
+
+
+def _send_faulty_reply(
+    writer: asyncio.StreamWriter, reply: FaultyReply
+) -> bool:
+    """Send a reply; return whether the connection stays open."""
+    writer.write(reply.encoded)
+    if reply.end is ConnectionEnd.reset:
+        return _reset(writer)
+    if reply.end is ConnectionEnd.close:
+        writer.close()
+    return reply.end is ConnectionEnd.none
 
 
 async def _send_until_closed(writer: asyncio.StreamWriter) -> None:
