Spoil more replies in the soak, and check that the body of an order is its own

replica_bad_reply now sets a second fault, on a replica of orders and on one of a shard: without a length (whole, reset, doubled, followed by the reply before), without a stamp, cut short, in chunks, or rejected early. Orders have a body, replies of the lookup service end with the id of their request, and a success must have exactly that body.

--- a/tests/soaks/_callers.py
+++ b/tests/soaks/_callers.py
@@ -14,6 +14,8 @@
 #: Text in the path of the request that ends the replicas that run it.
 CRASH_TEXT = 'poison'
 _CRASH_INTERVAL_SECONDS = 0.3
+#: The body of an order repeats its id.
+_BODY_REPEATS = 100
 #: Callers choose each entry with the same probability, and so send searches
 #: most often. The first configuration change adds the route `/newest/`.
 _PATHS = ('/search/x', '/search/x', '/lookup/x', '/order/x', '/newest/x')
@@ -87,12 +89,17 @@
             started_at_seconds=time.monotonic(),
             ended_at_seconds=0,
         )
-        method = 'POST' if path.startswith('/order') else 'GET'
+        is_order = path.startswith('/order')
         answer = None
         has_connect_error = False
         try:
             answer = await send_request(
-                session, front, path, request_id, method=method
+                session,
+                front,
+                path,
+                request_id,
+                method='POST' if is_order else 'GET',
+                body=request_id.encode() * _BODY_REPEATS if is_order else None,
             )
         except aiohttp.ClientConnectorError:
             has_connect_error = True
--- a/tests/soaks/_checks.py
+++ b/tests/soaks/_checks.py
@@ -27,6 +27,8 @@
 #: `top_k` and `min_shard_share` of the search route.
 _TOP_K = 4
 _MIN_SHARD_SHARE = 0.6
+#: Start of the bodies of the lookup service, which end with the request id.
+_LOOKUP_RECORD = b'p' * RECORD_BYTES
 #: Statuses that tell the caller that its request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
@@ -106,8 +108,15 @@
             continue
         if record.path.startswith('/search'):
             yield from _search_violations(record)
-        elif not record.headers.get('Server-Stamp'):
-            yield f'{record.request_id}: success without a Server-Stamp'
+        else:
+            yield from _relay_violations(record)
+
+
+def _relay_violations(record: RequestRecord) -> Iterator[str]:
+    if not record.headers.get('Server-Stamp'):
+        yield f'{record.request_id}: success without a Server-Stamp'
+    if record.body != _LOOKUP_RECORD + record.request_id.encode():
+        yield f'{record.request_id}: body is not its own, or not whole'
 
 
 def _search_violations(record: RequestRecord) -> Iterator[str]:
--- a/tests/soaks/_injectors.py
+++ b/tests/soaks/_injectors.py
@@ -95,6 +95,21 @@
         await asyncio.sleep(_RESTART_WAIT_SECONDS)
 
 
+#: Set beside the earlier faults of `replica_bad_reply`, which a seed selects by
+#: their number.
+_FAULTY_REPLIES = (
+    'unframed',
+    'unframed_reset',
+    'unframed_copied',
+    'unframed_with_previous',
+    'unsigned',
+    'unsigned_unframed',
+    'cut_short',
+    'chunked',
+    'chunked_cut',
+    'chunked_copied',
+    'early',
+)
 #: Seconds for which a replica that sheds requests asks for a pause.
 _PAUSE = '1.5'
 
@@ -199,9 +214,20 @@
     )
     fault_name = fault_names[fault.selector % len(fault_names)]
     setattr(injector.pick_replica(fault).faults, fault_name, 2)
+    _set_faulty_replies(injector.deployment, fault.selector // len(fault_names))
     await asyncio.sleep(fault.duration_seconds)
 
 
+def _set_faulty_replies(deployment: Deployment, selector: int) -> None:
+    """Set one more fault, on a replica of orders and on one of a shard."""
+    variant, index = divmod(selector, len(_FAULTY_REPLIES))
+    shard = SHARDS[variant % len(SHARDS)]
+    for service in ('lookup', shard):
+        servers = deployment.replicas[service]
+        faults = servers[variant % len(servers)].faults
+        setattr(faults, _FAULTY_REPLIES[index], 2)
+
+
 async def _shed_requests(injector: FaultInjector, fault: Fault) -> None:
     """Shed requests; every second time, ask each front for a pause too."""
     faults = injector.pick_replica(fault).faults
--- a/tests/soaks/_runs.py
+++ b/tests/soaks/_runs.py
@@ -177,6 +177,7 @@
     for service in (*SHARDS, 'lookup'):
         for index, server in enumerate(deployment.replicas[service]):
             server.faults.work_seconds = 0.005
+            server.appends_id = service == 'lookup'
             server.faults.crash_text = CRASH_TEXT
             proxy = Proxy(server.address)
             address = await proxy.start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,7 @@
     ended_at_seconds=101,
     status=200,
     headers={'Server-Stamp': 'lookup-0.1'},
+    body=b'ppppppppppppppppq1',
 )
 _SEARCH = attrs.evolve(
     _ORDER,
@@ -99,6 +100,14 @@
             {'requests': (attrs.evolve(_ORDER, headers={}),)},
             'without a Server-Stamp',
         ),
+        (
+            {'requests': (attrs.evolve(_ORDER, request_id='q2'),)},
+            'body is not its own',
+        ),
+        (
+            {'requests': (attrs.evolve(_ORDER, body=b'ppppppppppppppppq'),)},
+            'or not whole',
+        ),
         ({'executions': (_EXECUTION, _EXECUTION)}, 'ran 2 times'),
         (
             {'requests': (attrs.evolve(_ORDER, status=503),)},
