Check in the soak that replicas get the bodies that callers sent

A replica may reject a request before it has read the body and read on where the rest is due. Nothing compared what it got with what was sent.

--- a/tests/soaks/_callers.py
+++ b/tests/soaks/_callers.py
@@ -14,8 +14,8 @@
 #: Text in the path of the request that ends the replicas that run it.
 CRASH_TEXT = 'poison'
 _CRASH_INTERVAL_SECONDS = 0.3
-#: The body of an order repeats its id.
-_BODY_REPEATS = 100
+#: How often the body of an order repeats its id.
+BODY_REPEATS = 100
 #: Callers choose each entry with the same probability, and so send searches
 #: most often. The first configuration change adds the route `/newest/`.
 _PATHS = ('/search/x', '/search/x', '/lookup/x', '/order/x', '/newest/x')
@@ -99,7 +99,7 @@
                 path,
                 request_id,
                 method='POST' if is_order else 'GET',
-                body=request_id.encode() * _BODY_REPEATS if is_order else None,
+                body=request_id.encode() * BODY_REPEATS if is_order else None,
             )
         except aiohttp.ClientConnectorError:
             has_connect_error = True
--- a/tests/soaks/_checks.py
+++ b/tests/soaks/_checks.py
@@ -7,7 +7,7 @@
 import attrs
 
 from tests.deployments import RECORD_BYTES, SHARDS
-from tests.soaks._callers import RequestRecord
+from tests.soaks._callers import BODY_REPEATS, RequestRecord
 
 #: Fronts must apply a change, such as the drain of a replica, within this time.
 _PROPAGATION_SECONDS = 3.0
@@ -54,6 +54,8 @@
     arrivals: Sequence[tuple[float, str]]
     #: Monotonic time, request id and for how many seconds.
     notices: Sequence[tuple[float, str, float]]
+    #: Bodies of the requests that have one.
+    bodies: Sequence[bytes] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -90,6 +92,7 @@
         _invalid_answers,
         _duplicate_executions,
         _false_refusals,
+        _changed_bodies,
         _exceeded_budgets,
         _requests_to_draining_replicas,
         _requests_despite_notice,
@@ -161,6 +164,14 @@
             )
 
 
+def _changed_bodies(observations: Observations) -> Iterator[str]:
+    for received in observations.received:
+        for body in received.bodies:
+            request_id = body[: len(body) // BODY_REPEATS]
+            if body != request_id * BODY_REPEATS:
+                yield f'{received.replica_id}: got a changed body: {body!r}'
+
+
 def _exceeded_budgets(observations: Observations) -> Iterator[str]:
     """Check retries and hedges against the retry budget in a sliding window."""
     executions_by_service = collections.defaultdict(list)
--- a/tests/soaks/_runs.py
+++ b/tests/soaks/_runs.py
@@ -117,6 +117,7 @@
                     replica_id=server.replica_id,
                     arrivals=server.arrivals,
                     notices=server.notices,
+                    bodies=server.received_bodies,
                 )
             )
     return Observations(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -134,6 +134,19 @@
             },
             'wants no more',
         ),
+        (
+            {
+                'received': (
+                    ReceivedRequests(
+                        replica_id='lookup-0',
+                        arrivals=(),
+                        notices=(),
+                        bodies=(bytes(range(200)),),
+                    ),
+                )
+            },
+            'got a changed body',
+        ),
         (
             {'requests': (attrs.evolve(_ORDER, status=0),)},
             'failed before the answer was complete',
