--- a/tests/programs.py
+++ b/tests/programs.py
@@ -67,9 +67,14 @@
         return self._find(key)
 
     def send_signal(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the process if it is running."""
+        """Send a signal to the process if it is running.
+
+        `Popen.send_signal` polls first. It could reap a process that has just
+        ended, and asyncio would not learn the exit code.
+        """
         if self.process.returncode is None:
-            self.process.send_signal(signal_number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal_number)
 
     async def wait(self) -> int:
         """Wait until the process exits and return its exit code."""
