--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -1,6 +1,7 @@
 """Send a search to all its shards and collect their results."""
 
 import asyncio
+import collections
 import contextlib
 
 import attrs
@@ -51,6 +52,27 @@
             min_share=min_share,
         )
 
+    def without_copies(self) -> 'ShardResults':
+        """Return the results with parts that have the same stamp as failed.
+
+        A stamp signs one reply, and nothing tells which part that is.
+        """
+        stamps = [_stamp_of(part) for part in self.succeeded]
+        counts = collections.Counter(stamps)
+        if len(counts) == len(stamps):
+            return self
+        valid = []
+        failed = list(self.failed)
+        for part, stamp in zip(self.succeeded, stamps, strict=True):
+            if counts[stamp] == 1:
+                valid.append(part)
+                continue
+            counters.add('invalid_replies', 'repeated_stamp')
+            failed.append(
+                attrs.evolve(part, code=ResultCode.bad_reply, reply=None)
+            )
+        return attrs.evolve(self, succeeded=tuple(valid), failed=tuple(failed))
+
 
 @attrs.define(eq=False, kw_only=True)
 class ScatterGather:
@@ -97,7 +119,9 @@
                 fetch.accepts_late_replies = True
                 if not task.done():
                     cancelled.append(fetch.cancelled_result())
-        return attrs.evolve(self.shard_results, cancelled=tuple(cancelled))
+        return attrs.evolve(
+            self.shard_results.without_copies(), cancelled=tuple(cancelled)
+        )
 
     async def _try_shards(self, fetches: list[Fetch]) -> list[Fetch]:
         """Try a suspect search at one shard after another.
@@ -176,3 +200,7 @@
                 await self._ended.wait()
         except TimeoutError:
             return
+
+
+def _stamp_of(part: FetchResult) -> str:
+    return '' if part.reply is None else part.reply.stamp
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -19,7 +19,7 @@
     RelayedAnswer,
     RunningQueries,
 )
-from dragonflyramp.messages import Headers, Request
+from dragonflyramp.messages import Headers, Reply, Request
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import _headers as http_headers
 from dragonflyramp.platform._body_memory import BodyMemory
@@ -153,16 +153,18 @@
             refusal.force_close()
             return refusal
         raw_path = request.raw_path
+        headers = _decode_headers(request)
         query = Query(
             request=Request(
                 request_id=request.headers.get(http_headers.REQUEST_ID, ''),
                 method=request.method,
                 path_and_query=raw_path,
-                headers=tuple(
-                    http_headers.end_to_end_headers(_decode_headers(request))
-                ),
+                headers=tuple(http_headers.end_to_end_headers(headers)),
                 body=body,
                 has_body=request.body_exists,
+                accepts_content_coding=http_headers.accepts_content_coding(
+                    headers
+                ),
             ),
             host=request.headers.get('Host', '').partition(':')[0].lower(),
             path=raw_path.partition('?')[0],
@@ -186,14 +188,34 @@
 
 
 def _encode_relayed(answer: RelayedAnswer) -> web.Response:
+    """Encode a reply, or a failure if its headers cannot be sent as received.
+
+    The check for the stamp holds for whatever changes a reply on its way here.
+    """
     reply = answer.reply
     response = web.Response(status=reply.status, body=reply.body)
     response.headers.clear()
-    for name, text in http_headers.end_to_end_headers(reply.headers):
-        response.headers.add(name, text)
+    try:
+        for name, text in http_headers.end_to_end_headers(reply.headers):
+            response.headers.add(name, http_headers.decode_utf8(text))
+    except UnicodeError:
+        return _encode_invalid(reply, 'not_encodable')
+    if response.headers.getall(http_headers.STAMP, None) != [reply.stamp]:
+        return _encode_invalid(reply, 'stamp_lost')
     return response
 
 
+def _encode_invalid(reply: Reply, reason: str) -> web.Response:
+    """Encode the failure of a request whose reply cannot be relayed."""
+    counters.add('invalid_replies', reason)
+    logger.bind(
+        reason=reason, request=reply.request_id, stamp=reply.stamp
+    ).warning('reply cannot be relayed')
+    return _encode_refusal(
+        Refusal(code=ResultCode.bad_reply, may_have_run=True)
+    )
+
+
 def _encode_refusal(refusal: Refusal) -> web.Response:
     """Encode a refusal; status 503 promises that the request never runs."""
     status = _REFUSAL_STATUSES.get(refusal.code, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -42,17 +42,47 @@
         EXPECT_INSTANCE.lower(),
     )
 )
+#: Headers that are forwarded even if Connection names them: without them, a
+#: request has no route or id, and a reply no signature or a coding that nobody
+#: knows.
+_ALWAYS_FORWARDED = frozenset(
+    ('host', REQUEST_ID.lower(), STAMP.lower(), 'content-encoding')
+)
 
 
 def end_to_end_headers(headers: Headers) -> Iterator[tuple[str, str]]:
     """Yield the headers to forward, without the hop-by-hop headers."""
-    options = _connection_options(headers)
+    dropped = _HOP_BY_HOP | (_connection_options(headers) - _ALWAYS_FORWARDED)
     for name, text in headers:
-        lowercase_name = name.lower()
-        if lowercase_name not in _HOP_BY_HOP and lowercase_name not in options:
+        if name.lower() not in dropped:
             yield name, text
 
 
+def decode_utf8(text: str) -> str:
+    """Decode a value that was read as Latin-1, as aiohttp sends UTF-8.
+
+    Raise UnicodeError if UTF-8 cannot represent the received bytes.
+    """
+    return text if text.isascii() else text.encode('latin-1').decode()
+
+
+def accepts_content_coding(headers: Headers) -> bool:
+    """Return whether Accept-Encoding names a content coding.
+
+    Callers without the header ask for none.
+
+    >>> accepts_content_coding((('Accept-Encoding', 'identity, br;q=0'),))
+    False
+    >>> accepts_content_coding((('Accept-Encoding', 'gzip;q=0.5'),))
+    True
+    """
+    return any(
+        _is_accepted_coding(element)
+        for text in _header_values(headers, 'accept-encoding')
+        for element in text.split(',')
+    )
+
+
 def parse_number(text: str | None) -> float | None:
     """Parse a number of at least 0 and below 1e12; return None otherwise."""
     try:
@@ -92,6 +122,14 @@
     return None
 
 
+def _is_accepted_coding(element: str) -> bool:
+    compact_element = element.replace(' ', '').lower()
+    coding, _, weight = compact_element.partition(';q=')
+    if coding in _NO_CODINGS:
+        return False
+    return not weight or parse_number(weight) != 0
+
+
 def _is_count(text: str) -> bool:
     number = text.strip()
     return number.isdecimal() and len(number) <= _MAX_COUNT_DIGITS
@@ -109,5 +147,6 @@
     return (text for name, text in headers if name.lower() == lowercase_name)
 
 
+_NO_CODINGS = frozenset(('', 'identity'))
 _NUMBER_LIMIT = 1e12
 _MAX_COUNT_DIGITS = 9
