--- a/tests/soaks/_checks.py
+++ b/tests/soaks/_checks.py
@@ -7,7 +7,7 @@
 import attrs
 
 from tests.deployments import RECORD_BYTES, SHARDS
-from tests.soaks._callers import RequestRecord
+from tests.soaks._callers import BODY_REPEATS, RequestRecord
 
 #: Fronts must apply a change, such as the drain of a replica, within this time.
 _PROPAGATION_SECONDS = 3.0
@@ -27,6 +27,8 @@
 #: `top_k` and `min_shard_share` of the search route.
 _TOP_K = 4
 _MIN_SHARD_SHARE = 0.6
+#: Start of the bodies of the lookup service, which end with the request id.
+_LOOKUP_RECORD = b'p' * RECORD_BYTES
 #: Statuses that tell the caller that its request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
@@ -52,6 +54,8 @@
     arrivals: Sequence[tuple[float, str]]
     #: Monotonic time, request id and for how many seconds.
     notices: Sequence[tuple[float, str, float]]
+    #: Bodies of the requests that have one.
+    bodies: Sequence[bytes] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -88,6 +92,7 @@
         _invalid_answers,
         _duplicate_executions,
         _false_refusals,
+        _changed_bodies,
         _exceeded_budgets,
         _requests_to_draining_replicas,
         _requests_despite_notice,
@@ -106,8 +111,15 @@
             continue
         if record.path.startswith('/search'):
             yield from _search_violations(record)
-        elif not record.headers.get('Server-Stamp'):
-            yield f'{record.request_id}: success without a Server-Stamp'
+        else:
+            yield from _relay_violations(record)
+
+
+def _relay_violations(record: RequestRecord) -> Iterator[str]:
+    if not record.headers.get('Server-Stamp'):
+        yield f'{record.request_id}: success without a Server-Stamp'
+    if record.body != _LOOKUP_RECORD + record.request_id.encode():
+        yield f'{record.request_id}: body is not its own, or not whole'
 
 
 def _search_violations(record: RequestRecord) -> Iterator[str]:
@@ -152,6 +164,14 @@
             )
 
 
+def _changed_bodies(observations: Observations) -> Iterator[str]:
+    for received in observations.received:
+        for body in received.bodies:
+            request_id = body[: len(body) // BODY_REPEATS]
+            if body != request_id * BODY_REPEATS:
+                yield f'{received.replica_id}: got a changed body: {body!r}'
+
+
 def _exceeded_budgets(observations: Observations) -> Iterator[str]:
     """Check retries and hedges against the retry budget in a sliding window."""
     executions_by_service = collections.defaultdict(list)
--- a/tests/soaks/_runs.py
+++ b/tests/soaks/_runs.py
@@ -117,6 +117,7 @@
                     replica_id=server.replica_id,
                     arrivals=server.arrivals,
                     notices=server.notices,
+                    bodies=server.received_bodies,
                 )
             )
     return Observations(
@@ -177,6 +178,7 @@
     for service in (*SHARDS, 'lookup'):
         for index, server in enumerate(deployment.replicas[service]):
             server.faults.work_seconds = 0.005
+            server.appends_id = service == 'lookup'
             server.faults.crash_text = CRASH_TEXT
             proxy = Proxy(server.address)
             address = await proxy.start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,8 +17,9 @@
 
 #: Seed 5 failed when the proxy forwarded a reset as a close, so that a
 #: truncated body without a length looked complete. Seed 39 failed when a SIGHUP
-#: during the start of a front terminated it.
-_SEEDS = (1, 5, 39)
+#: during the start of a front terminated it. Seed 186 failed when replies
+#: without a length lost their headers, or had a second reply in their body.
+_SEEDS = (1, 5, 39, 186)
 _RUN_SECONDS = 6
 
 
@@ -47,6 +48,7 @@
     ended_at_seconds=101,
     status=200,
     headers={'Server-Stamp': 'lookup-0.1'},
+    body=b'ppppppppppppppppq1',
 )
 _SEARCH = attrs.evolve(
     _ORDER,
@@ -99,6 +101,14 @@
             {'requests': (attrs.evolve(_ORDER, headers={}),)},
             'without a Server-Stamp',
         ),
+        (
+            {'requests': (attrs.evolve(_ORDER, request_id='q2'),)},
+            'body is not its own',
+        ),
+        (
+            {'requests': (attrs.evolve(_ORDER, body=b'ppppppppppppppppq'),)},
+            'or not whole',
+        ),
         ({'executions': (_EXECUTION, _EXECUTION)}, 'ran 2 times'),
         (
             {'requests': (attrs.evolve(_ORDER, status=503),)},
@@ -125,6 +135,19 @@
             },
             'wants no more',
         ),
+        (
+            {
+                'received': (
+                    ReceivedRequests(
+                        replica_id='lookup-0',
+                        arrivals=(),
+                        notices=(),
+                        bodies=(bytes(range(200)),),
+                    ),
+                )
+            },
+            'got a changed body',
+        ),
         (
             {'requests': (attrs.evolve(_ORDER, status=0),)},
             'failed before the answer was complete',
