Compare the id of a request as it was sent

The id of a caller's request was decoded as UTF-8 and the one that a reply echoes as Latin-1. With an id that is no ASCII, each reply counted as one to another request: the request ran, and its caller got 502. Both are decoded alike now.

tests/test_success_checks.py::test_request_id_is_compared_as_sent failed before.

--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -156,7 +156,7 @@
         headers = _decode_headers(request)
         query = Query(
             request=Request(
-                request_id=request.headers.get(http_headers.REQUEST_ID, ''),
+                request_id=http_headers.find_request_id(headers),
                 method=request.method,
                 path_and_query=raw_path,
                 headers=tuple(http_headers.end_to_end_headers(headers)),
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -58,6 +58,11 @@
             yield name, text
 
 
+def find_request_id(headers: Headers) -> str:
+    """Return the first request id, decoded like that of a reply; '' without."""
+    return next(iter(_header_values(headers, REQUEST_ID.lower())), '')
+
+
 def decode_utf8(text: str) -> str:
     """Decode a value that was read as Latin-1, as aiohttp sends UTF-8.
 
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -128,7 +128,7 @@
                 self.requests.append((head, request_count))
                 reply = self.script.popleft() if self.script else _WireReply()
                 encoded = reply.encode(
-                    fields.get(b'request-id', b'').decode(),
+                    fields.get(b'request-id', b'').decode('latin-1'),
                     f'{self.replica_id}.{len(self.requests)}',
                     is_head=head.startswith(b'HEAD '),
                 )
@@ -774,3 +774,11 @@
     lengths = answer.get_all(b'content-length')
     assert lengths in ([], [b'%d' % len(answer.body)])
     assert count_on_connection == earlier_count + 1
+
+
+async def test_request_id_is_compared_as_sent() -> None:
+    """A reply must not count as another's because its id is no ASCII."""
+    async with _run_system(1) as system:
+        answer = await system.call('/order/x', request_id=b'S\xc3\xa3o')
+    assert answer.status == 200
+    assert answer.stamps == [b'a0.1']
