--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -21,7 +21,7 @@
 _REPLY_HEAD_PATTERN = re.compile(
     rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,40}+'
     rb'(?:\r\n[!-9;-~]{1,40}+:|(?:\r\n?)?[!-9;-~]{0,40}+\Z)'
-    rb'|HTTP/[\d. ]{0,6}\Z'
+    rb'|HTTP/(?:1(?:\.(?:[01](?: [1-5]?\d?)?)?)?)?\Z'
 )
 
 
@@ -67,9 +67,9 @@
     def accept(self, reply: Reply) -> bool:
         """Return whether a reply answers the current request.
 
-        A server that has echoed ids on this connection does so in each reply,
-        and one that has stamped replies does so in each that ran; one without
-        them may be a late copy of an earlier reply.
+        A server that has echoed ids on this connection does so in each reply
+        to a request with an id, and one that has stamped replies does so in
+        each that ran; one without them may be a late copy of an earlier reply.
         """
         if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
             return False
@@ -82,7 +82,8 @@
         if reply.request_id:
             self._echoes_ids = True
             return reply.request_id == self.current_id
-        if self._echoes_ids or self._has_earlier_stamp(reply):
+        is_id_due = self._echoes_ids and bool(self.current_id)
+        if is_id_due or self._has_earlier_stamp(reply):
             return False
         return bool(reply.stamp) or reply.is_not_run or not self._stamps
 
@@ -95,15 +96,20 @@
         """Return whether another reply of the connection is within a body."""
         own_marks = (self.current_id, reply.stamp)
         if _REPLY_HEAD_PATTERN.search(reply.body) and any(
-            mark and mark.encode() in reply.body for mark in own_marks
+            mark and _encode(mark) in reply.body for mark in own_marks
         ):
             return True
         return any(
-            mark.encode() in reply.body
+            _encode(mark) in reply.body
             for mark in (*self._earlier_ids, *self._stamps)
         )
 
 
+def _encode(mark: str) -> bytes:
+    """Return the bytes of an id or a stamp as received."""
+    return mark.encode('latin-1', errors='replace')
+
+
 def can_identify(reply: Reply) -> bool:
     """Return whether a copy of a reply would be recognized later."""
     return bool(reply.request_id or reply.stamp)
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -58,11 +58,6 @@
             yield name, text
 
 
-def find_request_id(headers: Headers) -> str:
-    """Return the first request id, decoded like that of a reply; '' without."""
-    return next(iter(_header_values(headers, REQUEST_ID.lower())), '')
-
-
 def decode_utf8(text: str) -> str:
     """Decode a value that was read as Latin-1, as aiohttp sends UTF-8.
 
@@ -88,6 +83,11 @@
     )
 
 
+def find(headers: Headers, name: str) -> str:
+    """Return the first value of a header, or an empty string."""
+    return next(iter(_header_values(headers, name.lower())), '')
+
+
 def parse_number(text: str | None) -> float | None:
     """Parse a number of at least 0 and below 1e12; return None otherwise."""
     try:
