Take a status below 100 for no reply

A caller got 504 at its deadline when a replica replied with status 099: it was taken for an interim reply, after which the final one comes. It is garbled now. test_status_below_100_is_no_reply failed before; found by the boundary checks.

--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/backends/_readers_http.py
@@ -29,6 +29,7 @@
 _MIN_PIECE_BYTES = 64
 #: Memory of a header besides its text.
 _HEADER_BYTES = 200
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
 #: Limit on late copies of earlier replies before the reply.
@@ -59,7 +60,7 @@
 
 
 class _LimitError(Exception):
-    """Raised in a callback of the parser to end a reply."""
+    """Raised in a callback of the parser to end a reply as garbled."""
 
 
 @attrs.define(eq=False)
@@ -143,6 +144,8 @@
         assert self.parser is not None
         partial = self.partial
         partial.status = self.parser.get_status_code()
+        if partial.status < _FIRST_STATUS:
+            raise _LimitError
         partial.has_head = partial.status >= _FIRST_FINAL_STATUS
         has_body = not (
             self._is_head
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -189,6 +189,14 @@
     assert _outcome(action).kind is kind
 
 
+@pytest.mark.parametrize('status', [b'000', b'099'])
+async def test_status_below_100_is_no_reply(status: bytes) -> None:
+    """A caller must not wait for the reply after one that is no interim one."""
+    reader = ReplyReader(is_head=False)
+    reader.feed(_COMPLETE_REPLY.replace(b'200', status))
+    assert reader.outcome.result() is OutcomeKind.garbled
+
+
 async def test_interim_reply_to_head_is_skipped() -> None:
     """An interim reply to HEAD must not be used as the final one."""
     reader = ReplyReader(is_head=True)
