--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -34,12 +34,6 @@
         """Return the results of all shards, for the request log."""
         return (*self.succeeded, *self.failed, *self.cancelled)
 
-    def with_result(self, fetch_result: FetchResult) -> 'ShardResults':
-        """Return the results with that of one more shard."""
-        if fetch_result.code is ResultCode.ok:
-            return attrs.evolve(self, succeeded=(*self.succeeded, fetch_result))
-        return attrs.evolve(self, failed=(*self.failed, fetch_result))
-
     def progress(self, min_share: float) -> Progress:
         """Return the progress of the search.
 
@@ -83,14 +77,9 @@
     gather: GatherSettings
     #: Monotonic time from which a partial answer is allowed.
     cutoff_at_seconds: float
-    #: Results so far; `run` returns those at the end of the search.
-    shard_results: ShardResults = attrs.field(
-        init=False,
-        default=attrs.Factory(
-            lambda search: ShardResults(len(search.gather.shards)),
-            takes_self=True,
-        ),
-    )
+    #: Results so far; `run` returns copies.
+    _succeeded: list[FetchResult] = attrs.field(factory=list)
+    _failed: list[FetchResult] = attrs.field(factory=list)
     _ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_past_cutoff: bool = False
 
@@ -119,9 +108,12 @@
                 fetch.accepts_late_replies = True
                 if not task.done():
                     cancelled.append(fetch.cancelled_result())
-        return attrs.evolve(
-            self.shard_results.without_copies(), cancelled=tuple(cancelled)
-        )
+        return ShardResults(
+            shard_count=len(self.gather.shards),
+            succeeded=tuple(self._succeeded),
+            failed=tuple(self._failed),
+            cancelled=tuple(cancelled),
+        ).without_copies()
 
     async def _try_shards(self, fetches: list[Fetch]) -> list[Fetch]:
         """Try a suspect search at one shard after another.
@@ -183,10 +175,16 @@
         self._end_if_possible()
 
     def _add(self, fetch_result: FetchResult) -> None:
-        self.shard_results = self.shard_results.with_result(fetch_result)
+        is_success = fetch_result.code is ResultCode.ok
+        (self._succeeded if is_success else self._failed).append(fetch_result)
 
     def _end_if_possible(self) -> None:
-        progress = self.shard_results.progress(self.gather.min_share)
+        progress = Progress(
+            shard_count=len(self.gather.shards),
+            succeeded_count=len(self._succeeded),
+            failed_count=len(self._failed),
+            min_share=self.gather.min_share,
+        )
         is_partial_allowed = self._is_past_cutoff and progress.is_sufficient
         if is_partial_allowed or progress.is_finished or progress.is_infeasible:
             self._ended.set()
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -635,18 +635,18 @@
 
 def test_part_beside_copied_stamps_is_kept() -> None:
     """A search must keep its other parts, and count the missing ones."""
-    shard_results = ShardResults(shard_count=4)
-    for service, stamp in zip('abcd', ('same', 'own', 'same', 'same')):
-        reply = Reply(status=200, headers=(), body=_BODY, stamp=stamp)
-        shard_results = shard_results.with_result(
-            FetchResult(
-                service=service,
-                code=ResultCode.ok,
-                reply=reply,
-                may_have_run=True,
-            )
+    parts = tuple(
+        FetchResult(
+            service=service,
+            code=ResultCode.ok,
+            reply=Reply(status=200, headers=(), body=_BODY, stamp=stamp),
+            may_have_run=True,
         )
-    shard_results = shard_results.without_copies()
+        for service, stamp in zip('abcd', ('same', 'own', 'same', 'same'))
+    )
+    shard_results = ShardResults(
+        shard_count=4, succeeded=parts
+    ).without_copies()
     assert [part.service for part in shard_results.succeeded] == ['b']
     assert {part.code for part in shard_results.failed} == {
         ResultCode.bad_reply
