Guard two checks of connections that no test covered

Undone one at a time, the tests of replies, ends, ownership and fronts still passed: a connection is given up after a reply without id and stamp, since a copy of it could not be recognized; and nothing is written to a connection that has ended, so that the request counts as unsent. Both tests pass, and fail when the check is undone.

--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -10,6 +10,8 @@
 import pytest
 
 from dragonflyramp.backends import Policies
+from dragonflyramp.backends._exchanges import OutcomeKind
+from dragonflyramp.backends._protocols_http import ReplyProtocol
 from dragonflyramp.backends._reply_matchers import (
     ReplyMatcher,
     has_second_reply,
@@ -245,3 +247,42 @@
         status_line = await _send(address)
     assert server.run_count <= 1
     assert server.run_count == 0 or b' 503 ' not in status_line
+
+
+async def test_reply_without_mark_ends_its_connection() -> None:
+    """A copy of a refusal without id and stamp must not answer a request.
+
+    Nothing would tell it from the refusal of the next request.
+    """
+    reply = SentReply(number=1, status=503, has_id=False, has_stamp=False)
+    with listen_for_clients() as listener:
+        async with listener.run_client() as client:
+            exchange = await client.start(reply)
+            await client.server.play(Step.receive, reply.encoded)
+            outcome = await outcome_of(exchange)
+            await client.wait_end()
+    assert not find_difference(outcome, reply)
+
+
+async def test_request_on_ended_connection_is_unsent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request must not count as written if its connection has ended.
+
+    One that may run once could not be sent to another replica then.
+    """
+    receive_eof = ReplyProtocol.eof_received
+
+    def spy(protocol: ReplyProtocol) -> bool:  # noqa: WPS430
+        stays_open = receive_eof(protocol)
+        client.connection.start(exchange)
+        return stays_open
+
+    with listen_for_clients() as listener:
+        async with listener.run_client() as client:
+            exchange = make_exchange(SentReply(number=1).request)
+            monkeypatch.setattr(ReplyProtocol, 'eof_received', spy)
+            await client.server.play(Step.fin)
+            outcome = await outcome_of(exchange)
+    assert outcome.kind is OutcomeKind.unsent
+    assert not exchange.is_written
