--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/backends/_protocols_http.py
@@ -60,7 +60,7 @@
     def eof_received(self) -> bool:
         """Complete a reply whose body ends with the connection.
 
-        Nothing is sent from now on: the server no longer reads.
+        No request is sent from now on, since no reply to it could come.
         """
         self.is_open = False
         if self._reader is not None and not _was_reset(self._transport):
