--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -450,7 +450,7 @@
         slow.faults.work_seconds = slow_seconds
         for server in (sound, slow):
             server.body = server.replica_id.encode() * 1000
-        for number in range(20):
+        for number in range(10):
             if fault:
                 setattr(slow.faults, fault, 2)
             answer = await harness.send(request_id=f'q{number}')
