Split the building of a reply from its reader

Only moves: what the parser reports is collected in _reply_builders_http, the limits, the memory and the end of a reply stay in _readers_http.

--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -28,7 +28,8 @@
 _codecs           interface for encoding requests and decoding replies
 _connections_http one task for each connection
 _protocols_http   requests and replies on one connection
-_readers_http     parser of one reply
+_readers_http     limits and the end of one reply
+_reply_builders_http  what the parser of one reply reports
 _reply_checks     what a complete reply means for its request
 _reply_matchers   which request of a connection a reply answers
 _reply_memory     limit on the memory of all replies that are being received
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -11,7 +11,7 @@
 from dragonflyramp.backends._codecs import Codec
 from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
 from dragonflyramp.backends._protocols_http import ReplyProtocol
-from dragonflyramp.backends._readers_http import RawReply
+from dragonflyramp.backends._reply_builders_http import RawReply
 from dragonflyramp.backends._reply_matchers import ReplyMatcher, can_identify
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.messages import Reply
--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/backends/_protocols_http.py
@@ -8,7 +8,8 @@
 import attrs
 
 from dragonflyramp.backends._exchanges import OutcomeKind
-from dragonflyramp.backends._readers_http import IsCopy, ReplyReader
+from dragonflyramp.backends._readers_http import ReplyReader
+from dragonflyramp.backends._reply_builders_http import IsCopy
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.metrics import counters
 
--- a/tests/test_input_fuzzing.py
+++ b/tests/test_input_fuzzing.py
@@ -11,7 +11,8 @@
 
 from dragonflyramp.backends import Fleet, expire_notices
 from dragonflyramp.backends._exchanges import OutcomeKind
-from dragonflyramp.backends._readers_http import RawReply, ReplyReader
+from dragonflyramp.backends._readers_http import ReplyReader
+from dragonflyramp.backends._reply_builders_http import RawReply
 from dragonflyramp.platform import StoreDecoder
 from dragonflyramp.platform._json_replies import decode_json_object
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -18,7 +18,8 @@
     ConnectionHooks,
 )
 from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
-from dragonflyramp.backends._readers_http import RawReply, ReplyReader
+from dragonflyramp.backends._readers_http import ReplyReader
+from dragonflyramp.backends._reply_builders_http import RawReply
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.platform import ReplicaCodec
 from tests.front_harnesses import make_request
