Name what the review of the diff stumbled over

ReplyMatcher asked for the mark of a reply and remembered that the server echoes ids in one function; accept remembers now, the question only answers. The first value of a header is read by first_value. No behaviour changes.

--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -79,13 +79,14 @@
         if _STATUS_LINE_START in reply.body and self._is_spliced(reply):
             return False
         is_own = self._has_own_mark(reply)
+        if reply.request_id:
+            self._echoes_ids = True
         if reply.stamp:
             self._stamps.append(reply.stamp[:_MAX_TEXT_CHARS])
         return is_own
 
     def _has_own_mark(self, reply: Reply) -> bool:
         if reply.request_id:
-            self._echoes_ids = True
             return reply.request_id == self.current_id
         if self._echoes_ids or self._has_earlier_stamp(reply):
             return False
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -156,7 +156,9 @@
         headers = _decode_headers(request)
         query = Query(
             request=Request(
-                request_id=http_headers.find(headers, http_headers.REQUEST_ID),
+                request_id=http_headers.first_value(
+                    headers, http_headers.REQUEST_ID
+                ),
                 method=request.method,
                 path_and_query=raw_path,
                 headers=tuple(http_headers.end_to_end_headers(headers)),
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -83,7 +83,7 @@
     )
 
 
-def find(headers: Headers, name: str) -> str:
+def first_value(headers: Headers, name: str) -> str:
     """Return the first value of a header, or an empty string."""
     return next(iter(_header_values(headers, name.lower())), '')
 
