Log from which replies an answer is made, for all answers on request

The logs could not tell the hypotheses of the incident apart: of successes in time, one in 64 was logged, without the kind of the route, the stamps, the connections or the way in which the replies ended. No decision is changed.

--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -69,7 +69,11 @@
 from dragonflyramp.backends._replica_orders import ReplicaOrder
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.backends._reply_memory import ReplyMemory
-from dragonflyramp.backends._requests import AttemptRecord, FetchResult
+from dragonflyramp.backends._requests import (
+    AttemptRecord,
+    FetchResult,
+    ReplySource,
+)
 from dragonflyramp.backends._selectors import (
     LowestLatencySelector,
     RandomSelector,
@@ -106,6 +110,7 @@
     'ReplicaOrder',
     'ReplicaProbe',
     'ReplyMemory',
+    'ReplySource',
     'RequestContext',
     'RouteLatencies',
     'apply_peer_latency_ratios',
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import Callable
 from typing import Protocol
 
@@ -9,7 +10,12 @@
 from loguru import logger
 
 from dragonflyramp.backends._codecs import Codec
-from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
+from dragonflyramp.backends._exchanges import (
+    Exchange,
+    Outcome,
+    OutcomeKind,
+    ReplyOrigin,
+)
 from dragonflyramp.backends._protocols_http import ReplyProtocol
 from dragonflyramp.backends._reply_builders_http import RawReply
 from dragonflyramp.backends._reply_matchers import ReplyMatcher, can_identify
@@ -28,6 +34,7 @@
 #: Share of the idle timeout after which a connection is no longer used, so that
 #: no request is sent while the server closes it.
 _USABLE_IDLE_SHARE = 0.75
+_connection_numbers = itertools.count(1)
 
 
 class Clock(Protocol):
@@ -54,6 +61,7 @@
         #: Monotonic time until which the idle connection may be used.
         self.usable_until_seconds: float = 0
         self._address = address
+        self._number = next(_connection_numbers)
         self._codec = codec
         self._clock = clock
         self._hooks = hooks
@@ -147,7 +155,13 @@
             self._restart_idle_timeout(_DEFAULT_IDLE_TIMEOUT_SECONDS)
         else:
             self._restart_idle_timeout(reply.keep_alive_seconds)
-        return Outcome(OutcomeKind.replied, reply)
+        origin = ReplyOrigin(
+            address=self._address,
+            connection=self._number,
+            earlier_ids=tuple(self.matcher.earlier_ids),
+            is_close_delimited=raw.is_close_delimited,
+        )
+        return Outcome(OutcomeKind.replied, reply, origin)
 
     def _restart_idle_timeout(self, idle_timeout_seconds: float) -> None:
         self.usable_until_seconds = (
--- a/dragonflyramp/backends/_exchanges.py
+++ b/dragonflyramp/backends/_exchanges.py
@@ -28,12 +28,26 @@
     cancelled = 'cancelled'
 
 
+@attrs.frozen(kw_only=True)
+class ReplyOrigin:
+    """Exchange in which a reply was received."""
+
+    address: str
+    #: Number of the connection, unique in this process.
+    connection: int
+    #: Ids of the requests that the connection carried before, the last ones.
+    earlier_ids: tuple[str, ...]
+    #: The body has no length and ended when the connection closed.
+    is_close_delimited: bool
+
+
 @attrs.frozen
 class Outcome:
     """Outcome of an exchange, with the reply if there is one."""
 
     kind: OutcomeKind
     reply: Reply | None = None
+    origin: ReplyOrigin | None = None
 
 
 @attrs.define(eq=False, kw_only=True)
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -15,7 +15,7 @@
 from dragonflyramp.backends._crash_watches import CrashRetries
 from dragonflyramp.backends._exchanges import Outcome, OutcomeKind
 from dragonflyramp.backends._reply_checks import ReplyVerdict, check_reply
-from dragonflyramp.backends._requests import FetchResult
+from dragonflyramp.backends._requests import FetchResult, ReplySource
 from dragonflyramp.backends._schedulers import AttemptScheduler
 from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
@@ -121,8 +121,15 @@
         """Record an outcome; return the result if the attempt succeeded."""
         attempt = self._scheduler.attempts.in_flight[future]
         outcome = future.result()
-        if outcome.reply is not None:
-            return self._handle_reply(attempt, outcome.reply, now_seconds)
+        if outcome.reply is not None and outcome.origin is not None:
+            source = ReplySource(
+                replica_id=attempt.exchange.replica_id,
+                purpose=attempt.purpose,
+                origin=outcome.origin,
+            )
+            return self._handle_reply(
+                attempt, outcome.reply, source, now_seconds
+            )
         self._scheduler.attempts.finish(attempt, outcome.kind, now_seconds)
         self._failure_summary.add_missing_reply(attempt, outcome.kind)
         if outcome.kind is OutcomeKind.lost:
@@ -133,7 +140,11 @@
         return None
 
     def _handle_reply(
-        self, attempt: Attempt, reply: Reply, now_seconds: float
+        self,
+        attempt: Attempt,
+        reply: Reply,
+        source: ReplySource,
+        now_seconds: float,
     ) -> FetchResult | None:
         """Record a reply; return the result if it is a success."""
         verdict = check_reply(
@@ -160,6 +171,7 @@
             service=self.service,
             code=ResultCode.ok,
             reply=reply,
+            source=source,
             may_have_run=True,
             records=tuple(self._scheduler.attempts.records),
         )
--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -36,7 +36,7 @@
     current_id: str = ''
     _is_used: bool = False
     #: Ids of the requests before the current one.
-    _earlier_ids: collections.deque[str] = attrs.field(factory=_create_memory)
+    earlier_ids: collections.deque[str] = attrs.field(factory=_create_memory)
     #: Stamps of the earlier replies.
     _stamps: collections.deque[str] = attrs.field(factory=_create_memory)
     #: Whether a reply on this connection had a request id.
@@ -51,13 +51,13 @@
         current_text = self.current_id[:_MAX_TEXT_CHARS]
         if not text:
             return not self._is_used
-        return text != current_text and text not in self._earlier_ids
+        return text != current_text and text not in self.earlier_ids
 
     def start_request(self, request_id: str) -> None:
         """Record a request that is about to be written."""
         self._is_used = True
         if self.current_id:
-            self._earlier_ids.append(self.current_id[:_MAX_TEXT_CHARS])
+            self.earlier_ids.append(self.current_id[:_MAX_TEXT_CHARS])
         self.current_id = request_id
 
     def is_copy(self, reply: Reply) -> bool:
@@ -65,7 +65,7 @@
         if reply.request_id:
             return (
                 reply.request_id != self.current_id
-                and reply.request_id[:_MAX_TEXT_CHARS] in self._earlier_ids
+                and reply.request_id[:_MAX_TEXT_CHARS] in self.earlier_ids
             )
         return self._has_earlier_stamp(reply)
 
@@ -106,7 +106,7 @@
             return True
         return any(
             _encode(mark) in reply.body
-            for mark in (*self._earlier_ids, *self._stamps)
+            for mark in (*self.earlier_ids, *self._stamps)
         )
 
 
--- a/dragonflyramp/backends/_requests.py
+++ b/dragonflyramp/backends/_requests.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from dragonflyramp.backends._exchanges import ReplyOrigin
 from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
 
@@ -21,6 +22,15 @@
     outcome: str
 
 
+@attrs.frozen(kw_only=True)
+class ReplySource:
+    """Attempt that got a reply, and where the reply was received."""
+
+    replica_id: str
+    purpose: str
+    origin: ReplyOrigin
+
+
 @attrs.frozen(kw_only=True)
 class FetchResult:
     """Result of fetching one part from one service."""
@@ -29,6 +39,8 @@
     code: ResultCode
     #: Set for `ok`, and for a failure that a replica reported.
     reply: Reply | None = None
+    #: Set for `ok`.
+    source: ReplySource | None = None
     #: Whether a replica may have run the request or may still run it.
     may_have_run: bool = False
     records: tuple[AttemptRecord, ...] = ()
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -62,7 +62,11 @@
 
 
 def _create_request_log(front: 'Front') -> RequestLog:
-    return RequestLog(front.clock, front.backend_client.peers)
+    return RequestLog(
+        front.clock,
+        front.backend_client.peers,
+        logs_all=front.logs_all_answers,
+    )
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -78,6 +82,8 @@
     has_synced: Callable[[], bool]
     cutoff_policy: CutoffPolicy = attrs.field(factory=TargetCutoff)
     merger: Merger = attrs.field(factory=RecordMerger)
+    #: Whether successful answers in time are all logged, instead of a sample.
+    logs_all_answers: bool = False
     is_stopping: bool = False
     #: Monotonic time at which a planned stop ends the requests in progress.
     drain_ends_at_seconds: float = math.inf
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -5,7 +5,12 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.backends import FetchResult, Peers, RequestContext
+from dragonflyramp.backends import (
+    FetchResult,
+    Peers,
+    ReplySource,
+    RequestContext,
+)
 from dragonflyramp.callers._queries import (
     Answer,
     MergedAnswer,
@@ -18,16 +23,18 @@
 from dragonflyramp.metrics import counters, latencies
 from dragonflyramp.results import ResultCode
 
-#: One in this many answers is logged even if it is on time and complete.
+#: One in this many answers is logged even if it is on time and complete, unless
+#: all are.
 _ANSWERS_PER_SAMPLE = 64
 
 
 @attrs.define(eq=False)
 class RequestLog:
-    """Log late, partial and failed answers, and a sample of all answers."""
+    """Log late, partial and failed answers, and all others or a sample."""
 
     _clock: Callable[[], float]
     _peers: Peers
+    logs_all: bool = False
     _answer_count: int = 0
 
     def record(
@@ -44,7 +51,9 @@
         counters.add('answers', 'late' if is_late else outcome)
         latencies.record('requests', elapsed_ms)
         self._answer_count += 1
-        is_sampled = self._answer_count % _ANSWERS_PER_SAMPLE == 0
+        is_sampled = (
+            self.logs_all or self._answer_count % _ANSWERS_PER_SAMPLE == 0
+        )
         is_normal = outcome == ResultCode.ok.name and not is_late
         if is_normal and not is_sampled:
             return
@@ -52,12 +61,18 @@
             request=context.request.request_id,
             route=context.route.name,
             version=context.table.version,
+            is_search=context.route.gather is not None,
             outcome=outcome,
             elapsed_ms=round(elapsed_ms, 1),
             target_ms=context.route.target_ms,
             daemons=self._peers.daemon_count(),
             fingerprint=_lost_request_fingerprint(context, fetch_results),
             relayed=_describe_relayed(answer),
+            sources=[
+                _describe_source(fetch_result, fetch_result.source)
+                for fetch_result in fetch_results
+                if fetch_result.source is not None
+            ],
             parts=[
                 _describe_part(fetch_result)
                 for fetch_result in fetch_results
@@ -136,4 +151,22 @@
     return [fetch_result.service, fetch_result.code.name, attempts]
 
 
+def _describe_source(
+    fetch_result: FetchResult, source: ReplySource
+) -> list[object]:
+    """Describe the attempt and the connection from which an answer is made."""
+    reply = fetch_result.reply
+    return [
+        fetch_result.service,
+        '' if reply is None else reply.stamp,
+        '' if reply is None else reply.request_id,
+        source.replica_id,
+        source.purpose,
+        source.origin.address,
+        source.origin.connection,
+        list(source.origin.earlier_ids),
+        'connection' if source.origin.is_close_delimited else 'framing',
+    ]
+
+
 _LOST_OUTCOME = 'lost'
--- a/dragonflyramp/settings.py
+++ b/dragonflyramp/settings.py
@@ -43,6 +43,13 @@
     error = 'ERROR'
 
 
+class AnswerLogging(enum.Enum):
+    """Successful answers in time that are logged."""
+
+    sample = 'sample'
+    all = 'all'  # noqa: WPS125 - the value of the flag
+
+
 def _setting(
     value_type: SettingType[_SettingValue], default: _SettingValue, meaning: str
 ) -> _SettingValue:
@@ -105,6 +112,12 @@
     log_level: LogLevel = _setting(
         Choice(LogLevel), LogLevel.info, 'Lowest level that is logged.'
     )
+    log_answers: AnswerLogging = _setting(
+        Choice(AnswerLogging),
+        AnswerLogging.sample,
+        'Successful answers in time that are logged: one in 64, or all. With '
+        'all, raise the limit on log lines, too.',
+    )
     log_lines_per_second: int = _setting(
         IntRange(1, _MAX_LOG_LINES_PER_SECOND, 'lines'),
         60,
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -37,7 +37,11 @@
 from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.routing_state import ObjectDecoder, RoutingState
 from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
-from dragonflyramp.settings import ConfigurationSource, Settings
+from dragonflyramp.settings import (
+    AnswerLogging,
+    ConfigurationSource,
+    Settings,
+)
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.tools._backend_components import (
     create_backend_client,
@@ -184,6 +188,7 @@
         routing_state,
         synchronizer,
         suspect_records,
+        logs_all_answers=settings.log_answers is AnswerLogging.all,
     )
     return FrontComponents(
         settings=settings,
@@ -223,6 +228,8 @@
     routing_state: RoutingState,
     synchronizer: ViewSynchronizer,
     suspect_records: StoredSuspectRecords,
+    *,
+    logs_all_answers: bool,
 ) -> Front:
     connect_crash_detector(backend_client, synchronizer, suspect_records)
     register_gauges(routing_state, backend_client, _CLOCK)
@@ -231,6 +238,7 @@
         clock=_CLOCK,
         current_table=lambda: routing_state.table,
         has_synced=lambda: routing_state.has_synced,
+        logs_all_answers=logs_all_answers,
         suspect_guard=create_suspect_guard(backend_client, suspect_records),
     )
 
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+import attrs
 import pytest
 from loguru import logger
 
@@ -288,6 +289,28 @@
     assert attempts[0][0] in {'a-0', 'a-1'}
 
 
+async def test_log_of_all_answers_names_each_reply() -> None:
+    """A wrong success must be traceable to the replies that it is made of."""
+    lines: list[dict[str, Any]] = []
+    handler_id = logger.add(lambda line: lines.append(line.record['extra']))
+    async with run_harness(_SEARCH_TABLE, replica_count=1) as harness:
+        front = attrs.evolve(harness.front, logs_all_answers=True)
+        for request_id in ('q1', 'q2'):
+            await front.serve(
+                harness.make_query('/route/x', 2000, request_id=request_id)
+            )
+    logger.remove(handler_id)
+    first, second = (line for line in lines if 'sources' in line)
+    assert first['is_search']
+    assert len({source[1] for source in first['sources']}) == 4
+    assert {(source[2], *source[7]) for source in first['sources']} == {('q1',)}
+    assert {tuple(source[7]) for source in second['sources']} == {('q1',)}
+    connections = [
+        {src[6] for src in line['sources']} for line in (first, second)
+    ]
+    assert connections[0] == connections[1]
+
+
 @pytest.mark.parametrize(
     ('fault', 'is_relayed', 'run_count'),
     [('shed', True, 1), ('reset_before_reply', False, 1), ('failed', True, 1)],
