--- a/benchmarks/emulator/_connections.py
+++ b/benchmarks/emulator/_connections.py
@@ -7,7 +7,12 @@
 
 from benchmarks.emulator._replicas import EmulatedReplica
 from dragonflyramp.backends import ConnectionHooks
-from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
+from dragonflyramp.backends._exchanges import (
+    Exchange,
+    Outcome,
+    OutcomeKind,
+    ReplyOrigin,
+)
 
 
 @attrs.define(eq=False)
@@ -73,8 +78,14 @@
         if serve_task.cancelled():
             return
         await asyncio.sleep(self._one_way_latency_seconds)
-        exchange.finish(Outcome(OutcomeKind.replied, serve_task.result()))
+        exchange.finish(
+            Outcome(OutcomeKind.replied, serve_task.result(), _EMULATED_ORIGIN)
+        )
 
 
+_EMULATED_ORIGIN = ReplyOrigin(
+    address='', connection=0, earlier_ids=(), is_close_delimited=False
+)
+
 #: Creates a connection to the replica at an address.
 EmulatedConnectionFactory = Callable[[str, ConnectionHooks], EmulatedConnection]
