Make a success only from what proves that it is an answer

Cause, by reading: what proves a success was checked in four places and not handed on. A reply with a 2xx status became an answer, and whatever reached the encoder with a 2xx status was sent; nothing tied it to an attempt, to the request of this caller or to the kind of the route.

Now a success exists only as a type that checks its proof when it is created: ProvenSuccess (whose stamp, of which attempt, for which request), RelayedAnswer and MergedAnswer (by which route of which version), SuccessResponse (made for the very request of this caller, with its stamp and id in the headers). The handler of the callers' port returns this or a FailureResponse, which refuses a 2xx. Without a proof callers get 502, and the log names the attempts and connections.

--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -30,6 +30,7 @@
 _protocols_http   requests and replies on one connection
 _readers_http     limits and the end of one reply
 _reply_builders_http  what the parser of one reply reports
+_proofs           proof that a reply is a success of a request
 _reply_checks     what a complete reply means for its request
 _reply_matchers   which request of a connection a reply answers
 _reply_memory     limit on the memory of all replies that are being received
@@ -66,14 +67,14 @@
 )
 from dragonflyramp.backends._preconnectors import Preconnector
 from dragonflyramp.backends._probes import ProbeOutcome, ReplicaProbe
+from dragonflyramp.backends._proofs import (
+    ProvenSuccess,
+    UnprovenSuccessError,
+)
 from dragonflyramp.backends._replica_orders import ReplicaOrder
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.backends._reply_memory import ReplyMemory
-from dragonflyramp.backends._requests import (
-    AttemptRecord,
-    FetchResult,
-    ReplySource,
-)
+from dragonflyramp.backends._requests import AttemptRecord, FetchResult
 from dragonflyramp.backends._selectors import (
     LowestLatencySelector,
     RandomSelector,
@@ -105,14 +106,15 @@
     'Preconnector',
     'QuantileHedging',
     'ProbeOutcome',
+    'ProvenSuccess',
     'RandomSelector',
     'Replica',
     'ReplicaOrder',
     'ReplicaProbe',
     'ReplyMemory',
-    'ReplySource',
     'RequestContext',
     'RouteLatencies',
+    'UnprovenSuccessError',
     'apply_peer_latency_ratios',
     'cold_request_limit',
     'connection_limits',
--- a/dragonflyramp/backends/_attempts.py
+++ b/dragonflyramp/backends/_attempts.py
@@ -162,7 +162,7 @@
         return FetchResult(
             service=self._service,
             code=code,
-            reply=reply,
+            failure=reply,
             may_have_run=may_have_run,
             records=self._attempts.all_records(now_seconds),
         )
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -13,9 +13,14 @@
 )
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_watches import CrashRetries
-from dragonflyramp.backends._exchanges import Outcome, OutcomeKind
+from dragonflyramp.backends._exchanges import (
+    Outcome,
+    OutcomeKind,
+    ReplyOrigin,
+)
+from dragonflyramp.backends._proofs import ProvenSuccess
 from dragonflyramp.backends._reply_checks import ReplyVerdict, check_reply
-from dragonflyramp.backends._requests import FetchResult, ReplySource
+from dragonflyramp.backends._requests import FetchResult
 from dragonflyramp.backends._schedulers import AttemptScheduler
 from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
@@ -55,7 +60,7 @@
                 raise
             self._release_attempts(
                 accepts_late_replies=True,
-                is_answered=fetch_result.reply is not None,
+                is_answered=fetch_result.is_answered,
             )
         return fetch_result
 
@@ -122,13 +127,8 @@
         attempt = self._scheduler.attempts.in_flight[future]
         outcome = future.result()
         if outcome.reply is not None and outcome.origin is not None:
-            source = ReplySource(
-                replica_id=attempt.exchange.replica_id,
-                purpose=attempt.purpose,
-                origin=outcome.origin,
-            )
             return self._handle_reply(
-                attempt, outcome.reply, source, now_seconds
+                attempt, outcome.reply, outcome.origin, now_seconds
             )
         self._scheduler.attempts.finish(attempt, outcome.kind, now_seconds)
         self._failure_summary.add_missing_reply(attempt, outcome.kind)
@@ -143,7 +143,7 @@
         self,
         attempt: Attempt,
         reply: Reply,
-        source: ReplySource,
+        origin: ReplyOrigin,
         now_seconds: float,
     ) -> FetchResult | None:
         """Record a reply; return the result if it is a success."""
@@ -170,8 +170,14 @@
         return FetchResult(
             service=self.service,
             code=ResultCode.ok,
-            reply=reply,
-            source=source,
+            success=ProvenSuccess(
+                request=attempt.exchange.request,
+                reply=reply,
+                service=self.service,
+                replica_id=attempt.exchange.replica_id,
+                purpose=attempt.purpose,
+                origin=origin,
+            ),
             may_have_run=True,
             records=tuple(self._scheduler.attempts.records),
         )
--- a/dragonflyramp/backends/_requests.py
+++ b/dragonflyramp/backends/_requests.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from dragonflyramp.backends._exchanges import ReplyOrigin
+from dragonflyramp.backends._proofs import ProvenSuccess
 from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
 
@@ -22,25 +22,21 @@
     outcome: str
 
 
-@attrs.frozen(kw_only=True)
-class ReplySource:
-    """Attempt that got a reply, and where the reply was received."""
-
-    replica_id: str
-    purpose: str
-    origin: ReplyOrigin
-
-
 @attrs.frozen(kw_only=True)
 class FetchResult:
     """Result of fetching one part from one service."""
 
     service: str
     code: ResultCode
-    #: Set for `ok`, and for a failure that a replica reported.
-    reply: Reply | None = None
     #: Set for `ok`.
-    source: ReplySource | None = None
+    success: ProvenSuccess | None = None
+    #: Failure that a replica reported, if there is one.
+    failure: Reply | None = None
     #: Whether a replica may have run the request or may still run it.
     may_have_run: bool = False
     records: tuple[AttemptRecord, ...] = ()
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether a replica has answered the request."""
+        return self.success is not None or self.failure is not None
--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -1,7 +1,8 @@
 """Answer callers' requests: route, scatter, merge and reply.
 
 _fronts          routing and execution of queries
-_queries         types of queries and answers
+_queries         type of queries
+_answers         types of answers; a success exists only with its proof
 _scatter_gather  scatter-gather over the shards of a search
 _cutoffs         policies for when a search returns a partial answer
 _running_queries queries that a planned stop ends with an answer
@@ -15,6 +16,15 @@
 _native_api_http HTTP server of the native API
 """
 
+from dragonflyramp.callers._answers import (
+    Answer,
+    MergedAnswer,
+    Refusal,
+    RelayedAnswer,
+    RelayedFailure,
+    RouteVersion,
+    Success,
+)
 from dragonflyramp.callers._claims import Claims
 from dragonflyramp.callers._cutoffs import (
     CutoffPolicy,
@@ -25,13 +35,8 @@
 from dragonflyramp.callers._fronts import Front
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._native_api_http import NativeApi, NativeApiServer
-from dragonflyramp.callers._queries import (
-    Answer,
-    MergedAnswer,
-    Query,
-    Refusal,
-    RelayedAnswer,
-)
+from dragonflyramp.callers._queries import Query
+from dragonflyramp.callers._request_logs import describe_proofs
 from dragonflyramp.callers._running_queries import RunningQueries
 from dragonflyramp.callers._suspect_guards import SuspectGuard
 from dragonflyramp.callers._trial_claims import TrialClaims
@@ -51,8 +56,12 @@
     'RecordMerger',
     'Refusal',
     'RelayedAnswer',
+    'RelayedFailure',
+    'RouteVersion',
     'RunningQueries',
+    'Success',
     'SuspectGuard',
     'TargetCutoff',
     'TrialClaims',
+    'describe_proofs',
 )
--- a/dragonflyramp/callers/_claims.py
+++ b/dragonflyramp/callers/_claims.py
@@ -14,7 +14,12 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from dragonflyramp.callers._queries import Answer, Refusal, RelayedAnswer
+from dragonflyramp.callers._answers import (
+    Answer,
+    Refusal,
+    RelayedAnswer,
+    RelayedFailure,
+)
 from dragonflyramp.results import ResultCode
 from dragonflyramp.stores import KeyedStore
 from dragonflyramp.views import Fields
@@ -88,9 +93,9 @@
         send: Callable[[], Awaitable[Answer]],
     ) -> KeyedResult:
         answer = await send()
+        if isinstance(answer, RelayedFailure):
+            return KeyedResult(ResultCode.backend_error)
         if isinstance(answer, RelayedAnswer):
-            if not answer.reply.is_success:
-                return KeyedResult(ResultCode.backend_error)
             try:
                 outcome = answer.reply.body.decode()
             except UnicodeDecodeError:
--- a/dragonflyramp/callers/_cutoffs.py
+++ b/dragonflyramp/callers/_cutoffs.py
@@ -21,10 +21,7 @@
     @property
     def required_count(self) -> int:
         """Return the number of successful shards that an answer requires."""
-        return max(
-            1,
-            math.ceil(self.min_share * self.shard_count - _ROUNDING_TOLERANCE),
-        )
+        return required_shard_count(self.shard_count, self.min_share)
 
     @property
     def is_sufficient(self) -> bool:
@@ -42,6 +39,11 @@
         return self.succeeded_count + self.failed_count == self.shard_count
 
 
+def required_shard_count(shard_count: int, min_share: float) -> int:
+    """Return the number of successful shards that an answer requires."""
+    return max(1, math.ceil(min_share * shard_count - _ROUNDING_TOLERANCE))
+
+
 class CutoffPolicy(Protocol):
     """Policy for when a search may return a partial answer.
 
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -13,15 +13,17 @@
     FetchResult,
     RequestContext,
 )
-from dragonflyramp.callers._cutoffs import CutoffPolicy, Progress, TargetCutoff
-from dragonflyramp.callers._merging import Merger, RecordMerger
-from dragonflyramp.callers._queries import (
+from dragonflyramp.callers._answers import (
     Answer,
     MergedAnswer,
-    Query,
     Refusal,
     RelayedAnswer,
+    RelayedFailure,
+    RouteVersion,
 )
+from dragonflyramp.callers._cutoffs import CutoffPolicy, Progress, TargetCutoff
+from dragonflyramp.callers._merging import Merger, RecordMerger
+from dragonflyramp.callers._queries import Query
 from dragonflyramp.callers._request_logs import RequestLog, refuse
 from dragonflyramp.callers._retry_delays import retry_after_seconds
 from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
@@ -167,6 +169,7 @@
         ).run()
         answer = _build_relay_answer(
             fetch_result,
+            _routed(context),
             retry_after_seconds(
                 fleet,
                 (service,),
@@ -240,19 +243,17 @@
                     self.clock(),
                 ),
             )
-        replies = [
-            fetch_result.reply
+        parts = tuple(
+            fetch_result.success
             for fetch_result in shard_results.succeeded
-            if fetch_result.reply is not None
-        ]
-        body = self.merger.merge(
-            (reply.body for reply in replies), gather.top_count
+            if fetch_result.success is not None
         )
         return MergedAnswer(
-            stamps=tuple(reply.stamp for reply in replies),
-            shard_count=shard_results.shard_count,
-            version=context.table.version,
-            body=body,
+            parts=parts,
+            routed=_routed(context),
+            body=self.merger.merge(
+                (part.reply.body for part in parts), gather.top_count
+            ),
         )
 
 
@@ -275,6 +276,10 @@
     )
 
 
+def _routed(context: RequestContext) -> RouteVersion:
+    return RouteVersion(route=context.route, version=context.table.version)
+
+
 def _find_route(table: RoutingTable, query: Query) -> Route | None:
     if query.route_name:
         return table.find_by_name(query.route_name)
@@ -282,10 +287,12 @@
 
 
 def _build_relay_answer(
-    fetch_result: FetchResult, delay_seconds: float
+    fetch_result: FetchResult, routed: RouteVersion, delay_seconds: float
 ) -> Answer:
-    if fetch_result.reply is not None:
-        return RelayedAnswer(reply=fetch_result.reply)
+    if fetch_result.success is not None:
+        return RelayedAnswer(success=fetch_result.success, routed=routed)
+    if fetch_result.failure is not None:
+        return RelayedFailure(reply=fetch_result.failure)
     if fetch_result.may_have_run:
         return Refusal(code=fetch_result.code, may_have_run=True)
     return Refusal(code=fetch_result.code, retry_after_seconds=delay_seconds)
--- a/dragonflyramp/callers/_native_api_http.py
+++ b/dragonflyramp/callers/_native_api_http.py
@@ -11,10 +11,11 @@
 import attrs
 from aiohttp import web
 
+from dragonflyramp.callers._answers import Answer, MergedAnswer, Refusal
 from dragonflyramp.callers._claims import Claims, KeyedRequest, KeyedResult
 from dragonflyramp.callers._fronts import Front
 from dragonflyramp.callers._merging import split_records
-from dragonflyramp.callers._queries import Answer, MergedAnswer, Query, Refusal
+from dragonflyramp.callers._queries import Query
 from dragonflyramp.messages import Request
 from dragonflyramp.results import ResultCode
 
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -8,16 +8,18 @@
 from dragonflyramp.backends import (
     FetchResult,
     Peers,
-    ReplySource,
+    ProvenSuccess,
     RequestContext,
 )
-from dragonflyramp.callers._queries import (
+from dragonflyramp.callers._answers import (
     Answer,
     MergedAnswer,
-    Query,
     Refusal,
     RelayedAnswer,
+    RelayedFailure,
+    Success,
 )
+from dragonflyramp.callers._queries import Query
 from dragonflyramp.fingerprints import compute_fingerprint
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters, latencies
@@ -68,11 +70,7 @@
             daemons=self._peers.daemon_count(),
             fingerprint=_lost_request_fingerprint(context, fetch_results),
             relayed=_describe_relayed(answer),
-            sources=[
-                _describe_source(fetch_result, fetch_result.source)
-                for fetch_result in fetch_results
-                if fetch_result.source is not None
-            ],
+            sources=describe_proofs(answer),
             parts=[
                 _describe_part(fetch_result)
                 for fetch_result in fetch_results
@@ -102,10 +100,10 @@
         return answer.code.name
     if isinstance(answer, MergedAnswer) and answer.missing_count:
         return 'partial'
-    if isinstance(answer, RelayedAnswer):
-        if not answer.reply.is_success:
-            return 'backend_failure'
-        return ResultCode.ok.name if _is_signed(answer.reply) else 'unsigned'
+    if isinstance(answer, RelayedFailure):
+        return 'backend_failure'
+    if isinstance(answer, RelayedAnswer) and not _is_signed(answer.reply):
+        return 'unsigned'
     return ResultCode.ok.name
 
 
@@ -117,7 +115,7 @@
 
 
 def _describe_relayed(answer: Answer) -> dict[str, object] | None:
-    if not isinstance(answer, RelayedAnswer):
+    if not isinstance(answer, (RelayedAnswer, RelayedFailure)):
         return None
     reply = answer.reply
     return {
@@ -151,21 +149,25 @@
     return [fetch_result.service, fetch_result.code.name, attempts]
 
 
-def _describe_source(
-    fetch_result: FetchResult, source: ReplySource
-) -> list[object]:
-    """Describe the attempt and the connection from which an answer is made."""
-    reply = fetch_result.reply
+def describe_proofs(answer: Answer) -> list[list[object]]:
+    """Describe the attempts and connections from which a success is made."""
+    if not isinstance(answer, Success):
+        return []
+    return [_describe_proof(proof) for proof in answer.proofs]
+
+
+def _describe_proof(proof: ProvenSuccess) -> list[object]:
+    origin = proof.origin
     return [
-        fetch_result.service,
-        '' if reply is None else reply.stamp,
-        '' if reply is None else reply.request_id,
-        source.replica_id,
-        source.purpose,
-        source.origin.address,
-        source.origin.connection,
-        list(source.origin.earlier_ids),
-        'connection' if source.origin.is_close_delimited else 'framing',
+        proof.service,
+        proof.stamp,
+        proof.reply.request_id,
+        proof.replica_id,
+        proof.purpose,
+        origin.address,
+        origin.connection,
+        list(origin.earlier_ids),
+        'connection' if origin.is_close_delimited else 'framing',
     ]
 
 
--- a/dragonflyramp/callers/_running_queries.py
+++ b/dragonflyramp/callers/_running_queries.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from dragonflyramp.callers._queries import Answer, Query, Refusal
+from dragonflyramp.callers._answers import Answer, Refusal
+from dragonflyramp.callers._queries import Query
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -63,7 +63,7 @@
                 continue
             counters.add('invalid_replies', 'repeated_stamp')
             failed.append(
-                attrs.evolve(part, code=ResultCode.bad_reply, reply=None)
+                attrs.evolve(part, code=ResultCode.bad_reply, success=None)
             )
         return attrs.evolve(self, succeeded=tuple(valid), failed=tuple(failed))
 
@@ -175,7 +175,7 @@
         self._end_if_possible()
 
     def _add(self, fetch_result: FetchResult) -> None:
-        is_success = fetch_result.code is ResultCode.ok
+        is_success = fetch_result.success is not None
         (self._succeeded if is_success else self._failed).append(fetch_result)
 
     def _end_if_possible(self) -> None:
@@ -201,4 +201,4 @@
 
 
 def _stamp_of(part: FetchResult) -> str:
-    return '' if part.reply is None else part.reply.stamp
+    return '' if part.success is None else part.success.stamp
--- a/dragonflyramp/callers/_suspect_guards.py
+++ b/dragonflyramp/callers/_suspect_guards.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from dragonflyramp.backends import CrashDetector, RequestContext
-from dragonflyramp.callers._queries import Answer, Refusal
+from dragonflyramp.callers._answers import Answer, Refusal
 from dragonflyramp.callers._trial_claims import (
     TRIAL_RETRY_AFTER_SECONDS,
     TrialClaims,
--- a/dragonflyramp/callers/_trial_claims.py
+++ b/dragonflyramp/callers/_trial_claims.py
@@ -9,7 +9,12 @@
 import attrs
 
 from dragonflyramp.backends import CrashDetector
-from dragonflyramp.callers._queries import Answer, Refusal, RelayedAnswer
+from dragonflyramp.callers._answers import (
+    Answer,
+    Refusal,
+    RelayedAnswer,
+    RelayedFailure,
+)
 from dragonflyramp.runtime import unix_ms
 from dragonflyramp.suspects import (
     MAX_CRASH_ROUNDS,
@@ -106,4 +111,4 @@
     """
     if isinstance(answer, Refusal):
         return not answer.may_have_run
-    return isinstance(answer, RelayedAnswer)
+    return isinstance(answer, (RelayedAnswer, RelayedFailure))
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -10,18 +10,18 @@
 from aiohttp import web
 from loguru import logger
 
-from dragonflyramp.callers import (
-    Answer,
-    Front,
-    MergedAnswer,
-    Query,
-    Refusal,
-    RelayedAnswer,
-    RunningQueries,
-)
-from dragonflyramp.messages import Headers, Reply, Request
+from dragonflyramp.backends import UnprovenSuccessError
+from dragonflyramp.callers import Front, Query, Refusal, RunningQueries
+from dragonflyramp.messages import Headers, Request
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import _headers as http_headers
+from dragonflyramp.platform._answers_http import (
+    CallerResponse,
+    FailureResponse,
+    encode_answer,
+    encode_refusal,
+    encode_unproven,
+)
 from dragonflyramp.platform._body_memory import BodyMemory
 from dragonflyramp.results import ResultCode
 
@@ -45,12 +45,6 @@
 #: Time that handlers have to finish after the server begins to shut down.
 _SHUTDOWN_TIMEOUT_SECONDS = 0.3
 
-_REFUSAL_STATUSES = {  # noqa: WPS407 - never changed
-    ResultCode.unknown_service: HTTPStatus.NOT_FOUND,
-    ResultCode.bad_request: HTTPStatus.BAD_REQUEST,
-    ResultCode.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-}
-
 
 @attrs.define(eq=False)
 class FrontServer:
@@ -116,7 +110,7 @@
         status = HTTPStatus.SERVICE_UNAVAILABLE
         return web.Response(status=HTTPStatus.OK if is_ready else status)
 
-    async def _handle_request(self, request: web.BaseRequest) -> web.Response:
+    async def _handle_request(self, request: web.BaseRequest) -> CallerResponse:
         try:
             with contextlib.ExitStack() as cleanup:
                 cleanup.callback(self._body_memory.release, id(request))
@@ -126,12 +120,12 @@
             logger.exception(
                 'unhandled exception in the request to {}', request.path
             )
-            response = web.Response(status=HTTPStatus.INTERNAL_SERVER_ERROR)
+            response = FailureResponse(HTTPStatus.INTERNAL_SERVER_ERROR)
         if self._front.is_stopping:
             response.force_close()
         return response
 
-    async def _answer_request(self, request: web.BaseRequest) -> web.Response:
+    async def _answer_request(self, request: web.BaseRequest) -> CallerResponse:
         received_at_seconds = self._clock()
         deadline_ms = http_headers.parse_number(
             request.headers.get(http_headers.DEADLINE_MS)
@@ -148,92 +142,45 @@
             ),
         )
         if isinstance(body, ResultCode):
-            refusal = _encode_refusal(_refuse_body(body))
+            refusal = encode_refusal(_refuse_body(body))
             # The rest of the body is not read.
             refusal.force_close()
             return refusal
-        raw_path = request.raw_path
-        headers = _decode_headers(request)
-        query = Query(
-            request=Request(
-                request_id=http_headers.first_value(
-                    headers, http_headers.REQUEST_ID
-                ),
-                method=request.method,
-                path_and_query=raw_path,
-                headers=tuple(http_headers.end_to_end_headers(headers)),
-                body=body,
-                has_body=request.body_exists,
-                accepts_content_coding=http_headers.accepts_content_coding(
-                    headers
-                ),
-            ),
-            host=request.headers.get('Host', '').partition(':')[0].lower(),
-            path=raw_path.partition('?')[0],
-            deadline_ms=deadline_ms,
-            received_at_seconds=received_at_seconds,
-        )
-        return encode_answer(await self._queries.run(query))
-
-
-def encode_answer(answer: Answer) -> web.Response:
-    """Encode an answer as the platform's HTTP response."""
-    if isinstance(answer, RelayedAnswer):
-        return _encode_relayed(answer)
-    if isinstance(answer, MergedAnswer):
-        headers = {
-            http_headers.PART_STAMPS: ', '.join(answer.stamps),
-            http_headers.MISSING_PARTS: str(answer.missing_count),
-        }
-        return web.Response(body=answer.body, headers=headers)
-    return _encode_refusal(answer)
-
-
-def _encode_relayed(answer: RelayedAnswer) -> web.Response:
-    """Encode a reply, or a failure if its stamp is lost on the way.
-
-    The check for the stamp holds for whatever changes a reply on its way here.
-    """
-    reply = answer.reply
-    response = web.Response(status=reply.status, body=reply.body)
-    response.headers.clear()
-    for name, text in http_headers.end_to_end_headers(reply.headers):
+        query = _build_query(request, body, deadline_ms, received_at_seconds)
         try:
-            response.headers.add(name, http_headers.decode_utf8(text))
-        except UnicodeError:
-            # aiohttp sends UTF-8 only. The caller needs the other headers.
-            counters.add('backend_faults', 'header_left_out')
-    if response.headers.getall(http_headers.STAMP, None) != [reply.stamp]:
-        return _encode_stamp_lost(reply)
-    return response
-
-
-def _encode_stamp_lost(reply: Reply) -> web.Response:
-    """Encode the failure of a request whose reply cannot be relayed."""
-    counters.add('invalid_replies', 'stamp_lost')
-    logger.bind(request=reply.request_id, stamp=reply.stamp).warning(
-        'reply cannot be relayed without its stamp'
-    )
-    return _encode_refusal(
-        Refusal(code=ResultCode.bad_reply, may_have_run=True)
+            answer = await self._queries.run(query)
+        except UnprovenSuccessError as error:
+            return encode_unproven(query.request, error)
+        return encode_answer(answer, query.request)
+
+
+def _build_query(
+    request: web.BaseRequest,
+    body: bytes,
+    deadline_ms: float | None,
+    received_at_seconds: float,
+) -> Query:
+    raw_path = request.raw_path
+    headers = _decode_headers(request)
+    return Query(
+        request=Request(
+            request_id=http_headers.first_value(
+                headers, http_headers.REQUEST_ID
+            ),
+            method=request.method,
+            path_and_query=raw_path,
+            headers=tuple(http_headers.end_to_end_headers(headers)),
+            body=body,
+            has_body=request.body_exists,
+            accepts_content_coding=http_headers.accepts_content_coding(headers),
+        ),
+        host=request.headers.get('Host', '').partition(':')[0].lower(),
+        path=raw_path.partition('?')[0],
+        deadline_ms=deadline_ms,
+        received_at_seconds=received_at_seconds,
     )
 
 
-def _encode_refusal(refusal: Refusal) -> web.Response:
-    """Encode a refusal; status 503 promises that the request never runs."""
-    status = _REFUSAL_STATUSES.get(refusal.code, HTTPStatus.SERVICE_UNAVAILABLE)
-    if refusal.may_have_run:
-        status = HTTPStatus.BAD_GATEWAY
-        if refusal.code is ResultCode.deadline_exceeded:
-            status = HTTPStatus.GATEWAY_TIMEOUT
-    response = web.Response(status=status)
-    if refusal.retry_after_seconds is not None:
-        response.headers[http_headers.RETRY_AFTER] = str(
-            refusal.retry_after_seconds
-        )
-    return response
-
-
 async def _listen(
     handler: Callable[..., object],  # noqa: WPS110 - as in aiohttp
     address: str,
--- a/tests/front_harnesses.py
+++ b/tests/front_harnesses.py
@@ -16,10 +16,12 @@
     Connection,
     Fleet,
     Policies,
+    ProvenSuccess,
     apply_peer_latency_ratios,
 )
-from dragonflyramp.callers import Front, Query
-from dragonflyramp.messages import Request
+from dragonflyramp.backends._exchanges import ReplyOrigin
+from dragonflyramp.callers import Front, Query, RelayedAnswer, RouteVersion
+from dragonflyramp.messages import Reply, Request
 from dragonflyramp.platform import ReplicaCodec
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import (
@@ -98,6 +100,30 @@
     )
 
 
+def make_proof(
+    reply: Reply, request: Request | None = None, service: str = 'a'
+) -> ProvenSuccess:
+    """Create the proof of a success of a replica."""
+    return ProvenSuccess(
+        request=request or make_request(),
+        reply=reply,
+        service=service,
+        replica_id=f'{service}-0',
+        purpose='first',
+        origin=ReplyOrigin(
+            address='', connection=1, earlier_ids=(), is_close_delimited=False
+        ),
+    )
+
+
+def make_relayed(reply: Reply, request: Request | None = None) -> RelayedAnswer:
+    """Create the answer that relays a success of service `a`."""
+    return RelayedAnswer(
+        success=make_proof(reply, request),
+        routed=RouteVersion(route=make_route(), version=1),
+    )
+
+
 @attrs.frozen
 class StaticPeers:
     """Stand in for the daemons that share limits with the one under test."""
--- a/tests/suspect_models.py
+++ b/tests/suspect_models.py
@@ -19,7 +19,6 @@
 from dragonflyramp.callers import (
     Answer,
     Refusal,
-    RelayedAnswer,
     SuspectGuard,
     TrialClaims,
 )
@@ -39,7 +38,12 @@
     report_after,
 )
 from dragonflyramp.views import Listing, View
-from tests.front_harnesses import make_request, make_route, make_table
+from tests.front_harnesses import (
+    make_relayed,
+    make_request,
+    make_route,
+    make_table,
+)
 from tests.standins.stores import Store
 
 FRONT_COUNT = 4
@@ -167,7 +171,7 @@
             self._world.record_arrival(self, has_ended=has_ended)
             if not has_ended:
                 retries.record_reply(self._world.clock(), is_success=True)
-                answer = RelayedAnswer(reply=_make_reply())
+                answer = make_relayed(_make_reply(), context.request)
                 break
             retries.record_lost(_ATTEMPT)
             if not await retries.allows_next(
@@ -183,7 +187,7 @@
 
 
 def _make_reply() -> Reply:
-    return Reply(status=200, headers=(), body=b'')
+    return Reply(status=200, headers=(), body=b'', stamp='s')
 
 
 _ATTEMPT: Any = types.SimpleNamespace(
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -29,7 +29,6 @@
 from tests.standins.stores import StoreFaults
 from tests.standins.waits import eventually
 
-
 #: Far more than the limits on a head and the buffers of sockets.
 _MAX_HEAD_BLOCKS = 4000
 _PIECES_PER_BLOCK = 10000
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -16,7 +16,12 @@
     RouteLatencies,
 )
 from dragonflyramp.backends._fleets import preferred_replica
-from dragonflyramp.callers import MergedAnswer, Refusal, RelayedAnswer
+from dragonflyramp.callers import (
+    MergedAnswer,
+    Refusal,
+    RelayedAnswer,
+    RelayedFailure,
+)
 from dragonflyramp.fingerprints import compute_fingerprint
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, WeightedService
@@ -312,11 +317,15 @@
 
 
 @pytest.mark.parametrize(
-    ('fault', 'is_relayed', 'run_count'),
-    [('shed', True, 1), ('reset_before_reply', False, 1), ('failed', True, 1)],
+    ('fault', 'answer_type', 'run_count'),
+    [
+        ('shed', RelayedAnswer, 1),
+        ('reset_before_reply', Refusal, 1),
+        ('failed', RelayedFailure, 1),
+    ],
 )
 async def test_non_idempotent_request_runs_once(
-    fault: str, is_relayed: bool, run_count: int
+    fault: str, answer_type: type[object], run_count: int
 ) -> None:
     """A non-idempotent request must not run twice.
 
@@ -330,11 +339,8 @@
             harness.server('a', 1).faults.shed = 0
         answer = await harness.send(method='POST')
         assert harness.run_count('a') == run_count
-        if is_relayed:
-            assert isinstance(answer, RelayedAnswer)
-        else:
-            assert isinstance(answer, Refusal)
-            assert answer.may_have_run
+        assert isinstance(answer, answer_type)
+        assert not isinstance(answer, Refusal) or answer.may_have_run
 
 
 @pytest.mark.parametrize('is_idempotent', [False, True])
--- a/tests/test_native_api.py
+++ b/tests/test_native_api.py
@@ -37,6 +37,7 @@
 from tests.front_harnesses import (
     RECORD_BYTES,
     FrontHarness,
+    make_relayed,
     make_route,
     make_table,
     run_harness,
@@ -46,7 +47,7 @@
 _EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples/forrozeira.toml'
 _TEXT = _EXAMPLE.read_bytes()
 _KEYED_REQUEST = KeyedRequest(service='a', key='k1', body=b'{}')
-_ANSWER = RelayedAnswer(reply=Reply(status=200, headers=(), body=b'booked'))
+_ANSWER = make_relayed(Reply(status=200, headers=(), body=b'booked', stamp='s'))
 
 
 @attrs.define
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,10 +6,11 @@
 from types import MappingProxyType
 from typing import Any
 
+import attrs
 import pytest
 from returns.result import Failure, Success
 
-from dragonflyramp.callers import MergedAnswer, Refusal, RelayedAnswer
+from dragonflyramp.callers import MergedAnswer, Refusal, RouteVersion
 from dragonflyramp.messages import Load, Reply
 from dragonflyramp.platform import (
     PlatformObjectStore,
@@ -19,12 +20,17 @@
     decode_settings,
 )
 from dragonflyramp.platform import _headers as http_headers
+from dragonflyramp.platform._answers_http import encode_answer
 from dragonflyramp.platform._body_memory import BodyMemory
-from dragonflyramp.platform._front_http import encode_answer
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
 from dragonflyramp.stores import ABSENT_VERSION
-from tests.front_harnesses import make_request
+from tests.front_harnesses import (
+    make_proof,
+    make_relayed,
+    make_request,
+    make_route,
+)
 from tests.standins.stores import Store, StoreFaults, StoreServer
 
 _SETTINGS = """
@@ -234,7 +240,7 @@
 
     503 promises that the request has not run and never will.
     """
-    assert encode_answer(refusal).status == status
+    assert encode_answer(refusal, make_request()).status == status
 
 
 def test_answers_are_encoded() -> None:
@@ -245,16 +251,27 @@
     """
     headers = (('Server-Stamp', 's'), ('Connection', 'close'))
     reply = Reply(status=201, headers=headers, body=b'abc', stamp='s')
-    relayed_response = encode_answer(RelayedAnswer(reply=reply))
+    request = make_request()
+    relayed_response = encode_answer(make_relayed(reply, request), request)
     assert (relayed_response.status, relayed_response.body) == (201, b'abc')
     assert dict(relayed_response.headers) == {'Server-Stamp': 's'}
+    gather = GatherSettings(shards=('a', 'b', 'c'), top_count=1, min_share=0.6)
+    parts = tuple(
+        make_proof(attrs.evolve(reply, stamp=stamp), request, service)
+        for stamp, service in (('s', 'a'), ('t', 'b'))
+    )
     merged_response = encode_answer(
-        MergedAnswer(stamps=('s', 't'), shard_count=3, version=1, body=b'x')
+        MergedAnswer(
+            parts=parts,
+            routed=RouteVersion(route=make_route(gather=gather), version=1),
+            body=b'x',
+        ),
+        request,
     )
     assert merged_response.headers['Part-Stamps'] == 's, t'
     assert merged_response.headers['Missing-Parts'] == '1'
     refusal_response = encode_answer(
-        Refusal(code=ResultCode.shed, retry_after_seconds=0.1)
+        Refusal(code=ResultCode.shed, retry_after_seconds=0.1), request
     )
     assert refusal_response.headers['Retry-After'] == '0.1'
 
--- a/tests/test_spoiled_replies.py
+++ b/tests/test_spoiled_replies.py
@@ -6,7 +6,12 @@
 import pytest
 
 from dragonflyramp.backends import NoHedging, Policies
-from dragonflyramp.callers import MergedAnswer, Refusal, RelayedAnswer
+from dragonflyramp.callers import (
+    MergedAnswer,
+    Refusal,
+    RelayedAnswer,
+    RelayedFailure,
+)
 from dragonflyramp.routes import GatherSettings
 from tests.front_harnesses import (
     RECORD_BYTES,
@@ -116,10 +121,10 @@
     if isinstance(answer, Refusal):
         assert answer.may_have_run or not run_count
         return
-    assert isinstance(answer, RelayedAnswer)
-    if answer.reply.is_success:
+    if isinstance(answer, RelayedAnswer):
         _check_success(harness, answer, request_id)
     else:
+        assert isinstance(answer, RelayedFailure)
         is_promise = answer.reply.status in _NOT_RUN_STATUSES
         assert not (run_count and is_promise)
 
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -20,13 +20,12 @@
     Front,
     NativeApi,
     NativeApiServer,
-    RelayedAnswer,
 )
 from dragonflyramp.callers._scatter_gather import ShardResults
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import FrontServer, StoreClient
-from dragonflyramp.platform._front_http import encode_answer
+from dragonflyramp.platform._answers_http import encode_answer
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
@@ -34,6 +33,9 @@
 from tests.front_harnesses import (
     RECORD_BYTES,
     make_front,
+    make_proof,
+    make_relayed,
+    make_request,
     make_route,
     make_table,
 )
@@ -522,7 +524,8 @@
 def test_answer_without_its_stamp_is_no_success() -> None:
     """A reply whose headers are lost after its check must not be relayed."""
     reply = Reply(status=200, headers=(), body=b'abc', stamp='a0.1')
-    response = encode_answer(RelayedAnswer(reply=reply))
+    request = make_request()
+    response = encode_answer(make_relayed(reply, request), request)
     assert (response.status, response.body) == (502, None)
 
 
@@ -639,7 +642,10 @@
         FetchResult(
             service=service,
             code=ResultCode.ok,
-            reply=Reply(status=200, headers=(), body=_BODY, stamp=stamp),
+            success=make_proof(
+                Reply(status=200, headers=(), body=_BODY, stamp=stamp),
+                service=service,
+            ),
             may_have_run=True,
         )
         for service, stamp in zip('abcd', ('same', 'own', 'same', 'same'))
