End the exchange of a connection that was cancelled before its first step

An attempt that began in the same turn of the event loop as the end of the front's connections waited without an outcome, although a connection promises one whatever ends it.

Cause: a task that is cancelled before its first step runs nothing of its coroutine, so that the cleanup in `Connection.run` never took place.

Evidence: the state machine of tests/test_reply_machines.py, derandomized, in its first 400 examples: a request on a new connection, and the cancellation of all tasks in the same turn. tests/test_reply_ends.py:: test_unstarted_connection_ends_its_exchange failed before.

Ruled out: a connection that has begun to open, or waits for a request, ends its exchange in `Connection.run`; closing it once more changes nothing.

--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -241,7 +241,9 @@
         )
         connection = self._create_connection(self.address, hooks)
         self._open.add(connection)
-        self._tasks.start(connection.run(), 'connection')
+        task = self._tasks.start(connection.run(), 'connection')
+        # Nothing of it runs if it is cancelled before its first step.
+        task.add_done_callback(lambda _: connection.close())
         return connection
 
     def retire(self) -> None:
--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import time
 from collections.abc import Callable, Coroutine, Iterator, Mapping
 from typing import Any, TypeAlias
 
@@ -10,12 +11,20 @@
 import pytest
 import uvloop
 
-from dragonflyramp.backends import HedgingPolicy, Policies, RouteLatencies
-from dragonflyramp.backends._exchanges import OutcomeKind
+from dragonflyramp.backends import (
+    Connection,
+    ConnectionPool,
+    HedgingPolicy,
+    Policies,
+    RouteLatencies,
+)
+from dragonflyramp.backends._exchanges import Exchange, OutcomeKind
 from dragonflyramp.backends._protocols_http import ReplyProtocol
 from dragonflyramp.backends._readers_http import ReplyReader
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.callers import RelayedAnswer
+from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.runtime import TaskSet
 from tests.front_harnesses import make_route, make_table, run_harness
 from tests.reply_servers import SentReply, Step, pause, run_client
 from tests.standins.waits import eventually
@@ -435,6 +444,29 @@
     run_loop(_check_cancelled(reply, at, last))
 
 
+async def test_unstarted_connection_ends_its_exchange() -> None:
+    """A stop must not leave an attempt waiting that has just begun."""
+    tasks = TaskSet()
+    pool = ConnectionPool(
+        '127.0.0.1:1',
+        lambda address, hooks: Connection(
+            address, hooks, ReplicaCodec(), time.monotonic
+        ),
+        tasks,
+        lambda: None,
+        lambda reply, now_seconds: None,
+    )
+    exchange = Exchange(
+        request=SentReply(number=1).request,
+        replica_id='r',
+        deadline_at_seconds=time.monotonic() + 20,
+        outcome=asyncio.get_running_loop().create_future(),
+    )
+    pool.start(exchange, time.monotonic())
+    await tasks.cancel()
+    assert exchange.outcome.done()
+
+
 class _EarlyHedging(HedgingPolicy):
     def delay_ms(self, latencies: RouteLatencies) -> float:
         """Return a delay within which no replica replies."""
