Refuse a reply whose head begins within that of a cut one

After the start of a late copy of a success, up to a place in its reason phrase or in the text of a header, a reply with 500 that followed at once reached the caller as a 200 with the stamp and the body of the failure. Among successes, headers of the copy were passed on with the reply.

Cause: the status line of the reply ends the line that was cut, and the parser takes it for the end of the reason phrase or of the header. The status and the first headers are those of the copy; stamp, id and body are those of the reply, so that all checks of a success hold.

Ruled out: a cut in the name of a header, in the status or between CR and LF is malformed for the parser; one in the body ends as garbled, as its rest is no reply. `Via: HTTP/1.1 name` is no status line and is passed on.

--- a/dragonflyramp/backends/_reply_builders_http.py
+++ b/dragonflyramp/backends/_reply_builders_http.py
@@ -1,5 +1,6 @@
 """Build one HTTP/1.1 reply from what its parser reports."""
 
+import re
 from collections.abc import Callable
 
 import attrs
@@ -19,6 +20,10 @@
 _FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
+#: Status line at the end of a line, which began with the head of a cut reply.
+#: Via may name the protocol, without a status.
+_STATUS_LINE_PATTERN = re.compile(rb'HTTP/1\.[01] [1-5]\d\d(?: [^\r\n]*)?\Z')
+_STATUS_LINE_START = b'HTTP/1.'
 
 
 @attrs.frozen(kw_only=True)
@@ -84,6 +89,19 @@
         )
 
 
+@attrs.define(eq=False)
+class _ParserCalls:
+    """Calls from the parser in a reply."""
+
+    count: int = 0
+
+    def add(self, body_bytes: int) -> None:
+        """Count a call; raise an error beyond the limit."""
+        self.count += 1
+        if self.count > _MAX_PARSER_CALLS + body_bytes // _MIN_PIECE_BYTES:
+            raise _LimitError
+
+
 class ReplyBuilder:
     """Build the first final reply that is no copy of an earlier one."""
 
@@ -99,21 +117,28 @@
             httptools.HttpResponseParser(self)
         )
         self.copy_count = 0
-        self._parser_call_count = 0
+        self._calls = _ParserCalls()
+        self._reason = b''
         self._is_head = is_head
         self._is_copy = is_copy
 
     def on_message_begin(self) -> None:
         """Mark bytes of a second reply as unexpected."""
-        self._count_parser_call()
+        self._calls.add(self.partial.body_bytes)
         self.has_unexpected_bytes = self.raw is not None
+        self._reason = b''
+
+    def on_status(self, reason: bytes) -> None:
+        """Add a piece of the reason phrase."""
+        self._calls.add(self.partial.body_bytes)
+        self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Add a header of the reply; ignore a trailer."""
-        self._count_parser_call()
+        self._calls.add(self.partial.body_bytes)
         if self.partial.has_head or self.raw is not None:
             return
-        if len(self.partial.headers) >= _MAX_HEADERS:
+        if len(self.partial.headers) >= _MAX_HEADERS or _is_cut_off(value):
             raise _LimitError
         self.partial.headers.append(
             (name.decode('latin-1'), value.decode('latin-1'))
@@ -127,7 +152,7 @@
         assert self.parser is not None
         partial = self.partial
         partial.status = self.parser.get_status_code()
-        if partial.status < _FIRST_STATUS:
+        if partial.status < _FIRST_STATUS or _is_cut_off(self._reason):
             raise _LimitError
         partial.has_head = partial.status >= _FIRST_FINAL_STATUS
         has_body = not (
@@ -144,7 +169,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body."""
-        self._count_parser_call()
+        self._calls.add(self.partial.body_bytes)
         if self.raw is None:
             self.partial.pieces.append(body)
             self.partial.body_bytes += len(body)
@@ -166,15 +191,17 @@
         else:
             self.raw = raw
 
-    def _count_parser_call(self) -> None:
-        self._parser_call_count += 1
-        max_calls = (
-            _MAX_PARSER_CALLS + self.partial.body_bytes // _MIN_PIECE_BYTES
-        )
-        if self._parser_call_count > max_calls:
-            raise _LimitError
-
 
 def _has_length(partial: PartialReply) -> bool:
     names = {name.lower() for name, _ in partial.headers}
     return bool(names & {'content-length', 'transfer-encoding'})
+
+
+def _is_cut_off(line: bytes) -> bool:
+    """Return whether the head of another reply begins within a line.
+
+    A reply that was cut in its head would lend it its status and headers.
+    """
+    return _STATUS_LINE_START in line and bool(
+        _STATUS_LINE_PATTERN.search(line)
+    )
--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -195,6 +195,27 @@
     run_loop(_check_cases(_doubled_cases(place, copy_kind)))
 
 
+async def _check_cut_copy(size: int) -> None:
+    first, second = SentReply(number=1), SentReply(number=2, status=500)
+    late = first.encoded[:size] + second.encoded
+    async with run_client() as client:
+        client.play(Step.receive, first.encoded, Step.receive, late)
+        await client.start(first)
+        await client.check(_REPLIED)
+        await client.start(second)
+        await client.check(_REPLIED | _FAILED)
+
+
+async def _check_cut_copies() -> None:
+    sizes = range(1, len(SentReply(number=1).head))
+    await asyncio.gather(*map(_check_cut_copy, sizes))
+
+
+def test_cut_copy_lends_no_status(run_loop: _RunLoop) -> None:
+    """A failure must not become a success after the start of a late copy."""
+    run_loop(_check_cut_copies())
+
+
 #: How a reply is sent. `end together`: one poll reports its last bytes and the
 #: end of the connection.
 _FORMS = ('', 'split', 'end together', 'split, end together')
