Test the replies on one connection with a state machine

It plays orders of replies, late copies, other bytes, ends, cancellations and reuse on one connection without sockets. A caller gets the whole reply to its request, with its stamp, or none. Bytes that nothing tells from a body are the only exception, and only where the machine has put some.

--- /dev/null
+++ b/tests/test_reply_machines.py
@@ -0,0 +1,633 @@
+"""Test the replies on one connection with a state machine.
+
+It puts what a replica, the network, a caller and the front do into any order,
+without sockets and with a clock of its own.
+"""
+
+import asyncio
+import re
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from dragonflyramp.backends import (
+    Connection,
+    ConnectionPool,
+    ReplyMemory,
+)
+from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
+from dragonflyramp.backends._reply_checks import check_reply
+from dragonflyramp.messages import Reply, Request
+from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.runtime import TaskSet
+from tests.reply_servers import SentReply
+
+_OnWrite: TypeAlias = Callable[['_Wire'], None]
+_LONG_ID = 'long' * 20
+_DEADLINE_SECONDS = 20
+#: More than the bytes that a machine sends on a connection.
+_ALL_BYTES = 1_000_000
+_RESET_ERROR = 104
+_SPOILED = (
+    b'HTTP/1.1 OK 200\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nno colon here\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok',
+    b'\x16\x03\x01\x00*\x02\x00\x00\r\n\r\n',
+    b'HTTP/1.1 101 Switching\r\nUpgrade: any\r\n\r\n',
+    b'ok',
+    b'\r\n',
+)
+_INTERIM = (
+    b'HTTP/1.1 100 Continue\r\n\r\n',
+    b'HTTP/1.1 103 Early\r\nServer-Stamp: early\r\nRequest-Id: id-1\r\n\r\n',
+)
+#: Head of a reply in a body without a length, or the start of one at its end.
+_SECOND_HEAD = re.compile(
+    rb'HTTP/1\.1 \d{3} \w+\r\n[\w-]+:'
+    rb'|HTTP/(1(\.(1( (\d{0,2}|\d{3}( (\w+(\r(\n[\w-]*)?)?)?)?))?)?)?)?\Z'
+)
+
+
+@attrs.frozen(kw_only=True)
+class _PlayedReply(SentReply):
+    """Reply to a request whose id another attempt may have."""
+
+    request_id: str
+    is_not_run: bool = False
+
+    @property
+    def request(self) -> Request:
+        """Return the request that the reply answers."""
+        request = super().request
+        headers = (('Host', 'h'), ('Request-Id', self.request_id))
+        return attrs.evolve(
+            request, request_id=self.request_id, headers=headers
+        )
+
+    @property
+    def reply(self) -> Reply:
+        """Return the reply that a client gets."""
+        reply = super().reply
+        request_id = self.request_id if self.has_id else ''
+        headers = [
+            (name, request_id if name == 'Request-Id' else text)
+            for name, text in reply.headers
+        ]
+        if self.is_not_run:
+            headers.append(('Not-Executed', '1'))
+        return attrs.evolve(
+            reply,
+            headers=tuple(header for header in headers if header[1]),
+            request_id=request_id,
+            is_not_run=self.is_not_run,
+        )
+
+
+class _Wire(asyncio.Transport):  # noqa: WPS230 - all that the machine moves
+    """Connection of the front, whose bytes and end the machine moves."""
+
+    def __init__(
+        self, protocol: Any, loop: asyncio.AbstractEventLoop, on_write: _OnWrite
+    ) -> None:
+        """Start as an open connection."""
+        super().__init__()
+        self.protocol = protocol
+        self.loop = loop
+        self.on_write = on_write
+        #: Bytes that the replica has sent, and those that have arrived.
+        self.stream = b''
+        self.arrived = b''
+        self.piece_ends: list[int] = []
+        self.unsent_bytes = 0
+        self.socket_error = 0
+        #: Whether the front reads no more, and whether it learns of the loss.
+        self.is_closed = False
+        self.is_lost = False
+        #: Whether more than sound exchanges happened.
+        self.is_disturbed = False
+
+    def write(self, encoded: Any) -> None:
+        """Receive a request."""
+        self.on_write(self)
+
+    def abort(self) -> None:
+        """Close the connection for the front."""
+        self.lose()
+
+    def get_write_buffer_size(self) -> int:
+        """Return the bytes of the request that the replica has not read."""
+        return self.unsent_bytes
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return this as the socket."""
+        return self
+
+    def getsockopt(self, *option: int) -> int:
+        """Return the error of the socket."""
+        return self.socket_error
+
+    def deliver(self, size: int) -> None:
+        """Let the front read the next bytes in one piece."""
+        piece = self.stream[:size]
+        self.stream = self.stream[size:]
+        if piece and not self.is_closed:
+            self.arrived += piece
+            self.piece_ends.append(len(self.arrived))
+            self.protocol.data_received(piece)
+
+    def end(self) -> None:
+        """Let the front read the end of the stream.
+
+        It closes the connection once the replica has read the request.
+        """
+        if not self.is_closed:
+            self.is_closed = True
+            self.protocol.eof_received()
+            self.flush(self.unsent_bytes)
+
+    def flush(self, unsent_bytes: int) -> None:
+        """Set what the replica has not read."""
+        self.unsent_bytes = unsent_bytes
+        if self.is_closed and not unsent_bytes:
+            self.lose()
+
+    def lose(self, *, is_soon: bool = True) -> None:
+        """Report the loss of the connection, once."""
+        self.is_closed = True
+        if not self.is_lost:
+            self.is_lost = True
+            if is_soon:
+                self.loop.call_soon(self.protocol.connection_lost, None)
+            else:
+                self.protocol.connection_lost(ConnectionResetError())
+
+
+class _Loop(asyncio.SelectorEventLoop):
+    """Event loop that connects to the machine."""
+
+    def __init__(self, connect: Callable[[Any], None]) -> None:
+        """Start without a connection."""
+        super().__init__()
+        self._connect = connect
+        self.failures: list[dict[str, Any]] = []
+        self.set_exception_handler(
+            lambda _, failure: self.failures.append(failure)
+        )
+
+    async def create_connection(  # type: ignore[override]
+        self, create_protocol: Callable[[], Any], *address: Any, **options: Any
+    ) -> None:
+        """Open a connection in the next turn."""
+        await asyncio.sleep(0)
+        self._connect(create_protocol())
+
+    def turn(self) -> None:
+        """Run all that is ready now."""
+        self.call_soon(self.stop)
+        self.run_forever()
+
+
+@attrs.define(eq=False)
+class _Play:
+    """Exchange, and what the machine sent as its reply."""
+
+    exchange: Exchange
+    connection: Connection
+    method: str
+    wire: _Wire | None = None
+    reply: _PlayedReply | None = None
+    #: Whether the replica cut its body, or put other bytes into it or at its
+    #: end, where nothing else ends it.
+    is_altered: bool = False
+    #: The outcome when it was seen first.
+    seen: Outcome | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Return the id of the request."""
+        return self.exchange.request.request_id
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """Return the outcome, if it is set."""
+        outcome = self.exchange.outcome
+        return outcome.result() if outcome.done() else None
+
+
+@attrs.frozen(kw_only=True)
+class _Copy:
+    """Late copy of one of the last replies, or the start of one."""
+
+    back: int
+    has_id: bool
+    has_stamp: bool
+    framing: str
+    method: str
+    body_bytes: int | None
+    sent_bytes: int
+
+
+_framings = st.sampled_from(('length', 'chunked', 'close'))
+_body_sizes = st.sampled_from((0, 12, 200))
+_extras = st.sampled_from(_SPOILED + _INTERIM) | st.builds(
+    _Copy,
+    back=st.integers(0, 2),
+    has_id=st.booleans(),
+    has_stamp=st.booleans(),
+    framing=_framings,
+    method=st.sampled_from(('GET', 'HEAD')),
+    body_bytes=st.sampled_from((None, 2)),
+    sent_bytes=st.just(_ALL_BYTES) | st.integers(1, 150),
+)
+_statuses = st.sampled_from((200, 200, 204, 500, 503))
+_sizes = st.just(_ALL_BYTES) | st.integers(1, 300)
+_offsets = st.none() | st.integers(0, 400)
+
+
+class ReplyMachine(RuleBasedStateMachine):  # noqa: WPS230 - the whole model
+    """Send requests on a connection at a time, and replies of any kind."""
+
+    def __init__(self) -> None:
+        """Start without a connection."""
+        super().__init__()
+        self.loop = _Loop(self._connect)
+        self.now_seconds: float = 0
+        self.echoes_ids = True
+        self.memory = ReplyMemory()
+        self.tasks = TaskSet()
+        self.pool = ConnectionPool(
+            'replica:1',
+            lambda address, hooks: Connection(
+                address, hooks, ReplicaCodec(), self._clock, self.memory
+            ),
+            self.tasks,
+            lambda: None,
+            lambda reply, now_seconds: None,
+        )
+        self.plays: list[_Play] = []
+        self.wires: list[_Wire] = []
+
+    @property
+    def wire(self) -> _Wire:
+        """Return the newest connection."""
+        return self.wires[-1]
+
+    def is_free(self) -> bool:
+        """Return whether a request may be sent."""
+        return self.pool.has_capacity(self.now_seconds)
+
+    def is_open(self) -> bool:
+        """Return whether the replica may send."""
+        return bool(self.wires) and not self.wire.is_closed
+
+    def has_request(self) -> bool:
+        """Return whether the replica has a request to answer."""
+        play = self.plays[-1] if self.plays else None
+        return self.is_open() and bool(play and play.wire and not play.reply)
+
+    @precondition(is_free)
+    @rule(
+        method=st.sampled_from(('GET', 'GET', 'POST', 'HEAD')),
+        id_kind=st.sampled_from(('new', 'new', 'new', 'same', 'none', 'long')),
+        turn_count=st.sampled_from((4, 4, 4, 3, 2, 1)),
+    )
+    def start(self, method: str, id_kind: str, turn_count: int) -> None:
+        """Send a request."""
+        number = len(self.plays) + 1
+        request_id = f'id-{number}'
+        if id_kind == 'same' and self.plays:
+            request_id = self.plays[-1].request_id
+        elif id_kind in {'none', 'long'}:
+            request_id = f'{_LONG_ID}-{number}' if id_kind == 'long' else ''
+        reply = _PlayedReply(
+            number=number, request_id=request_id, method=method
+        )
+        exchange = Exchange(
+            request=reply.request,
+            replica_id='r',
+            deadline_at_seconds=self.now_seconds + _DEADLINE_SECONDS,
+            outcome=self.loop.create_future(),
+        )
+        self.loop.call_soon(self._start, exchange, method)
+        self._turn(turn_count)
+
+    @initialize(echoes_ids=st.sampled_from((True, True, False)))
+    def choose_replica(self, echoes_ids: bool) -> None:  # noqa: FBT001
+        """Choose whether the sound replies have ids."""
+        self.echoes_ids = echoes_ids
+
+    @precondition(is_free)
+    @rule(
+        framing=st.sampled_from(('length', 'chunked')), body_bytes=_body_sizes
+    )
+    def exchange(self, framing: str, body_bytes: int) -> None:
+        """Send a request and its sound reply."""
+        self.start('GET', 'new', 4)
+        if not self.has_request():
+            return
+        is_disturbed = self.wire.is_disturbed
+        self.answer(200, framing, body_bytes, self.echoes_ids, has_stamp=True)
+        self.wire.is_disturbed = is_disturbed
+        self.deliver(_ALL_BYTES, is_read=True)
+        self._turn(1)
+        outcome = self.plays[-1].outcome
+        is_used = outcome is not None and outcome.reply is not None
+        assert is_disturbed or (is_used and self.is_open())
+
+    @precondition(has_request)
+    @rule(
+        status=_statuses,
+        framing=_framings,
+        body_bytes=_body_sizes,
+        has_id=st.sampled_from((True, True, False)),
+        has_stamp=st.sampled_from((True, True, True, False)),
+    )
+    def answer(
+        self,
+        status: int,
+        framing: str,
+        body_bytes: int,
+        has_id: bool,  # noqa: FBT001
+        has_stamp: bool,  # noqa: FBT001
+    ) -> None:
+        """Send a whole reply."""
+        self.wire.is_disturbed = True
+        play = self.plays[-1]
+        request_id = play.request_id
+        play.reply = _PlayedReply(
+            number=len(self.plays),
+            request_id=request_id,
+            method=play.method,
+            status=status,
+            framing=framing,
+            # An empty chunk ends a body.
+            body_bytes=max(body_bytes, 2 if framing == 'chunked' else 0),
+            has_id=has_id and bool(request_id),
+            has_stamp=has_stamp and status != 503,
+            is_not_run=status == 503,
+        )
+        self.wire.stream += play.reply.encoded
+
+    @precondition(is_open)
+    @rule(extra=_extras)
+    def send_extra(self, extra: bytes | _Copy) -> None:
+        """Send a copy, or bytes that are no reply."""
+        self.wire.is_disturbed = True
+        self.wire.stream += self._encode(extra)
+        last_reply = self.plays[-1].reply
+        if last_reply is not None and last_reply.is_close_delimited:
+            self.plays[-1].is_altered = True
+
+    @precondition(has_request)
+    @rule(
+        framing=_framings,
+        body_bytes=st.sampled_from((12, 200)),
+        extra=st.just(b'') | _extras,
+        at=_offsets,
+        is_chunk=st.booleans(),
+        cut_at=_offsets,
+    )
+    def answer_badly(
+        self,
+        framing: str,
+        body_bytes: int,
+        extra: bytes | _Copy,
+        at: int | None,
+        is_chunk: bool,  # noqa: FBT001
+        cut_at: int | None,
+    ) -> None:
+        """Send a reply with other bytes in its body, or the start of one."""
+        sent_before = self.wire.stream
+        self.answer(200, framing, body_bytes, has_id=True, has_stamp=True)
+        reply = self.plays[-1].reply
+        assert reply is not None
+        encoded = reply.encoded
+        if reply.has_body and at is not None:
+            inserted = self._encode(extra)
+            if framing == 'chunked' and is_chunk:
+                inserted = b'%x\r\n%b\r\n' % (len(inserted), inserted)
+                at = 0
+            at += len(reply.head)
+            encoded = b''.join((encoded[:at], inserted, encoded[at:]))
+        if cut_at is not None:
+            encoded = encoded[: cut_at + 1]
+        is_framed = framing != 'chunked' or is_chunk
+        self.plays[-1].is_altered = encoded != reply.encoded and is_framed
+        self.wire.stream = sent_before + encoded
+
+    @precondition(lambda machine: machine.is_open() and machine.wire.stream)
+    @rule(size=_sizes, is_read=st.booleans())
+    def deliver(self, size: int, is_read: bool) -> None:  # noqa: FBT001
+        """Let the front read a piece; its task may run later."""
+        self.wire.deliver(size)
+        self._turn(int(is_read))
+
+    @rule()
+    def turn(self) -> None:
+        """Run what is ready."""
+        self._turn(1)
+
+    @precondition(is_open)
+    @rule(
+        end=st.sampled_from(
+            ('fin', 'fin', 'fin at once', 'reset', 'reset at end', 'end late')
+        ),
+        is_delivered=st.booleans(),
+        turn_count=st.integers(0, 3),
+    )
+    def end(
+        self,
+        end: str,
+        is_delivered: bool,  # noqa: FBT001
+        turn_count: int,
+    ) -> None:
+        """End the connection; a reset may discard what was sent."""
+        wire = self.wire
+        if is_delivered or end.startswith('fin'):
+            wire.deliver(_ALL_BYTES)
+        if end == 'reset at end':
+            wire.socket_error = _RESET_ERROR
+        if end in {'reset', 'end late'}:
+            wire.lose(is_soon=end == 'reset')
+        if end == 'end late':
+            wire.protocol.eof_received()
+        wire.end()
+        if end == 'fin at once':
+            wire.lose(is_soon=False)
+        self._turn(turn_count)
+
+    @precondition(is_open)
+    @rule(
+        name=st.sampled_from(
+            ('leave', 'stop', 'fill_memory', 'stall', 'flush', 'wait')
+        )
+    )
+    def disturb(self, name: str) -> None:
+        """Let something else happen at the front or the network."""
+        self.wire.is_disturbed = True
+        getattr(self, f'_{name}')()
+
+    @invariant()
+    def answers_belong_to_their_requests(self) -> None:
+        """A caller must get the whole reply to its request, or none.
+
+        No outcome changes once it was set.
+        """
+        for play in self.plays:
+            if play.outcome is not None:
+                assert play.seen in {None, play.outcome}
+                play.seen = play.outcome
+                self._check(play, play.outcome)
+
+    def teardown(self) -> None:
+        """End the connections; each exchange must have an outcome."""
+        for wire in self.wires:
+            wire.lose()
+        self._turn(6)
+        self.loop.run_until_complete(self.tasks.cancel())
+        self.loop.close()
+        self.answers_belong_to_their_requests()
+        assert not self.loop.failures, self.loop.failures
+        assert not self.memory.held_bytes
+        assert all(play.seen for play in self.plays)
+
+    def _clock(self) -> float:
+        return self.now_seconds
+
+    def _turn(self, count: int) -> None:
+        for _ in range(count):
+            self.loop.turn()
+
+    def _leave(self) -> None:
+        if self.plays[-1].outcome is None:
+            self.plays[-1].connection.close()
+
+    def _stop(self) -> None:
+        self.loop.call_soon(self.loop.create_task, self.tasks.cancel())
+
+    def _fill_memory(self) -> None:
+        """Let another reply take the memory."""
+        max_bytes = self.memory.max_bytes
+        self.memory.max_bytes = 1
+        other = _OtherReply()
+        self.memory.hold(other, 1)
+        self.memory.release(other)
+        self.memory.max_bytes = max_bytes
+
+    def _stall(self) -> None:
+        self.wire.flush(9)
+
+    def _flush(self) -> None:
+        self.wire.flush(0)
+
+    def _wait(self) -> None:
+        self.now_seconds += 5
+
+    def _start(self, exchange: Exchange, method: str) -> None:
+        connection = self.pool.start(exchange, self.now_seconds)
+        self.plays.append(_Play(exchange, connection, method))
+
+    def _connect(self, protocol: Any) -> None:
+        self.wires.append(_Wire(protocol, self.loop, self._receive))
+        protocol.connection_made(self.wire)
+
+    def _receive(self, wire: _Wire) -> None:
+        assert wire is self.wire
+        assert self.plays[-1].wire is None
+        self.plays[-1].wire = wire
+
+    def _encode(self, extra: bytes | _Copy) -> bytes:
+        replies = [
+            play.reply
+            for play in self.plays
+            if play.wire is self.wire and play.reply is not None
+        ]
+        if isinstance(extra, bytes) or not replies:
+            return extra if isinstance(extra, bytes) else b''
+        reply = replies[-1 - extra.back % len(replies)]
+        copy = attrs.evolve(
+            reply,
+            has_id=reply.has_id and extra.has_id,
+            has_stamp=reply.has_stamp and extra.has_stamp,
+            framing=extra.framing,
+            method=extra.method,
+            body_bytes=extra.body_bytes or max(reply.body_bytes, 2),
+        )
+        return copy.encoded[: extra.sent_bytes]
+
+    def _check(self, play: _Play, outcome: Outcome) -> None:
+        reply = outcome.reply
+        assert (outcome.kind is OutcomeKind.replied) is (reply is not None)
+        if reply is None or check_reply(reply).is_invalid:
+            return
+        assert play.reply is not None, f'{reply} to an unanswered request'
+        expected = play.reply.reply
+        if play.is_altered and self._is_indistinct(play, reply.body):
+            expected = attrs.evolve(expected, body=reply.body)
+        assert reply == expected, f'{reply} for {expected}'
+        assert reply.stamp or not reply.is_success, 'success without a stamp'
+
+    def _is_indistinct(self, play: _Play, body: bytes) -> bool:
+        """Return whether nothing tells other bytes from a body.
+
+        These are bytes without an id and a stamp in a body of known length, and
+        bytes without the head of a reply in one without a length, which its
+        sender may also end early.
+        """
+        assert play.reply is not None
+        assert play.wire is not None
+        if play.reply.is_close_delimited:
+            return not _SECOND_HEAD.search(body)
+        replies = [
+            other.reply.reply
+            for other in self.plays
+            if other.reply is not None and other.wire is play.wire
+        ]
+        marks = [
+            mark
+            for reply in replies
+            for mark in (reply.request_id, reply.stamp)
+            if mark
+        ]
+        if any(mark.encode() in body for mark in marks):
+            return False
+        if play.reply.framing == 'chunked':
+            return True
+        arrived = play.wire.arrived
+        end = arrived.index(play.reply.head) + len(play.reply.head) + len(body)
+        piece_end = min(at for at in play.wire.piece_ends if at >= end)
+        followed = arrived[end:piece_end]
+        return not followed or b'HTTP/1.' not in body + followed[:6]
+
+
+@attrs.define(eq=False)
+class _OtherReply:
+    """Reply of another connection, which takes the memory for a moment."""
+
+    def discard(self) -> None:
+        """Do nothing."""
+
+
+def test_replies_are_whole_and_own() -> None:
+    """No order of events may give a caller another reply, or part of one."""
+    run_state_machine_as_test(
+        ReplyMachine,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=300,
+            stateful_step_count=30,
+        ),
+    )
