--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -16,6 +16,7 @@
 import yarl
 
 from tests.programs import PROGRAM_TIMEOUT_SECONDS, Program
+from tests.standins.listeners import reserve_port
 from tests.standins.replicas import ReplicaServer
 from tests.standins.stores import StoreServer
 
@@ -201,13 +202,8 @@
             sock.close()
 
     def _reserve_port(self) -> int:
-        """Return a free port that no other process gets from the kernel.
-
-        A front can listen on it beside the bound socket.
-        """
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(('127.0.0.1', 0))
+        """Return a free port that stays reserved until the deployment stops."""
+        sock = reserve_port()
         self._reserved.append(sock)
         port: int = sock.getsockname()[1]
         return port
