Refuse callers' requests on the metrics port

What callers saw: a caller that is sent to the metrics port got 200 for `GET /metrics`, without a replica's stamp, and 404 for any other path, after which it gives a proper request up.

Cause: the port answers whoever connects. With the default settings no caller is sent there. With `--metrics_port=0` the kernel draws the port on the IP address of the frontend, and may draw the one of a front that has ended and whose callers come back.

Ruled out: another server at the address of a live front; each of the five kinds of port is refused beside each other one (test_ports_are_not_shared).

A request with `Request-Id` now gets 421, which is true: it has not run and never will, and callers send it again elsewhere. The counter `misdirected_requests` counts it. The name of the header stays in platform/; the program passes it on.

--- a/dragonflyramp/metrics_http.py
+++ b/dragonflyramp/metrics_http.py
@@ -2,23 +2,30 @@
 
 import asyncio
 import importlib
+from http import HTTPStatus
 
 import attrs
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
+from dragonflyramp.metrics import counters
 
-@attrs.define(eq=False)
+
+@attrs.define(eq=False, kw_only=True)
 class MetricsServer:
     """Serve `/metrics` over HTTP."""
 
-    _runner: web.AppRunner | None = None
+    #: Header that all requests of callers have, and no scrape. Callers get here
+    #: if the port was one of a front that has ended.
+    caller_header: str
+    _runner: web.AppRunner | None = attrs.field(init=False, default=None)
 
     async def start(self, host: str, port: int) -> str:
         """Listen and return the bound `IP:port`.
 
         Raise OSError if the address cannot be bound.
         """
-        application = web.Application()
+        application = web.Application(middlewares=[self._refuse_caller])
         application.add_routes([web.get('/metrics', _handle_scrape)])
         self._runner = web.AppRunner(application, access_log=None)
         await self._runner.setup()
@@ -31,6 +38,18 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @web.middleware
+    async def _refuse_caller(
+        self,
+        request: web.Request,
+        handler: Handler,  # noqa: WPS110 - as in aiohttp
+    ) -> web.StreamResponse:
+        """Tell a caller that its request has not run; pass on a scrape."""
+        if self.caller_header in request.headers:
+            counters.add('misdirected_requests', 'metrics')
+            return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
+        return await handler(request)
+
 
 async def _handle_scrape(request: web.Request) -> web.Response:
     # The first import takes 0.1 s, which would block the event loop.
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -14,6 +14,7 @@
 
 from dragonflyramp.platform._backend_http import ReplicaCodec
 from dragonflyramp.platform._front_http import FrontServer
+from dragonflyramp.platform._headers import REQUEST_ID
 from dragonflyramp.platform._object_stores import (
     TEXTS_KIND,
     PlatformObjectStore,
@@ -28,6 +29,7 @@
 from dragonflyramp.platform._store_http import StoreClient, open_store
 
 __all__ = (
+    'REQUEST_ID',
     'SETTINGS_PATH_VARIABLE',
     'TEXTS_KIND',
     'FrontServer',
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -30,6 +30,7 @@
 )
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.platform import (
+    REQUEST_ID,
     FrontServer,
     StoreClient,
     StoreDecoder,
@@ -191,7 +192,7 @@
         front=front,
         front_server=FrontServer(front, _CLOCK),
         native_api_server=_create_native_api_server(front, store),
-        metrics_server=MetricsServer(),
+        metrics_server=MetricsServer(caller_header=REQUEST_ID),
         sync_server=SyncServer(synchronizer, _CLOCK),
         hub_links=dispatcher.hub_links,
         registrar=Registrar(
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -198,7 +198,7 @@
 @pytest.fixture
 async def daemon_address() -> AsyncIterator[str]:
     """Serve the metrics of a daemon and return the address."""
-    server = MetricsServer()
+    server = MetricsServer(caller_header='Request-Id')
     yield await server.start('127.0.0.1', 0)
     await server.stop()
 
--- a/tests/test_success_writers.py
+++ b/tests/test_success_writers.py
@@ -214,7 +214,7 @@
         if port in {'frontend', 'readiness'}:
             return await self._open_front(port, at)
         if port == 'metrics':
-            metrics_server = MetricsServer()
+            metrics_server = MetricsServer(caller_header='Request-Id')
             self._cleanup.push_async_callback(metrics_server.stop)
             host, _, number = at.rpartition(':')
             return await metrics_server.start(host, int(number))
