--- a/tests/soaks/_injectors.py
+++ b/tests/soaks/_injectors.py
@@ -213,7 +213,7 @@
         'hung',
     )
     fault_name = fault_names[fault.selector % len(fault_names)]
-    setattr(injector.pick_replica(fault).faults, fault_name, 2)
+    injector.pick_replica(fault).faults.plan(fault_name, 2)
     _set_faulty_replies(injector.deployment, fault.selector // len(fault_names))
     await asyncio.sleep(fault.duration_seconds)
 
@@ -225,7 +225,7 @@
     for service in ('lookup', shard):
         servers = deployment.replicas[service]
         faults = servers[variant % len(servers)].faults
-        setattr(faults, _FAULTY_REPLIES[index], 2)
+        faults.plan(_FAULTY_REPLIES[index], 2)
 
 
 async def _shed_requests(injector: FaultInjector, fault: Fault) -> None:
--- a/tests/standins/faulty_replies.py
+++ b/tests/standins/faulty_replies.py
@@ -12,6 +12,8 @@
 
     none = 'none'
     close = 'close'
+    #: The server sends nothing more, and still reads.
+    half = 'half'
     reset = 'reset'
 
 
@@ -22,7 +24,7 @@
     #: Status line and headers without those of the framing.
     head: bytes
     body: bytes
-    #: The reply before, on the same connection.
+    #: The last sound reply before, on the same connection.
     previous: bytes = b''
 
     @property
@@ -46,6 +48,8 @@
 
     encoded: bytes
     end: ConnectionEnd = ConnectionEnd.none
+    #: Bytes that follow later.
+    late: bytes = b''
 
 
 def with_length(head: bytes, body: bytes) -> bytes:
@@ -135,10 +139,118 @@
     return FaultyReply(encoded + _LAST_CHUNK)
 
 
-#: Faulty replies by the name of their fault.
+def _late_copy(reply: bytes, framing: bytes) -> bytes:
+    """Return the second answer that a stuttering server sends.
+
+    It has the id and the stamp of the first one, and another body.
+    """
+    if not reply:
+        return b''
+    marks = (
+        line
+        for line in reply.partition(b'\r\n\r\n')[0].split(b'\r\n')
+        if line.startswith((b'Server-Stamp:', b'Request-Id:'))
+    )
+    return b'\r\n'.join((b'HTTP/1.1 200 OK', *marks, framing, b'', b'ok'))
+
+
+_COPY_LENGTH = b'Content-Length: 2'
+_CLOSES = b'Connection: close'
+
+
+def _copy_before(parts: ReplyParts) -> FaultyReply:
+    copy = _late_copy(parts.previous, _COPY_LENGTH)
+    return FaultyReply(copy + parts.complete)
+
+
+def _unframed_copy_before(parts: ReplyParts) -> FaultyReply:
+    copy = _late_copy(parts.previous, _CLOSES)
+    return FaultyReply(copy + parts.complete, ConnectionEnd.close)
+
+
+def _copy_when_idle(parts: ReplyParts) -> FaultyReply:
+    copy = _late_copy(parts.complete, _COPY_LENGTH)
+    return FaultyReply(parts.complete, late=copy)
+
+
+def _unframed_copy_when_idle(parts: ReplyParts) -> FaultyReply:
+    copy = _late_copy(parts.complete, _CLOSES)
+    return FaultyReply(parts.complete, ConnectionEnd.close, copy)
+
+
+def _copy_after_close(parts: ReplyParts) -> FaultyReply:
+    """Send a copy after a reply that has no length and announces its end."""
+    copy = _late_copy(parts.complete, _COPY_LENGTH)
+    encoded = _WHOLE['announced'](parts)
+    return FaultyReply(encoded, ConnectionEnd.close, copy)
+
+
+def _announced(parts: ReplyParts) -> bytes:
+    """Return a reply without a length that announces its end."""
+    return b'\r\n'.join((parts.head + _CLOSES, b'', parts.body))
+
+
+_Encoder = Callable[[ReplyParts], bytes]
+#: Whole replies by their framing, and how to cut and to spoil a reply.
+_WHOLE: Mapping[str, _Encoder] = MappingProxyType(
+    {
+        'length': lambda parts: parts.complete,
+        'chunks': lambda parts: _chunked_whole(parts).encoded,
+        'announced': _announced,
+    }
+)
+_CUT: Mapping[str, _Encoder] = MappingProxyType(
+    {
+        'cut in status line': lambda parts: parts.complete[:12],
+        'cut in head': lambda parts: parts.head[:-4],
+        'cut before body': lambda parts: with_length(parts.head, parts.body)[
+            : -len(parts.body) or None
+        ],
+        'cut in body': lambda parts: parts.complete[:-3],
+        'cut in chunk': lambda parts: _chunked(parts.head, parts.body)[:-5],
+        'cut after chunks': lambda parts: _chunked_cut(parts).encoded,
+    }
+)
+_SPOILED: Mapping[str, _Encoder] = MappingProxyType(
+    {
+        'status line': lambda _: b'HTTP/1.1 OK 200\r\n\r\n',
+        'header': lambda _: b'HTTP/1.1 200 OK\r\nno colon here\r\n\r\n',
+        'negative length': lambda _: (
+            b'HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok'
+        ),
+        'TLS': lambda _: b'\x16\x03\x01\x00*\x02\x00\x00\r\n\r\n',
+    }
+)
+_ENDS = (ConnectionEnd.close, ConnectionEnd.half, ConnectionEnd.reset)
+
+
+def _with_end(
+    encode: _Encoder, end: ConnectionEnd
+) -> Callable[[ReplyParts], FaultyReply]:
+    return lambda parts: FaultyReply(encode(parts), end)
+
+
+def _ended_replies() -> Mapping[str, Callable[[ReplyParts], FaultyReply]]:
+    """Return each reply with each end; a spoiled one may have none."""
+    return {
+        f'{name}, {end.value}': _with_end(encode, end)
+        for name, encode in (*_WHOLE.items(), *_CUT.items(), *_SPOILED.items())
+        for end in (ConnectionEnd.none, *_ENDS)
+        if end in _ENDS or name in _SPOILED
+    }
+
+
+#: Faulty replies by the name of their fault. Those with a comma are named after
+#: what is sent and what becomes of the connection.
 FAULTY_REPLIES: Mapping[str, Callable[[ReplyParts], FaultyReply]] = (
     MappingProxyType(
         {
+            **_ended_replies(),
+            'copy_before': _copy_before,
+            'unframed_copy_before': _unframed_copy_before,
+            'copy_when_idle': _copy_when_idle,
+            'unframed_copy_when_idle': _unframed_copy_when_idle,
+            'copy_after_close': _copy_after_close,
             'truncated': _truncated,
             'garbled': _garbled,
             'unframed': _unframed,
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -1,6 +1,7 @@
 """Stand in for a backend server, over HTTP and with faults."""
 
 import asyncio
+import collections
 import math
 import time
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,13 @@
 from tests.standins.resets import reset_on_close
 
 _HEAD = 'HTTP/1.1 {status}\r\nServer-Stamp: {stamp}\r\nRequest-Id: {id}\r\n'
+_MISDIRECTED = '421 No'
+_FULL = '503 Full'
+#: Statuses of requests that run and fail, by the fault.
+_FAILURES = (('failed', '500 Bad'), ('timed_out', '504 Late'))
+#: Time after which the late bytes of a reply follow. The client may have sent
+#: the next request by then.
+_LATE_SECONDS = 0.003
 
 
 @attrs.define(kw_only=True)
@@ -31,30 +39,11 @@
     work_seconds: float = 0
     #: Requests that run and whose connection is reset before the reply.
     reset_before_reply: int = 0
-    #: Replies without a length whose body is truncated by a reset.
-    truncated: int = 0
     #: Replies that are sent twice.
     duplicated: int = 0
     #: Whether each reply is sent a second time, late: when the next request
     #: has arrived on the connection.
     late_copies: bool = False
-    #: Replies without a length that end with the connection: whole, reset
-    #: after the last byte, with a copy of themselves, or with the reply to the
-    #: request before.
-    unframed: int = 0
-    unframed_reset: int = 0
-    unframed_copied: int = 0
-    unframed_with_previous: int = 0
-    #: Successes without a stamp, with and without a length.
-    unsigned: int = 0
-    unsigned_unframed: int = 0
-    #: Replies with a length whose last byte is missing.
-    cut_short: int = 0
-    #: Replies in chunks: whole, without the empty chunk at the end, or with a
-    #: copy of the reply within a chunk.
-    chunked: int = 0
-    chunked_cut: int = 0
-    chunked_copied: int = 0
     #: Replies to HEAD that have a body.
     head_with_body: int = 0
     #: Requests that are answered with 503, and do not run, before their body
@@ -62,14 +51,15 @@
     early: int = 0
     #: Replies with the id of another request.
     wrong_id: int = 0
-    #: Replies that are not HTTP.
-    garbled: int = 0
     #: Replies whose head does not end until the front closes the connection.
     endless: int = 0
     #: Requests that are answered with 503 and do not run.
     shed: int = 0
-    #: Requests that run and are answered with 500.
+    #: Requests that are answered with 503, which has a stamp, and do not run.
+    shed_signed: int = 0
+    #: Requests that run and are answered with 500, and with 504.
     failed: int = 0
+    timed_out: int = 0
     #: Requests that run and are never answered.
     hung: int = 0
     #: Whether all replies say that the replica leaves.
@@ -80,10 +70,32 @@
     crash_text: str = ''
     #: Time until a process that ended starts again.
     restart_seconds: float = 0.3
+    #: Faulty replies by the name of their fault, as in FAULTY_REPLIES.
+    replies: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
+    def plan(self, fault: str, count: int = 1) -> None:
+        """Set how many requests a fault affects."""
+        if fault in FAULTY_REPLIES:
+            self.replies[fault] = count
+        else:
+            setattr(self, fault, count)
 
-async def _ignore_restart() -> None:
-    """Do nothing, for replicas without an entry."""
+    def remaining(self, fault: str) -> int:
+        """Return how many requests a fault will affect."""
+        if fault in FAULTY_REPLIES:
+            return self.replies[fault]
+        remaining_count: int = getattr(self, fault)
+        return remaining_count
+
+    def consume(self, fault: str) -> bool:
+        """Return whether a fault affects this request, and count it."""
+        remaining_count = self.remaining(fault)
+        self.plan(fault, max(0, remaining_count - 1))
+        return remaining_count > 0
+
+
+async def _ignore() -> None:
+    """Do nothing, for replicas without an entry or with whole replies."""
 
 
 @attrs.define(eq=False)
@@ -114,7 +126,9 @@
     start_time_ms: int = 1
     #: Called when the process ends, and when it has started again.
     on_end: Callable[[], None] = lambda: None
-    on_restart: Callable[[], Awaitable[None]] = _ignore_restart
+    on_restart: Callable[[], Awaitable[None]] = _ignore
+    #: Awaited when the first half of a faulty reply has been sent.
+    on_half_sent: Callable[[], Awaitable[None]] = _ignore
     connection_count: int = 0
     #: Hung requests whose connection the front closed.
     disconnect_count: int = 0
@@ -183,8 +197,8 @@
         head['line'] = request_line
         self.heads.append(head)
         self.arrivals.append((time.monotonic(), head['Request-Id']))
-        if self._consume_fault('early'):
-            self._write(writer, self._encode(head, '503 Full', ''))
+        if self.faults.consume('early'):
+            self._write(writer, self._encode(head, _FULL, ''))
             await self._receive_body(reader, head)
             return True
         await self._receive_body(reader, head)
@@ -192,25 +206,29 @@
             writer.write(self._last_replies.get(writer, b''))
         rejection = self._rejection(head)
         if rejection:
-            return self._write(writer, self._encode(head, rejection, ''))
+            is_signed = self.faults.consume('shed_signed')
+            stamp = f'{self.replica_id}.none-{len(self.heads)}' * is_signed
+            return self._write(writer, self._encode(head, rejection, stamp))
         self.run_ids.append(head['Request-Id'])
+        stamp = f'{self.replica_id}.{len(self.run_ids)}'
         self.executions.append((time.monotonic(), head['Request-Id']))
         if self.faults.crash_text and self.faults.crash_text in request_line:
             self.crashes.append(time.monotonic())
             self.end_process()
             return False
-        if self._consume_fault('hung'):
+        if self.faults.consume('hung'):
             return await self._hang(reader)
         await asyncio.sleep(self.faults.work_seconds)
-        if self._consume_fault('endless'):
+        if self.faults.consume('endless'):
             await _send_until_closed(writer)
-        return self._reply(writer, head)
+        return await self._reply(writer, head, stamp)
 
     def _rejection(self, head: dict[str, str]) -> str:
         """Return the status with which a request is rejected, or nothing."""
         if head.get('Expect-Instance') != self.replica_id:
-            return '421 No'
-        return '503 Full' if self._consume_fault('shed') else ''
+            return _MISDIRECTED
+        is_full = self.faults.consume('shed')
+        return _FULL if is_full or self.faults.remaining('shed_signed') else ''
 
     async def _receive_body(
         self, reader: asyncio.StreamReader, head: dict[str, str]
@@ -225,29 +243,51 @@
         self.disconnect_count += 1
         return False
 
-    def _reply(
-        self, writer: asyncio.StreamWriter, head: dict[str, str]
+    async def _reply(
+        self, writer: asyncio.StreamWriter, head: dict[str, str], stamp: str
     ) -> bool:
-        stamp = f'{self.replica_id}.{len(self.run_ids)}'
-        if self._consume_fault('failed'):
-            return self._write(writer, self._encode(head, '500 Bad', stamp))
-        if self._consume_fault('reset_before_reply'):
+        for failure, status in _FAILURES:
+            if self.faults.consume(failure):
+                return self._write(writer, self._encode(head, status, stamp))
+        if self.faults.consume('reset_before_reply'):
             return _reset(writer)
-        if self._consume_fault('wrong_id'):
+        if self.faults.consume('wrong_id'):
             head = {**head, 'Request-Id': 'another'}
         body = self.body_for(head['Request-Id'])
-        fault = next(filter(self._consume_fault, FAULTY_REPLIES), None)
+        fault = next(filter(self.faults.consume, FAULTY_REPLIES), None)
         if fault is not None:
             parts = ReplyParts(
                 head=_encode_head(head, '200 OK', stamp),
                 body=b'' if _is_head(head) else body,
                 previous=self._last_replies.get(writer, b''),
             )
-            return _send_faulty_reply(writer, FAULTY_REPLIES[fault](parts))
-        reply = self._encode(head, '200 OK', stamp, body=body)
-        if self._consume_fault('duplicated'):
-            reply += reply
-        return self._write(writer, reply)
+            reply = FAULTY_REPLIES[fault](parts)
+            return await self._send_faulty(writer, reply)
+        encoded = self._encode(head, '200 OK', stamp, body=body)
+        if self.faults.consume('duplicated'):
+            encoded += encoded
+        return self._write(writer, encoded)
+
+    async def _send_faulty(
+        self, writer: asyncio.StreamWriter, reply: FaultyReply
+    ) -> bool:
+        """Send a reply; return whether the connection stays open."""
+        middle = 0
+        if self.on_half_sent is not _ignore:
+            middle = len(reply.encoded) // 2
+            writer.write(reply.encoded[:middle])
+            await self.on_half_sent()
+        writer.write(reply.encoded[middle:])
+        if reply.late:
+            await asyncio.sleep(_LATE_SECONDS)
+            writer.write(reply.late)
+        if reply.end is ConnectionEnd.reset:
+            return _reset(writer)
+        if reply.end is ConnectionEnd.half:
+            writer.write_eof()
+        elif reply.end is ConnectionEnd.close:
+            writer.close()
+        return reply.end in {ConnectionEnd.none, ConnectionEnd.half}
 
     def _write(self, writer: asyncio.StreamWriter, reply: bytes) -> bool:
         self._last_replies[writer] = reply
@@ -261,28 +301,24 @@
         stamp: str,
         body: bytes = b'',
     ) -> bytes:
-        headers = [] if stamp else ['Not-Executed: 1\r\n']
+        is_refused = status in {_MISDIRECTED, _FULL}
+        headers = ['Not-Executed: 1\r\n'] if is_refused else []
         if self.faults.leaving:
             self._record_notice(head, math.inf)
             headers.append('Server-Leaving: 1\r\n')
         pause = self.faults.retry_after
-        if pause and not stamp:
+        if pause and is_refused:
             self._record_notice(head, float(pause))
             headers.append(f'Retry-After: {pause}\r\n')
         reply_head = _encode_head(head, status, stamp, ''.join(headers))
         reply = with_length(reply_head, body)
-        if _is_head(head) and not self._consume_fault('head_with_body'):
+        if _is_head(head) and not self.faults.consume('head_with_body'):
             return reply.removesuffix(body)
         return reply
 
     def _record_notice(self, head: dict[str, str], seconds: float) -> None:
         self.notices.append((time.monotonic(), head['Request-Id'], seconds))
 
-    def _consume_fault(self, fault: str) -> bool:
-        remaining: int = getattr(self.faults, fault)
-        setattr(self.faults, fault, max(0, remaining - 1))
-        return remaining > 0
-
 
 def _is_head(head: dict[str, str]) -> bool:
     return head['line'].startswith('HEAD ')
@@ -295,18 +331,6 @@
     return f'{reply_head}{extra_headers}'.encode()
 
 
-def _send_faulty_reply(
-    writer: asyncio.StreamWriter, reply: FaultyReply
-) -> bool:
-    """Send a reply; return whether the connection stays open."""
-    writer.write(reply.encoded)
-    if reply.end is ConnectionEnd.reset:
-        return _reset(writer)
-    if reply.end is ConnectionEnd.close:
-        writer.close()
-    return reply.end is ConnectionEnd.none
-
-
 async def _send_until_closed(writer: asyncio.StreamWriter) -> None:
     """Send a head without end; raise ConnectionError when it is closed."""
     writer.write(b'HTTP/1.1 200 OK\r\n')
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -450,7 +450,7 @@
     """The log lines of the fronts alone must show why a request failed."""
     async with run_deployment(tmp_path) as deployment:
         for server in deployment.replicas.get(service, ()):
-            setattr(server.faults, fault, 9)
+            server.faults.plan(fault, 9)
         front = deployment.fronts[0]
         await send_request(session, front, path, 'q1', method='POST')
         lines = front.program.lines
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -110,7 +110,7 @@
     async with run_harness(_SEARCH_TABLE, policies=_NO_HEDGING) as harness:
         _set_reply_bodies(harness)
         for server in harness.servers['b']:
-            setattr(server.faults, fault, 1)
+            server.faults.plan(fault)
             server.faults.work_seconds = 0.01
         harness.server('b', 1).faults = ReplicaFaults()
         for number in range(4):
@@ -302,7 +302,7 @@
     table = make_table(make_route(is_idempotent=False))
     async with run_harness(table, policies=_NO_HEDGING) as harness:
         for server in harness.servers['a']:
-            setattr(server.faults, fault, 1)
+            server.faults.plan(fault)
         if fault == 'shed':
             harness.server('a', 1).faults.shed = 0
         answer = await harness.send(method='POST')
--- a/tests/test_replica_notices.py
+++ b/tests/test_replica_notices.py
@@ -208,7 +208,7 @@
         leaving = harness.server('a', 0)
         leaving.faults.leaving = True
         if fault:
-            setattr(leaving.faults, fault, 1)
+            leaving.faults.plan(fault)
         request_count = await _send_until_leaving(harness, 0)
         connection_count = leaving.connection_count
         for number in range(10):
--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -452,7 +452,7 @@
             server.body = server.replica_id.encode() * 1000
         for number in range(10):
             if fault:
-                setattr(slow.faults, fault, 2)
+                slow.faults.plan(fault, 2)
             answer = await harness.send(request_id=f'q{number}')
             assert isinstance(answer, RelayedAnswer)
             reply = answer.reply
--- a/tests/test_spoiled_replies.py
+++ b/tests/test_spoiled_replies.py
@@ -15,6 +15,7 @@
     make_table,
     run_harness,
 )
+from tests.standins.faulty_replies import FAULTY_REPLIES
 from tests.standins.replicas import ReplicaFaults
 
 _NO_HEDGING = Policies(hedging=NoHedging())
@@ -25,7 +26,18 @@
     make_route(gather=GatherSettings(_SHARDS, top_count=3, min_share=0.75))
 )
 #: Replies in which nothing is missing and nothing is added.
-_WHOLE = ('unframed', 'chunked', 'duplicated')
+_WHOLE = (
+    'unframed',
+    'chunked',
+    'duplicated',
+    'copy_before',
+    'copy_when_idle',
+    *(
+        f'{framing}, {end}'
+        for framing in ('length', 'chunks', 'announced')
+        for end in ('close', 'half')
+    ),
+)
 #: Replies that must not be used.
 _SPOILED = (
     'unframed_reset',
@@ -37,11 +49,20 @@
     'chunked_copied',
     'truncated',
     'wrong_id',
+    'copy_after_close',
+    'announced, reset',
+    *(
+        fault
+        for fault in FAULTY_REPLIES
+        if ',' in fault and not fault.startswith(('length', 'chunks', 'anno'))
+    ),
 )
+#: Replies that may be lost, or lose the next one, as their connection ends.
+_LOSSY = ('length, reset', 'chunks, reset', 'unframed_copy_when_idle')
 #: Statuses that promise that a request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 #: Replies that are spoiled only by a reply before them on the connection.
-_SPOILED_BY_PREVIOUS = ('unframed_with_previous',)
+_SPOILED_BY_PREVIOUS = ('unframed_with_previous', 'unframed_copy_before')
 #: Requests before the fault, so that it occurs on the first or on a later
 #: request of a connection.
 _EARLIER_COUNTS = (0, 4)
@@ -62,7 +83,7 @@
 ) -> ReplicaFaults:
     """Set a fault on whichever replica of a service gets the next requests."""
     faults = ReplicaFaults()
-    setattr(faults, fault, count)
+    faults.plan(fault, count)
     for server in harness.servers[service]:
         server.faults = faults
     return faults
@@ -144,13 +165,73 @@
         faults.late_copies = late_copies
         request_ids = [f'q{number}' for number in range(5)]
         answers = await _send_all(harness, request_ids, 'POST')
-        assert not getattr(faults, fault)
+        assert not faults.remaining(fault)
         for request_id, answer in zip(request_ids, answers, strict=True):
             _check_success(harness, answer, request_id)
         assert harness.run_count('a') == len(earlier_ids) + len(request_ids)
 
 
-@_each_spoiled
+@_each_position
+@pytest.mark.parametrize('fault', _LOSSY)
+async def test_request_with_lost_reply_runs_once(
+    fault: str, earlier_count: int
+) -> None:
+    """A request whose reply may be lost must not run again or be denied."""
+    async with run_harness(_ONCE_TABLE, policies=_NO_HEDGING) as harness:
+        _set_bodies(harness)
+        earlier_ids = [f'e{number}' for number in range(earlier_count)]
+        await _send_all(harness, earlier_ids, 'POST')
+        faults = _share_fault(harness, 'a', fault, 2)
+        request_ids = [f'q{number}' for number in range(5)]
+        answers = await _send_all(harness, request_ids, 'POST')
+        assert not faults.remaining(fault)
+        for request_id, answer in zip(request_ids, answers, strict=True):
+            _check_answer(harness, answer, request_id)
+        run_ids = (
+            harness.server('a', 0).run_ids + harness.server('a', 1).run_ids
+        )
+        assert len(run_ids) == len(set(run_ids))
+
+
+@pytest.mark.parametrize(
+    'fault', ['', 'copy_before', 'copy_when_idle', 'duplicated']
+)
+@pytest.mark.parametrize('refusal', ['shed_signed', 'timed_out'])
+@pytest.mark.parametrize('is_idempotent', [True, False])
+async def test_copy_of_refusal_is_no_success(
+    fault: str, refusal: str, is_idempotent: bool
+) -> None:
+    """A signed refusal between replies, or its copy, must not be a success.
+
+    The copy bears the id of a request that is sent once more.
+    """
+    table = _IDEMPOTENT_TABLE if is_idempotent else _ONCE_TABLE
+    async with run_harness(table, policies=_NO_HEDGING) as harness:
+        _set_bodies(harness)
+        faults = _share_fault(harness, 'a', refusal, 0)
+        for number in range(12):
+            request_id = f'q{number}'
+            if number % 2:
+                faults.plan(refusal)
+            elif fault:
+                faults.plan(fault)
+            answer = await harness.send(request_id=request_id, method='POST')
+            _check_answer(harness, answer, request_id)
+            assert isinstance(answer, RelayedAnswer)
+            # An idempotent request is answered by the other replica.
+            is_relayed = refusal == 'timed_out' and not is_idempotent
+            assert answer.reply.is_success is not bool(
+                number % 2 and is_relayed
+            )
+
+
+@pytest.mark.parametrize(
+    ('fault', 'earlier_count'),
+    (
+        *itertools.product((*_SPOILED, *_LOSSY), _EARLIER_COUNTS),
+        *itertools.product(_SPOILED_BY_PREVIOUS, _EARLIER_COUNTS[1:]),
+    ),
+)
 async def test_spoiled_reply_is_retried(fault: str, earlier_count: int) -> None:
     """A caller must not get a reply that is unsigned, mixed or cut short."""
     async with run_harness(_IDEMPOTENT_TABLE, policies=_NO_HEDGING) as harness:
@@ -160,7 +241,7 @@
         faults = _share_fault(harness, 'a', fault)
         request_ids = [f'q{number}' for number in range(4)]
         answers = await _send_all(harness, request_ids, 'GET')
-        assert not getattr(faults, fault)
+        assert not faults.remaining(fault)
         for request_id, answer in zip(request_ids, answers, strict=True):
             _check_success(harness, answer, request_id)
 
@@ -200,7 +281,9 @@
 
 
 @_each_position
-@pytest.mark.parametrize('fault', (*_WHOLE, *_SPOILED, *_SPOILED_BY_PREVIOUS))
+@pytest.mark.parametrize(
+    'fault', (*_WHOLE, *_SPOILED, *_LOSSY, *_SPOILED_BY_PREVIOUS)
+)
 async def test_search_has_no_part_of_spoiled_reply(
     fault: str, earlier_count: int
 ) -> None:
@@ -212,7 +295,7 @@
         faults = _share_fault(harness, 'b', fault)
         request_ids = [f'q{number}' for number in range(4)]
         answers = await _send_all(harness, request_ids, 'GET')
-        assert not getattr(faults, fault)
+        assert not faults.remaining(fault)
         records = [letter * RECORD_BYTES for letter in (b'd', b'c', b'b')]
         for request_id, answer in zip(request_ids, answers, strict=True):
             assert isinstance(answer, MergedAnswer)
