Test each end of a reply from the sockets of callers

tests/test_reply_ends.py checks what a connection hands on, and tests/test_spoiled_replies.py what a front returns; nothing checked what a caller reads while a reply ends and something else happens. Now a front that listens is called over raw sockets. A success must have the stamp or parts, the id and the body of a run of that request, and nothing may follow it.

--- a/tests/front_harnesses.py
+++ b/tests/front_harnesses.py
@@ -16,6 +16,7 @@
     Connection,
     Fleet,
     Policies,
+    ReplyMemory,
     apply_peer_latency_ratios,
 )
 from dragonflyramp.callers import Front, Query
@@ -166,7 +167,7 @@
         return sum(len(server.run_ids) for server in self.servers[service])
 
 
-def make_front(
+def make_front(  # noqa: WPS211 - all dependencies of a front
     table: RoutingTable,
     entries: Iterable[ReplicaEntry],
     tasks: TaskSet,
@@ -174,11 +175,15 @@
     budget_slack: float,
     policies: Policies,
     daemon_count: int = 1,
+    memory: ReplyMemory | None = None,
 ) -> Front:
     """Create a front from a routing table and replica entries."""
     fleet = Fleet(
         create_connection=functools.partial(
-            Connection, codec=ReplicaCodec(), clock=time.monotonic
+            Connection,
+            codec=ReplicaCodec(),
+            clock=time.monotonic,
+            memory=memory,
         ),
         tasks=tasks,
     )
@@ -212,6 +217,7 @@
     *,
     budget_slack: float = 50,
     policies: Policies | None = None,
+    memory: ReplyMemory | None = None,
 ) -> AsyncIterator[FrontHarness]:
     """Run a front and the replicas of each service of a routing table."""
     servers = {
@@ -232,6 +238,7 @@
         tasks,
         budget_slack=budget_slack,
         policies=policies or Policies(),
+        memory=memory,
     )
     async with contextlib.AsyncExitStack() as cleanup:
         for running_server in itertools.chain.from_iterable(servers.values()):
