--- a/benchmarks/reply_days.py
+++ b/benchmarks/reply_days.py
@@ -25,7 +25,7 @@
 #: None leaves the choice of the service to the seed of the run.
 _SERVICES = (*_PLAIN, '@s2', _SHARDS, None)
 
-#: Without entries later than this, the last ones end before the day does.
+#: Faults that start no later end before the day does, with its closing.
 _LAST_START_SECONDS = 25.0
 _FIRST_START_SECONDS = 0.5
 #: Share of the other entries that start while replies are being spoiled.
@@ -34,7 +34,7 @@
 #: The classes of this day send long requests that may run only once. Those of
 #: the sites have no body, and no replica rejects them early.
 _LONG_REQUESTS_DAY = (
-    pathlib.Path(__file__).parents[1] / 'deploy' / 'days/replies-doubled.toml'
+    pathlib.Path(__file__).parents[1] / 'deploy/days/replies-doubled.toml'
 )
 _LONG_REQUESTS_SHARE = 0.5
 
@@ -52,7 +52,7 @@
     at_seconds: float | None = _keyed('at')
     way: str | None = _keyed('how')
     service: str | None = None
-    zone: str | None = None
+    failure_domain: str | None = _keyed('zone')
     machines: str | None = _keyed('on')
     share: float | None = None
     count: int | None = None
@@ -180,9 +180,14 @@
         for_seconds=(4, 6),
     ),
     # Failure domains that are lost, cut off or come back cold.
-    _trouble('zone_cut', zone=_DOMAINS, for_seconds=(5,)),
-    _trouble('zone_loss', zone=_DOMAINS, for_seconds=(4,)),
-    _trouble('cold_return', way=('', 'dark'), zone=_DOMAINS, for_seconds=(4,)),
+    _trouble('zone_cut', failure_domain=_DOMAINS, for_seconds=(5,)),
+    _trouble('zone_loss', failure_domain=_DOMAINS, for_seconds=(4,)),
+    _trouble(
+        'cold_return',
+        way=('', 'dark'),
+        failure_domain=_DOMAINS,
+        for_seconds=(4,),
+    ),
     # The store: down, slow, without its history, or with lost answers.
     _trouble(
         'platform_down',
@@ -227,7 +232,9 @@
     ),
     _trouble('scale_in', service=_SERVICES, share=(0.15, 0.3)),
     _trouble('scale_out', share=(0.3,), gap_seconds=(2,)),
-    _trouble('evacuate', way=('', 'warm'), zone=_DOMAINS, for_seconds=(6,)),
+    _trouble(
+        'evacuate', way=('', 'warm'), failure_domain=_DOMAINS, for_seconds=(6,)
+    ),
     # Fronts that are restarted, reloaded or added.
     _trouble(
         'roll_term',
