Close the connection after an offer of an upgrade that is not made

After a request with, for example, Upgrade: h2c, a request that followed in the same piece got no answer; the answer to the third came in its place, and if only the head of the second was dropped, its body ran as a request: an answer that belongs to another request, and a request that nobody sent.

Cause: aiohttp's parser pauses at such an offer and returns no rest if it does not support the protocol. The connection went on without the bytes.

Ruled out: websocket and CONNECT, after which nothing is dropped, keep their connection as before.

A caller is told by Connection: close that its next request was not read.

--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -25,6 +25,7 @@
 from dragonflyramp.platform._body_memory import BodyMemory
 from dragonflyramp.results import ResultCode
 
+_SUPPORTED_UPGRADE = 'websocket'
 _READINESS_PATH = '/api/ready'
 #: Callers may keep connections idle for this long; closing an idle connection
 #: earlier could race with its next request.
@@ -121,7 +122,7 @@
                 'unhandled exception in the request to {}', request.path
             )
             response = FailureResponse(HTTPStatus.INTERNAL_SERVER_ERROR)
-        if self._front.is_stopping:
+        if self._front.is_stopping or _offers_dropped_upgrade(request):
             response.force_close()
         return response
 
@@ -154,6 +155,16 @@
         return encode_answer(answer, query.request)
 
 
+def _offers_dropped_upgrade(request: web.BaseRequest) -> bool:
+    """Return whether aiohttp may have dropped what follows a request.
+
+    It drops the rest of the read bytes after an offer of an upgrade that it
+    does not support.
+    """
+    offered = request.headers.get('Upgrade', _SUPPORTED_UPGRADE)
+    return offered.lower() != _SUPPORTED_UPGRADE
+
+
 def _build_query(
     request: web.BaseRequest,
     body: bytes,
--- a/dragonflyramp/settings.py
+++ b/dragonflyramp/settings.py
@@ -125,6 +125,11 @@
         'the level warning that exceed it are dropped and counted.',
     )
 
+    @property
+    def logs_all_answers(self) -> bool:
+        """Return whether all successful answers in time are logged."""
+        return self.log_answers is AnswerLogging.all
+
 
 @attrs.frozen
 class SettingDefinition:
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -38,11 +38,7 @@
 from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.routing_state import ObjectDecoder, RoutingState
 from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
-from dragonflyramp.settings import (
-    AnswerLogging,
-    ConfigurationSource,
-    Settings,
-)
+from dragonflyramp.settings import ConfigurationSource, Settings
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.tools._backend_components import (
     create_backend_client,
@@ -189,7 +185,7 @@
         routing_state,
         synchronizer,
         suspect_records,
-        logs_all_answers=settings.log_answers is AnswerLogging.all,
+        logs_all_answers=settings.logs_all_answers,
     )
     return FrontComponents(
         settings=settings,
