Refuse callers' requests on the readiness port

A caller that is sent to the port of the readiness checks, if it was the port of a front that has ended, got 200 for GET /api/ready, without a replica's stamp, and 503 for all else.

Cause: the port answers whoever connects. A request with Request-Id now gets 421, which is true: it has not run and never will.

The platform's checks have no Request-Id.

--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -107,6 +107,10 @@
                 await runner.cleanup()
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
+        if http_headers.REQUEST_ID in request.headers:
+            # The port may be a former one of a front. The request has not run.
+            counters.add('misdirected_requests', 'readiness')
+            return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         is_ready = self._front.is_ready() and request.path == _READINESS_PATH
         status = HTTPStatus.SERVICE_UNAVAILABLE
         return web.Response(status=HTTPStatus.OK if is_ready else status)
