Soak: spoil replies all the while, and check the proof of each answer

Now some replica spoils a reply every 0.1 s, in any way that the stand-in knows, until the other faults have ended. Each success must have the stamps and the id of runs of that request and a body with its id, on plain routes and searches; a failure with a stamp must be that of its run. A run fails if a front logs an answer that lost its proof.

Ids of requests are padded to the size of a record, so that the body of a search shows them too.

--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -104,6 +104,8 @@
     directory: pathlib.Path
     replicas: dict[str, list[ReplicaServer]] = attrs.field(factory=dict)
     fronts: list[FrontProcess] = attrs.field(factory=list)
+    #: Each process of a front, also those that have ended.
+    programs: list[Program] = attrs.field(factory=list)
     _reserved: list[socket.socket] = attrs.field(factory=list)
 
     async def start_replicas(self, count: int) -> None:
@@ -214,11 +216,13 @@
 
     async def _run_front(self, name: str) -> Program:
         path = self.directory / f'{name}.yaml'
-        return await Program.start(
+        program = await Program.start(
             'dragonflyramp.tools.front',
             ['--metrics_port=0', '--stop_notice_seconds=0.3'],
             environment={'DRAGONFLYRAMP_BOOT': str(path)},
         )
+        self.programs.append(program)
+        return program
 
     def _settings(
         self, name: str, ports: Sequence[int], seeds: Sequence[str]
--- a/tests/soaks/_callers.py
+++ b/tests/soaks/_callers.py
@@ -8,7 +8,12 @@
 import aiohttp
 import attrs
 
-from tests.deployments import Deployment, FrontProcess, send_request
+from tests.deployments import (
+    RECORD_BYTES,
+    Deployment,
+    FrontProcess,
+    send_request,
+)
 
 _PAUSE_SECONDS = 0.02
 #: Text in the path of the request that ends the replicas that run it.
@@ -80,7 +85,11 @@
         path: str,
         request_id: str,
     ) -> RequestRecord:
-        """Send a request and return its record, whether or not it succeeded."""
+        """Send a request and return its record, whether or not it succeeded.
+
+        The id gets the size of a record, so that a search can return it.
+        """
+        request_id = request_id.rjust(RECORD_BYTES, '0')
         record = RequestRecord(
             request_id=request_id,
             path=path,
--- a/tests/soaks/_checks.py
+++ b/tests/soaks/_checks.py
@@ -31,6 +31,13 @@
 _LOOKUP_RECORD = b'p' * RECORD_BYTES
 #: Statuses that tell the caller that its request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+#: Failures of replicas, which fronts relay.
+_RELAYED_FAILURES = frozenset((500, 504))
+#: Log messages of fronts that had an answer which could not be proved.
+_LOST_PROOFS = (
+    'answer has no proof and is not sent',
+    'reply cannot be relayed without its stamp',
+)
 _OK = 200
 _NOT_FOUND = 404
 
@@ -74,6 +81,8 @@
     budget_slack: int
     #: When one request, which is sent again and again, ended replicas.
     crashed_at_seconds: Sequence[float] = ()
+    #: Log lines of all fronts.
+    log_lines: Sequence[str] = ()
 
     def is_undisturbed(
         self, starts_at_seconds: float, ends_at_seconds: float
@@ -90,6 +99,7 @@
     """Return a message for each violated guarantee."""
     checks = (
         _invalid_answers,
+        _lost_proofs,
         _duplicate_executions,
         _false_refusals,
         _changed_bodies,
@@ -106,40 +116,87 @@
 
 
 def _invalid_answers(observations: Observations) -> Iterator[str]:
+    """Check the proof and the body of each answer that a replica gave."""
+    stamped_ids = _stamped_ids(observations.executions)
     for record in observations.requests:
-        if record.status != _OK:
-            continue
-        if record.path.startswith('/search'):
-            yield from _search_violations(record)
-        else:
-            yield from _relay_violations(record)
+        check = _failure_violations
+        if record.status // 100 == _OK // 100:
+            is_search = record.path.startswith('/search')
+            check = _search_violations if is_search else _relay_violations
+        yield from check(record, stamped_ids)
+
+
+def _stamped_ids(executions: Iterable[Execution]) -> Mapping[str, str]:
+    """Return the id of the request by the stamp of each execution.
+
+    A replica numbers its stamps.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    stamped_ids: dict[str, str] = {}
+    for execution in executions:
+        counts[execution.replica_id] += 1
+        number = counts[execution.replica_id]
+        stamped_ids[f'{execution.replica_id}.{number}'] = execution.request_id
+    return stamped_ids
+
+
+def _failure_violations(
+    record: RequestRecord, stamped_ids: Mapping[str, str]
+) -> Iterator[str]:
+    stamp = record.headers.get('Server-Stamp')
+    is_relayed = record.status in _RELAYED_FAILURES
+    is_own = is_relayed and stamped_ids.get(stamp or '') == record.request_id
+    if stamp and not is_own:
+        yield (
+            f'{record.request_id}: {record.status} with the '
+            f'Server-Stamp {stamp} of another answer'
+        )
 
 
-def _relay_violations(record: RequestRecord) -> Iterator[str]:
-    if not record.headers.get('Server-Stamp'):
+def _relay_violations(
+    record: RequestRecord, stamped_ids: Mapping[str, str]
+) -> Iterator[str]:
+    stamp = record.headers.get('Server-Stamp')
+    if not stamp:
         yield f'{record.request_id}: success without a Server-Stamp'
+    elif stamped_ids.get(stamp) != record.request_id:
+        yield f'{record.request_id}: {stamp} is the stamp of another request'
+    if record.headers.get('Request-Id') != record.request_id:
+        yield f'{record.request_id}: success with another Request-Id, or none'
     if record.body != _LOOKUP_RECORD + record.request_id.encode():
         yield f'{record.request_id}: body is not its own, or not whole'
 
 
-def _search_violations(record: RequestRecord) -> Iterator[str]:
+def _search_violations(
+    record: RequestRecord, stamped_ids: Mapping[str, str]
+) -> Iterator[str]:
     stamps = record.headers.get('Part-Stamps', '').split(', ')
     shards = [stamp.rpartition('.')[0].rpartition('-')[0] for stamp in stamps]
     missing = int(record.headers.get('Missing-Parts', '0'))
+    if 'Server-Stamp' in record.headers:
+        yield f'{record.request_id}: search with a Server-Stamp'
+    if {stamped_ids.get(stamp) for stamp in stamps} != {record.request_id}:
+        yield f'{record.request_id}: stamp of another request in {stamps}'
     if len(set(shards)) != len(shards) or set(shards) - set(SHARDS):
         yield f'{record.request_id}: unknown or duplicate shards in {shards}'
     if len(shards) + missing != len(SHARDS):
         yield f'{record.request_id}: Missing-Parts does not match Part-Stamps'
     if len(shards) < _MIN_SHARD_SHARE * len(SHARDS):
         yield f'{record.request_id}: fewer parts than the minimum shard share'
-    # The body of a replica repeats the last letter of its shard.
-    letters = sorted((shard[-1].encode() for shard in shards), reverse=True)
-    if record.body != b''.join(
-        letter * RECORD_BYTES for letter in letters[:_TOP_K]
-    ):
+    # The body of a replica repeats the last letter of its shard, and ends with
+    # the id of the request.
+    records = [shard[-1:].encode() * RECORD_BYTES for shard in shards]
+    records.extend(record.request_id.encode() for _ in shards)
+    if record.body != b''.join(sorted(records, reverse=True)[:_TOP_K]):
         yield f'{record.request_id}: body does not match its parts'
 
 
+def _lost_proofs(observations: Observations) -> Iterator[str]:
+    for line in observations.log_lines:
+        if any(message in line for message in _LOST_PROOFS):
+            yield f'a front had an answer without a proof: {line}'
+
+
 def _duplicate_executions(observations: Observations) -> Iterator[str]:
     execution_counts = collections.Counter(
         execution.request_id for execution in observations.executions
--- a/tests/soaks/_injectors.py
+++ b/tests/soaks/_injectors.py
@@ -4,6 +4,7 @@
 import collections
 import functools
 import itertools
+import random
 import signal
 import time
 from collections.abc import Awaitable, Callable, Mapping
@@ -19,6 +20,7 @@
 )
 from tests.soaks._faults import Fault, FaultKind
 from tests.soaks._proxies import Proxy
+from tests.standins.faulty_replies import FAULTY_REPLIES
 from tests.standins.replicas import ReplicaServer
 from tests.standins.stores import StoreFaults
 
@@ -89,6 +91,16 @@
             await asyncio.sleep(down_seconds)
             await self.restart(front)
 
+    async def spoil_replies(self, rng: random.Random) -> None:
+        """Spoil a reply of one replica after another until cancelled.
+
+        This is no fault that may disturb the connections of callers.
+        """
+        servers = self.deployment.all_servers()
+        while True:
+            rng.choice(servers).faults.plan(rng.choice(_SPOILED_REPLIES))
+            await asyncio.sleep(_SPOILED_REPLY_INTERVAL_SECONDS)
+
     async def restart(self, front: FrontProcess) -> None:
         """Start a stopped front and give it time to listen."""
         await self.deployment.restart_front(front)
@@ -110,6 +122,9 @@
     'chunked_copied',
     'early',
 )
+#: Set all the while; refusals and failures with a stamp come between.
+_SPOILED_REPLIES = (*FAULTY_REPLIES, 'duplicated', 'shed_signed', 'timed_out')
+_SPOILED_REPLY_INTERVAL_SECONDS = 0.1
 #: Seconds for which a replica that sheds requests asks for a pause.
 _PAUSE = '1.5'
 
--- a/tests/soaks/_runs.py
+++ b/tests/soaks/_runs.py
@@ -71,7 +71,11 @@
         caller_tasks.append(
             asyncio.create_task(crashing_caller.repeat_crashing_request())
         )
+        spoiling = asyncio.create_task(
+            injector.spoil_replies(random.Random(seed))
+        )
         await asyncio.gather(*map(injector.inject, faults))
+        spoiling.cancel()
         try:
             await _wait_ready(injector.deployment)
         except AssertionError as error:
@@ -127,6 +131,11 @@
         drain_started_at_seconds=injector.drain_started_at_seconds,
         unplanned_fault_spans=injector.unplanned_fault_spans,
         budget_slack=_BUDGET_SLACK,
+        log_lines=tuple(
+            itertools.chain.from_iterable(
+                program.lines for program in injector.deployment.programs
+            )
+        ),
         crashed_at_seconds=sorted(
             itertools.chain.from_iterable(
                 replica.crashes for replica in injector.deployment.all_servers()
@@ -178,7 +187,7 @@
     for service in (*SHARDS, 'lookup'):
         for index, server in enumerate(deployment.replicas[service]):
             server.faults.work_seconds = 0.005
-            server.appends_id = service == 'lookup'
+            server.appends_id = True
             server.faults.crash_text = CRASH_TEXT
             proxy = Proxy(server.address)
             address = await proxy.start()
--- a/tests/standins/replicas.py
+++ b/tests/standins/replicas.py
@@ -185,7 +185,9 @@
         try:
             while await self._answer(reader, writer):
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, OSError):
+            # To half-close a connection that is not connected is no
+            # ConnectionError.
             writer.close()
 
     async def _answer(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,17 +47,18 @@
     started_at_seconds=100,
     ended_at_seconds=101,
     status=200,
-    headers={'Server-Stamp': 'lookup-0.1'},
+    headers={'Server-Stamp': 'lookup-0.1', 'Request-Id': 'q1'},
     body=b'ppppppppppppppppq1',
 )
 _SEARCH = attrs.evolve(
     _ORDER,
+    request_id='search-000000001',
     path='/search/x',
     headers={
-        'Part-Stamps': 'shard-a-0.1, shard-c-1.4',
+        'Part-Stamps': 'shard-a-0.1, shard-c-1.1',
         'Missing-Parts': '1',
     },
-    body=b'c' * 16 + b'a' * 16,
+    body=b'search-000000001' * 2 + b'c' * 16 + b'a' * 16,
 )
 _EXECUTION = Execution(
     request_id='q1',
@@ -65,9 +66,18 @@
     replica_id='lookup-0',
     started_at_seconds=100.5,
 )
+_PARTS = tuple(
+    attrs.evolve(
+        _EXECUTION,
+        request_id='search-000000001',
+        service=replica_id[:7],
+        replica_id=replica_id,
+    )
+    for replica_id in ('shard-a-0', 'shard-c-1')
+)
 _OBSERVATIONS = Observations(
     requests=(_ORDER, _SEARCH),
-    executions=(_EXECUTION,),
+    executions=(_EXECUTION, *_PARTS),
     drain_started_at_seconds={},
     unplanned_fault_spans=(),
     budget_slack=2,
@@ -101,6 +111,37 @@
             {'requests': (attrs.evolve(_ORDER, headers={}),)},
             'without a Server-Stamp',
         ),
+        (
+            {'requests': (attrs.evolve(_ORDER, headers={}),)},
+            'another Request-Id, or none',
+        ),
+        (
+            {'executions': (attrs.evolve(_EXECUTION, request_id='q2'),)},
+            'lookup-0.1 is the stamp of another request',
+        ),
+        ({'executions': (_EXECUTION,)}, 'stamp of another request in'),
+        (
+            {
+                'requests': (
+                    attrs.evolve(
+                        _SEARCH, headers=_ORDER.headers | _SEARCH.headers
+                    ),
+                )
+            },
+            'search with a Server-Stamp',
+        ),
+        (
+            {'requests': (attrs.evolve(_ORDER, status=502),)},
+            'of another answer',
+        ),
+        (
+            {
+                'log_lines': (
+                    '{"message": "answer has no proof and is not sent"}',
+                )
+            },
+            'without a proof',
+        ),
         (
             {'requests': (attrs.evolve(_ORDER, request_id='q2'),)},
             'body is not its own',
