Let the matrix of ends of replies open its connections slowly

Cause: the process stood still, the timeout of 1.5 s for opening a connection passed for the whole batch, and the server's scripts waited for a request.

The end of a connection is under test, not its start; the checks stay as they are.

--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -17,6 +17,7 @@
     HedgingPolicy,
     Policies,
     RouteLatencies,
+    _connections_http,
 )
 from dragonflyramp.backends._exchanges import Exchange, OutcomeKind
 from dragonflyramp.backends._protocols_http import ReplyProtocol
@@ -38,10 +39,20 @@
 _REPLIED = frozenset((OutcomeKind.replied,))
 _CANCELLED = frozenset((OutcomeKind.cancelled,))
 _FAILED = frozenset((OutcomeKind.lost, OutcomeKind.garbled))
+#: The end of a connection is under test here, not its start.
+_CONNECT_TIMEOUT_SECONDS = 9
 #: Cases that run at once.
 _BATCH_SIZE = 64
 
 
+@pytest.fixture(autouse=True)
+def _patient_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let connections open in a process that stands still for some seconds."""
+    monkeypatch.setattr(
+        _connections_http, '_CONNECT_TIMEOUT_SECONDS', _CONNECT_TIMEOUT_SECONDS
+    )
+
+
 @pytest.fixture(params=(uvloop.run, asyncio.run), ids=('uvloop', 'asyncio'))
 def run_loop(request: pytest.FixtureRequest) -> Any:
     """Run each test on both event loops.
