--- a/dragonflyramp/backends/_exchanges.py
+++ b/dragonflyramp/backends/_exchanges.py
@@ -43,12 +43,17 @@
 
 @attrs.frozen
 class Outcome:
-    """Outcome of an exchange, with the reply if there is one."""
+    """Outcome of an exchange; `replied` has the reply and its origin."""
 
     kind: OutcomeKind
     reply: Reply | None = None
     origin: ReplyOrigin | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Raise ValueError for a reply without its origin, or the reverse."""
+        if (self.reply is None) is not (self.origin is None):
+            raise ValueError(f'reply and origin belong together: {self.kind}')
+
 
 @attrs.define(eq=False, kw_only=True)
 class Exchange:
