--- a/tests/standins/wires.py
+++ b/tests/standins/wires.py
@@ -28,6 +28,8 @@
         #: Whether the front reads no more, and whether it learns of the loss.
         self.is_closed = False
         self.is_lost = False
+        #: Whether it ends without the end of the stream, or with a reset.
+        self.is_reset = False
         #: Whether more than sound exchanges happened.
         self.is_disturbed = False
 
--- a/tests/test_reply_machines.py
+++ b/tests/test_reply_machines.py
@@ -54,7 +54,7 @@
 #: Head of a reply in a body without a length, or the start of one at its end.
 _SECOND_HEAD = re.compile(
     rb'HTTP/1\.1 \d{3} \w+\r\n[\w-]+:'
-    rb'|HTTP/(1(\.(1( (\d{0,2}|\d{3}( (\w+(\r(\n[\w-]*)?)?)?)?))?)?)?)?\Z'
+    rb'|HTTP/(1(\.(1( (\d{0,2}|\d{3}( (\w+(\r(\n[\w-]{0,40})?)?)?)?))?)?)?)?\Z'
 )
 
 
@@ -102,8 +102,8 @@
     method: str
     wire: Wire | None = None
     reply: _PlayedReply | None = None
-    #: Whether the replica cut its body, or put other bytes into it or at its
-    #: end, where nothing else ends it.
+    #: Whether the replica may have cut its body, or put other bytes into it or
+    #: at its end, where nothing else ends it.
     is_altered: bool = False
     #: The outcome when it was seen first.
     seen: Outcome | None = None
@@ -143,11 +143,10 @@
     framing=_framings,
     method=st.sampled_from(('GET', 'HEAD')),
     body_bytes=st.sampled_from((None, 2)),
-    sent_bytes=st.just(_ALL_BYTES) | st.integers(1, 150),
+    sent_bytes=st.sampled_from((_ALL_BYTES, 15)) | st.integers(1, 150),
 )
 _statuses = st.sampled_from((200, 200, 204, 500, 503))
 _sizes = st.just(_ALL_BYTES) | st.integers(1, 300)
-_offsets = st.none() | st.integers(0, 400)
 
 
 class ReplyMachine(RuleBasedStateMachine):  # noqa: WPS230 - the whole model
@@ -218,35 +217,59 @@
         self._turn(turn_count)
 
     @initialize(echoes_ids=st.sampled_from((True, True, False)))
-    def choose_replica(self, echoes_ids: bool) -> None:  # noqa: FBT001
+    def choose_replica(self, *, echoes_ids: bool) -> None:
         """Choose whether the sound replies have ids."""
         self.echoes_ids = echoes_ids
 
     @precondition(is_free)
     @rule(
-        status=st.sampled_from((200, 200, 500)),
+        method=st.sampled_from(('GET', 'GET', 'HEAD')),
+        status=st.sampled_from((200, 200, 500, 503)),
         framing=st.sampled_from(('length', 'chunked')),
-        body_bytes=_body_sizes,
-        late=st.just(b'') | _extras,
+        late=st.just(b'') | st.just(b'') | _extras,
+        is_idle=st.booleans(),
+        id_kind=st.sampled_from(('new', 'new', 'same')),
     )
     def exchange(
-        self, status: int, framing: str, body_bytes: int, late: bytes | _Copy
+        self,
+        method: str,
+        status: int,
+        framing: str,
+        late: bytes | _Copy,
+        *,
+        is_idle: bool,
+        id_kind: str,
     ) -> None:
-        """Send a request and its sound reply, late bytes right before it."""
-        self.start('GET', 'new', 4)
+        """Send a request and its sound reply.
+
+        Late bytes come before, on the idle connection or with the reply.
+        """
+        if is_idle and self.is_open():
+            self.send_extra(late, is_delivered=True)
+            late = b''
+        self.start(method, id_kind, 4)
         if not self.has_request():
             return
-        is_disturbed = self.wire.is_disturbed or bool(late)
+        is_disturbed = self.wire.is_disturbed
+        is_disturbed |= bool(late) and late not in _INTERIM
         self.wire.stream += self._encode(late)
-        self.answer(
-            status, framing, body_bytes, self.echoes_ids, has_stamp=True
-        )
+        self.answer(status, framing, 12, has_id=self.echoes_ids, has_stamp=True)
         self.wire.is_disturbed = is_disturbed
         self.deliver(_ALL_BYTES, is_read=True)
         self._turn(1)
         outcome = self.plays[-1].outcome
-        is_used = outcome is not None and outcome.reply is not None
-        assert is_disturbed or (is_used and self.is_open())
+        reply = outcome and outcome.reply
+        assert is_disturbed or (reply and not check_reply(reply).is_invalid)
+
+    @precondition(is_free)
+    @rule(statuses=st.lists(st.sampled_from((200, 200, 503)), max_size=3))
+    def exchange_soundly(self, statuses: list[int]) -> None:
+        """Send requests and their sound replies only."""
+        for status in statuses:
+            if self.is_free():
+                self.exchange(
+                    'GET', status, 'length', b'', is_idle=False, id_kind='new'
+                )
 
     @precondition(has_request)
     @rule(
@@ -261,8 +284,9 @@
         status: int,
         framing: str,
         body_bytes: int,
-        has_id: bool,  # noqa: FBT001
-        has_stamp: bool,  # noqa: FBT001
+        *,
+        has_id: bool,
+        has_stamp: bool,
     ) -> None:
         """Send a whole reply."""
         self.wire.is_disturbed = True
@@ -283,64 +307,62 @@
         self.wire.stream += play.reply.encoded
 
     @precondition(is_open)
-    @rule(extra=_extras)
-    def send_extra(self, extra: bytes | _Copy) -> None:
+    @rule(extra=_extras, is_delivered=st.booleans())
+    def send_extra(
+        self,
+        extra: bytes | _Copy,
+        *,
+        is_delivered: bool,
+    ) -> None:
         """Send a copy, or bytes that are no reply."""
-        self.wire.is_disturbed = True
+        self.wire.is_disturbed |= bool(extra)
         self.wire.stream += self._encode(extra)
         last_reply = self.plays[-1].reply
         if last_reply is not None and last_reply.is_close_delimited:
             self.plays[-1].is_altered = True
+        if is_delivered:
+            self.wire.deliver(_ALL_BYTES)
 
-    @precondition(has_request)
+    @precondition(lambda machine: machine.is_free() or machine.has_request())
     @rule(
         framing=_framings,
-        body_bytes=st.sampled_from((12, 200)),
         extra=st.just(b'') | _extras,
-        at=_offsets,
+        at=st.integers(0, 400),
         is_chunk=st.booleans(),
-        cut_at=_offsets,
+        cut_at=st.just(_ALL_BYTES) | st.integers(1, 400),
+        end=st.sampled_from(('', 'piece', 'fin')),
     )
     def answer_badly(
         self,
         framing: str,
-        body_bytes: int,
         extra: bytes | _Copy,
-        at: int | None,
-        is_chunk: bool,  # noqa: FBT001
-        cut_at: int | None,
+        at: int,
+        *,
+        is_chunk: bool,
+        cut_at: int,
+        end: str,
     ) -> None:
         """Send a reply with other bytes in its body, or the start of one."""
+        if not self.has_request():
+            self.start('GET', 'new', 4)
+        if not self.has_request():
+            return
         sent_before = self.wire.stream
-        self.answer(200, framing, body_bytes, has_id=True, has_stamp=True)
-        reply = self.plays[-1].reply
-        assert reply is not None
-        encoded = reply.encoded
-        if reply.has_body and at is not None:
-            inserted = self._encode(extra)
-            if framing == 'chunked' and is_chunk:
-                inserted = b'%x\r\n%b\r\n' % (len(inserted), inserted)
-                at = 0
-            at += len(reply.head)
-            encoded = b''.join((encoded[:at], inserted, encoded[at:]))
-        if cut_at is not None:
-            encoded = encoded[: cut_at + 1]
-        is_framed = framing != 'chunked' or is_chunk
-        self.plays[-1].is_altered = encoded != reply.encoded and is_framed
-        self.wire.stream = sent_before + encoded
+        self.answer(200, framing, 200, has_id=True, has_stamp=True)
+        encoded = self._encode_badly(self._encode(extra), at, is_chunk=is_chunk)
+        self.wire.stream = sent_before + encoded[:cut_at]
+        if end:
+            self.deliver(_ALL_BYTES, is_read=end == 'piece')
+        if end == 'fin':
+            self.end('fin', is_delivered=True, turn_count=3)
 
     @precondition(lambda machine: machine.is_open() and machine.wire.stream)
     @rule(size=_sizes, is_read=st.booleans())
-    def deliver(self, size: int, is_read: bool) -> None:  # noqa: FBT001
+    def deliver(self, size: int, *, is_read: bool) -> None:
         """Let the front read a piece; its task may run later."""
         self.wire.deliver(size)
         self._turn(int(is_read))
 
-    @rule()
-    def turn(self) -> None:
-        """Run what is ready."""
-        self._turn(1)
-
     @precondition(is_open)
     @rule(
         end=st.sampled_from(
@@ -352,11 +374,13 @@
     def end(
         self,
         end: str,
-        is_delivered: bool,  # noqa: FBT001
+        *,
+        is_delivered: bool,
         turn_count: int,
     ) -> None:
         """End the connection; a reset may discard what was sent."""
         wire = self.wire
+        wire.is_reset = not end.startswith('fin')
         if is_delivered or end.startswith('fin'):
             wire.deliver(_ALL_BYTES)
         if end == 'reset at end':
@@ -370,21 +394,17 @@
             wire.lose(is_soon=False)
         self._turn(turn_count)
 
-    @precondition(is_open)
     @rule(
-        name=st.sampled_from(('leave', 'fill_memory', 'stall', 'flush', 'wait'))
+        name=st.sampled_from(
+            ('turn', 'leave', 'stop', 'fill_memory', 'stall', 'flush', 'wait')
+        )
     )
     def disturb(self, name: str) -> None:
         """Let something else happen at the front or the network."""
-        self.wire.is_disturbed = True
-        getattr(self, f'_{name}')()
-
-    @rule()
-    def stop(self) -> None:
-        """End all connections in the next turns, as a front that stops."""
         if self.wires:
-            self.wire.is_disturbed = True
-        self.loop.call_soon(self.loop.create_task, self.tasks.cancel())
+            self.wire.is_disturbed |= name != 'turn'
+            getattr(self, f'_{name}')()
+        self._turn()
 
     @invariant()
     def answers_belong_to_their_requests(self) -> None:
@@ -413,10 +433,14 @@
     def _clock(self) -> float:
         return self.now_seconds
 
-    def _turn(self, count: int) -> None:
+    def _turn(self, count: int = 1) -> None:
         for _ in range(count):
             self.loop.turn()
 
+    def _stop(self) -> None:
+        """End all connections in the next turns, as a front that stops."""
+        self.loop.call_soon(self.loop.create_task, self.tasks.cancel())
+
     def _leave(self) -> None:
         if self.plays[-1].outcome is None:
             self.plays[-1].connection.close()
@@ -471,12 +495,35 @@
         )
         return copy.encoded[: extra.sent_bytes]
 
+    def _encode_badly(
+        self,
+        inserted: bytes,
+        at: int,
+        *,
+        is_chunk: bool,
+    ) -> bytes:
+        """Insert bytes into a body, or as one of its chunks."""
+        play = self.plays[-1]
+        assert play.reply is not None
+        is_chunked = play.reply.framing == 'chunked'
+        play.is_altered = is_chunk or not is_chunked
+        if not play.reply.has_body:
+            return play.reply.encoded
+        if is_chunked and is_chunk and inserted:
+            inserted = b'%x\r\n%b\r\n' % (len(inserted), inserted)
+            at = 0
+        at += len(play.reply.head)
+        encoded = play.reply.encoded
+        return b''.join((encoded[:at], inserted, encoded[at:]))
+
     def _check(self, play: _Play, outcome: Outcome) -> None:
         reply = outcome.reply
         assert (outcome.kind is OutcomeKind.replied) is (reply is not None)
         if reply is None or check_reply(reply).is_invalid:
             return
         assert play.reply is not None, f'{reply} to an unanswered request'
+        is_reset = play.wire is not None and play.wire.is_reset
+        assert not (play.reply.is_close_delimited and is_reset)
         expected = play.reply.reply
         reply = attrs.evolve(reply, headers=tuple(reply.headers))
         if play.is_altered and self._is_indistinct(play, reply.body):
@@ -511,6 +558,8 @@
         if play.reply.framing == 'chunked':
             return True
         arrived = play.wire.arrived
+        if play.reply.head not in arrived:
+            return False
         end = arrived.index(play.reply.head) + len(play.reply.head) + len(body)
         piece_end = min(at for at in play.wire.piece_ends if at >= end)
         followed = arrived[end:piece_end]
@@ -532,7 +581,7 @@
         settings=settings(
             derandomize=True,
             deadline=None,
-            max_examples=300,
+            max_examples=400,
             stateful_step_count=30,
         ),
     )
