Name the routes on which the native API is tested

The routes of the test had one name, so that the native API found none and a mutant of it that takes requests without `X-Deadline-Ms` passed. It fails now.

--- a/tests/test_success_writers.py
+++ b/tests/test_success_writers.py
@@ -59,15 +59,16 @@
 _LOOKUP = make_route('lookup', target_ms=_LONG_TARGET_MS, timeout_ms=30000)
 _TABLE = make_table(
     _LOOKUP,
-    attrs.evolve(_LOOKUP, prefix='/order/', is_idempotent=False),
+    attrs.evolve(_LOOKUP, name='order', prefix='/order/', is_idempotent=False),
     attrs.evolve(
         _LOOKUP,
+        name='search',
         prefix='/search/',
         split=(),
         gather=GatherSettings(shards=('a', 'b'), top_count=3, min_share=0),
     ),
     # Callers' paths may be those of the internal endpoints.
-    attrs.evolve(_LOOKUP, prefix='/'),
+    attrs.evolve(_LOOKUP, name='rest', prefix='/'),
 )
 
 
@@ -466,7 +467,7 @@
     await eventually(lambda: harness.run_count('a') > 0)
     drain = asyncio.create_task(first_server.drain(_TIMEOUT_SECONDS))
     async with run_harness(_TABLE) as successor:
-        new_ports = attrs.evolve(ports, front=successor.front)
+        new_ports = _Ports(successor.front, ports.store_client)
         await new_ports.open('frontend', address)
         new = await _Caller.connect(address)
         await new.send(_NEXT)
