Show replies that are joined from parts of two and pass as whole

Failing, without a fix. A head that was cut in the value of a header after stamp and id, and is ended by a malformed status line (HTTP/1.1 OK 200), by one of HTTP/2.0 or with status 600, is a signed success with an empty or another body. A body of known length that was cut, and is filled up by the start of a late copy of which the rest is read later, is passed on. A copy without an id answers the 34th request of its connection, as 32 stamps are remembered.

Each fails on both event loops. Over a front, callers got 200 in all three.

--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -216,6 +216,100 @@
     run_loop(_check_cut_copies())
 
 
+#: Bytes in which a parser finds the end of a line and of a head.
+_HEAD_ENDS = (
+    b'HTTP/1.1 OK 200\r\n\r\n',
+    b'HTTP/1.1 600 Bad\r\nContent-Length: 2\r\n\r\nno',
+    b'HTTP/2.0 500 Bad\r\nContent-Length: 2\r\n\r\nno',
+)
+
+
+async def _check_cut_head(size: int, other: bytes) -> None:
+    reply = SentReply(number=1)
+    sent = reply.encoded[:size] + other
+    async with run_client() as client:
+        client.play(Step.receive, sent, Step.pause, Step.fin)
+        await client.start(reply)
+        await client.check(_FAILED)
+
+
+async def _check_cut_heads(other: bytes) -> None:
+    head = SentReply(number=1).head
+    # Without stamp and id, it is no success.
+    sizes = range(head.index(b'X-Twice'), len(head))
+    checks = (_check_cut_head(size, other) for size in sizes)
+    errors = await asyncio.gather(*checks, return_exceptions=True)
+    problems = [
+        f'cut after {size}: {error!r}'
+        for size, error in zip(sizes, errors, strict=True)
+        if error is not None
+    ]
+    assert not problems, '\n'.join(problems)
+
+
+@pytest.mark.parametrize('other', _HEAD_ENDS, ids=('order', '600', 'http2'))
+def test_cut_head_is_ended_by_no_other_bytes(
+    run_loop: _RunLoop, other: bytes
+) -> None:
+    """A reply that was cut in its head must not become a whole one."""
+    run_loop(_check_cut_heads(other))
+
+
+async def _check_filled_body(size: int) -> None:
+    first = SentReply(number=1)
+    own_bytes = 5
+    second = SentReply(number=2, body_bytes=own_bytes + size)
+    start = second.encoded[: len(second.head) + own_bytes]
+    async with run_client() as client:
+        client.play(
+            Step.receive,
+            first.encoded,
+            Step.receive,
+            start + first.encoded[:size],
+            Step.pause,
+            first.encoded[size:],
+        )
+        await client.start(first)
+        await client.check(_REPLIED)
+        await client.start(second)
+        await client.check(_FAILED)
+
+
+async def _check_filled_bodies() -> None:
+    encoded = SentReply(number=1).encoded
+    sizes = range(len(b'HTTP/1.1 200'), encoded.index(b'stamp-1'))
+    await asyncio.gather(*map(_check_filled_body, sizes))
+
+
+def test_start_of_copy_completes_no_body(run_loop: _RunLoop) -> None:
+    """A cut body must not be filled by a copy that is read in two pieces."""
+    run_loop(_check_filled_bodies())
+
+
+async def _check_old_copy(request_count: int) -> None:
+    replies = [
+        SentReply(number=number, has_id=False)
+        for number in range(request_count)
+    ]
+    async with run_client() as client:
+        steps = (_answer(reply.encoded) for reply in replies[:-1])
+        late = replies[0].encoded + replies[-1].encoded
+        client.play(*itertools.chain.from_iterable(steps), *_answer(late))
+        for reply in replies[:-1]:
+            await client.start(reply)
+            await client.check(_REPLIED)
+        await client.start(replies[-1])
+        await client.check(_REPLIED | _FAILED)
+
+
+@pytest.mark.parametrize('request_count', [33, 34, 50])
+def test_copy_of_old_reply_answers_nothing(
+    run_loop: _RunLoop, request_count: int
+) -> None:
+    """A copy without an id must not answer, however many requests later."""
+    run_loop(_check_old_copy(request_count))
+
+
 #: How a reply is sent. `end together`: one poll reports its last bytes and the
 #: end of the connection.
 _FORMS = ('', 'split', 'end together', 'split, end together')
