Show an offer of an upgrade that loses requests, and one that loses none

The answer to the third request comes in place of the second. An Upgrade header that Connection does not name drops nothing, and its connection is closed.

--- a/tests/test_success_writers.py
+++ b/tests/test_success_writers.py
@@ -545,7 +545,11 @@
 _THIRD = _request('GET /lookup/x', request_id='q3')
 
 
-@pytest.mark.parametrize('protocol', ['websocket', 'h2c'])
+@pytest.mark.parametrize(
+    'protocol',
+    ['websocket', 'h2c', 'websoc\N{KELVIN SIGN}et'],
+    ids=('websocket', 'h2c', 'kelvin'),
+)
 @pytest.mark.parametrize(
     'second',
     [
@@ -571,3 +575,14 @@
     caller.close()
     assert answers
     assert not _unsigned_successes(answers)
+
+
+async def test_offer_without_option_keeps_connection(
+    ports: _Ports,
+) -> None:
+    """A connection from which nothing is dropped must not be closed."""
+    caller = await _Caller.connect(await ports.open('frontend', _KERNEL_CHOSEN))
+    await caller.send(_request('GET /lookup/x', 'Upgrade: h2c') + _NEXT)
+    answers = await caller.read(2)
+    caller.close()
+    assert [status for status, _ in answers] == [b'200', b'200']
