--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -138,6 +138,14 @@
             502,
         ),
         ({}, 'q2', 502),
+        (
+            {
+                'headers': (('Server-Stamp', 's'), ('Request-Id', '')),
+                'request_id': '',
+            },
+            'q1',
+            200,
+        ),
     ],
 )
 def test_answer_is_sent_as_proven(
