Show a search that fails because its route names a shard twice

The line "answer has no proof and is not sent" has no sources then, and neither "request answered" nor the counter of answers has the request.

--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -449,3 +449,12 @@
         head = harness.server('a', 0).heads[0]
         assert 0 < int(head['Deadline-Ms']) <= 500
         assert head['line'] == 'GET /route/x HTTP/1.1'
+
+
+async def test_shard_that_is_named_twice_is_searched() -> None:
+    """A search that names a shard twice must not fail after it has run."""
+    gather = GatherSettings(('b', 'b'), top_count=3, min_share=0.5)
+    async with run_harness(make_table(make_route(gather=gather))) as harness:
+        for server in harness.all_servers():
+            server.body = b'x' * RECORD_BYTES
+        assert isinstance(await harness.send(), MergedAnswer)
