Refuse a reply whose cut head is ended by any status line

A reply that was cut in a header after its stamp and id, and was followed by a status line in another order, with a status above 599 or of another version of HTTP, was a whole success with an empty or another body: a body that isn't the replica's.

Cause: the parser takes the status line for the end of the header that was cut; the check after it knew sound status lines of HTTP/1 only.

Ruled out: Via and Upgrade name the protocol in front of a host and a comment, or in a list, and are passed on. Control characters, as those of TLS, are malformed for the parser.

--- a/dragonflyramp/backends/_reply_builders_http.py
+++ b/dragonflyramp/backends/_reply_builders_http.py
@@ -20,10 +20,14 @@
 _FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
-#: Status line at the end of a line, which began with the head of a cut reply.
-#: Via may name the protocol, without a status.
-_STATUS_LINE_PATTERN = re.compile(rb'HTTP/1\.[01] [1-5]\d\d(?: [^\r\n]*)?\Z')
-_STATUS_LINE_START = b'HTTP/1.'
+#: Status line, sound or not, that ends a line which began with the head of a cut
+#: reply. Via may name the protocol in front of a host and a comment.
+_STATUS_LINE_PATTERN = re.compile(
+    rb'[^\s,]HTTP/\d[^\s,]* +\S'
+    rb'|HTTP/\d[^\s,]* +\d{3}\s*\Z'
+    rb'|HTTP/\d[^\s,]* +[^\s,]+ +[^\s(,]'
+)
+_STATUS_LINE_START = b'HTTP/'
 
 
 @attrs.frozen(kw_only=True)
