Close connections without ids before their stamps are forgotten, and mend findings of the review

- A copy without an id answered the 34th request of its connection, as 32 stamps are remembered: over a front callers got the stamp and body of another request.
A connection whose replica echoes no ids now ends after 32 replies.
- Upgrade: websocKet with the sign of Kelvin was taken for one that aiohttp supports, and one that Connection does not name closed the connection for nothing.

Each test of the review failed before and passes.

--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -18,7 +18,7 @@
 )
 from dragonflyramp.backends._protocols_http import ReplyProtocol
 from dragonflyramp.backends._reply_builders_http import RawReply
-from dragonflyramp.backends._reply_matchers import ReplyMatcher, can_identify
+from dragonflyramp.backends._reply_matchers import ReplyMatcher
 from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
@@ -149,7 +149,7 @@
         if self.protocol.has_unsent_bytes:
             # The next request would wait until the server reads this one.
             is_kept = False
-        if not (is_kept and can_identify(reply)):
+        if not (is_kept and self.matcher.will_recognize(reply)):
             self.protocol.close()
         if reply.keep_alive_seconds is None:
             self._restart_idle_timeout(_DEFAULT_IDLE_TIMEOUT_SECONDS)
--- a/dragonflyramp/backends/_reply_builders_http.py
+++ b/dragonflyramp/backends/_reply_builders_http.py
@@ -20,8 +20,8 @@
 _FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
-#: Status line, sound or not, that ends a line which began with the head of a cut
-#: reply. Via may name the protocol in front of a host and a comment.
+#: Status line, sound or not, that ends a line which began with the head of a
+#: cut reply. Via may name the protocol in front of a host and a comment.
 _STATUS_LINE_PATTERN = re.compile(
     rb'[^\s,]HTTP/\d[^\s,]* +\S'
     rb'|HTTP/\d[^\s,]* +\d{3}\s*\Z'
--- a/dragonflyramp/backends/_reply_matchers.py
+++ b/dragonflyramp/backends/_reply_matchers.py
@@ -6,6 +6,7 @@
 
 import collections
 import re
+from collections.abc import Collection
 
 import attrs
 
@@ -60,6 +61,15 @@
             self.earlier_ids.append(self.current_id[:_MAX_TEXT_CHARS])
         self.current_id = request_id
 
+    def will_recognize(self, reply: Reply) -> bool:
+        """Return whether a copy of any reply so far is recognized later.
+
+        A forgotten stamp of a reply without an id would not be.
+        """
+        if self._echoes_ids:
+            return bool(reply.request_id or reply.stamp)
+        return bool(reply.stamp) and len(self._stamps) < _MAX_REMEMBERED
+
     def is_copy(self, reply: Reply) -> bool:
         """Return whether a reply is a late copy of an earlier one."""
         if reply.request_id:
@@ -67,7 +77,7 @@
                 reply.request_id != self.current_id
                 and reply.request_id[:_MAX_TEXT_CHARS] in self.earlier_ids
             )
-        return self._has_earlier_stamp(reply)
+        return _has_stamp_of(reply, self._stamps)
 
     def accept(self, reply: Reply) -> bool:
         """Return whether a reply answers the current request.
@@ -88,15 +98,10 @@
     def _has_own_mark(self, reply: Reply) -> bool:
         if reply.request_id:
             return reply.request_id == self.current_id
-        if self._echoes_ids or self._has_earlier_stamp(reply):
+        if self._echoes_ids or _has_stamp_of(reply, self._stamps):
             return False
         return bool(reply.stamp) or reply.is_not_run or not self._stamps
 
-    def _has_earlier_stamp(self, reply: Reply) -> bool:
-        return bool(reply.stamp) and (
-            reply.stamp[:_MAX_TEXT_CHARS] in self._stamps
-        )
-
     def _is_spliced(self, reply: Reply) -> bool:
         """Return whether another reply of the connection is within a body."""
         own_marks = (self.current_id, reply.stamp)
@@ -110,16 +115,15 @@
         )
 
 
+def _has_stamp_of(reply: Reply, stamps: Collection[str]) -> bool:
+    return bool(reply.stamp) and reply.stamp[:_MAX_TEXT_CHARS] in stamps
+
+
 def _encode(mark: str) -> bytes:
     """Return the bytes of an id or a stamp as received."""
     return mark.encode('latin-1', errors='replace')
 
 
-def can_identify(reply: Reply) -> bool:
-    """Return whether a copy of a reply would be recognized later."""
-    return bool(reply.request_id or reply.stamp)
-
-
 def has_second_reply(body: bytes) -> bool:
     """Return whether the head of a reply begins within a body.
 
--- a/dragonflyramp/platform/_answers_http.py
+++ b/dragonflyramp/platform/_answers_http.py
@@ -154,9 +154,11 @@
     """Raise UnprovenSuccessError unless stamp and id are sent as proven."""
     if not _has_stamp(response, answer.success.stamp):
         raise UnprovenSuccessError('stamp lost')
+    sent_ids = set(response.headers.getall(http_headers.REQUEST_ID, []))
+    # One that is no UTF-8 is left out of the headers.
     if any(
-        request_id != http_headers.decode_utf8(request.request_id)
-        for request_id in response.headers.getall(http_headers.REQUEST_ID, [])
+        sent_id != http_headers.decode_utf8(request.request_id)
+        for sent_id in sent_ids - {''}
     ):
         raise UnprovenSuccessError('id of another request')
 
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -165,8 +165,10 @@
     It drops the rest of the read bytes after an offer of an upgrade that it
     does not support.
     """
-    offered = request.headers.get('Upgrade', _SUPPORTED_UPGRADE)
-    return offered.lower() != _SUPPORTED_UPGRADE
+    offered = request.headers.get('Upgrade', '')
+    is_supported = offered.isascii() and offered.lower() == _SUPPORTED_UPGRADE
+    options = http_headers.connection_options(_decode_headers(request))
+    return bool(offered) and 'upgrade' in options and not is_supported
 
 
 def _build_query(
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -52,12 +52,21 @@
 
 def end_to_end_headers(headers: Headers) -> Iterator[tuple[str, str]]:
     """Yield the headers to forward, without the hop-by-hop headers."""
-    dropped = _HOP_BY_HOP | (_connection_options(headers) - _ALWAYS_FORWARDED)
+    dropped = _HOP_BY_HOP | (connection_options(headers) - _ALWAYS_FORWARDED)
     for name, text in headers:
         if name.lower() not in dropped:
             yield name, text
 
 
+def connection_options(headers: Headers) -> frozenset[str]:
+    """Return the options of the Connection header in lower case."""
+    return frozenset(
+        token.strip().lower()
+        for text in _header_values(headers, 'connection')
+        for token in text.split(',')
+    )
+
+
 def decode_utf8(text: str) -> str:
     """Decode a value that was read as Latin-1, as aiohttp sends UTF-8.
 
@@ -140,14 +149,6 @@
     return number.isdecimal() and len(number) <= _MAX_COUNT_DIGITS
 
 
-def _connection_options(headers: Headers) -> frozenset[str]:
-    return frozenset(
-        token.strip().lower()
-        for text in _header_values(headers, 'connection')
-        for token in text.split(',')
-    )
-
-
 def _header_values(headers: Headers, lowercase_name: str) -> Iterable[str]:
     return (text for name, text in headers if name.lower() == lowercase_name)
 
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -1,7 +1,7 @@
 """Define the routing table: which services answer which requests."""
 
 import itertools
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
 import attrs
@@ -21,11 +21,16 @@
     weight: float = 1.0
 
 
+def _without_duplicates(names: Iterable[str]) -> tuple[str, ...]:
+    return tuple(dict.fromkeys(names))
+
+
 @attrs.frozen
 class GatherSettings:
     """Shards and answer limits of a search; each shard is a service."""
 
-    shards: tuple[str, ...]
+    #: A set: one that is named twice counts once.
+    shards: tuple[str, ...] = attrs.field(converter=_without_duplicates)
     #: Maximum number of records in an answer.
     top_count: int
     #: Minimum share of the shards in an answer, between 0 and 1.
