Show a second reply without headers that passes as the end of a body

Failing, without a fix. The head of a second reply in a body without a length is found by its status line and a header. A status line alone, one before a line that is no header, and one in the wrong order are passed on as part of the body: over a front, callers got 200 with the stamp of the reply and a body that is not the replica's.

--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -255,6 +255,30 @@
     run_loop(_check_cut_heads(other))
 
 
+async def _check_appended(extra: bytes) -> None:
+    reply = SentReply(number=1, framing='close')
+    async with run_client() as client:
+        client.play(Step.receive, reply.encoded + extra, Step.fin)
+        await client.start(reply)
+        await client.check(_FAILED)
+
+
+@pytest.mark.parametrize(
+    'extra',
+    [
+        b'HTTP/1.1 200 OK\r\n\r\nok',
+        b'HTTP/1.1 200 OK\r\nno colon here\r\n\r\n',
+        b'HTTP/1.1 OK 200\r\n\r\n',
+    ],
+    ids=('bare', 'no-colon', 'order'),
+)
+def test_head_without_headers_is_no_body(
+    run_loop: _RunLoop, extra: bytes
+) -> None:
+    """A body without a length must not go on with a second status line."""
+    run_loop(_check_appended(extra))
+
+
 async def _check_filled_body(size: int) -> None:
     first = SentReply(number=1)
     own_bytes = 5
