Show callers that give up at a former port of a front

Failing, without a fix. A native API whose port was one of a front answers callers' requests with 404 or 400, after which they are not sent again; the ports of the metrics and of the readiness checks answer 421 since.

--- a/tests/test_success_writers.py
+++ b/tests/test_success_writers.py
@@ -442,6 +442,16 @@
     assert [status for status, _ in answers] == [b'421']
 
 
+@pytest.mark.parametrize('name', ['plain', 'body', 'native submit'])
+async def test_native_port_sends_callers_elsewhere(
+    ports: _Ports, address: str, name: str
+) -> None:
+    """A caller must not give up a request because of a port used again."""
+    await ports.open('native', address)
+    answers = await _play(address, name)
+    assert [status for status, _ in answers] == [b'421']
+
+
 @pytest.mark.parametrize('first', _PORTS)
 async def test_ports_are_not_shared(
     ports: _Ports, address: str, first: str
