--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -198,6 +198,24 @@
     assert reader.outcome.result() is OutcomeKind.garbled
 
 
+@pytest.mark.parametrize(
+    'header',
+    [
+        b'Server: SimpleHTTP/0.6 Python/3.11.2',
+        b'Server: BaseHTTP/0.6 Python/3.11.2',
+        b'Via: HTTP/1.1 cache:8080 (HTTP/2 proxy), HTTP/1.1 other',
+        b'Warning: 299 - "HTTP/1.1 required"',
+        b'Upgrade: HTTP/2.0, SHTTP/1.3, IRC/6.9',
+    ],
+)
+async def test_header_that_names_http_is_passed_on(header: bytes) -> None:
+    """A sound reply must not be taken for one that was cut in its head."""
+    reader = ReplyReader(is_head=False)
+    lines = b'\r\n'.join((header, b'Content-'))
+    reader.feed(_COMPLETE_REPLY.replace(b'Content-', lines))
+    assert reader.kind is OutcomeKind.replied
+
+
 async def test_interim_reply_to_head_is_skipped() -> None:
     """An interim reply to HEAD must not be used as the final one."""
     reader = ReplyReader(is_head=True)
