--- a/tests/test_table_changes.py
+++ b/tests/test_table_changes.py
@@ -221,7 +221,7 @@
         self._turn(turn_count)
 
     @precondition(lambda machine: machine.arrivals)
-    @rule(kind=st.sampled_from(('ok', 'ok', 'fail')))
+    @rule(kind=st.sampled_from(('ok', 'ok', 'fail', 'unsigned')))
     def answer_all(self, kind: str) -> None:
         """Answer all requests that wait."""
         while self.arrivals:
