Send callers of a former frontend away from the native API

A caller that is sent to a native API at the former port of a front got 404 or 400, after which it gives a proper request up.

A request with Request-Id and without X-Deadline-Ms, which callers of this API send, now gets 421, which is true: it has not run and never will.

--- a/dragonflyramp/callers/_native_api_http.py
+++ b/dragonflyramp/callers/_native_api_http.py
@@ -7,9 +7,11 @@
 import json
 import secrets
 from collections.abc import Callable, Mapping
+from http import HTTPStatus
 
 import attrs
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from dragonflyramp.callers._answers import Answer, MergedAnswer, Refusal
 from dragonflyramp.callers._claims import Claims, KeyedRequest, KeyedResult
@@ -17,6 +19,7 @@
 from dragonflyramp.callers._merging import split_records
 from dragonflyramp.callers._queries import Query
 from dragonflyramp.messages import Request
+from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
 #: Maximum length of a request id and of an idempotency key.
@@ -28,6 +31,10 @@
 _GENERATED_ID_BYTES = 16
 _JSON_CONTENT_TYPE = 'application/json'
 
+_DEADLINE_HEADER = 'X-Deadline-Ms'
+#: Header of requests to backend servers. Callers of the frontend have it, too.
+_BACKEND_ID_HEADER = 'Request-Id'
+
 #: Returns the name of the route for a service.
 RouteNamer = Callable[[str], str]
 
@@ -49,7 +56,9 @@
         Its runner must enable handler cancellation, so that a query ends
         when its caller disconnects.
         """
-        application = web.Application(client_max_size=_MAX_BODY_BYTES)
+        application = web.Application(
+            client_max_size=_MAX_BODY_BYTES, middlewares=[_refuse_misdirected]
+        )
         application.add_routes(
             [
                 web.post('/search/{service}', self.search),
@@ -99,7 +108,7 @@
         self, request: web.Request, path: str, name_route: RouteNamer
     ) -> Query | ResultCode:
         received_at_seconds = self.clock()
-        deadline_text = request.headers.get('X-Deadline-Ms', '')
+        deadline_text = request.headers.get(_DEADLINE_HEADER, '')
         is_number = deadline_text.isascii() and deadline_text.isdecimal()
         if not is_number or len(deadline_text) > _MAX_DEADLINE_DIGITS:
             return ResultCode.bad_deadline
@@ -151,10 +160,26 @@
             await self._runner.cleanup()
 
 
+@web.middleware
+async def _refuse_misdirected(
+    request: web.Request,
+    handler: Handler,  # noqa: WPS110 - as in aiohttp
+) -> web.StreamResponse:
+    """Tell a caller of a former frontend that its request has not run."""
+    is_misdirected = (
+        _BACKEND_ID_HEADER in request.headers
+        and _DEADLINE_HEADER not in request.headers
+    )
+    if is_misdirected:
+        counters.add('misdirected_requests', 'native')
+        return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
+    return await handler(request)
+
+
 def _backend_request(path: str, request_id: str, body: bytes) -> Request:
     headers = (
         ('Host', 'dragonflyramp'),
-        ('Request-Id', request_id),
+        (_BACKEND_ID_HEADER, request_id),
         ('Content-Type', _JSON_CONTENT_TYPE),
     )
     return Request(
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -7,6 +7,7 @@
 _store_decoders decoding of configuration, replica entries and evacuations
 _object_stores  the operators' text in the store, and lists of replicas
 _headers        header names and the parsing of header values
+_answers_http   encoding of answers; what makes a success
 _front_http     HTTP server for callers and readiness checks
 _body_memory    limit on the memory of the bodies of callers' requests
 _backend_http   encoding of requests to replicas, decoding of replies
