Authenticate callers by API keys, and lay out quotas and admission control

One path from end to end: the configuration's tenants are decoded, a caller's key is looked up by its digest, and replicas get the tenant's name instead of the key, also in searches, retries and hedges. A key that no tenant holds is answered 401. Nothing changes without tenants in the configuration.

--- a/benchmarks/emulator/_replicas.py
+++ b/benchmarks/emulator/_replicas.py
@@ -7,7 +7,7 @@
 import attrs
 
 from benchmarks.emulator._experiments import Experiment, Fault
-from dragonflyramp.callers._fronts import InFlightCounter
+from dragonflyramp.callers._in_flight import InFlightCounter
 from dragonflyramp.messages import Load, Reply, Request
 
 _OK = 200
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -122,6 +122,7 @@
             replica_id=replica.entry.replica_id,
             deadline_at_seconds=context.deadline_at_seconds,
             outcome=asyncio.get_running_loop().create_future(),
+            tenant_name=context.tenant_name,
         )
         self.fleet.cold_limiter.record_send(replica, now_seconds)
         return Attempt(
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -100,7 +100,9 @@
         if not is_pending or not self.protocol.is_open:
             return Outcome(OutcomeKind.unsent)
         request = exchange.request
-        encoded = self._codec.encode(request, exchange.replica_id, remaining_ms)
+        encoded = self._codec.encode(
+            request, exchange.replica_id, remaining_ms, exchange.tenant_name
+        )
         exchange.written_at_seconds = now_seconds
         self.matcher.start_request(request.request_id)
         reader = self.protocol.send_request(
--- a/dragonflyramp/backends/_contexts.py
+++ b/dragonflyramp/backends/_contexts.py
@@ -5,6 +5,7 @@
 from dragonflyramp.backends._crash_watches import CrashWatch
 from dragonflyramp.messages import Request
 from dragonflyramp.routes import Route, RoutingTable
+from dragonflyramp.tenants import Tenant
 
 
 @attrs.frozen(kw_only=True)
@@ -20,3 +21,27 @@
     #: Maximum wait for a replica with capacity.
     capacity_wait_seconds: float
     crash_watch: CrashWatch
+    #: None if no tenants are configured or the caller needs no API key.
+    tenant: Tenant | None = None
+
+    @property
+    def priority(self) -> tuple[int, int]:
+        """Return the priority of the tenant, and that of the route.
+
+        The least is the highest. Without one of the tenant, that of the route
+        takes its place.
+        """
+        route_priority = self.route.priority
+        if self.tenant is None or self.tenant.priority is None:
+            return (route_priority, route_priority)
+        return (self.tenant.priority, route_priority)
+
+    @property
+    def tenant_name(self) -> str | None:
+        """Return the name that replicas get, or '' without a tenant.
+
+        Return None if no tenants are configured.
+        """
+        if self.table.tenants is None:
+            return None
+        return '' if self.tenant is None else self.tenant.name
--- a/dragonflyramp/backends/_crash_watches.py
+++ b/dragonflyramp/backends/_crash_watches.py
@@ -16,6 +16,8 @@
 
     detector: CrashDetector
     request: Request
+    #: Tenant of the caller; one does not see what another's requests did.
+    tenant_name: str = ''
     #: What this daemon knew of the request when it was sent.
     suspicion: Suspicion = NO_SUSPICION
     #: Whether the request is suspect and is sent to one replica only, to find
@@ -34,7 +36,9 @@
     def fingerprint(self) -> str:
         """Return the fingerprint of the request, computed on first use."""
         if not self._fingerprint:
-            self._fingerprint = compute_fingerprint(self.request)
+            self._fingerprint = compute_fingerprint(
+                self.request, self.tenant_name
+            )
         return self._fingerprint
 
     @property
--- a/dragonflyramp/backends/_exchanges.py
+++ b/dragonflyramp/backends/_exchanges.py
@@ -63,6 +63,8 @@
     replica_id: str
     deadline_at_seconds: float
     outcome: asyncio.Future[Outcome]
+    #: Tenant of the caller, '' without one; None if no tenants are configured.
+    tenant_name: str | None = None
     #: Monotonic time at which the request was written; None before.
     written_at_seconds: float | None = None
 
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -1,15 +1,15 @@
 """Route queries to backend servers and build the answers to callers."""
 
+import contextlib
 import functools
 import math
 from collections.abc import Callable
 
 import attrs
 
+from dragonflyramp.admission import AdmissionPolicy, AdmitAll
 from dragonflyramp.backends import (
     BackendClient,
-    CrashDetector,
-    CrashWatch,
     FetchResult,
     RequestContext,
 )
@@ -21,16 +21,26 @@
     RelayedFailure,
     RouteVersion,
 )
+from dragonflyramp.callers._authentication import authenticate
 from dragonflyramp.callers._cutoffs import CutoffPolicy, Progress, TargetCutoff
+from dragonflyramp.callers._in_flight import InFlightCounter
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._queries import Query
 from dragonflyramp.callers._request_logs import RequestLog, refuse
+from dragonflyramp.callers._request_contexts import (
+    RouteMatch,
+    build_context,
+    find_route,
+)
 from dragonflyramp.callers._retry_delays import retry_after_seconds
 from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
 from dragonflyramp.callers._suspect_guards import SuspectGuard
 from dragonflyramp.callers._traffic_splits import WeightedRoundRobin
+from dragonflyramp.metrics import counters
+from dragonflyramp.quotas import QuotaPolicy, UnlimitedQuotas
 from dragonflyramp.results import ResultCode
-from dragonflyramp.routes import GatherSettings, Route, RoutingTable
+from dragonflyramp.routes import GatherSettings, RoutingTable
+from dragonflyramp.tenants import Tenant
 
 #: Retry delay for the caller if no replica ran the request, usually because all
 #: were full: a slot becomes free after about the duration of one request.
@@ -38,25 +48,6 @@
 #: Retry delay for the caller without a usable replica or a configuration:
 #: replicas recover, or new ones are listed, within a few tenths of a second.
 _UNAVAILABLE_RETRY_AFTER_SECONDS = 0.25
-#: Maximum wait for a replica with capacity, as a share of the latency target or
-#: of the time limit, whichever is shorter. A request that would wait longer
-#: is refused, so that the caller can try elsewhere.
-_CAPACITY_WAIT_SHARE = 0.2
-
-
-@attrs.define(eq=False)
-class InFlightCounter:
-    """Count the requests in progress; used as a context manager."""
-
-    count: int = 0
-
-    def __enter__(self) -> None:
-        """Increment the counter."""
-        self.count += 1
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Decrement the counter."""
-        self.count -= 1
 
 
 def _create_suspect_guard(front: 'Front') -> SuspectGuard:
@@ -84,6 +75,8 @@
     has_synced: Callable[[], bool]
     cutoff_policy: CutoffPolicy = attrs.field(factory=TargetCutoff)
     merger: Merger = attrs.field(factory=RecordMerger)
+    quotas: QuotaPolicy = attrs.field(factory=UnlimitedQuotas)
+    admission: AdmissionPolicy = attrs.field(factory=AdmitAll)
     #: Whether successful answers in time are all logged, instead of a sample.
     logs_all_answers: bool = False
     is_stopping: bool = False
@@ -114,18 +107,21 @@
                 ResultCode.no_configuration,
                 _UNAVAILABLE_RETRY_AFTER_SECONDS,
             )
-        route = _find_route(table, query)
+        route = find_route(table, query)
         if route is None:
             return refuse(query, ResultCode.unknown_service)
+        identity = authenticate(query, route, table.tenants)
+        if isinstance(identity, ResultCode):
+            return refuse(query, identity)
+        context = build_context(
+            query,
+            RouteMatch(table, route, identity),
+            self.backend_client.crash_detector,
+        )
         with self.in_flight:
-            return await self._execute(query, table, route)
+            return await self._execute(query, context)
 
-    async def _execute(
-        self, query: Query, table: RoutingTable, route: Route
-    ) -> Answer:
-        context = _build_context(
-            query, table, route, self.backend_client.crash_detector
-        )
+    async def _execute(self, query: Query, context: RequestContext) -> Answer:
         now_seconds = self.clock()
         if now_seconds >= context.deadline_at_seconds:
             return refuse(query, ResultCode.bad_deadline)
@@ -133,9 +129,23 @@
             return refuse(
                 query, ResultCode.stopping, _NOT_RUN_RETRY_AFTER_SECONDS
             )
-        return await self.suspect_guard.run(
-            context, functools.partial(self._send, query)
+        quota_delay_seconds = await _acquire_quota(
+            self.quotas, context.tenant, now_seconds
         )
+        if quota_delay_seconds is not None:
+            return refuse(query, ResultCode.quota_exceeded, quota_delay_seconds)
+        with contextlib.ExitStack() as cleanup:
+            rejection = await self.admission.admit(context, cleanup)
+            if rejection is not None:
+                counters.add('admission_rejections', rejection.reason)
+                return refuse(
+                    query,
+                    ResultCode.not_admitted,
+                    rejection.retry_after_seconds,
+                )
+            return await self.suspect_guard.run(
+                context, functools.partial(self._send, query)
+            )
 
     async def _send(self, query: Query, context: RequestContext) -> Answer:
         """Send a request to replicas and build the answer."""
@@ -257,35 +267,19 @@
         )
 
 
-def _build_context(
-    query: Query, table: RoutingTable, route: Route, detector: CrashDetector
-) -> RequestContext:
-    limit_ms = route.timeout_ms
-    if query.deadline_ms is not None:
-        limit_ms = min(limit_ms, query.deadline_ms)
-    return RequestContext(
-        request=query.request,
-        route=route,
-        table=table,
-        received_at_seconds=query.received_at_seconds,
-        deadline_at_seconds=query.received_at_seconds + limit_ms / 1000,
-        capacity_wait_seconds=min(limit_ms, route.target_ms)
-        * _CAPACITY_WAIT_SHARE
-        / 1000,
-        crash_watch=CrashWatch(detector=detector, request=query.request),
-    )
+async def _acquire_quota(
+    quotas: QuotaPolicy, tenant: Tenant | None, now_seconds: float
+) -> float | None:
+    """Return None if the tenant has quota, else the seconds until it has."""
+    if tenant is None or not tenant.has_quota:
+        return None
+    return await quotas.try_acquire(tenant, now_seconds)
 
 
 def _routed(context: RequestContext) -> RouteVersion:
     return RouteVersion(route=context.route, version=context.table.version)
 
 
-def _find_route(table: RoutingTable, query: Query) -> Route | None:
-    if query.route_name:
-        return table.find_by_name(query.route_name)
-    return table.find_by_path(query.host, query.path)
-
-
 def _build_relay_answer(
     fetch_result: FetchResult, routed: RouteVersion, delay_seconds: float
 ) -> Answer:
--- a/dragonflyramp/callers/_queries.py
+++ b/dragonflyramp/callers/_queries.py
@@ -18,3 +18,5 @@
     received_at_seconds: float
     #: Selects a route by name instead of by host and path.
     route_name: str = ''
+    #: API key of the caller, empty without one. It is secret.
+    api_key: str = attrs.field(default='', repr=False)
--- /dev/null
+++ b/dragonflyramp/callers/_request_contexts.py
@@ -0,0 +1,56 @@
+"""Find the route of a query, and build the context of its execution."""
+
+import attrs
+
+from dragonflyramp.backends import CrashDetector, CrashWatch, RequestContext
+from dragonflyramp.callers._authentication import Identity
+from dragonflyramp.callers._queries import Query
+from dragonflyramp.routes import Route, RoutingTable
+
+#: Maximum wait for a replica with capacity, as a share of the latency target or
+#: of the time limit, whichever is shorter. A request that would wait longer
+#: is refused, so that the caller can try elsewhere.
+_CAPACITY_WAIT_SHARE = 0.2
+
+
+def find_route(table: RoutingTable, query: Query) -> Route | None:
+    """Return the route of a query, if any."""
+    if query.route_name:
+        return table.find_by_name(query.route_name)
+    return table.find_by_path(query.host, query.path)
+
+
+@attrs.frozen
+class RouteMatch:
+    """Route of a query, its routing table, and who sent the query."""
+
+    table: RoutingTable
+    route: Route
+    identity: Identity
+
+
+def build_context(
+    query: Query, match: RouteMatch, detector: CrashDetector
+) -> RequestContext:
+    """Return the context of a query, with the shorter of both time limits."""
+    route = match.route
+    tenant = match.identity.tenant
+    limit_ms = route.timeout_ms
+    if query.deadline_ms is not None:
+        limit_ms = min(limit_ms, query.deadline_ms)
+    return RequestContext(
+        request=query.request,
+        route=route,
+        table=match.table,
+        tenant=tenant,
+        received_at_seconds=query.received_at_seconds,
+        deadline_at_seconds=query.received_at_seconds + limit_ms / 1000,
+        capacity_wait_seconds=min(limit_ms, route.target_ms)
+        * _CAPACITY_WAIT_SHARE
+        / 1000,
+        crash_watch=CrashWatch(
+            detector=detector,
+            request=query.request,
+            tenant_name='' if tenant is None else tenant.name,
+        ),
+    )
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -20,7 +20,6 @@
     Success,
 )
 from dragonflyramp.callers._queries import Query
-from dragonflyramp.fingerprints import compute_fingerprint
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters, latencies
 from dragonflyramp.results import ResultCode
@@ -63,6 +62,7 @@
             request=context.request.request_id,
             route=context.route.name,
             version=context.table.version,
+            tenant=context.tenant_name,
             is_search=context.route.gather is not None,
             outcome=outcome,
             elapsed_ms=round(elapsed_ms, 1),
@@ -141,7 +141,7 @@
         for fetch_result in fetch_results
         for record in fetch_result.records
     )
-    return compute_fingerprint(context.request) if has_lost_attempt else ''
+    return context.crash_watch.fingerprint if has_lost_attempt else ''
 
 
 def _describe_part(fetch_result: FetchResult) -> list[object]:
--- a/dragonflyramp/fingerprints.py
+++ b/dragonflyramp/fingerprints.py
@@ -5,8 +5,8 @@
 from dragonflyramp.messages import Request
 
 
-def compute_fingerprint(request: Request) -> str:
-    """Return a digest of the method, host, path with query and body.
+def compute_fingerprint(request: Request, tenant_name: str = '') -> str:
+    """Return a digest of tenant, method, host, path with query and body.
 
     A caller that repeats a request sends these again. 128 bits keep different
     requests apart.
@@ -19,4 +19,7 @@
         hasher.update(field.encode('latin-1', 'replace'))
         hasher.update(b'\0')
     hasher.update(request.body)
+    if tenant_name:
+        hasher.update(b'\0')
+        hasher.update(tenant_name.encode())
     return hasher.hexdigest()
--- a/dragonflyramp/machine_settings.py
+++ b/dragonflyramp/machine_settings.py
@@ -27,6 +27,47 @@
     slack: float = 0
 
 
+@attrs.frozen(kw_only=True)
+class QuotaBounds:
+    """Bounds on the requests of a tenant that run in a window."""
+
+    window_seconds: float = 5
+    #: Share of the limit by which it may be exceeded.
+    overshoot: float = 0
+    #: Requests per window in addition to the limit.
+    slack: float = 0
+
+
+@attrs.frozen(kw_only=True)
+class ExposureBounds:
+    """Bounds on the requests that a bad software version gets."""
+
+    #: Share of the requests of its service during the rollout.
+    share: float = 0
+    #: Requests in addition to the share.
+    slack: float = 0
+    #: Time after enough bad answers from which it gets no requests.
+    rollback_seconds: float = 5
+
+
+@attrs.frozen(kw_only=True)
+class RevocationBounds:
+    """What a daemon does with API keys while it hears of no changes."""
+
+    #: Whether it refuses requests with a key.
+    is_strict: bool = False
+    #: Time without news after which it does.
+    max_age_seconds: float = 5
+
+
+@attrs.frozen(kw_only=True)
+class VmLimits:
+    """Limits on the process of a daemon; 0 means that none is known."""
+
+    memory_bytes: int = 0
+    max_descriptors: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class MachineSettings:
     """Settings that the platform gives to one VM."""
@@ -49,3 +90,9 @@
     grace_seconds: float
     retry_bounds: RetryBounds
     cold_replica_bounds: ColdReplicaBounds
+    #: Names of the parts of the platform's rules that are in force.
+    contracts: frozenset[str] = frozenset()
+    quota_bounds: QuotaBounds = QuotaBounds()
+    exposure_bounds: ExposureBounds = ExposureBounds()
+    revocation_bounds: RevocationBounds = RevocationBounds()
+    vm_limits: VmLimits = VmLimits()
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -5,6 +5,7 @@
 _store_http     client of the metadata store
 _store_replies  listings and changes in the replies of the store
 _store_decoders decoding of configuration, replica entries and evacuations
+_tenant_fields  decoding of the tenants of the configuration
 _object_stores  the operators' text in the store, and lists of replicas
 _headers        header names and the parsing of header values
 _answers_http   encoding of answers; what makes a success
--- a/dragonflyramp/platform/_answers_http.py
+++ b/dragonflyramp/platform/_answers_http.py
@@ -27,6 +27,8 @@
 
 _REFUSAL_STATUSES = {  # noqa: WPS407 - never changed
     ResultCode.unknown_service: HTTPStatus.NOT_FOUND,
+    ResultCode.unauthorized: HTTPStatus.UNAUTHORIZED,
+    ResultCode.quota_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
     ResultCode.bad_request: HTTPStatus.BAD_REQUEST,
     ResultCode.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
 }
--- a/dragonflyramp/platform/_backend_http.py
+++ b/dragonflyramp/platform/_backend_http.py
@@ -1,5 +1,6 @@
 """Encode requests to replicas and decode their replies."""
 
+from collections.abc import Iterable
 from http import HTTPStatus
 
 import attrs
@@ -15,11 +16,24 @@
     """Encode requests to replicas and decode their replies in HTTP/1.1."""
 
     def encode(
-        self, request: Request, replica_id: str, remaining_ms: int
+        self,
+        request: Request,
+        replica_id: str,
+        remaining_ms: int,
+        tenant_name: str | None = None,
     ) -> bytes:
-        """Encode a request with its deadline and the expected replica id."""
+        """Encode a request with its deadline and the expected replica id.
+
+        With tenants, the caller's API key is left out, and the name of its
+        tenant replaces whatever the caller sent.
+        """
+        headers: Iterable[tuple[str, str]] = request.headers
+        if tenant_name is not None:
+            headers = http_headers.without_tenant_headers(request.headers)
         lines = [f'{request.method} {request.path_and_query} HTTP/1.1']
-        lines.extend(f'{name}: {text}' for name, text in request.headers)
+        lines.extend(f'{name}: {text}' for name, text in headers)
+        if tenant_name:
+            lines.append(f'{http_headers.TENANT}: {tenant_name}')
         lines.append(f'{http_headers.DEADLINE_MS}: {remaining_ms}')
         lines.append(f'{http_headers.EXPECT_INSTANCE}: {replica_id}')
         if request.has_body:
--- a/dragonflyramp/platform/_field_checks.py
+++ b/dragonflyramp/platform/_field_checks.py
@@ -27,6 +27,22 @@
     return text
 
 
+def require_secret(field: Any) -> str:
+    """Return a text like `require_id`; errors do not contain it."""
+    if not isinstance(field, str) or not field:
+        raise TypeError('a secret is no text')
+    if not (field.isascii() and field.isprintable()):
+        raise ValueError('a secret has other characters than printable ASCII')
+    return field
+
+
+def require_flag(field: Any) -> bool:
+    """Return a truth value."""
+    if not isinstance(field, bool):
+        raise TypeError(field)
+    return field
+
+
 def require_int(field: Any, minimum: int, maximum: int) -> int:
     """Return an integer in a range."""
     # bool is a subclass of int.
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -195,6 +195,7 @@
         path=raw_path.partition('?')[0],
         deadline_ms=deadline_ms,
         received_at_seconds=received_at_seconds,
+        api_key=http_headers.parse_api_key(headers),
     )
 
 
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -21,6 +21,10 @@
 #: Number of shards that are missing from an answer.
 MISSING_PARTS = 'Missing-Parts'
 RETRY_AFTER = 'Retry-After'
+#: API key of the caller, after the scheme.
+AUTHORIZATION = 'Authorization'
+#: Name of the tenant that holds the API key.
+TENANT = 'Tenant'
 #: `1` in all replies of a replica that leaves.
 LEAVING = 'Server-Leaving'
 
@@ -58,6 +62,28 @@
             yield name, text
 
 
+def parse_api_key(headers: Headers) -> str:
+    """Return the API key of a caller; empty without one.
+
+    A caller that sends several has none.
+
+    >>> parse_api_key((('authorization', 'bearer k1'),))
+    'k1'
+    """
+    texts = tuple(_header_values(headers, AUTHORIZATION.lower()))
+    if len(texts) != 1:
+        return ''
+    scheme, _, api_key = texts[0].strip().partition(' ')
+    return api_key.strip() if scheme.lower() == _API_KEY_SCHEME else ''
+
+
+def without_tenant_headers(headers: Headers) -> Iterator[tuple[str, str]]:
+    """Yield the headers that name neither an API key nor a tenant."""
+    for name, text in headers:
+        if name.lower() not in _TENANT_HEADERS:
+            yield name, text
+
+
 def connection_options(headers: Headers) -> frozenset[str]:
     """Return the options of the Connection header in lower case."""
     return frozenset(
@@ -153,6 +179,8 @@
     return (text for name, text in headers if name.lower() == lowercase_name)
 
 
+_API_KEY_SCHEME = 'bearer'
+_TENANT_HEADERS = frozenset((AUTHORIZATION.lower(), TENANT.lower()))
 _NO_CODINGS = frozenset(('', 'identity'))
 _NUMBER_LIMIT = 1e12
 _MAX_COUNT_DIGITS = 9
--- a/dragonflyramp/platform/_settings_file.py
+++ b/dragonflyramp/platform/_settings_file.py
@@ -8,8 +8,12 @@
 
 from dragonflyramp.machine_settings import (
     ColdReplicaBounds,
+    ExposureBounds,
     MachineSettings,
+    QuotaBounds,
     RetryBounds,
+    RevocationBounds,
+    VmLimits,
 )
 from dragonflyramp.object_limits import DECODE_ERRORS
 
@@ -63,6 +67,11 @@
         grace_seconds=float(bounds.get('grace_s', 5)),
         retry_bounds=_parse_retry_bounds(bounds),
         cold_replica_bounds=_parse_cold_replica_bounds(bounds),
+        contracts=frozenset(map(str, fields.get('contracts') or ())),
+        quota_bounds=_parse_quota_bounds(bounds),
+        exposure_bounds=_parse_exposure_bounds(bounds),
+        revocation_bounds=_parse_revocation_bounds(bounds),
+        vm_limits=_parse_vm_limits(fields.get('limits') or {}),
     )
 
 
@@ -83,3 +92,46 @@
         overshoot=float(bounds.get('warmup_overshoot', default.overshoot)),
         slack=float(bounds.get('warmup_slack', default.slack)),
     )
+
+
+def _parse_quota_bounds(bounds: dict[str, Any]) -> QuotaBounds:
+    default = QuotaBounds()
+    return QuotaBounds(
+        window_seconds=float(
+            bounds.get('quota_window_s', default.window_seconds)
+        ),
+        overshoot=float(bounds.get('quota_overshoot', default.overshoot)),
+        slack=float(bounds.get('quota_slack', default.slack)),
+    )
+
+
+def _parse_exposure_bounds(bounds: dict[str, Any]) -> ExposureBounds:
+    default = ExposureBounds()
+    default_ms = default.rollback_seconds * _MS_PER_SECOND
+    return ExposureBounds(
+        share=float(bounds.get('exposure_share', default.share)),
+        slack=float(bounds.get('exposure_slack', default.slack)),
+        rollback_seconds=float(bounds.get('rollback_ms', default_ms))
+        / _MS_PER_SECOND,
+    )
+
+
+def _parse_revocation_bounds(bounds: dict[str, Any]) -> RevocationBounds:
+    default = RevocationBounds()
+    default_ms = default.max_age_seconds * _MS_PER_SECOND
+    return RevocationBounds(
+        is_strict=bool(bounds.get('strict_revoke', default.is_strict)),
+        max_age_seconds=float(bounds.get('revoke_ms', default_ms))
+        / _MS_PER_SECOND,
+    )
+
+
+def _parse_vm_limits(limits: dict[str, Any]) -> VmLimits:
+    return VmLimits(
+        memory_bytes=int(float(limits.get('memory_mb') or 0) * _BYTES_PER_MB),
+        max_descriptors=int(limits.get('max_fds') or 0),
+    )
+
+
+_MS_PER_SECOND = 1000
+_BYTES_PER_MB = 1024 * 1024
--- a/dragonflyramp/platform/_store_decoders.py
+++ b/dragonflyramp/platform/_store_decoders.py
@@ -13,11 +13,13 @@
 from dragonflyramp.object_limits import DECODE_ERRORS
 from dragonflyramp.platform._field_checks import (
     require_address,
+    require_flag,
     require_id,
     require_int,
     require_number,
     require_text,
 )
+from dragonflyramp.platform._tenant_fields import parse_tenants
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import (
     GatherSettings,
@@ -77,6 +79,7 @@
             0,
             _MAX_COUNT,
         ),
+        tenants=parse_tenants(spec.get('tenants')),
     )
 
 
@@ -97,6 +100,7 @@
         ),
         split=_parse_split(fields),
         gather=_parse_gather(fields),
+        is_anonymous=require_flag(fields.get('anonymous') or False),
     )
 
 
--- /dev/null
+++ b/dragonflyramp/quotas/_policies.py
@@ -0,0 +1,27 @@
+"""Define the interface of quotas."""
+
+from typing import Protocol
+
+import attrs
+
+from dragonflyramp.tenants import Tenant
+
+
+class QuotaPolicy(Protocol):
+    """Policy for whether another request of a tenant may run."""
+
+    async def try_acquire(
+        self, tenant: Tenant, now_seconds: float
+    ) -> float | None:
+        """Take one request from the quota of a tenant.
+
+        Return None if it may run, else the seconds until there is quota.
+        """
+
+
+@attrs.frozen
+class UnlimitedQuotas(QuotaPolicy):
+    """Let all requests run."""
+
+    async def try_acquire(self, tenant: Tenant, now_seconds: float) -> None:
+        """Return None: the request may run."""
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -39,6 +39,7 @@
     body_too_large = 103
     missing_idempotency_key = 104
     key_reused = 106
+    unauthorized = 107
 
     no_configuration = 201
     no_replica = 205
@@ -47,6 +48,8 @@
     claim_failed = 212
     crash_suspect = 220
     stopping = 221
+    quota_exceeded = 222
+    not_admitted = 223
 
     deadline_exceeded = 300
     connection_reset = 302
@@ -124,6 +127,10 @@
             HTTPStatus.UNPROCESSABLE_ENTITY,
             'The Idempotency-Key was used with another body.',
         ),
+        ResultCode.unauthorized: _not_run(
+            HTTPStatus.UNAUTHORIZED,
+            'The API key is missing, or no tenant holds it.',
+        ),
         ResultCode.no_configuration: _not_run(
             HTTPStatus.SERVICE_UNAVAILABLE,
             'The daemon has no configuration yet.',
@@ -154,6 +161,14 @@
             HTTPStatus.SERVICE_UNAVAILABLE,
             'The daemon stops before the deadline of the request.',
         ),
+        ResultCode.quota_exceeded: _not_run(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            'The tenant has used its quota.',
+        ),
+        ResultCode.not_admitted: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Capacity is short, and the request could not be served in time.',
+        ),
         ResultCode.deadline_exceeded: _run_unknown(
             HTTPStatus.GATEWAY_TIMEOUT, 'No answer came before the deadline.'
         ),
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from dragonflyramp.tenants import TenantDirectory
+
 #: Latency outside this daemon for connection setup and the network in both
 #: directions.
 _NETWORK_OVERHEAD_MS = 12.0
@@ -52,8 +54,10 @@
     #: Maximum number of attempts per service, including retries and hedges. An
     #: attempt that writes no request does not count.
     max_attempts: int
-    #: 0 is the highest priority. Decoded, but without effect.
+    #: 0 is the highest priority; that of a tenant takes precedence.
     priority: int = 0
+    #: Whether callers need no API key.
+    is_anonymous: bool = False
     #: One service, or several that share the requests by weight.
     split: tuple[WeightedService, ...] = ()
     gather: GatherSettings | None = None
@@ -97,6 +101,8 @@
     )
     #: Limit on the body of a caller's request.
     max_body_bytes: int
+    #: None if callers need no API keys.
+    tenants: TenantDirectory | None = None
     _routes_by_host: Mapping[str, tuple[Route, ...]] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
