Refuse keys when out of touch, and keep keys and tenants apart everywhere

With strict_revoke, a front that has heard neither from the store nor from another front for revoke_ms answers 503 (224) to requests with a key.

The headers without key and tenant are computed once for each request.

--- a/dragonflyramp/_changes.py
+++ b/dragonflyramp/_changes.py
@@ -20,7 +20,9 @@
 
     revision: int
     #: A copy, because views and builders go on changing theirs.
-    objects_by_name: Mapping[str, Fields] = attrs.field(converter=_frozen_copy)
+    objects_by_name: Mapping[str, Fields] = attrs.field(
+        converter=_frozen_copy, repr=False
+    )
 
 
 @attrs.frozen
@@ -28,7 +30,8 @@
     """One changed object; `fields` is None if it was removed."""
 
     name: str
-    fields: Fields | None
+    #: Not in the `repr`: the configuration holds API keys.
+    fields: Fields | None = attrs.field(repr=False)
 
 
 @attrs.frozen
@@ -51,7 +54,7 @@
     #: Revision of the oldest page, or of the last changes.
     revision: int = 0
     _newest_revision: int = 0
-    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict)
+    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict, repr=False)
 
     @property
     def needs_changes(self) -> bool:
--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -5,6 +5,7 @@
 _in_flight       number of requests in progress
 _queries         type of queries
 _request_contexts  routes of queries, and the contexts of their execution
+_answer_builders answers from what was fetched
 _answers         types of answers; a success exists only with its proof
 _scatter_gather  scatter-gather over the shards of a search
 _cutoffs         policies for when a search returns a partial answer
--- a/dragonflyramp/callers/_authentication.py
+++ b/dragonflyramp/callers/_authentication.py
@@ -16,14 +16,21 @@
 
 
 def authenticate(
-    query: Query, route: Route, tenants: TenantDirectory | None
+    query: Query,
+    route: Route,
+    tenants: TenantDirectory | None,
+    *,
+    trusts_keys: bool,
 ) -> Identity | ResultCode:
-    """Return the identity of a caller, or unauthorized.
+    """Return the identity of a caller, or unauthorized, or keys_unverified.
 
-    A route that needs no API key gets the tenant of a valid one.
+    A route that needs no API key gets the tenant of a valid one. A key is
+    refused as unverified even if it is unknown, because it may have been added.
     """
     if tenants is None:
         return Identity()
+    if query.api_key and not trusts_keys:
+        return ResultCode.keys_unverified
     tenant = tenants.find(query.api_key) if query.api_key else None
     if tenant is None and not route.is_anonymous:
         return ResultCode.unauthorized
--- a/dragonflyramp/callers/_claims.py
+++ b/dragonflyramp/callers/_claims.py
@@ -36,13 +36,20 @@
     service: str
     key: str
     body: bytes
+    #: Tenant of the caller, '' without one.
+    tenant_name: str = ''
 
     @property
     def claim_name(self) -> str:
-        """Return the name of the claim, unique for each service and key."""
+        """Return the name of the claim, unique for tenant, service and key."""
         # The length keeps service 'a' with key 'bc' apart from service 'ab'
         # with key 'c'.
         qualified_key = f'{len(self.service)}:{self.service}{self.key}'
+        if self.tenant_name:
+            # A name without a tenant has a colon after its first number.
+            qualified_key = (
+                f'{len(self.tenant_name)}@{self.tenant_name}{qualified_key}'
+            )
         return hashlib.sha256(qualified_key.encode()).hexdigest()
 
     @property
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -8,31 +8,31 @@
 import attrs
 
 from dragonflyramp.admission import AdmissionPolicy, AdmitAll
-from dragonflyramp.backends import (
-    BackendClient,
-    FetchResult,
-    RequestContext,
+from dragonflyramp.backends import BackendClient, RequestContext
+from dragonflyramp.callers._answer_builders import (
+    build_relay_answer,
+    build_search_refusal,
+    routed_by,
 )
-from dragonflyramp.callers._answers import (
-    Answer,
-    MergedAnswer,
-    Refusal,
-    RelayedAnswer,
-    RelayedFailure,
-    RouteVersion,
-)
-from dragonflyramp.callers._authentication import authenticate
+from dragonflyramp.callers._answers import Answer, MergedAnswer
 from dragonflyramp.callers._cutoffs import CutoffPolicy, Progress, TargetCutoff
 from dragonflyramp.callers._in_flight import InFlightCounter
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._queries import Query
-from dragonflyramp.callers._request_logs import RequestLog, refuse
+from dragonflyramp.callers._request_logs import (
+    RequestLog,
+    refuse,
+    refuse_unmatched,
+)
 from dragonflyramp.callers._request_contexts import (
     RouteMatch,
     build_context,
-    find_route,
+    match_query,
+)
+from dragonflyramp.callers._retry_delays import (
+    UNAVAILABLE_RETRY_AFTER_SECONDS,
+    retry_after_seconds,
 )
-from dragonflyramp.callers._retry_delays import retry_after_seconds
 from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
 from dragonflyramp.callers._suspect_guards import SuspectGuard
 from dragonflyramp.callers._traffic_splits import WeightedRoundRobin
@@ -40,14 +40,11 @@
 from dragonflyramp.quotas import QuotaPolicy, UnlimitedQuotas
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, RoutingTable
-from dragonflyramp.tenants import Tenant
+from dragonflyramp.tenants import KeyTrust, Tenant, TrustAlways
 
 #: Retry delay for the caller if no replica ran the request, usually because all
 #: were full: a slot becomes free after about the duration of one request.
 _NOT_RUN_RETRY_AFTER_SECONDS = 0.1
-#: Retry delay for the caller without a usable replica or a configuration:
-#: replicas recover, or new ones are listed, within a few tenths of a second.
-_UNAVAILABLE_RETRY_AFTER_SECONDS = 0.25
 
 
 def _create_suspect_guard(front: 'Front') -> SuspectGuard:
@@ -77,6 +74,7 @@
     merger: Merger = attrs.field(factory=RecordMerger)
     quotas: QuotaPolicy = attrs.field(factory=UnlimitedQuotas)
     admission: AdmissionPolicy = attrs.field(factory=AdmitAll)
+    key_trust: KeyTrust = attrs.field(factory=TrustAlways)
     #: Whether successful answers in time are all logged, instead of a sample.
     logs_all_answers: bool = False
     is_stopping: bool = False
@@ -100,23 +98,11 @@
 
         Cancelling this coroutine cancels all requests to backend servers.
         """
-        table = self.current_table()
-        if table is None:
-            return refuse(
-                query,
-                ResultCode.no_configuration,
-                _UNAVAILABLE_RETRY_AFTER_SECONDS,
-            )
-        route = find_route(table, query)
-        if route is None:
-            return refuse(query, ResultCode.unknown_service)
-        identity = authenticate(query, route, table.tenants)
-        if isinstance(identity, ResultCode):
-            return refuse(query, identity)
+        match = find_match(self, query)
+        if isinstance(match, ResultCode):
+            return refuse_unmatched(query, match)
         context = build_context(
-            query,
-            RouteMatch(table, route, identity),
-            self.backend_client.crash_detector,
+            query, match, self.backend_client.crash_detector
         )
         with self.in_flight:
             return await self._execute(query, context)
@@ -124,16 +110,26 @@
     async def _execute(self, query: Query, context: RequestContext) -> Answer:
         now_seconds = self.clock()
         if now_seconds >= context.deadline_at_seconds:
-            return refuse(query, ResultCode.bad_deadline)
+            return refuse(
+                query, ResultCode.bad_deadline, tenant_name=context.tenant_name
+            )
         if context.deadline_at_seconds > self.drain_ends_at_seconds:
             return refuse(
-                query, ResultCode.stopping, _NOT_RUN_RETRY_AFTER_SECONDS
+                query,
+                ResultCode.stopping,
+                _NOT_RUN_RETRY_AFTER_SECONDS,
+                tenant_name=context.tenant_name,
             )
         quota_delay_seconds = await _acquire_quota(
             self.quotas, context.tenant, now_seconds
         )
         if quota_delay_seconds is not None:
-            return refuse(query, ResultCode.quota_exceeded, quota_delay_seconds)
+            return refuse(
+                query,
+                ResultCode.quota_exceeded,
+                quota_delay_seconds,
+                tenant_name=context.tenant_name,
+            )
         with contextlib.ExitStack() as cleanup:
             rejection = await self.admission.admit(context, cleanup)
             if rejection is not None:
@@ -142,6 +138,7 @@
                     query,
                     ResultCode.not_admitted,
                     rejection.retry_after_seconds,
+                    tenant_name=context.tenant_name,
                 )
             return await self.suspect_guard.run(
                 context, functools.partial(self._send, query)
@@ -170,16 +167,17 @@
                     fleet,
                     (service,),
                     1,
-                    _UNAVAILABLE_RETRY_AFTER_SECONDS,
+                    UNAVAILABLE_RETRY_AFTER_SECONDS,
                     self.clock(),
                 ),
+                tenant_name=context.tenant_name,
             )
         fetch_result = await self.backend_client.create_fetch(
             context, service
         ).run()
-        answer = _build_relay_answer(
+        answer = build_relay_answer(
             fetch_result,
-            _routed(context),
+            routed_by(context),
             retry_after_seconds(
                 fleet,
                 (service,),
@@ -215,9 +213,10 @@
                     fleet,
                     gather.shards,
                     initial_progress.required_count,
-                    _UNAVAILABLE_RETRY_AFTER_SECONDS,
+                    UNAVAILABLE_RETRY_AFTER_SECONDS,
                     now_seconds,
                 ),
+                tenant_name=context.tenant_name,
             )
         scatter_gather = ScatterGather(
             backend_client=self.backend_client,
@@ -242,7 +241,7 @@
     ) -> Answer:
         progress = shard_results.progress(gather.min_share)
         if not progress.is_sufficient:
-            return _build_search_refusal(
+            return build_search_refusal(
                 shard_results,
                 is_finished=progress.is_finished,
                 delay_seconds=retry_after_seconds(
@@ -260,13 +259,23 @@
         )
         return MergedAnswer(
             parts=parts,
-            routed=_routed(context),
+            routed=routed_by(context),
             body=self.merger.merge(
                 (part.reply.body for part in parts), gather.top_count
             ),
         )
 
 
+def find_match(front: Front, query: Query) -> RouteMatch | ResultCode:
+    """Return the route of a query and its tenant, or why it is refused."""
+    return match_query(
+        query,
+        front.current_table(),
+        trusts_keys=not query.api_key
+        or front.key_trust.trusts_keys(front.clock()),
+    )
+
+
 async def _acquire_quota(
     quotas: QuotaPolicy, tenant: Tenant | None, now_seconds: float
 ) -> float | None:
@@ -274,44 +283,3 @@
     if tenant is None or not tenant.has_quota:
         return None
     return await quotas.try_acquire(tenant, now_seconds)
-
-
-def _routed(context: RequestContext) -> RouteVersion:
-    return RouteVersion(route=context.route, version=context.table.version)
-
-
-def _build_relay_answer(
-    fetch_result: FetchResult, routed: RouteVersion, delay_seconds: float
-) -> Answer:
-    if fetch_result.success is not None:
-        return RelayedAnswer(success=fetch_result.success, routed=routed)
-    if fetch_result.failure is not None:
-        return RelayedFailure(reply=fetch_result.failure)
-    if fetch_result.may_have_run:
-        return Refusal(code=fetch_result.code, may_have_run=True)
-    return Refusal(code=fetch_result.code, retry_after_seconds=delay_seconds)
-
-
-def _build_search_refusal(
-    shard_results: ShardResults,
-    *,
-    is_finished: bool,
-    delay_seconds: float,
-) -> Refusal:
-    """Build the refusal of a search without enough successful shards.
-
-    A replica of an unfinished shard may have run the request.
-    """
-    may_have_run = (
-        not is_finished
-        or bool(shard_results.succeeded)
-        or any(
-            fetch_result.may_have_run for fetch_result in shard_results.failed
-        )
-    )
-    code = ResultCode.deadline_exceeded
-    if shard_results.failed:
-        code = shard_results.failed[-1].code
-    if may_have_run:
-        return Refusal(code=code, may_have_run=True)
-    return Refusal(code=code, retry_after_seconds=delay_seconds)
--- a/dragonflyramp/callers/_native_api_http.py
+++ b/dragonflyramp/callers/_native_api_http.py
@@ -15,10 +15,11 @@
 
 from dragonflyramp.callers._answers import Answer, MergedAnswer, Refusal
 from dragonflyramp.callers._claims import Claims, KeyedRequest, KeyedResult
-from dragonflyramp.callers._fronts import Front
+from dragonflyramp.callers._fronts import Front, find_match
 from dragonflyramp.callers._merging import split_records
 from dragonflyramp.callers._queries import Query
-from dragonflyramp.messages import Request
+from dragonflyramp.callers._request_logs import refuse_unmatched
+from dragonflyramp.messages import Headers, Request
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 
@@ -37,6 +38,13 @@
 
 #: Returns the name of the route for a service.
 RouteNamer = Callable[[str], str]
+#: Returns the API key in the headers of a caller, '' without one.
+ApiKeyParser = Callable[[Headers], str]
+
+
+def _ignore_keys(headers: Headers) -> str:
+    """Return no key, for deployments without tenants."""
+    return ''
 
 
 @attrs.frozen(kw_only=True)
@@ -49,6 +57,7 @@
     clock: Callable[[], float]
     name_search_route: RouteNamer
     name_submit_route: RouteNamer
+    parse_api_key: ApiKeyParser = _ignore_keys
 
     def create_application(self) -> web.Application:
         """Create the application.
@@ -94,10 +103,19 @@
             return _refusal_response(
                 ResultCode.missing_idempotency_key, request_id
             )
+        # An outcome is not replayed to a caller that another tenant's key or
+        # none identifies.
+        match = find_match(self.front, query)
+        if isinstance(match, ResultCode) and _needs_known_tenant(match, query):
+            refusal = refuse_unmatched(query, match)
+            return _refusal_response(refusal.code, request_id)
         keyed_request = KeyedRequest(
             service=request.match_info['service'],
             key=key,
             body=query.request.body,
+            tenant_name=''
+            if isinstance(match, ResultCode)
+            else match.tenant_name,
         )
         keyed_result = await self.claims.run(
             keyed_request, lambda: self.front.serve(query)
@@ -128,6 +146,7 @@
             deadline_ms=int(deadline_text),
             received_at_seconds=received_at_seconds,
             route_name=name_route(request.match_info['service']),
+            api_key=self.parse_api_key(_decode_headers(request)),
         )
 
 
@@ -176,6 +195,18 @@
     return await handler(request)
 
 
+def _needs_known_tenant(code: ResultCode, query: Query) -> bool:
+    """Return whether a query without a match may not reach the claims."""
+    return bool(query.api_key) or code is ResultCode.unauthorized
+
+
+def _decode_headers(request: web.Request) -> Headers:
+    return tuple(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in request.raw_headers
+    )
+
+
 def _backend_request(path: str, request_id: str, body: bytes) -> Request:
     headers = (
         ('Host', 'dragonflyramp'),
--- a/dragonflyramp/callers/_request_contexts.py
+++ b/dragonflyramp/callers/_request_contexts.py
@@ -3,8 +3,9 @@
 import attrs
 
 from dragonflyramp.backends import CrashDetector, CrashWatch, RequestContext
-from dragonflyramp.callers._authentication import Identity
+from dragonflyramp.callers._authentication import Identity, authenticate
 from dragonflyramp.callers._queries import Query
+from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import Route, RoutingTable
 
 #: Maximum wait for a replica with capacity, as a share of the latency target or
@@ -28,13 +29,39 @@
     route: Route
     identity: Identity
 
+    @property
+    def tenant_name(self) -> str:
+        """Return the name of the tenant, '' without one."""
+        tenant = self.identity.tenant
+        return '' if tenant is None else tenant.name
+
+
+def match_query(
+    query: Query, table: RoutingTable | None, *, trusts_keys: bool
+) -> RouteMatch | ResultCode:
+    """Return the route and the tenant of a query, or why it is refused.
+
+    Without a table, a query is not called unauthorized, because its key may be
+    a valid one.
+    """
+    if table is None:
+        return ResultCode.no_configuration
+    route = find_route(table, query)
+    if route is None:
+        return ResultCode.unknown_service
+    identity = authenticate(
+        query, route, table.tenants, trusts_keys=trusts_keys
+    )
+    if isinstance(identity, ResultCode):
+        return identity
+    return RouteMatch(table, route, identity)
+
 
 def build_context(
     query: Query, match: RouteMatch, detector: CrashDetector
 ) -> RequestContext:
     """Return the context of a query, with the shorter of both time limits."""
     route = match.route
-    tenant = match.identity.tenant
     limit_ms = route.timeout_ms
     if query.deadline_ms is not None:
         limit_ms = min(limit_ms, query.deadline_ms)
@@ -42,7 +69,7 @@
         request=query.request,
         route=route,
         table=match.table,
-        tenant=tenant,
+        tenant=match.identity.tenant,
         received_at_seconds=query.received_at_seconds,
         deadline_at_seconds=query.received_at_seconds + limit_ms / 1000,
         capacity_wait_seconds=min(limit_ms, route.target_ms)
@@ -51,6 +78,6 @@
         crash_watch=CrashWatch(
             detector=detector,
             request=query.request,
-            tenant_name='' if tenant is None else tenant.name,
+            tenant_name=match.tenant_name,
         ),
     )
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -1,6 +1,7 @@
 """Log and count the requests of callers."""
 
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 
 import attrs
 from loguru import logger
@@ -20,6 +21,9 @@
     Success,
 )
 from dragonflyramp.callers._queries import Query
+from dragonflyramp.callers._retry_delays import (
+    UNAVAILABLE_RETRY_AFTER_SECONDS,
+)
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters, latencies
 from dragonflyramp.results import ResultCode
@@ -83,6 +87,8 @@
     query: Query,
     code: ResultCode,
     retry_after_seconds: float | None = None,
+    *,
+    tenant_name: str | None = None,
 ) -> Refusal:
     """Count, log and return the refusal of a query that was not sent."""
     counters.add('refusals', code.name)
@@ -90,11 +96,25 @@
         request=query.request.request_id,
         host=query.host,
         path=query.path,
+        tenant=tenant_name,
         code=code.name,
     ).info('request refused')
     return Refusal(code=code, retry_after_seconds=retry_after_seconds)
 
 
+def refuse_unmatched(query: Query, code: ResultCode) -> Refusal:
+    """Refuse a query without a route or a tenant."""
+    if code is ResultCode.unauthorized:
+        counters.add(
+            'unauthorized_requests',
+            'unknown_key' if query.api_key else 'missing_key',
+        )
+    retry_after_seconds = None
+    if code.meaning.http_status is HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_after_seconds = UNAVAILABLE_RETRY_AFTER_SECONDS
+    return refuse(query, code, retry_after_seconds)
+
+
 def _outcome_name(answer: Answer) -> str:
     if isinstance(answer, Refusal):
         return answer.code.name
--- a/dragonflyramp/callers/_retry_delays.py
+++ b/dragonflyramp/callers/_retry_delays.py
@@ -5,6 +5,10 @@
 
 from dragonflyramp.backends import Fleet, resume_delay_seconds
 
+#: Retry delay for the caller without a usable replica or a configuration:
+#: replicas recover, or new ones are listed, within a few tenths of a second.
+UNAVAILABLE_RETRY_AFTER_SECONDS = 0.25
+
 
 def retry_after_seconds(
     fleet: Fleet,
--- a/dragonflyramp/callers/_suspect_guards.py
+++ b/dragonflyramp/callers/_suspect_guards.py
@@ -151,6 +151,7 @@
         )
         logger.bind(
             request=context.request.request_id,
+            tenant=context.tenant_name,
             code=ResultCode.crash_suspect.name,
             fingerprint=fingerprint,
             service=suspicion.service,
--- a/dragonflyramp/logs.py
+++ b/dragonflyramp/logs.py
@@ -1,6 +1,7 @@
 """Write JSON log lines to standard output, rate-limited, without blocking."""
 
 import json
+import logging
 import os
 import sys
 import time
@@ -79,7 +80,7 @@
             **record['extra'],
         }
         if record['exception']:
-            fields['exception'] = repr(record['exception'].value)
+            fields['exception'] = _describe_exception(record['exception'].value)
         if self._dropped_line_count:
             fields['lines_left_out'] = self._dropped_line_count
         line = json.dumps(fields, default=str, separators=(',', ':'))
@@ -103,6 +104,34 @@
         counters.add('log_lines_left_out', reason)
 
 
+class LibraryLogHandler(logging.Handler):
+    """Log the lines of libraries without their exceptions.
+
+    aiohttp's exceptions quote the heads of callers, which may hold API keys.
+    These lines are limited like others below WARNING, because callers cause
+    them.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log and count one line of a library."""
+        counters.add('library_log_lines', record.levelname)
+        exception_type = record.exc_info[0] if record.exc_info else None
+        logger.bind(
+            library=record.name,
+            exception_type=exception_type and exception_type.__name__,
+        ).info('library: {}', record.getMessage())
+
+
+def _describe_exception(exception: BaseException | None) -> str:
+    """Return the `repr`, except that of an exception that has a whole text.
+
+    The text that failed to be encoded or decoded may hold an API key.
+    """
+    if isinstance(exception, (UnicodeError, BaseExceptionGroup)):
+        return f'{type(exception).__name__}({str(exception)!r})'
+    return repr(exception)
+
+
 def configure_logging(settings: Settings, node: str) -> None:
     """Log to standard output at the level and the rate in the settings.
 
@@ -124,6 +153,10 @@
         diagnose=False,
         catch=False,
     )
+    # Otherwise, Python writes the lines of libraries to standard error.
+    logging.basicConfig(
+        handlers=[LibraryLogHandler()], level=logging.WARNING, force=True
+    )
 
 
 _WARNING_LEVEL = logger.level('WARNING').no
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -30,7 +30,11 @@
     StoredSuspectRecords,
     maintain_suspects,
 )
-from dragonflyramp.members._synchronizers import ViewSynchronizer, is_informed
+from dragonflyramp.members._synchronizers import (
+    ViewSynchronizer,
+    is_informed,
+    news_age_seconds,
+)
 from dragonflyramp.members._watchers import Watcher, WatchTiming
 
 __all__ = (
@@ -50,4 +54,5 @@
     'decode_record',
     'is_informed',
     'maintain_suspects',
+    'news_age_seconds',
 )
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -206,6 +206,19 @@
     return min(ages_seconds) <= _MAX_INFORMED_AGE_SECONDS
 
 
+def news_age_seconds(
+    synchronizer: ViewSynchronizer, now_seconds: float
+) -> float:
+    """Return the seconds since the store or another daemon responded."""
+    ages_seconds = (
+        view.age_seconds(now_seconds) for view in synchronizer.views.values()
+    )
+    return min(
+        synchronizer.cluster.daemon_health.response_age_seconds(now_seconds),
+        *ages_seconds,
+    )
+
+
 def _build_update(
     view: View, known_revision: int, now_seconds: float
 ) -> ViewUpdate:
--- a/dragonflyramp/messages.py
+++ b/dragonflyramp/messages.py
@@ -16,8 +16,15 @@
     method: str
     #: Path and query string, forwarded byte for byte.
     path_and_query: str
-    #: End-to-end headers; hop-by-hop headers are removed.
-    headers: Headers
+    #: End-to-end headers; hop-by-hop headers are removed. They may hold an API
+    #: key, which is secret.
+    headers: Headers = attrs.field(repr=False)
+    #: The same without the API key and the tenant that the caller names, for
+    #: replicas if tenants are configured.
+    headers_without_tenant: Headers = attrs.field(
+        repr=False,
+        default=attrs.Factory(lambda request: request.headers, takes_self=True),
+    )
     body: bytes = b''
     #: Whether the caller sent a body, which may be empty.
     has_body: bool = False
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -10,13 +10,14 @@
 _headers        header names and the parsing of header values
 _answers_http   encoding of answers; what makes a success
 _front_http     HTTP server for callers and readiness checks
+_servers_http   failures of malformed requests, without their text
 _body_memory    limit on the memory of the bodies of callers' requests
 _backend_http   encoding of requests to replicas, decoding of replies
 """
 
 from dragonflyramp.platform._backend_http import ReplicaCodec
 from dragonflyramp.platform._front_http import FrontServer
-from dragonflyramp.platform._headers import REQUEST_ID
+from dragonflyramp.platform._headers import REQUEST_ID, parse_api_key
 from dragonflyramp.platform._object_stores import (
     TEXTS_KIND,
     PlatformObjectStore,
@@ -42,5 +43,6 @@
     'create_body_reader',
     'decode_settings',
     'open_store',
+    'parse_api_key',
     'read_settings',
 )
--- a/dragonflyramp/platform/_backend_http.py
+++ b/dragonflyramp/platform/_backend_http.py
@@ -1,6 +1,5 @@
 """Encode requests to replicas and decode their replies."""
 
-from collections.abc import Iterable
 from http import HTTPStatus
 
 import attrs
@@ -25,15 +24,16 @@
         """Encode a request with its deadline and the expected replica id.
 
         With tenants, the caller's API key is left out, and the name of its
-        tenant replaces whatever the caller sent.
+        tenant in UTF-8 replaces whatever the caller sent.
         """
-        headers: Iterable[tuple[str, str]] = request.headers
+        headers = request.headers
         if tenant_name is not None:
-            headers = http_headers.without_tenant_headers(request.headers)
+            headers = request.headers_without_tenant
         lines = [f'{request.method} {request.path_and_query} HTTP/1.1']
         lines.extend(f'{name}: {text}' for name, text in headers)
         if tenant_name:
-            lines.append(f'{http_headers.TENANT}: {tenant_name}')
+            tenant_text = http_headers.encode_utf8(tenant_name)
+            lines.append(f'{http_headers.TENANT}: {tenant_text}')
         lines.append(f'{http_headers.DEADLINE_MS}: {remaining_ms}')
         lines.append(f'{http_headers.EXPECT_INSTANCE}: {replica_id}')
         if request.has_body:
--- a/dragonflyramp/platform/_field_checks.py
+++ b/dragonflyramp/platform/_field_checks.py
@@ -28,11 +28,22 @@
 
 
 def require_secret(field: Any) -> str:
-    """Return a text like `require_id`; errors do not contain it."""
-    if not isinstance(field, str) or not field:
+    """Return a printable ASCII text without the spaces around it.
+
+    Errors do not contain it.
+    """
+    if not isinstance(field, str) or not field.strip():
         raise TypeError('a secret is no text')
     if not (field.isascii() and field.isprintable()):
         raise ValueError('a secret has other characters than printable ASCII')
+    return field.strip()
+
+
+def require_list(field: Any) -> list[Any]:
+    """Return a list."""
+    if not isinstance(field, list):
+        # The list may hold secrets.
+        raise TypeError('a list is required')
     return field
 
 
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -23,6 +23,7 @@
     encode_unproven,
 )
 from dragonflyramp.platform._body_memory import BodyMemory
+from dragonflyramp.platform._servers_http import CallerServer
 from dragonflyramp.results import ResultCode
 
 _SUPPORTED_UPGRADE = 'websocket'
@@ -179,6 +180,7 @@
 ) -> Query:
     raw_path = request.raw_path
     headers = _decode_headers(request)
+    forwarded = tuple(http_headers.end_to_end_headers(headers))
     return Query(
         request=Request(
             request_id=http_headers.first_value(
@@ -186,7 +188,10 @@
             ),
             method=request.method,
             path_and_query=raw_path,
-            headers=tuple(http_headers.end_to_end_headers(headers)),
+            headers=forwarded,
+            headers_without_tenant=tuple(
+                http_headers.without_tenant_headers(forwarded)
+            ),
             body=body,
             has_body=request.body_exists,
             accepts_content_coding=http_headers.accepts_content_coding(headers),
@@ -203,7 +208,7 @@
     handler: Callable[..., object],  # noqa: WPS110 - as in aiohttp
     address: str,
 ) -> web.ServerRunner:
-    server = web.Server(
+    server = CallerServer(
         handler,  # type: ignore[arg-type]
         handler_cancellation=True,
         access_log=None,
@@ -257,7 +262,10 @@
         async with asyncio.timeout(timeout_seconds):
             return await _read_pieces(request, limits)
     except (TimeoutError, web.RequestPayloadError) as error:
-        logger.bind(reason=repr(error)).info('failed to read the request body')
+        # The text of the error may quote what the caller sent.
+        logger.bind(reason=type(error).__name__).info(
+            'failed to read the request body'
+        )
         return ResultCode.bad_request
 
 
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -65,20 +65,21 @@
 def parse_api_key(headers: Headers) -> str:
     """Return the API key of a caller; empty without one.
 
-    A caller that sends several has none.
+    A caller that sends different ones has none. Only spaces and tabs are
+    removed: other white space is part of an unknown key.
 
     >>> parse_api_key((('authorization', 'bearer k1'),))
     'k1'
     """
-    texts = tuple(_header_values(headers, AUTHORIZATION.lower()))
+    texts = set(_header_values(headers, AUTHORIZATION.lower()))
     if len(texts) != 1:
         return ''
-    scheme, _, api_key = texts[0].strip().partition(' ')
-    return api_key.strip() if scheme.lower() == _API_KEY_SCHEME else ''
+    scheme, _, api_key = texts.pop().strip(_BLANKS).partition(' ')
+    return api_key.strip(_BLANKS) if scheme.lower() == _API_KEY_SCHEME else ''
 
 
 def without_tenant_headers(headers: Headers) -> Iterator[tuple[str, str]]:
-    """Yield the headers that name neither an API key nor a tenant."""
+    """Yield the headers that hold neither an API key nor a tenant's name."""
     for name, text in headers:
         if name.lower() not in _TENANT_HEADERS:
             yield name, text
@@ -101,6 +102,11 @@
     return text if text.isascii() else text.encode('latin-1').decode()
 
 
+def encode_utf8(text: str) -> str:
+    """Encode a value so that its Latin-1 form is UTF-8, as `decode_utf8`."""
+    return text if text.isascii() else text.encode().decode('latin-1')
+
+
 def accepts_content_coding(headers: Headers) -> bool:
     """Return whether Accept-Encoding names a content coding.
 
@@ -180,6 +186,7 @@
 
 
 _API_KEY_SCHEME = 'bearer'
+_BLANKS = ' \t'
 _TENANT_HEADERS = frozenset((AUTHORIZATION.lower(), TENANT.lower()))
 _NO_CODINGS = frozenset(('', 'identity'))
 _NUMBER_LIMIT = 1e12
--- a/dragonflyramp/platform/_store_decoders.py
+++ b/dragonflyramp/platform/_store_decoders.py
@@ -29,6 +29,7 @@
     WeightedService,
 )
 from dragonflyramp.routing_state import ObjectDecoder
+from dragonflyramp.tenants import TenantDirectory
 from dragonflyramp.views import Fields
 
 #: Kinds of objects in the store.
@@ -67,9 +68,10 @@
 
 def _parse_table(spec: Fields) -> RoutingTable:
     limits = spec.get('limits') or {}
+    tenants = parse_tenants(spec.get('tenants'))
     return RoutingTable(
         version=require_int(spec['version'], 0, _MAX_COUNT),
-        routes=tuple(map(_parse_route, spec['routes'])),
+        routes=tuple(_parse_route(route, tenants) for route in spec['routes']),
         service_policies={
             service.name: service
             for service in map(_parse_service, spec['services'])
@@ -79,11 +81,11 @@
             0,
             _MAX_COUNT,
         ),
-        tenants=parse_tenants(spec.get('tenants')),
+        tenants=tenants,
     )
 
 
-def _parse_route(fields: Fields) -> Route:
+def _parse_route(fields: Fields, tenants: TenantDirectory | None) -> Route:
     timeout_ms = _parse_ms(fields.get('timeout_ms') or _DEFAULT_TIMEOUT_MS)
     return Route(
         name=require_text(fields['name']),
@@ -100,10 +102,15 @@
         ),
         split=_parse_split(fields),
         gather=_parse_gather(fields),
-        is_anonymous=require_flag(fields.get('anonymous') or False),
+        is_anonymous=tenants is not None and _parse_anonymous(fields),
     )
 
 
+def _parse_anonymous(fields: Fields) -> bool:
+    is_anonymous = fields.get('anonymous')
+    return False if is_anonymous is None else require_flag(is_anonymous)
+
+
 def _parse_split(fields: Fields) -> tuple[WeightedService, ...]:
     weighted_services = fields.get('traffic_split')
     if weighted_services:
--- a/dragonflyramp/platform/_tenant_fields.py
+++ b/dragonflyramp/platform/_tenant_fields.py
@@ -3,10 +3,11 @@
 from typing import Any
 
 from dragonflyramp.platform._field_checks import (
-    require_id,
     require_int,
+    require_list,
     require_number,
     require_secret,
+    require_text,
 )
 from dragonflyramp.tenants import Tenant, TenantDirectory
 from dragonflyramp.views import Fields
@@ -19,23 +20,36 @@
     """Parse the tenants; None if the configuration has no such field.
 
     With an empty list, only anonymous routes have callers. Raise KeyError,
-    TypeError, ValueError or AttributeError if it is malformed.
+    TypeError, ValueError or AttributeError if it is malformed. No such error
+    contains a key.
     """
     if fields is None:
         return None
-    return TenantDirectory.create(map(_parse_tenant, fields))
+    return TenantDirectory.create(map(_parse_tenant, require_list(fields)))
 
 
 def _parse_tenant(fields: Fields) -> tuple[Tenant, tuple[str, ...]]:
     priority = fields.get('priority')
     tenant = Tenant(
-        name=require_id(fields['name']),
+        name=_parse_name(fields['name']),
         priority=None
         if priority is None
         else require_int(priority, -_MAX_COUNT, _MAX_COUNT),
-        rate_per_second=require_number(
-            fields.get('rate_per_s') or 0, 0, _MAX_COUNT
-        ),
-        burst=require_number(fields.get('burst') or 0, 0, _MAX_COUNT),
+        rate_per_second=_parse_limit(fields.get('rate_per_s')),
+        burst=_parse_limit(fields.get('burst')),
     )
-    return tenant, tuple(map(require_secret, fields.get('api_keys') or ()))
+    api_keys = fields.get('api_keys')
+    listed_keys = [] if api_keys is None else require_list(api_keys)
+    return tenant, tuple(map(require_secret, listed_keys))
+
+
+def _parse_name(field: Any) -> str:
+    """Return a name that reaches replicas unchanged as a header value."""
+    name = require_text(field)
+    if name != name.strip():
+        raise ValueError(name)
+    return name
+
+
+def _parse_limit(field: Any) -> float:
+    return 0 if field is None else require_number(field, 0, _MAX_COUNT)
--- a/dragonflyramp/results.py
+++ b/dragonflyramp/results.py
@@ -50,6 +50,7 @@
     stopping = 221
     quota_exceeded = 222
     not_admitted = 223
+    keys_unverified = 224
 
     deadline_exceeded = 300
     connection_reset = 302
@@ -169,6 +170,10 @@
             HTTPStatus.SERVICE_UNAVAILABLE,
             'Capacity is short, and the request could not be served in time.',
         ),
+        ResultCode.keys_unverified: _not_run(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The daemon has not heard for too long whether API keys changed.',
+        ),
         ResultCode.deadline_exceeded: _run_unknown(
             HTTPStatus.GATEWAY_TIMEOUT, 'No answer came before the deadline.'
         ),
--- a/dragonflyramp/tenants/_directories.py
+++ b/dragonflyramp/tenants/_directories.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import TypeAlias
 
 import attrs
@@ -41,7 +42,7 @@
                     f'tenant {tenant.name} has a key of another tenant'
                 )
             by_digest.update(digests)
-        return cls(by_name, by_digest)
+        return cls(MappingProxyType(by_name), MappingProxyType(by_digest))
 
     def find(self, api_key: str) -> Tenant | None:
         """Return the tenant that holds a key, if any."""
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -13,8 +13,8 @@
     Preconnector,
     apply_peer_latency_ratios,
 )
-from dragonflyramp.callers import Claims, Front, NativeApi, NativeApiServer
-from dragonflyramp.machine_settings import MachineSettings
+from dragonflyramp.callers import Front, NativeApiServer
+from dragonflyramp.machine_settings import MachineSettings, RevocationBounds
 from dragonflyramp.members import (
     DAEMONS_KIND,
     Cluster,
@@ -35,7 +35,6 @@
     StoreClient,
     StoreDecoder,
 )
-from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.routing_state import ObjectDecoder, RoutingState
 from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
 from dragonflyramp.settings import ConfigurationSource, Settings
@@ -44,6 +43,10 @@
     create_backend_client,
     create_fleet,
 )
+from dragonflyramp.tools._caller_components import (
+    create_key_trust,
+    create_native_api_server,
+)
 from dragonflyramp.tools._front_gauges import register_gauges
 from dragonflyramp.tools._front_views import (
     ChangeDispatcher,
@@ -185,6 +188,7 @@
         routing_state,
         synchronizer,
         suspect_records,
+        revocation_bounds=machine.revocation_bounds,
         logs_all_answers=settings.logs_all_answers,
     )
     return FrontComponents(
@@ -192,7 +196,7 @@
         machine=machine,
         front=front,
         front_server=FrontServer(front, _CLOCK),
-        native_api_server=_create_native_api_server(front, store),
+        native_api_server=create_native_api_server(front, store, _CLOCK),
         metrics_server=MetricsServer(caller_header=REQUEST_ID),
         sync_server=SyncServer(synchronizer, _CLOCK),
         hub_links=dispatcher.hub_links,
@@ -226,6 +230,7 @@
     synchronizer: ViewSynchronizer,
     suspect_records: StoredSuspectRecords,
     *,
+    revocation_bounds: RevocationBounds,
     logs_all_answers: bool,
 ) -> Front:
     connect_crash_detector(backend_client, synchronizer, suspect_records)
@@ -237,6 +242,7 @@
         has_synced=lambda: routing_state.has_synced,
         logs_all_answers=logs_all_answers,
         suspect_guard=create_suspect_guard(backend_client, suspect_records),
+        key_trust=create_key_trust(revocation_bounds, synchronizer),
     )
 
 
@@ -260,19 +266,5 @@
     )
 
 
-def _create_native_api_server(
-    front: Front, store: StoreClient
-) -> NativeApiServer:
-    return NativeApiServer(
-        NativeApi(
-            front=front,
-            claims=Claims(store),
-            clock=_CLOCK,
-            name_search_route=search_route_name,
-            name_submit_route=submit_route_name,
-        )
-    )
-
-
 _CLOCK = time.monotonic
 _TICK_INTERVAL_SECONDS = 0.2
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -52,7 +52,8 @@
     confirmed_at_seconds: float = -math.inf
     #: When the store last became available again after an outage.
     outage_ended_at_seconds: float = -math.inf
-    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict)
+    #: Not in the `repr`: the configuration holds API keys.
+    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict, repr=False)
     _change_log: ChangeLog = attrs.field(factory=ChangeLog)
 
     @property
