--- a/tests/standins/stores.py
+++ b/tests/standins/stores.py
@@ -117,9 +117,17 @@
 class StoreServer:
     """Serve a store on a loopback port."""
 
-    def __init__(self, store: Store | None = None) -> None:
-        """Serve a store, by default an empty one."""
+    def __init__(
+        self, store: Store | None = None, faults: StoreFaults | None = None
+    ) -> None:
+        """Serve a store, by default an empty one.
+
+        With faults of its own, it treats its clients differently from other
+        servers of the same store, also in the calls that are open when a fault
+        begins.
+        """
         self.store = store or Store()
+        self.own_faults = faults
         self.address = ''
         self._runner: web.AppRunner | None = None
 
@@ -155,22 +163,30 @@
         request: web.Request,
         handler: Any,  # noqa: WPS110 - aiohttp passes it by this name
     ) -> web.StreamResponse:
-        faults = self.store.faults
+        faults = self.own_faults or self.store.faults
         if request.path == '/control':
             return await handler(request)  # type: ignore[no-any-return]
         self.store.calls.append(f'{request.method} {request.path_qs}')
-        if faults.is_silent:
-            await asyncio.Event().wait()
-        if faults.is_resetting:
-            reset_connection(request)
-        if faults.status:
-            return web.Response(status=faults.status)
+        refusal = await self._refuse(request, faults)
+        if refusal is not None:
+            return refusal
         reply: web.StreamResponse = await handler(request)
+        if self.own_faults is not None:
+            reply = await self._refuse(request, self.own_faults) or reply
         if request.method != 'GET' and faults.lost_replies:
             faults.lost_replies -= 1
             reset_connection(request)
         return reply
 
+    async def _refuse(
+        self, request: web.Request, faults: StoreFaults
+    ) -> web.StreamResponse | None:
+        if faults.is_silent:
+            await asyncio.Event().wait()
+        if faults.is_resetting:
+            reset_connection(request)
+        return web.Response(status=faults.status) if faults.status else None
+
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info['kind']
         if 'watch' in request.query:
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -20,7 +20,14 @@
     decode_response,
     encode_response,
 )
-from dragonflyramp.platform import StoreDecoder, decode_settings
+from dragonflyramp.messages import Request
+from dragonflyramp.platform import (
+    ReplicaCodec,
+    StoreDecoder,
+    decode_settings,
+    parse_api_key,
+)
+from dragonflyramp.platform._headers import without_tenant_headers
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.views import Change, ChangeBatch, Listing, View
@@ -89,6 +96,83 @@
     assert 'settings file' in decoded.failure()
 
 
+_TENANT_FIELDS = ('name', 'api_keys', 'priority', 'rate_per_s', 'burst')
+_tenant_values = (
+    _json_values
+    | st.lists(st.text(alphabet='k ~\x7f\n', max_size=3), max_size=3)
+    | st.sampled_from(('north', 'south', 0, 1))
+)
+
+
+@_fuzz_settings
+@given(
+    _json_values
+    | st.lists(
+        st.dictionaries(st.sampled_from(_TENANT_FIELDS), _tenant_values),
+        max_size=3,
+    ),
+    _json_values,
+)
+def test_random_tenants_are_decoded_or_rejected(
+    tenants: Any, anonymous: Any
+) -> None:
+    """Malformed tenants must not end a watch, and valid keys must be found."""
+    route = {
+        'name': 'r',
+        'host': 'h',
+        'path_prefix': '/',
+        'kind': 'idempotent',
+        'anonymous': anonymous,
+    }
+    spec = {
+        'version': 1,
+        'routes': [route],
+        'services': [],
+        'tenants': tenants,
+    }
+    table = StoreDecoder().decode_table({'main': {'spec': spec}})
+    if table is None or table.tenants is None:
+        return
+    for fields in tenants:
+        for api_key in fields.get('api_keys') or ():
+            tenant = table.tenants.find(api_key.strip())
+            assert tenant is not None
+            assert tenant.name == fields['name']
+
+
+@_fuzz_settings
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(('Authorization', 'TENANT', 'tenant', 'X')),
+            st.text(st.characters(max_codepoint=255), max_size=12).map(
+                'Bearer {}'.format
+            )
+            | st.text(st.characters(max_codepoint=255)),
+        )
+    ),
+    st.text().filter(str.isprintable),
+)
+def test_random_headers_pass_no_key(
+    headers: list[tuple[str, str]], name: str
+) -> None:
+    """No header of a caller may end a request or name its tenant."""
+    assert parse_api_key(tuple(headers)) == parse_api_key(tuple(headers)).strip(
+        ' \t'
+    )
+    passed = tuple(without_tenant_headers(tuple(headers)))
+    request = Request(
+        request_id='q',
+        method='GET',
+        path_and_query='/',
+        headers=tuple(headers),
+        headers_without_tenant=passed,
+    )
+    assert {passed_name for passed_name, _ in passed} <= {'X'}
+    encoded = ReplicaCodec().encode(request, 'r', 1, name)
+    assert encoded.count(f'Tenant: {name}'.encode()) >= bool(name)
+
+
 def _synchronizer(name: str) -> ViewSynchronizer:
     return ViewSynchronizer(
         Cluster(Membership(Daemon(name, f'{name}:1', 'z'))),
--- a/tests/test_native_api.py
+++ b/tests/test_native_api.py
@@ -4,6 +4,7 @@
 import pathlib
 import time
 from collections.abc import AsyncIterator, Mapping
+from types import MappingProxyType
 from typing import Any
 
 import aiohttp
@@ -30,9 +31,11 @@
     PlatformObjectStore,
     StoreClient,
     create_body_reader,
+    parse_api_key,
 )
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import search_route_name, submit_route_name
+from dragonflyramp.tenants import Tenant, TenantDirectory
 from dragonflyramp.tools._text_decoders import TextDecoder
 from tests.front_harnesses import (
     RECORD_BYTES,
@@ -47,6 +50,9 @@
 _EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples/forrozeira.toml'
 _TEXT = _EXAMPLE.read_bytes()
 _KEYED_REQUEST = KeyedRequest(service='a', key='k1', body=b'{}')
+_SUBMIT_HEADERS = MappingProxyType(
+    {'X-Deadline-Ms': '3000', 'Idempotency-Key': 'k'}
+)
 _ANSWER = make_relayed(Reply(status=200, headers=(), body=b'booked', stamp='s'))
 
 
@@ -239,6 +245,7 @@
                 clock=time.monotonic,
                 name_search_route=search_route_name,
                 name_submit_route=submit_route_name,
+                parse_api_key=parse_api_key,
             )
         )
         address = await server.start('127.0.0.1:0')
@@ -283,6 +290,47 @@
     assert caller.harness.run_count('a') == 1
 
 
+async def test_outcomes_are_kept_apart_by_tenant(caller: _Caller) -> None:
+    """A tenant must not get the outcome of another one's idempotency key.
+
+    Nor may a caller without a valid API key get any.
+    """
+    front = caller.harness.front
+    table = front.current_table()
+    assert table is not None
+    tenants = TenantDirectory.create(
+        (Tenant(name=name), (f'key-{name}',)) for name in ('n', 's')
+    )
+    with_tenants = attrs.evolve(table, tenants=tenants)
+    front.current_table = lambda: with_tenants
+    replayed = []
+    for api_key in ('key-n', 'key-s', 'key-n'):
+        status, fields = await caller.post(
+            '/submit/a',
+            {**_SUBMIT_HEADERS, 'Authorization': f'Bearer {api_key}'},
+        )
+        replayed.append((status, fields['replayed']))
+    assert replayed == [(200, False), (200, False), (200, True)]
+    assert caller.harness.run_count('a') == 2
+    for headers in ({}, {'Authorization': 'Bearer key-x'}):
+        status, fields = await caller.post(
+            '/submit/a', {**_SUBMIT_HEADERS, **headers}
+        )
+        assert (status, fields['name']) == (401, 'unauthorized')
+
+
+async def test_key_without_configuration_claims_nothing(
+    caller: _Caller, store_server: StoreServer
+) -> None:
+    """A claim without the tenant would let the request run twice."""
+    caller.harness.front.current_table = lambda: None
+    status, fields = await caller.post(
+        '/submit/a', {**_SUBMIT_HEADERS, 'Authorization': 'Bearer key-n'}
+    )
+    assert (status, fields['name']) == (503, 'no_configuration')
+    assert not store_server.store.calls
+
+
 @pytest.mark.parametrize(
     ('path', 'body', 'headers', 'code'),
     [
