Move requests between software versions in rollouts

With the contract rollout, fronts follow the orders of kind rollouts: the target version gets a small share on one replica until a hub decides to complete, or to roll back because its answers are worse than those of the other versions. Without the contract, nothing is watched and all versions get requests.

--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from dragonflyramp.backends._attempts import RETRY, Attempt
+from dragonflyramp.backends._attempts import FIRST, RETRY, Attempt
 from dragonflyramp.backends._budgets import Budgets, rounding_offset
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_detectors import CrashDetector
@@ -23,6 +23,7 @@
     SelectionInputs,
     expected_latency_ms,
 )
+from dragonflyramp.rollouts import Sending
 from dragonflyramp.routes import Route, ServicePolicy
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
@@ -106,7 +107,16 @@
         policy = context.table.service_policies.get(service) or ServicePolicy(
             name=service, max_connections=_DEFAULT_MAX_CONNECTIONS
         )
-        candidates = self.fleet.candidates(policy, self.peers, now_seconds)
+        sending = Sending(
+            service=service,
+            route=context.route.name,
+            is_first=purpose == FIRST,
+        )
+        candidates = self.fleet.versions.narrow(
+            self.fleet.candidates(policy, self.peers, now_seconds),
+            sending,
+            now_seconds,
+        )
         untried = [
             replica
             for replica in candidates
@@ -125,6 +135,7 @@
             tenant_name=context.tenant_name,
         )
         self.fleet.cold_limiter.record_send(replica, now_seconds)
+        self.fleet.versions.record_start(replica.entry, sending, now_seconds)
         return Attempt(
             exchange=exchange,
             replica=replica,
@@ -140,4 +151,6 @@
 
     @recorder.default
     def _create_recorder(self) -> OutcomeRecorder:
-        return OutcomeRecorder(self.latencies, self.slow_replica_detector)
+        return OutcomeRecorder(
+            self.latencies, self.slow_replica_detector, self.fleet.versions
+        )
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -135,7 +135,7 @@
         if outcome.kind is OutcomeKind.lost:
             self._crash_retries.record_lost(attempt)
         self._client.recorder.record_missing_reply(
-            attempt, outcome.kind, now_seconds
+            attempt, outcome.kind, self._context, now_seconds
         )
         return None
 
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -16,6 +16,7 @@
 from dragonflyramp.backends._replicas import ConnectionPool, Replica
 from dragonflyramp.backends._reply_notices import ReplyNoticeRecorder
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
+from dragonflyramp.rollouts import AllVersions, VersionPolicy
 from dragonflyramp.routes import ServicePolicy
 from dragonflyramp.runtime import TaskSet
 
@@ -57,6 +58,8 @@
     on_process_end: Callable[[ReplicaEntry, float], None] = _ignore_process_end
     #: Failure domains that operators have taken out of service.
     held_domains: frozenset[str] = frozenset()
+    #: Which software versions may get requests.
+    versions: VersionPolicy = attrs.field(factory=AllVersions)
     #: Derived values of each service, until its replicas or the holds change.
     caches: dict[str, ServiceCache] = attrs.field(factory=dict)
     _by_service: dict[str, dict[str, Replica]] = attrs.field(factory=dict)
@@ -98,14 +101,15 @@
     ) -> list[Replica]:
         """Return the replicas that take requests now.
 
-        They are ready, outside the held failure domains, and have not said that
-        they leave or want a pause.
+        They are ready, outside the held failure domains, of a permitted
+        software version, and have not said that they leave or want a pause.
         """
         notices = self.reply_notices.notices
         return [
             replica
-            for replica in _permitted_replicas(self, service)
+            for replica in _permitted_replicas(self, service, now_seconds)
             if notices.resumes_at_seconds(replica.entry) <= now_seconds
+            and self.versions.permits(replica.entry, now_seconds)
         ]
 
     def candidates(
@@ -249,7 +253,8 @@
     notices = fleet.reply_notices.notices
     resume_times = (
         notices.resumes_at_seconds(replica.entry)
-        for replica in _permitted_replicas(fleet, service)
+        for replica in _permitted_replicas(fleet, service, now_seconds)
+        if fleet.versions.permits(replica.entry, now_seconds)
     )
     return max(0, min(resume_times, default=math.inf) - now_seconds)
 
@@ -272,13 +277,18 @@
     fleet.reply_notices.notices.expire(entries, now_seconds)
 
 
-def _permitted_replicas(fleet: Fleet, service: str) -> tuple[Replica, ...]:
+def _permitted_replicas(
+    fleet: Fleet, service: str, now_seconds: float
+) -> tuple[Replica, ...]:
     """Return the replicas that are ready and outside the held domains."""
     cache = fleet.caches.setdefault(service, ServiceCache())
     if cache.permitted is None:
+        replicas = fleet.service_replicas(service).values()
+        entries = [replica.entry for replica in replicas]
+        fleet.versions.record_listed(service, entries, now_seconds)
         cache.permitted = tuple(
             replica
-            for replica in fleet.service_replicas(service).values()
+            for replica in replicas
             if replica.is_ready
             and replica.entry.failure_domain not in fleet.held_domains
         )
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -12,12 +12,17 @@
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
+from dragonflyramp.rollouts import AnswerKind, VersionPolicy
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
 #: How long a cancelled attempt may still be answered. A reply in this time
 #: keeps the connection open. Until then, the age of the request shows the
 #: selector how slow the replica is.
 _LATE_REPLY_TIMEOUT_SECONDS = 0.25
+#: Multiples of the typical latency from which a reply counts as slow, and an
+#: attempt that was given up: another attempt was faster, or the deadline came.
+_SLOW_RATIO = 2.5
+_SLOW_CANCELLED_RATIO = 1.5
 
 
 @attrs.define(eq=False)
@@ -26,6 +31,7 @@
 
     _latencies: LatenciesByRoute
     _slow_replica_detector: SlowReplicaDetector
+    _versions: VersionPolicy
 
     def record_reply(
         self,
@@ -45,14 +51,27 @@
             replica.health.record_misdirected(now_seconds)
         elif verdict is ReplyVerdict.success:
             replica.health.record_success()
-            self._record_latency(attempt, context, now_seconds)
+            ratio = self._record_latency(attempt, context, now_seconds)
+            self._record_answer(
+                attempt,
+                context,
+                AnswerKind.slow if ratio > _SLOW_RATIO else AnswerKind.good,
+            )
         else:
             replica.health.record_error()
+            if verdict is not ReplyVerdict.not_run:
+                self._record_answer(attempt, context, AnswerKind.failed)
 
     def record_missing_reply(
-        self, attempt: Attempt, kind: OutcomeKind, now_seconds: float
+        self,
+        attempt: Attempt,
+        kind: OutcomeKind,
+        context: RequestContext,
+        now_seconds: float,
     ) -> None:
         """Record an attempt that ended without a reply."""
+        if kind is not OutcomeKind.unsent:
+            self._record_answer(attempt, context, AnswerKind.failed)
         if kind is OutcomeKind.unreachable:
             attempt.replica.health.record_unreachable(now_seconds)
         elif kind is not OutcomeKind.unsent:
@@ -67,7 +86,9 @@
 
         The age of its request is recorded as a latency.
         """
-        self._record_latency(attempt, context, now_seconds)
+        ratio = self._record_latency(attempt, context, now_seconds)
+        if ratio > _SLOW_CANCELLED_RATIO:
+            self._record_answer(attempt, context, AnswerKind.slow)
         loop = asyncio.get_running_loop()
         timer = loop.call_later(_LATE_REPLY_TIMEOUT_SECONDS, attempt.close)
         attempt.replica.in_flight[attempt.exchange] = attempt.started_at_seconds
@@ -75,12 +96,20 @@
             lambda _: _finish_late_reply(attempt, timer)
         )
 
+    def _record_answer(
+        self, attempt: Attempt, context: RequestContext, kind: AnswerKind
+    ) -> None:
+        self._versions.record_answer(
+            attempt.replica.entry, context.route.name, kind
+        )
+
     def _record_latency(
         self, attempt: Attempt, context: RequestContext, now_seconds: float
-    ) -> None:
+    ) -> float:
+        """Return the latency as a multiple of the typical one; 0 if unsent."""
         written_at_seconds = attempt.exchange.written_at_seconds
         if written_at_seconds is None:
-            return
+            return 0
         latencies = self._latencies.for_route(context.route)
         latency_ms = (now_seconds - written_at_seconds) * 1000
         ratio = latency_ms / max(1, latencies.typical_ms)
@@ -91,6 +120,7 @@
         )
         if attempt.purpose == FIRST:
             latencies.record(latency_ms)
+        return ratio
 
 
 def _finish_late_reply(attempt: Attempt, timer: asyncio.TimerHandle) -> None:
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -8,6 +8,7 @@
 _registrars     entries of the daemons in the store
 _suspect_records  records of requests that end replicas, and claims of trials
 _suspect_objects  the objects of these records in the store
+_rollout_fields encoding of the counts of rollouts in messages
 _suspicion_fields checks of the fields of records and messages
 _watchers       updates of the views from the store
 _sync_messages  messages between daemons and their encoding
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -134,6 +134,9 @@
         self._synchronizer.crash_suspects.apply_report(
             request.suspicions, now_seconds
         )
+        self._synchronizer.rollout_answers.apply_report(
+            request.sender.name, request.rollout_report
+        )
         await self._synchronizer.wait_for_changes(request)
         response = self._synchronizer.build_response(request, self._clock())
         return _serialize(encode_response(response))
--- a/dragonflyramp/members/_sync_messages.py
+++ b/dragonflyramp/members/_sync_messages.py
@@ -7,12 +7,17 @@
 import attrs
 
 from dragonflyramp.members._memberships import Daemon, decode_daemon
+from dragonflyramp.members._rollout_fields import (
+    decode_rollout_report,
+    encode_rollout_report,
+)
 from dragonflyramp.members._suspicion_fields import (
     decode_suspicion,
     require_short_text,
 )
 from dragonflyramp.object_limits import is_within_limits
 from dragonflyramp.replica_notices import NO_LEAVING_REPLICAS, LeavingReplicas
+from dragonflyramp.rollouts import NO_ROLLOUT_REPORT, RolloutReport
 from dragonflyramp.slow_replicas import LatencyAggregate, LatencyAggregates
 from dragonflyramp.suspects import (
     MAX_REPORTED_SUSPICIONS,
@@ -55,6 +60,8 @@
     suspicions: SuspicionReport = SuspicionReport()
     #: Version of the last report that the sender got from this daemon.
     known_suspicions_version: int = 0
+    #: Answers of rollouts that the sender has counted since its start.
+    rollout_report: RolloutReport = NO_ROLLOUT_REPORT
 
 
 @attrs.frozen(kw_only=True)
@@ -99,6 +106,7 @@
         _LEAVING_KEY: dict(request.leaving),
         **_encode_suspicions(request.suspicions),
         _KNOWN_SUSPICIONS_KEY: request.known_suspicions_version,
+        **encode_rollout_report(request.rollout_report),
     }
 
 
@@ -123,6 +131,7 @@
         known_suspicions_version=int(
             fields.get(_KNOWN_SUSPICIONS_KEY, NOT_REPORTED_VERSION)
         ),
+        rollout_report=decode_rollout_report(fields),
     )
 
 
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -14,6 +14,7 @@
     ViewUpdate,
 )
 from dragonflyramp.replica_notices import ReplicaNotices
+from dragonflyramp.rollouts import ReportedAnswers
 from dragonflyramp.runtime import Broadcast
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.suspects import (
@@ -58,6 +59,7 @@
     slow_replica_detector: SlowReplicaDetector
     replica_notices: ReplicaNotices = attrs.field(factory=ReplicaNotices)
     crash_suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    rollout_answers: ReportedAnswers = attrs.field(factory=ReportedAnswers)
     _view_changes: Broadcast = attrs.field(factory=Broadcast)
 
     def wake_waiting_requests(self) -> None:
@@ -98,6 +100,7 @@
                 self.crash_suspects.table, progress.sent_suspicions_version
             ),
             known_suspicions_version=progress.known_suspicions_version,
+            rollout_report=self.rollout_answers.own.report(),
         )
 
     def has_changes_for(self, request: SyncRequest) -> bool:
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -6,6 +6,7 @@
 _store_replies  listings and changes in the replies of the store
 _store_decoders decoding of configuration, replica entries and evacuations
 _tenant_fields  decoding of the tenants of the configuration
+_rollout_orders decoding of rollout orders, and writes of their status
 _object_stores  the operators' text in the store, and lists of replicas
 _headers        header names and the parsing of header values
 _answers_http   encoding of answers; what makes a success
@@ -22,6 +23,12 @@
     PlatformObjectStore,
     create_body_reader,
 )
+from dragonflyramp.platform._rollout_orders import (
+    ROLLOUT_CONTRACT,
+    ROLLOUTS_KIND,
+    PlatformOrderStore,
+    decode_rollout_order,
+)
 from dragonflyramp.platform._settings_file import (
     SETTINGS_PATH_VARIABLE,
     decode_settings,
@@ -32,14 +39,18 @@
 
 __all__ = (
     'REQUEST_ID',
+    'ROLLOUTS_KIND',
+    'ROLLOUT_CONTRACT',
     'SETTINGS_PATH_VARIABLE',
     'TEXTS_KIND',
     'FrontServer',
     'PlatformObjectStore',
+    'PlatformOrderStore',
     'ReplicaCodec',
     'StoreClient',
     'StoreDecoder',
     'create_body_reader',
+    'decode_rollout_order',
     'decode_settings',
     'open_store',
     'read_settings',
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -96,20 +96,28 @@
         )
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        revision: int,
+        *,
+        is_status: bool = False,
     ) -> Result[Fields, ResultCode]:
         """Replace an object's spec and return the object as stored.
 
-        Fail with version_conflict if the object is at another revision, and
-        with object_missing if it does not exist.
+        With `is_status`, replace its status instead. Fail with version_conflict
+        if the object is at another revision, and with object_missing if it does
+        not exist.
         """
-        body = {'meta': {'name': name, 'rev': revision}, 'spec': spec}
+        path = _build_path_and_query(kind, name)
+        body = {'meta': {'name': name, 'rev': revision}}
         return await self._api.send(
             ApiCall(
                 purpose='write',
                 method='PUT',
-                path_and_query=_build_path_and_query(kind, name),
-                body=body,
+                path_and_query=f'{path}/status' if is_status else path,
+                body={**body, 'status' if is_status else 'spec': spec},
             )
         )
 
--- a/dragonflyramp/tools/_backend_components.py
+++ b/dragonflyramp/tools/_backend_components.py
@@ -2,7 +2,7 @@
 
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from dragonflyramp.backends import (
     BackendClient,
@@ -18,10 +18,13 @@
 from dragonflyramp.members import ViewSynchronizer
 from dragonflyramp.platform import ReplicaCodec
 from dragonflyramp.runtime import TaskSet
+from dragonflyramp.tools._rollout_components import create_version_policy
+from dragonflyramp.views import View
 
 
 def create_fleet(
     machine: MachineSettings,
+    views: Mapping[str, View],
     connection_tasks: TaskSet,
     clock: Callable[[], float],
 ) -> Fleet:
@@ -34,6 +37,7 @@
             memory=ReplyMemory(),
         ),
         tasks=connection_tasks,
+        versions=create_version_policy(machine, views, clock),
         order=ReplicaOrder(
             daemon_name=machine.node, failure_domain=machine.failure_domain
         ),
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import importlib
 import random
 import time
 
@@ -33,12 +32,11 @@
     REQUEST_ID,
     FrontServer,
     StoreClient,
-    StoreDecoder,
 )
 from dragonflyramp.routes import search_route_name, submit_route_name
-from dragonflyramp.routing_state import ObjectDecoder, RoutingState
+from dragonflyramp.routing_state import RoutingState
 from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
-from dragonflyramp.settings import ConfigurationSource, Settings
+from dragonflyramp.settings import Settings
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.tools._backend_components import (
     create_backend_client,
@@ -47,9 +45,11 @@
 from dragonflyramp.tools._front_gauges import register_gauges
 from dragonflyramp.tools._front_views import (
     ChangeDispatcher,
+    create_decoder,
     create_views,
     create_watchers,
 )
+from dragonflyramp.tools._rollout_components import connect_rollouts
 from dragonflyramp.tools._suspect_components import (
     connect_crash_detector,
     connect_suspects,
@@ -77,6 +77,7 @@
     connection_tasks: TaskSet
     standstill_detector: StandstillDetector
     suspect_records: StoredSuspectRecords
+    dispatcher: ChangeDispatcher
 
     async def listen(self) -> dict[str, str]:
         """Listen on all ports and return the addresses to log, by name.
@@ -112,6 +113,7 @@
             maintain_suspects(self.suspect_records),
             self._detect_standstill(),
             *(watcher.run() for watcher in self.watchers),
+            self.dispatcher.run_rollouts(),
         )
 
     async def stop(self) -> None:
@@ -154,13 +156,13 @@
     settings: Settings, machine: MachineSettings, store: StoreClient
 ) -> FrontComponents:
     """Create all components of a front without starting them."""
-    decoder = _create_decoder(settings)
-    views = create_views(decoder)
+    decoder = create_decoder(settings)
+    views = create_views(decoder, machine)
     connection_tasks = TaskSet()
     routing_state = RoutingState(
         views=views,
         decoder=decoder,
-        fleet=create_fleet(machine, connection_tasks, _CLOCK),
+        fleet=create_fleet(machine, views, connection_tasks, _CLOCK),
         clock=_CLOCK,
     )
     dispatcher = ChangeDispatcher(
@@ -178,6 +180,9 @@
     dispatcher.hub_links = HubLinks(synchronizer, machine.seeds, _CLOCK)
     suspect_records = create_suspect_records(store, synchronizer, _CLOCK)
     connect_suspects(suspect_records, dispatcher, dispatcher.hub_links)
+    dispatcher.rollouts = connect_rollouts(
+        store, routing_state.fleet, synchronizer, dispatcher.hub_links
+    )
     front = _create_front(
         create_backend_client(
             machine, routing_state.fleet, synchronizer, _CLOCK
@@ -217,6 +222,7 @@
         connection_tasks=connection_tasks,
         standstill_detector=StandstillDetector(_CLOCK()),
         suspect_records=suspect_records,
+        dispatcher=dispatcher,
     )
 
 
@@ -240,18 +246,6 @@
     )
 
 
-def _create_decoder(settings: Settings) -> ObjectDecoder:
-    if settings.configuration is ConfigurationSource.text:
-        # Imported only here: with the other source, a front does not need the
-        # operators' package.
-        text_decoders = importlib.import_module(
-            'dragonflyramp.tools._text_decoders'
-        )
-        decoder: ObjectDecoder = text_decoders.TextDecoder()
-        return decoder
-    return StoreDecoder()
-
-
 def _create_own_daemon(machine: MachineSettings) -> Daemon:
     return Daemon(
         name=machine.node,
--- a/dragonflyramp/tools/_front_views.py
+++ b/dragonflyramp/tools/_front_views.py
@@ -1,10 +1,12 @@
 """Create the views of a front, and apply and pass on their changes."""
 
+import importlib
 import random
 from collections.abc import Callable
 
 import attrs
 
+from dragonflyramp.machine_settings import MachineSettings
 from dragonflyramp.members import (
     DAEMONS_KIND,
     SUSPECTS_KIND,
@@ -15,8 +17,15 @@
     Watcher,
     WatchTiming,
 )
+from dragonflyramp.platform import StoreDecoder
 from dragonflyramp.routing_state import ObjectDecoder, RoutingState
+from dragonflyramp.settings import ConfigurationSource, Settings
 from dragonflyramp.stores import WatchedStore
+from dragonflyramp.tools._rollout_components import (
+    ROLLOUT_KINDS,
+    RolloutComponents,
+    rollout_kinds,
+)
 from dragonflyramp.views import View
 
 
@@ -30,6 +39,8 @@
     #: `dispatch`; no view changes before.
     hub_links: HubLinks | None = None
     suspect_objects: SuspectObjects | None = None
+    #: None if rollouts are not in force.
+    rollouts: RolloutComponents | None = None
 
     def dispatch(self, kind: str, names: set[str]) -> None:
         """Apply the objects that changed in the view of a kind."""
@@ -41,14 +52,41 @@
             self.membership.update_registered(
                 self.routing_state.views[kind].objects_by_name
             )
+        elif self.rollouts is not None and kind in ROLLOUT_KINDS:
+            self.rollouts.apply_changes(kind, names)
         else:
             self.routing_state.apply_changes(kind, names)
         self.hub_links.notify_change()
 
+    async def run_rollouts(self) -> None:
+        """Run the tasks of rollouts, if they are in force, until cancelled."""
+        if self.rollouts is not None:
+            await self.rollouts.run()
+
+
+def create_decoder(settings: Settings) -> ObjectDecoder:
+    """Create the decoder of the configuration and the entries."""
+    if settings.configuration is ConfigurationSource.text:
+        # Imported only here: with the other source, a front does not need the
+        # operators' package.
+        text_decoders = importlib.import_module(
+            'dragonflyramp.tools._text_decoders'
+        )
+        decoder: ObjectDecoder = text_decoders.TextDecoder()
+        return decoder
+    return StoreDecoder()
+
 
-def create_views(decoder: ObjectDecoder) -> dict[str, View]:
+def create_views(
+    decoder: ObjectDecoder, machine: MachineSettings
+) -> dict[str, View]:
     """Create a view of each kind of object that a front follows."""
-    kinds = (*decoder.kinds, DAEMONS_KIND, SUSPECTS_KIND)
+    kinds = (
+        *decoder.kinds,
+        DAEMONS_KIND,
+        SUSPECTS_KIND,
+        *rollout_kinds(machine),
+    )
     return {kind: View(kind) for kind in kinds}
 
 
@@ -64,6 +102,7 @@
         entries_kind: _ENTRIES_WATCH_TIMING,
         DAEMONS_KIND: _DAEMONS_WATCH_TIMING,
         SUSPECTS_KIND: _SUSPECTS_WATCH_TIMING,
+        **{kind: _ROLLOUTS_WATCH_TIMING for kind in ROLLOUT_KINDS},
     }
     return tuple(
         Watcher(
@@ -94,3 +133,6 @@
 _SUSPECTS_WATCH_TIMING = WatchTiming(
     wait_seconds=10, allows_stale_listing=False
 )
+#: A front that has just started has to know which versions may get requests
+#: before it sends its first one.
+_ROLLOUTS_WATCH_TIMING = WatchTiming(allows_stale_listing=False)
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -132,8 +132,9 @@
         domain: str,
         state: str = 'ready',
         address: str = '',
+        **changes: Any,
     ) -> None:
-        """Write the store entry of a replica.
+        """Write the store entry of a replica, with changed fields.
 
         If `address` is set, as for a proxy, fronts connect to it instead.
         """
@@ -146,6 +147,7 @@
             'warmup_left_ms': 0,
             'sequence': 1,
             'born': server.start_time_ms,
+            **changes,
         }
         self.store_server.store.put('servers', server.replica_id, spec)
 
--- a/tests/standins/stores.py
+++ b/tests/standins/stores.py
@@ -56,11 +56,13 @@
     _events: list[tuple[int, str, Any]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+    def put(
+        self, kind: str, name: str, spec: Any, **parts: Any
+    ) -> dict[str, Any]:
         """Write an object without checking its revision."""
         self.revision += 1
         meta = {'name': name, 'rev': self.revision, 'created_rev': 1}
-        stored: dict[str, Any] = {'meta': meta, 'spec': spec}
+        stored: dict[str, Any] = {'meta': meta, 'spec': spec, **parts}
         self.objects_by_kind.setdefault(kind, {})[name] = stored
         self._record_event(kind, {'tombstone': False, 'object': stored})
         return stored
@@ -133,6 +135,7 @@
                 web.post(kind_path, self._create),
                 web.get(f'{kind_path}/{{name}}', self._read),
                 web.put(f'{kind_path}/{{name}}', self._replace),
+                web.put(f'{kind_path}/{{name}}/status', self._replace),
                 web.delete(f'{kind_path}/{{name}}', self._delete),
                 web.post('/control', self._control),
             ]
@@ -237,7 +240,10 @@
             return web.json_response(current, status=409)
         name = request.match_info['name']
         kind = request.match_info['kind']
-        return self._respond(self.store.put(kind, name, requested['spec']))
+        # A write of the status leaves the spec, and one of the spec no status.
+        written = {'spec': current['spec'], **requested}
+        written.pop('meta')
+        return self._respond(self.store.put(kind, name, **written))
 
     async def _delete(self, request: web.Request) -> web.Response:
         if self._find(request) is None:
