--- a/dragonflyramp/rollouts/_answer_counts.py
+++ b/dragonflyramp/rollouts/_answer_counts.py
@@ -130,7 +130,8 @@
         ]
         for key in outdated:
             self.by_key.pop(key)
-        self.drained_orders.pop(service, None)
+        if self.drained_orders.get(service) != order_key:
+            self.drained_orders.pop(service, None)
 
     def report(self) -> RolloutReport:
         """Return the report for the hubs."""
--- a/dragonflyramp/rollouts/_comparisons.py
+++ b/dragonflyramp/rollouts/_comparisons.py
@@ -14,9 +14,11 @@
 
 #: Negative logarithm of the probability below which bad answers are no chance:
 #: 1 in 1,100 while the version is tested, because the test is repeated often,
-#: and 1 in 20 before the decision to complete.
+#: and 1 in 7 before the decision to complete, and 1 in 20 for the
+#: opposite: that the fault of one replica is not one of all.
 _TEST_EVIDENCE = 7.0
-_FINAL_EVIDENCE = 3.0
+_FINAL_EVIDENCE = 2.0
+_CLEARING_EVIDENCE = 3.0
 #: Evidence of failures for which a decision to complete is taken back: answers
 #: are worse for a moment while all requests move.
 _REVERSAL_EVIDENCE = 10.0
@@ -127,6 +129,27 @@
     return max(evidence) < _FINAL_EVIDENCE
 
 
+def is_cleared(sample: Sample, bad_replica_ids: frozenset[str]) -> bool:
+    """Return whether the other replicas do not share the fault of bad ones.
+
+    Too few answers of the others clear nothing.
+    """
+    rest = sample.without(bad_replica_ids)
+    if len(rest.target) == len(sample.target):
+        return True
+    others = rest.target_total()
+    bad = _total(
+        counts
+        for replica_id in bad_replica_ids
+        for counts in sample.target.get(replica_id, {}).values()
+    )
+    # The rates of the good answers: those of the others have to be higher.
+    bad_rate = (bad.failed + bad.slow) / max(1, bad.total)
+    rate = min(_MAX_RATE, max(_MIN_FAILURE_RATE, bad_rate))
+    evidence = _chernoff_evidence(others.good, others.total, 1 - rate)
+    return evidence >= _CLEARING_EVIDENCE
+
+
 def is_failing(sample: Sample) -> bool:
     """Return whether the target fails, whatever its speed."""
     counts = sample.target_total()
--- a/dragonflyramp/rollouts/_coordinators.py
+++ b/dragonflyramp/rollouts/_coordinators.py
@@ -79,7 +79,7 @@
         service=inputs.rollout.order.service,
         target_version=inputs.rollout.order.target_version,
         reason=step.reason,
-        elapsed_seconds=round(inputs.rollout.elapsed_seconds, 2),
+        elapsed_seconds=round(inputs.elapsed_seconds, 2),
         observed_seconds=round(inputs.observed_seconds, 2),
         target_answers=attrs.astuple(inputs.sample.target_total()),
         other_answers=attrs.astuple(inputs.sample.others_total()),
--- a/dragonflyramp/rollouts/_decisions.py
+++ b/dragonflyramp/rollouts/_decisions.py
@@ -5,6 +5,7 @@
 from dragonflyramp.rollouts._comparisons import (
     Sample,
     Verdict,
+    is_cleared,
     is_failing,
     is_fit,
 )
@@ -36,7 +37,7 @@
 _MAX_OBSERVED_SHARE = 0.4
 #: Shortest time that the fronts get to hear of a late decision.
 _MIN_SWITCHING_SECONDS = 1
-_ENOUGH_GOOD_COUNT = 10
+_ENOUGH_GOOD_COUNT = 20
 #: Slots of the target replicas as a share of those of the others, below which
 #: the decision waits for more of them.
 _MIN_CAPACITY_SHARE = 0.5
@@ -50,6 +51,8 @@
     #: Position of this daemon among the hubs for the service.
     own_rank: int
     rollout: Rollout
+    #: Time since the order.
+    elapsed_seconds: float
     #: Time since the record changed, or since the order without one.
     unchanged_seconds: float
     #: Whether the coordinator in the record is one of the hubs.
@@ -67,6 +70,11 @@
     cap_share: float
     wall_clock_ms: int
 
+    @property
+    def elapsed_share(self) -> float:
+        """Return the elapsed part of the duration."""
+        return self.elapsed_seconds / self.rollout.order.duration_seconds
+
     @property
     def observed_share(self) -> float:
         """Return the observed part of the duration."""
@@ -75,11 +83,13 @@
     @property
     def share_inputs(self) -> ShareInputs:
         """Return what the share depends on."""
+        total = self.sample.target_total().plus(self.sample.others_total())
         return ShareInputs(
             census=self.census,
             bad_replica_ids=self.verdict.bad_replica_ids,
             good_count=self.sample.target_total().good,
-            elapsed_share=self.rollout.elapsed_share,
+            elapsed_share=self.elapsed_share,
+            requests_per_second=total.total / max(1, self.observed_seconds),
             cap_share=self.cap_share,
         )
 
@@ -121,7 +131,7 @@
     delay_seconds = inputs.own_rank * _RANK_DELAY_SECONDS
     if inputs.unchanged_seconds < delay_seconds:
         return _NOTHING
-    elapsed_ms = int(inputs.rollout.elapsed_seconds * 1000)
+    elapsed_ms = int(inputs.elapsed_seconds * 1000)
     record = RolloutRecord(
         order_key=inputs.rollout.order.key,
         coordinator=inputs.own_name,
@@ -160,7 +170,7 @@
     if _may_complete(inputs):
         switched = attrs.evolve(_next_beat(record), phase=Phase.switching)
         return Step(record=switched, reason='good_answers')
-    elapsed_share = inputs.rollout.elapsed_share
+    elapsed_share = inputs.elapsed_share
     if (
         elapsed_share >= _LAST_DECISION_SHARE
         and inputs.observed_share >= _MAX_OBSERVED_SHARE
@@ -175,37 +185,55 @@
 
 
 def _switch(inputs: Inputs, record: RolloutRecord) -> Step:
-    if is_failing(inputs.recent):
+    if is_failing(inputs.recent.without(inputs.verdict.bad_replica_ids)):
         return _roll_back(record, 'failures_after_switch')
     is_late = (
-        inputs.rollout.elapsed_share >= _STATUS_SHARE
+        inputs.elapsed_share >= _STATUS_SHARE
         and inputs.unchanged_seconds >= _MIN_SWITCHING_SECONDS
     )
     if not inputs.undrained_count or is_late:
         return Step(record=_next_beat(record), status=RolloutState.completed)
     # A late decision waits for a time without writes.
-    if _is_beat_due(inputs) and inputs.rollout.elapsed_share < _STATUS_SHARE:
+    if _is_beat_due(inputs) and inputs.elapsed_share < _STATUS_SHARE:
         return Step(record=_next_beat(record))
     return _NOTHING
 
 
 def _may_complete(inputs: Inputs) -> bool:
-    elapsed_share = inputs.rollout.elapsed_share
-    census = inputs.census
-    if not census.target_slots or elapsed_share < _DECISION_SHARE:
-        return False
-    if inputs.observed_share < _MIN_OBSERVED_SHARE:
-        return False
-    tested = inputs.sample.without(inputs.verdict.bad_replica_ids)
-    good_count = tested.target_total().good
-    if not is_fit(tested):
+    is_due = (
+        inputs.elapsed_share >= _DECISION_SHARE
+        and inputs.observed_share >= _MIN_OBSERVED_SHARE
+    )
+    if not is_due or not inputs.census.target_slots or not _is_proven(inputs):
         return False
-    if elapsed_share >= _LATE_DECISION_SHARE:
-        is_idle = not inputs.sample.others_total().total
-        return good_count > 0 or is_idle
+    if inputs.elapsed_share >= _LATE_DECISION_SHARE:
+        return True
+    # The fault of one replica may be one of the version that shows rarely.
+    return not inputs.verdict.bad_replica_ids and _has_enough(inputs)
+
+
+def _is_proven(inputs: Inputs) -> bool:
+    """Return whether the answers show no fault, and not too little."""
+    bad_replica_ids = inputs.verdict.bad_replica_ids
+    tested = inputs.sample.without(bad_replica_ids)
+    is_idle = not inputs.sample.others_total().total
+    return (
+        (tested.target_total().good > 0 or is_idle)
+        and is_fit(tested)
+        # A version may have turned bad a moment ago.
+        and is_fit(inputs.recent.without(bad_replica_ids))
+        and is_cleared(inputs.sample, bad_replica_ids)
+    )
+
+
+def _has_enough(inputs: Inputs) -> bool:
+    """Return whether answers and replicas suffice without waiting longer."""
+    census = inputs.census
     capacity = sum(census.target_slots.values())
-    has_capacity = capacity >= census.other_slots * _MIN_CAPACITY_SHARE
-    return has_capacity and good_count >= _ENOUGH_GOOD_COUNT
+    return (
+        inputs.sample.target_total().good >= _ENOUGH_GOOD_COUNT
+        and capacity >= census.other_slots * _MIN_CAPACITY_SHARE
+    )
 
 
 def _roll_back(record: RolloutRecord, reason: str) -> Step:
--- a/dragonflyramp/rollouts/_front_rollouts.py
+++ b/dragonflyramp/rollouts/_front_rollouts.py
@@ -29,7 +29,9 @@
 
 #: Share of the bound on exposure that the fronts use together. The rest is for
 #: requests whose attempts the fronts and the platform count differently.
-EXPOSURE_CAP_FACTOR = 0.8
+EXPOSURE_CAP_FACTOR = 0.9
+#: Part of the slack that the fronts use, for services with few requests.
+_SLACK_FACTOR = 0.4
 #: While a rollout runs, its record is confirmed about every second. A front
 #: that has not heard for longer may have missed a rollback.
 _MAX_RECORD_AGE_SECONDS = 4
@@ -39,6 +41,11 @@
     """Do nothing, for fronts without other daemons."""
 
 
+def _count_one() -> int:
+    """Return the number of daemons for fronts without others."""
+    return 1
+
+
 @attrs.define(eq=False, kw_only=True)
 class FrontRollouts(VersionPolicy):
     """Give each software version the requests that the rollouts allow."""
@@ -49,6 +56,8 @@
     answers: OwnAnswers = attrs.field(factory=OwnAnswers)
     #: Called when the hubs should hear of the counts at once.
     on_news: Callable[[], None] = _ignore
+    #: Returns the number of daemons that share the slack of the bound.
+    daemon_count: Callable[[], int] = _count_one
     versions: dict[str, ListedVersions] = attrs.field(factory=dict)
     exposures: dict[str, ServiceExposure] = attrs.field(factory=dict)
 
@@ -61,7 +70,7 @@
 
     def permits(self, entry: ReplicaEntry, now_seconds: float) -> bool:
         """Return whether a replica may get requests at all."""
-        rollout = self.known.find(entry.service, now_seconds)
+        rollout = self.known.find(entry.service)
         versions = self.versions.get(entry.service, _NO_VERSIONS)
         version = entry.software_version
         if rollout is None:
@@ -72,55 +81,52 @@
         if not is_target:
             return version not in versions.withdrawn
         return not rollout.is_rolled_back and (
-            is_only_version(self, rollout)
-            or self._gets_share(rollout, entry, now_seconds)
+            is_only_version(self, rollout, now_seconds)
+            or _gets_share(self, rollout, entry, now_seconds)
         )
 
     def narrow(
         self, candidates: list[Candidate], sending: Sending, now_seconds: float
     ) -> list[Candidate]:
         """Return the permitted candidates of which one may get an attempt."""
-        rollout = self.known.find(sending.service, now_seconds)
+        rollout = self.known.find(sending.service)
         if rollout is None or _is_decided(rollout):
             return candidates
         target_version = rollout.order.target_version
-        is_target = [
-            candidate.entry.software_version == target_version
+        others = [
+            candidate
             for candidate in candidates
+            if candidate.entry.software_version != target_version
         ]
-        if not any(is_target) or is_only_version(self, rollout):
+        is_mixed = len(others) < len(candidates)
+        if not is_mixed or is_only_version(self, rollout, now_seconds):
             return candidates
-        exposure = find_exposure(self, rollout)
-        share = self._share(rollout, now_seconds)
-        is_due = sending.is_first and exposure.limiter.is_due(
-            sending.route, share
-        )
+        if not self._is_due(rollout, sending, now_seconds):
+            return others
         return [
             candidate
-            for candidate, is_of_target in zip(
-                candidates, is_target, strict=True
-            )
-            if is_of_target is is_due
+            for candidate in candidates
+            if candidate.entry.software_version == target_version
         ]
 
     def record_start(
         self, entry: ReplicaEntry, sending: Sending, now_seconds: float
     ) -> None:
         """Count an attempt that has started."""
-        rollout = self.known.find(sending.service, now_seconds)
+        rollout = self.known.find(sending.service)
         if rollout is None or _is_decided(rollout) or not sending.is_first:
             return
         is_given = entry.software_version == rollout.order.target_version
         counters.add('rollout_requests', 'target' if is_given else 'others')
         find_exposure(self, rollout).limiter.record_request(
-            sending.route, self._share(rollout, now_seconds), is_given=is_given
+            sending.route, _share(self, rollout, now_seconds), is_given=is_given
         )
 
     def record_answer(
         self, entry: ReplicaEntry, route: str, kind: AnswerKind
     ) -> None:
         """Count what an attempt says about its version."""
-        rollout = self.known.find(entry.service, self.known.clock())
+        rollout = self.known.find(entry.service)
         if rollout is None or not rollout.order.is_open:
             return
         is_target = entry.software_version == rollout.order.target_version
@@ -138,27 +144,14 @@
             if kind is not AnswerKind.good:
                 self.on_news()
 
-    def _share(self, rollout: Rollout, now_seconds: float) -> float:
-        """Return the share of the target; 0 while this front is out of touch.
-
-        No share is above the cap for longer than the limiter allows.
-        """
-        record = rollout.record
-        if record is None or record.phase is not Phase.testing:
-            return 0
-        age_seconds = self.known.records_view.age_seconds(now_seconds)
-        return 0 if age_seconds > _MAX_RECORD_AGE_SECONDS else record.share
-
-    def _gets_share(
-        self, rollout: Rollout, entry: ReplicaEntry, now_seconds: float
+    def _is_due(
+        self, rollout: Rollout, sending: Sending, now_seconds: float
     ) -> bool:
-        """Return whether a target replica is one of those being tested."""
-        record = rollout.record
-        return (
-            record is not None
-            and entry.replica_id in record.replica_ids
-            and self._share(rollout, now_seconds) > 0
-            and not find_exposure(self, rollout).is_stopped(entry.replica_id)
+        """Return whether an attempt is for the target version."""
+        return sending.is_first and find_exposure(self, rollout).limiter.is_due(
+            sending.route,
+            _share(self, rollout, now_seconds),
+            self.bounds.slack * _SLACK_FACTOR / self.daemon_count(),
         )
 
 
@@ -178,25 +171,25 @@
     return exposure
 
 
-def is_only_version(front: FrontRollouts, rollout: Rollout) -> bool:
+def is_only_version(
+    front: FrontRollouts, rollout: Rollout, now_seconds: float
+) -> bool:
     """Return whether the target serves everything for want of another version.
 
     Before the end of the duration, the bound on exposure has precedence.
     """
     versions = front.versions.get(rollout.order.service, _NO_VERSIONS)
-    return rollout.elapsed_share > 1 and not versions.has_others(
+    return rollout.elapsed_share(now_seconds) > 1 and not versions.has_others(
         rollout.order.target_version
     )
 
 
-def update_withdrawn(
-    front: FrontRollouts, service: str, now_seconds: float
-) -> None:
+def update_withdrawn(front: FrontRollouts, service: str) -> None:
     """Withdraw the versions that an order has ended, until they are gone.
 
     The next order for the service must not give them requests.
     """
-    rollout = front.known.find(service, now_seconds)
+    rollout = front.known.find(service)
     if rollout is None:
         return
     versions = front.versions.setdefault(service, ListedVersions())
@@ -209,11 +202,9 @@
         versions.withdrawn.discard(target_version)
 
 
-def record_outstanding(
-    front: FrontRollouts, service: str, count: int, now_seconds: float
-) -> None:
+def record_outstanding(front: FrontRollouts, service: str, count: int) -> None:
     """Tell the hubs once when no request is left at old replicas."""
-    rollout = front.known.find(service, now_seconds)
+    rollout = front.known.find(service)
     if rollout is None or not rollout.is_switched or count:
         return
     order_key = rollout.order.key
@@ -222,6 +213,34 @@
         front.on_news()
 
 
+def _share(front: FrontRollouts, rollout: Rollout, now_seconds: float) -> float:
+    """Return the share of the target; 0 while this front is out of touch.
+
+    No share is above the cap for longer than the limiter allows.
+    """
+    record = rollout.record
+    if record is None or record.phase is not Phase.testing:
+        return 0
+    age_seconds = front.known.records_view.age_seconds(now_seconds)
+    return 0 if age_seconds > _MAX_RECORD_AGE_SECONDS else record.share
+
+
+def _gets_share(
+    front: FrontRollouts,
+    rollout: Rollout,
+    entry: ReplicaEntry,
+    now_seconds: float,
+) -> bool:
+    """Return whether a target replica is one of those being tested."""
+    record = rollout.record
+    return (
+        record is not None
+        and entry.replica_id in record.replica_ids
+        and _share(front, rollout, now_seconds) > 0
+        and not find_exposure(front, rollout).is_stopped(entry.replica_id)
+    )
+
+
 def _is_decided(rollout: Rollout) -> bool:
     return rollout.is_switched or rollout.is_rolled_back
 
--- a/dragonflyramp/rollouts/_known_rollouts.py
+++ b/dragonflyramp/rollouts/_known_rollouts.py
@@ -1,6 +1,7 @@
 """Keep the orders and records of rollouts, as the views show them."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
+from types import MappingProxyType
 from typing import TypeAlias
 
 import attrs
@@ -17,44 +18,65 @@
 from dragonflyramp.rollouts._start_times import StartTimes
 from dragonflyramp.views import Fields, View
 
+_FINAL_PHASES: Mapping[RolloutState | None, Phase] = MappingProxyType(
+    {
+        RolloutState.completed: Phase.switching,
+        RolloutState.rolled_back: Phase.rolled_back,
+    }
+)
+
 #: Decodes an order by its name; returns None for a malformed one.
 OrderDecoder: TypeAlias = Callable[[str, Fields], RolloutOrder | None]
 
 
 @attrs.frozen(kw_only=True)
 class Rollout:
-    """Order of a service, its record, and the time since it was given."""
+    """Order of a service, and its record.
+
+    It is looked up for each attempt, so what follows from both is kept.
+    """
 
     order: RolloutOrder
     #: None if there is no record of this order yet.
     stored: StoredRecord | None
-    elapsed_seconds: float
+    began_at_seconds: float
+    #: Whether only the target version gets requests.
+    is_switched: bool
+    #: Whether the target version gets nothing any more.
+    is_rolled_back: bool
 
     @property
     def record(self) -> RolloutRecord | None:
         """Return the record without its revision."""
         return None if self.stored is None else self.stored.record
 
-    @property
-    def is_rolled_back(self) -> bool:
-        """Return whether the target version gets nothing any more."""
-        if self.order.is_open:
-            record = self.record
-            return record is not None and record.phase is Phase.rolled_back
-        return self.order.state is RolloutState.rolled_back
+    def elapsed_seconds(self, now_seconds: float) -> float:
+        """Return the time since the order was given."""
+        return now_seconds - self.began_at_seconds
 
-    @property
-    def is_switched(self) -> bool:
-        """Return whether only the target version gets requests."""
-        if self.order.is_open:
-            record = self.record
-            return record is not None and record.phase is Phase.switching
-        return self.order.state is RolloutState.completed
+    def elapsed_share(self, now_seconds: float) -> float:
+        """Return this time as a share of the duration."""
+        return self.elapsed_seconds(now_seconds) / self.order.duration_seconds
 
-    @property
-    def elapsed_share(self) -> float:
-        """Return the time since the order as a share of its duration."""
-        return self.elapsed_seconds / self.order.duration_seconds
+
+def create_rollout(
+    order: RolloutOrder, stored: StoredRecord | None, began_at_seconds: float
+) -> Rollout:
+    """Combine an order and the newest record of its service.
+
+    The status of the order has precedence over the record.
+    """
+    if stored is not None and stored.record.order_key != order.key:
+        stored = None
+    phase = None if stored is None else stored.record.phase
+    phase = _FINAL_PHASES.get(order.state, phase)
+    return Rollout(
+        order=order,
+        stored=stored,
+        began_at_seconds=began_at_seconds,
+        is_switched=phase is Phase.switching,
+        is_rolled_back=phase is Phase.rolled_back,
+    )
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -72,22 +94,11 @@
     records: dict[str, StoredRecord] = attrs.field(factory=dict)
     #: When the record of a service last changed.
     changed_at_seconds: dict[str, float] = attrs.field(factory=dict)
+    _rollouts: dict[str, Rollout] = attrs.field(factory=dict)
 
-    def find(self, service: str, now_seconds: float) -> Rollout | None:
+    def find(self, service: str) -> Rollout | None:
         """Return the rollout of a service, open or not, if it has an order."""
-        order = self.orders.get(service)
-        if order is None:
-            return None
-        stored = self.records.get(service)
-        if stored is not None and stored.record.order_key != order.key:
-            stored = None
-        return Rollout(
-            order=order,
-            stored=stored,
-            elapsed_seconds=self.start_times.elapsed_seconds(
-                service, now_seconds
-            ),
-        )
+        return self._rollouts.get(service)
 
     def apply_orders(self, names: Collection[str]) -> None:
         """Apply the orders that changed in their view."""
@@ -95,6 +106,7 @@
             fields = self.orders_view.objects_by_name.get(name)
             if fields is None:
                 self.orders.pop(name, None)
+                self._refresh(name)
                 logger.bind(service=name).info('rollout order removed')
                 continue
             order = self.decode_order(name, fields)
@@ -112,19 +124,9 @@
         if known is not None and order.revision < known.revision:
             return
         self.orders[order.service] = order
-        if known is not None and known.key == order.key:
-            return
-        now_seconds = self.clock()
-        self.start_times.begin(order, now_seconds)
-        stored = self.records.get(order.service)
-        if stored is not None and stored.record.order_key == order.key:
-            self.start_times.adopt(order, stored.record, now_seconds)
-        logger.bind(
-            service=order.service,
-            target_version=order.target_version,
-            duration_seconds=order.duration_seconds,
-            state=order.state.value if order.state else '',
-        ).info('rollout ordered')
+        if known is None or known.key != order.key:
+            self._begin(order)
+        self._refresh(order.service)
 
     def apply_records(self, names: Collection[str]) -> None:
         """Apply the records that changed in their view.
@@ -154,3 +156,28 @@
         order = self.orders.get(service)
         if order is not None and order.key == stored.record.order_key:
             self.start_times.adopt(order, stored.record, now_seconds)
+        self._refresh(service)
+
+    def _begin(self, order: RolloutOrder) -> None:
+        now_seconds = self.clock()
+        self.start_times.begin(order, now_seconds)
+        stored = self.records.get(order.service)
+        if stored is not None and stored.record.order_key == order.key:
+            self.start_times.adopt(order, stored.record, now_seconds)
+        logger.bind(
+            service=order.service,
+            target_version=order.target_version,
+            duration_seconds=order.duration_seconds,
+            state=order.state.value if order.state else '',
+        ).info('rollout ordered')
+
+    def _refresh(self, service: str) -> None:
+        order = self.orders.get(service)
+        if order is None:
+            self._rollouts.pop(service, None)
+            return
+        self._rollouts[service] = create_rollout(
+            order,
+            self.records.get(service),
+            self.start_times.began_at_seconds(service, self.clock()),
+        )
--- a/dragonflyramp/rollouts/_observations.py
+++ b/dragonflyramp/rollouts/_observations.py
@@ -87,7 +87,7 @@
 
     def observe(self, service: str, now_seconds: float) -> Inputs | None:
         """Return the inputs of a decision; None on daemons that are no hub."""
-        rollout = self.known.find(service, now_seconds)
+        rollout = self.known.find(service)
         hub_names = self.peers.hub_names()
         if rollout is None or self.peers.own_name not in hub_names:
             return None
@@ -103,6 +103,7 @@
             own_name=self.peers.own_name,
             own_rank=_rank(service, self.peers.own_name, hub_names),
             rollout=rollout,
+            elapsed_seconds=rollout.elapsed_seconds(now_seconds),
             unchanged_seconds=self._unchanged_seconds(rollout, now_seconds),
             is_coordinator_hub=record is not None
             and record.coordinator in hub_names,
@@ -128,7 +129,7 @@
 
     def _unchanged_seconds(self, rollout: Rollout, now_seconds: float) -> float:
         if rollout.stored is None:
-            return rollout.elapsed_seconds
+            return rollout.elapsed_seconds(now_seconds)
         service = rollout.order.service
         return now_seconds - self.known.changed_at_seconds[service]
 
--- a/dragonflyramp/rollouts/_shares.py
+++ b/dragonflyramp/rollouts/_shares.py
@@ -11,6 +11,10 @@
 _SECOND_STEP_SHARE = 0.15
 _LOAD_STEP_GOOD_COUNT = 8
 _LOAD_STEP_SHARE = 0.3
+#: Requests of the target version per second that the first and the second step
+#: aim at, as far as the cap allows it; with fewer, a fault would not show.
+_FIRST_STEP_REQUESTS_PER_SECOND = 3
+_SECOND_STEP_REQUESTS_PER_SECOND = 8
 _LOAD_FACTOR = 0.8
 _MAX_LOAD_STEP = 0.5
 
@@ -35,6 +39,8 @@
     good_count: int
     #: Time since the order as a share of its duration.
     elapsed_share: float
+    #: Requests of the service per second, as far as they are known.
+    requests_per_second: float
     #: Cap of the share over the whole rollout.
     cap_share: float
 
@@ -61,8 +67,16 @@
     if inputs.elapsed_share >= _SECOND_STEP_SHARE or (
         inputs.good_count >= _SECOND_STEP_GOOD_COUNT
     ):
-        return cap_share / 2
-    return cap_share / 4
+        return _test_share(inputs, 2, _SECOND_STEP_REQUESTS_PER_SECOND)
+    return _test_share(inputs, 4, _FIRST_STEP_REQUESTS_PER_SECOND)
+
+
+def _test_share(
+    inputs: ShareInputs, divisor: int, aimed_per_second: float
+) -> float:
+    """Return a part of the cap, or more if the service has few requests."""
+    aimed_share = aimed_per_second / max(1, inputs.requests_per_second)
+    return max(inputs.cap_share / divisor, min(inputs.cap_share, aimed_share))
 
 
 def _select_replicas(
--- a/dragonflyramp/rollouts/_start_times.py
+++ b/dragonflyramp/rollouts/_start_times.py
@@ -63,6 +63,6 @@
             now_seconds - elapsed_seconds,
         )
 
-    def elapsed_seconds(self, service: str, now_seconds: float) -> float:
-        """Return the time since the start; 0 if it is not known."""
-        return now_seconds - self._by_service.get(service, now_seconds)
+    def began_at_seconds(self, service: str, now_seconds: float) -> float:
+        """Return when the rollout of a service began; now if not known."""
+        return self._by_service.get(service, now_seconds)
--- a/dragonflyramp/tools/_rollout_components.py
+++ b/dragonflyramp/tools/_rollout_components.py
@@ -64,7 +64,7 @@
     def apply_service(self, service: str) -> None:
         """Apply what has changed for the replicas of one service."""
         now_seconds = self.front.known.clock()
-        update_withdrawn(self.front, service, now_seconds)
+        update_withdrawn(self.front, service)
         _withdraw_forbidden(self.fleet, service, now_seconds)
 
     async def run(self) -> None:
@@ -73,15 +73,12 @@
 
     async def _report_drained(self) -> None:
         while True:
-            now_seconds = self.front.known.clock()
             for service, order in self.front.known.orders.items():
                 if order.is_open:
                     outstanding_count = _count_outstanding(
                         self.fleet, order.service, order.target_version
                     )
-                    record_outstanding(
-                        self.front, service, outstanding_count, now_seconds
-                    )
+                    record_outstanding(self.front, service, outstanding_count)
             await asyncio.sleep(_CHECK_INTERVAL_SECONDS)
 
 
@@ -180,6 +177,7 @@
     if not isinstance(front, FrontRollouts):
         return None
     front.answers = synchronizer.rollout_answers.own
+    front.daemon_count = synchronizer.cluster.daemon_count
     front.on_news = Coalescer(
         hub_links.notify_change, _REPORT_INTERVAL_SECONDS
     ).request
