--- a/dragonflyramp/members/_rollout_fields.py
+++ b/dragonflyramp/members/_rollout_fields.py
@@ -4,12 +4,10 @@
 
 import attrs
 
-from dragonflyramp.members._suspicion_fields import (
-    require_count,
-    require_short_text,
-)
+from dragonflyramp.members._suspicion_fields import require_count
 from dragonflyramp.rollouts import (
     MAX_ANSWER_KEYS,
+    MAX_TEXT_LENGTH,
     NO_ROLLOUT_REPORT,
     AnswerCounts,
     AnswerKey,
@@ -52,10 +50,10 @@
     if max(len(rows), len(drained)) > MAX_ANSWER_KEYS:
         raise ValueError('too many counts of answers')
     return RolloutReport(
-        process_id=require_short_text(encoded['process']),
+        process_id=_require_text(encoded['process']),
         answers=dict(map(_decode_row, rows)),
         drained_orders={
-            require_short_text(service): require_short_text(order_key)
+            _require_text(service): _require_text(order_key)
             for service, order_key in drained.items()
         },
     )
@@ -66,6 +64,14 @@
     if len(counts) != _COUNTS_LENGTH:
         raise ValueError(row)
     return (
-        AnswerKey(*map(require_short_text, key)),
+        AnswerKey(*map(_require_text, key)),
         AnswerCounts(*map(require_count, counts)),
     )
+
+
+def _require_text(field: Any) -> str:
+    if not isinstance(field, str):
+        raise TypeError(field)
+    if len(field) > MAX_TEXT_LENGTH or not field.isprintable():
+        raise ValueError(field)
+    return field
--- a/dragonflyramp/rollouts/__init__.py
+++ b/dragonflyramp/rollouts/__init__.py
@@ -19,6 +19,7 @@
 
 from dragonflyramp.rollouts._answer_counts import (
     MAX_ANSWER_KEYS,
+    MAX_TEXT_LENGTH,
     NO_ROLLOUT_REPORT,
     AnswerCounts,
     AnswerKey,
@@ -55,6 +56,7 @@
 __all__ = (
     'EXPOSURE_CAP_FACTOR',
     'MAX_ANSWER_KEYS',
+    'MAX_TEXT_LENGTH',
     'NO_ROLLOUT_REPORT',
     'RECORDS_KIND',
     'AllVersions',
--- a/dragonflyramp/rollouts/_answer_counts.py
+++ b/dragonflyramp/rollouts/_answer_counts.py
@@ -11,6 +11,8 @@
 
 #: Limit on the kinds of answers that a front counts and reports.
 MAX_ANSWER_KEYS = 512
+#: Limit on the texts of a report; answers with longer ones are not counted.
+MAX_TEXT_LENGTH = 400
 #: Limits on the reports that a hub keeps.
 _MAX_SENDERS = 1024
 #: Processes of one front whose counts are kept after its restarts.
@@ -116,7 +118,9 @@
     drained_orders: dict[str, str] = attrs.field(factory=dict)
 
     def record(self, key: AnswerKey, kind: AnswerKind) -> None:
-        """Count one answer."""
+        """Count one answer, unless another daemon would reject the key."""
+        if max(map(len, attrs.astuple(key))) > MAX_TEXT_LENGTH:
+            return
         counts = self.by_key.get(key, NO_ANSWERS)
         self.by_key[key] = counts.plus(_ONE_ANSWER[kind])
         drop_oldest(self.by_key, MAX_ANSWER_KEYS)
