--- a/dragonflyramp/rollouts/_decisions.py
+++ b/dragonflyramp/rollouts/_decisions.py
@@ -31,7 +31,7 @@
 _DECISION_SHARE = 0.6
 _LATE_DECISION_SHARE = 0.75
 _LAST_DECISION_SHARE = 0.85
-_STATUS_SHARE = 0.8
+_STATUS_SHARE = 0.75
 #: Shares of the duration for which the answers were observed before that.
 _MIN_OBSERVED_SHARE = 0.2
 _MAX_OBSERVED_SHARE = 0.4
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -157,3 +157,19 @@
                         method='POST',
                     )
                     assert answer.status == 200
+
+
+async def test_orders_are_ignored_without_the_contract(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Deployments without rollouts must be served as before."""
+    async with run_deployment(tmp_path) as deployment:
+        rollout = _Rollout(deployment)
+        deployment.replicas['lookup-new'] = rollout.new
+        await rollout.order()
+        async with asyncio.timeout(30), aiohttp.ClientSession() as session:
+            while not rollout.new_run_ids:
+                front = deployment.fronts[0]
+                await send_request(session, front, '/lookup/x', 'q')
+        calls = deployment.store_server.store.calls
+        assert not any('rollouts' in call for call in calls)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,5 +1,8 @@
 """Test the decisions on rollouts, without a network and a clock."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 import pytest
 
 from dragonflyramp.rollouts import AnswerKind
@@ -65,6 +68,20 @@
     return AnswerKind.good
 
 
+#: How versions answer, by name.
+BEHAVIOURS: Mapping[str, Behaviour] = MappingProxyType(
+    {
+        'good': _good,
+        'good, one faulty machine': _faulty_machine,
+        '30% fail': _failing,
+        '70% slow': _slow,
+        '30% fail after 6 s': _failing_late,
+        '30% fail on one route': _failing_on_one_route,
+        '30% fail under load': _failing_under_load,
+    }
+)
+
+
 def _check_exposure(model: RolloutModel) -> None:
     """Check the bound on the requests that the target got before the switch."""
     exposed = sum(sent.is_tested for sent in model.target)
