Report bad answers without waking the requests of other daemons

A hub with bad answers of a new version answered the long polls of all daemons every 0.2 s; only its own requests have to be renewed. Also test that another front completes a rollout whose coordinator was killed.

--- a/dragonflyramp/members/_hub_links.py
+++ b/dragonflyramp/members/_hub_links.py
@@ -34,6 +34,10 @@
         would respond with changes that the views already have.
         """
         self.synchronizer.wake_waiting_requests()
+        self.renew_requests()
+
+    def renew_requests(self) -> None:
+        """Replace the open requests, which lack what this daemon has since."""
         self._links.renew_requests()
 
     async def run(self) -> None:
--- a/dragonflyramp/tools/_rollout_components.py
+++ b/dragonflyramp/tools/_rollout_components.py
@@ -74,9 +74,10 @@
     async def _report_drained(self) -> None:
         while True:
             for service, order in self.front.known.orders.items():
-                if order.is_open:
+                rollout = self.front.known.find(service)
+                if order.is_open and rollout and rollout.is_switched:
                     outstanding_count = _count_outstanding(
-                        self.fleet, order.service, order.target_version
+                        self.fleet, service, order.target_version
                     )
                     record_outstanding(self.front, service, outstanding_count)
             await asyncio.sleep(_CHECK_INTERVAL_SECONDS)
@@ -179,7 +180,7 @@
     front.answers = synchronizer.rollout_answers.own
     front.daemon_count = synchronizer.cluster.daemon_count
     front.on_news = Coalescer(
-        hub_links.notify_change, _REPORT_INTERVAL_SECONDS
+        hub_links.renew_requests, _REPORT_INTERVAL_SECONDS
     ).request
     writer = RolloutWriter(
         store=store, order_store=PlatformOrderStore(store), known=front.known
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -1,6 +1,7 @@
 """Test rollouts with real fronts against the stand-ins."""
 
 import asyncio
+import contextlib
 import itertools
 import pathlib
 from collections.abc import Mapping
@@ -13,10 +14,12 @@
 from tests.deployments import (
     Deployment,
     FrontAnswer,
+    FrontProcess,
     run_deployment,
     send_request,
 )
 from tests.standins.replicas import ReplicaServer
+from tests.standins.waits import eventually
 
 _SETTINGS: Mapping[str, Any] = MappingProxyType(
     {
@@ -43,6 +46,8 @@
         self.answers: list[FrontAnswer] = []
         #: Ids of the requests that were sent before the decision.
         self.tested_ids: set[str] = set()
+        #: Names of the fronts that were killed.
+        self.killed: set[str] = set()
 
     @property
     def status(self) -> Mapping[str, Any]:
@@ -56,6 +61,18 @@
         spec = self._object('dragonflyramp-rollouts').get('spec', {})
         return str(spec.get('phase', ''))
 
+    @property
+    def running(self) -> list[FrontProcess]:
+        """Return the fronts that have not been killed."""
+        fronts = self.deployment.fronts
+        return [front for front in fronts if front.name not in self.killed]
+
+    @property
+    def coordinator(self) -> str:
+        """Return the coordinator in the record; empty without one."""
+        spec = self._object('dragonflyramp-rollouts').get('spec', {})
+        return str(spec.get('coordinator', ''))
+
     @property
     def new_run_ids(self) -> set[str]:
         return {run_id for server in self.new for run_id in server.run_ids}
@@ -97,7 +114,7 @@
     async def _send(self, session: aiohttp.ClientSession, numbers: Any) -> None:
         while self.status.get('state') not in {'completed', 'rolled_back'}:
             number = next(numbers)
-            front = self.deployment.fronts[number % 2]
+            front = self.running[number % len(self.running)]
             path, method = (
                 ('/order/x', 'POST')
                 if number % 3
@@ -108,11 +125,11 @@
             )
             if self.phase in {'', 'testing'}:
                 self.tested_ids.add(f'q{number}')
-            self.answers.append(
-                await send_request(
+            with contextlib.suppress(aiohttp.ClientError):
+                answer = await send_request(
                     session, front, path, f'q{number}', method=method
                 )
-            )
+                self.answers.append(answer)
             await asyncio.sleep(0.01)
 
 
@@ -173,3 +190,29 @@
                 await send_request(session, front, '/lookup/x', 'q')
         calls = deployment.store_server.store.calls
         assert not any('rollouts' in call for call in calls)
+
+
+async def test_killed_coordinator_is_replaced(tmp_path: pathlib.Path) -> None:
+    """A rollout must be completed although its coordinator is killed."""
+    async with run_deployment(tmp_path, front_count=0) as deployment:
+        for server in deployment.replicas['lookup']:
+            deployment.register(server, 'recife', version='v1')
+        for name in ('front-0', 'front-1', 'front-2'):
+            front = await deployment.start_front(name, **_SETTINGS)
+            await front.wait_ready()
+        rollout = _Rollout(deployment)
+        deployment.replicas['lookup-new'] = rollout.new
+        await rollout.order()
+        sending = asyncio.create_task(rollout.send_until_final())
+        await eventually(lambda: bool(rollout.new_run_ids))
+        first = rollout.coordinator
+        for front in deployment.fronts:
+            if front.name == first:
+                rollout.killed.add(first)
+                await front.program.kill()
+        await sending
+        assert rollout.status == {
+            'state': 'completed',
+            'target_version': 'v2',
+        }
+        assert rollout.coordinator != first
