Allow for the round trip and new connections in slow answers of a rollout

A request of 4 ms on a new connection to the only replica that is tested, in another failure domain, takes 2.6 times the typical time of its route.

--- a/dragonflyramp/backends/_attempts.py
+++ b/dragonflyramp/backends/_attempts.py
@@ -29,6 +29,8 @@
     purpose: str
     started_at_seconds: float
     expected_latency_ms: float
+    #: Whether the connection was opened for this attempt.
+    is_connection_new: bool = False
 
     def close(self) -> None:
         """Close the connection unless the attempt already has an outcome.
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -137,6 +137,7 @@
         self.fleet.cold_limiter.record_send(replica, now_seconds)
         self.fleet.versions.record_start(replica.entry, sending, now_seconds)
         return Attempt(
+            is_connection_new=not replica.connections.has_idle(now_seconds),
             exchange=exchange,
             replica=replica,
             expected_latency_ms=expected_latency_ms(replica, inputs),
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -19,10 +19,14 @@
 #: keeps the connection open. Until then, the age of the request shows the
 #: selector how slow the replica is.
 _LATE_REPLY_TIMEOUT_SECONDS = 0.25
-#: Multiples of the typical latency from which a reply counts as slow, and an
+#: Multiples of the typical latency beyond which a reply counts as slow, and an
 #: attempt that was given up: another attempt was faster, or the deadline came.
 _SLOW_RATIO = 2.5
 _SLOW_CANCELLED_RATIO = 1.5
+#: A version that is tested has few replicas, most of them in other failure
+#: domains: what the round trip and a new connection add is not its own time.
+_ROUND_TRIP_MS = 3
+_NEW_CONNECTION_MS = 6
 
 
 @attrs.define(eq=False)
@@ -51,11 +55,12 @@
             replica.health.record_misdirected(now_seconds)
         elif verdict is ReplyVerdict.success:
             replica.health.record_success()
-            ratio = self._record_latency(attempt, context, now_seconds)
+            is_slow = self._is_slow(attempt, context, _SLOW_RATIO, now_seconds)
+            self._record_latency(attempt, context, now_seconds)
             self._record_answer(
                 attempt,
                 context,
-                AnswerKind.slow if ratio > _SLOW_RATIO else AnswerKind.good,
+                AnswerKind.slow if is_slow else AnswerKind.good,
             )
         else:
             replica.health.record_error()
@@ -86,9 +91,9 @@
 
         The age of its request is recorded as a latency.
         """
-        ratio = self._record_latency(attempt, context, now_seconds)
-        if ratio > _SLOW_CANCELLED_RATIO:
+        if self._is_slow(attempt, context, _SLOW_CANCELLED_RATIO, now_seconds):
             self._record_answer(attempt, context, AnswerKind.slow)
+        self._record_latency(attempt, context, now_seconds)
         loop = asyncio.get_running_loop()
         timer = loop.call_later(_LATE_REPLY_TIMEOUT_SECONDS, attempt.close)
         attempt.replica.in_flight[attempt.exchange] = attempt.started_at_seconds
@@ -103,13 +108,30 @@
             attempt.replica.entry, context.route.name, kind
         )
 
+    def _is_slow(
+        self,
+        attempt: Attempt,
+        context: RequestContext,
+        max_ratio: float,
+        now_seconds: float,
+    ) -> bool:
+        """Return whether an attempt took much longer than its route does."""
+        written_at_seconds = attempt.exchange.written_at_seconds
+        if written_at_seconds is None:
+            return False
+        limit_ms = _ROUND_TRIP_MS + max_ratio * max(
+            1, self._latencies.for_route(context.route).typical_ms
+        )
+        if attempt.is_connection_new:
+            limit_ms += _NEW_CONNECTION_MS
+        return (now_seconds - written_at_seconds) * 1000 > limit_ms
+
     def _record_latency(
         self, attempt: Attempt, context: RequestContext, now_seconds: float
-    ) -> float:
-        """Return the latency as a multiple of the typical one; 0 if unsent."""
+    ) -> None:
         written_at_seconds = attempt.exchange.written_at_seconds
         if written_at_seconds is None:
-            return 0
+            return
         latencies = self._latencies.for_route(context.route)
         latency_ms = (now_seconds - written_at_seconds) * 1000
         ratio = latency_ms / max(1, latencies.typical_ms)
@@ -120,7 +142,6 @@
         )
         if attempt.purpose == FIRST:
             latencies.record(latency_ms)
-        return ratio
 
 
 def _finish_late_reply(attempt: Attempt, timer: asyncio.TimerHandle) -> None:
