Give new versions of services with few requests more requests to test them

The share may pass the cap, because each front limits the sum. The rate of requests is not used before the first reports: the first step was at the cap.

A test lost the coordinator of a rollout 7.5 s after the order; with more answers, the version that fails from second 6 on is rolled back by then. It is lost at 6.2 s for this version now.

--- a/dragonflyramp/rollouts/_decisions.py
+++ b/dragonflyramp/rollouts/_decisions.py
@@ -38,6 +38,10 @@
 #: Shortest time that the fronts get to hear of a late decision.
 _MIN_SWITCHING_SECONDS = 1
 _ENOUGH_GOOD_COUNT = 20
+#: Fronts report their counts about once a second; the rate of requests is known
+#: after some reports.
+_REPORT_DELAY_SECONDS = 1
+_MIN_COUNTED_SECONDS = 0.5
 #: Slots of the target replicas as a share of those of the others, below which
 #: the decision waits for more of them.
 _MIN_CAPACITY_SHARE = 0.5
@@ -84,12 +88,15 @@
     def share_inputs(self) -> ShareInputs:
         """Return what the share depends on."""
         total = self.sample.target_total().plus(self.sample.others_total())
+        counted_seconds = self.observed_seconds - _REPORT_DELAY_SECONDS
         return ShareInputs(
             census=self.census,
             bad_replica_ids=self.verdict.bad_replica_ids,
             good_count=self.sample.target_total().good,
             elapsed_share=self.elapsed_share,
-            requests_per_second=total.total / max(1, self.observed_seconds),
+            requests_per_second=total.total / counted_seconds
+            if counted_seconds >= _MIN_COUNTED_SECONDS
+            else 0,
             cap_share=self.cap_share,
         )
 
--- a/dragonflyramp/rollouts/_shares.py
+++ b/dragonflyramp/rollouts/_shares.py
@@ -14,9 +14,9 @@
 #: Requests of the target version per second that the first and the second step
 #: aim at, as far as the cap allows it; with fewer, a fault would not show.
 _FIRST_STEP_REQUESTS_PER_SECOND = 3
-_SECOND_STEP_REQUESTS_PER_SECOND = 8
+_SECOND_STEP_REQUESTS_PER_SECOND = 12
 _LOAD_FACTOR = 0.8
-_MAX_LOAD_STEP = 0.5
+_MAX_SHARE = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -39,7 +39,7 @@
     good_count: int
     #: Time since the order as a share of its duration.
     elapsed_share: float
-    #: Requests of the service per second, as far as they are known.
+    #: Requests of the service per second; 0 if it is not known yet.
     requests_per_second: float
     #: Cap of the share over the whole rollout.
     cap_share: float
@@ -57,26 +57,30 @@
 
 def _next_share(inputs: ShareInputs, replica_ids: tuple[str, ...]) -> float:
     cap_share = inputs.cap_share
+    if inputs.elapsed_share < _SECOND_STEP_SHARE and (
+        inputs.good_count < _SECOND_STEP_GOOD_COUNT
+    ):
+        aimed_share = _share_of(_FIRST_STEP_REQUESTS_PER_SECOND, inputs)
+        return max(cap_share / 4, min(cap_share, aimed_share))
+    # More than the cap: each front limits the sum.
+    test_share = max(
+        cap_share / 2, _share_of(_SECOND_STEP_REQUESTS_PER_SECOND, inputs)
+    )
     if inputs.elapsed_share >= _LOAD_STEP_SHARE and (
         inputs.good_count >= _LOAD_STEP_GOOD_COUNT
     ):
         target_slots = inputs.census.target_slots
         tested_slots = sum(map(target_slots.__getitem__, replica_ids))
         load_share = _LOAD_FACTOR * tested_slots / sum(target_slots.values())
-        return max(cap_share, min(_MAX_LOAD_STEP, load_share))
-    if inputs.elapsed_share >= _SECOND_STEP_SHARE or (
-        inputs.good_count >= _SECOND_STEP_GOOD_COUNT
-    ):
-        return _test_share(inputs, 2, _SECOND_STEP_REQUESTS_PER_SECOND)
-    return _test_share(inputs, 4, _FIRST_STEP_REQUESTS_PER_SECOND)
+        test_share = max(test_share, cap_share, load_share)
+    return min(_MAX_SHARE, test_share)
 
 
-def _test_share(
-    inputs: ShareInputs, divisor: int, aimed_per_second: float
-) -> float:
-    """Return a part of the cap, or more if the service has few requests."""
-    aimed_share = aimed_per_second / max(1, inputs.requests_per_second)
-    return max(inputs.cap_share / divisor, min(inputs.cap_share, aimed_share))
+def _share_of(aimed_per_second: float, inputs: ShareInputs) -> float:
+    """Return the share for a number of requests per second; 0 if unknown."""
+    if not inputs.requests_per_second:
+        return 0
+    return aimed_per_second / inputs.requests_per_second
 
 
 def _select_replicas(
