--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -12,12 +12,21 @@
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
+from dragonflyramp.rollouts import AnswerKind, VersionPolicy
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
 #: How long a cancelled attempt may still be answered. A reply in this time
 #: keeps the connection open. Until then, the age of the request shows the
 #: selector how slow the replica is.
 _LATE_REPLY_TIMEOUT_SECONDS = 0.25
+#: Multiples of the typical latency beyond which a reply counts as slow, and an
+#: attempt that was given up: another attempt was faster, or the deadline came.
+_SLOW_RATIO = 2.5
+_SLOW_CANCELLED_RATIO = 1.5
+#: A version that is tested has few replicas, most of them in other failure
+#: domains: what the round trip and a new connection add is not its own time.
+_ROUND_TRIP_MS = 3
+_NEW_CONNECTION_MS = 6
 
 
 @attrs.define(eq=False)
@@ -26,6 +35,7 @@
 
     _latencies: LatenciesByRoute
     _slow_replica_detector: SlowReplicaDetector
+    _versions: VersionPolicy
 
     def record_reply(
         self,
@@ -45,14 +55,28 @@
             replica.health.record_misdirected(now_seconds)
         elif verdict is ReplyVerdict.success:
             replica.health.record_success()
+            is_slow = self._is_slow(attempt, context, _SLOW_RATIO, now_seconds)
             self._record_latency(attempt, context, now_seconds)
+            self._record_answer(
+                attempt,
+                context,
+                AnswerKind.slow if is_slow else AnswerKind.good,
+            )
         else:
             replica.health.record_error()
+            if verdict is not ReplyVerdict.not_run:
+                self._record_answer(attempt, context, AnswerKind.failed)
 
     def record_missing_reply(
-        self, attempt: Attempt, kind: OutcomeKind, now_seconds: float
+        self,
+        attempt: Attempt,
+        kind: OutcomeKind,
+        context: RequestContext,
+        now_seconds: float,
     ) -> None:
         """Record an attempt that ended without a reply."""
+        if kind is not OutcomeKind.unsent:
+            self._record_answer(attempt, context, AnswerKind.failed)
         if kind is OutcomeKind.unreachable:
             attempt.replica.health.record_unreachable(now_seconds)
         elif kind is not OutcomeKind.unsent:
@@ -67,6 +91,8 @@
 
         The age of its request is recorded as a latency.
         """
+        if self._is_slow(attempt, context, _SLOW_CANCELLED_RATIO, now_seconds):
+            self._record_answer(attempt, context, AnswerKind.slow)
         self._record_latency(attempt, context, now_seconds)
         loop = asyncio.get_running_loop()
         timer = loop.call_later(_LATE_REPLY_TIMEOUT_SECONDS, attempt.close)
@@ -75,6 +101,31 @@
             lambda _: _finish_late_reply(attempt, timer)
         )
 
+    def _record_answer(
+        self, attempt: Attempt, context: RequestContext, kind: AnswerKind
+    ) -> None:
+        self._versions.record_answer(
+            attempt.replica.entry, context.route.name, kind
+        )
+
+    def _is_slow(
+        self,
+        attempt: Attempt,
+        context: RequestContext,
+        max_ratio: float,
+        now_seconds: float,
+    ) -> bool:
+        """Return whether an attempt took much longer than its route does."""
+        written_at_seconds = attempt.exchange.written_at_seconds
+        if written_at_seconds is None:
+            return False
+        limit_ms = _ROUND_TRIP_MS + max_ratio * max(
+            1, self._latencies.for_route(context.route).typical_ms
+        )
+        if attempt.is_connection_new:
+            limit_ms += _NEW_CONNECTION_MS
+        return (now_seconds - written_at_seconds) * 1000 > limit_ms
+
     def _record_latency(
         self, attempt: Attempt, context: RequestContext, now_seconds: float
     ) -> None:
