Limit the requests of tenants over all fronts by leased shares and grants

Fronts lease their share of every quota to the hubs in their regular polls; the quota server of a tenant keeps a token bucket and grants units on demand or a little ahead. A request whose check is older than 0.25 s when it is sent is checked again.

--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -26,6 +26,7 @@
 from dragonflyramp.callers._in_flight import InFlightCounter
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._queries import Query
+from dragonflyramp.callers._quota_checks import QuotaCheck
 from dragonflyramp.callers._request_logs import RequestLog, refuse
 from dragonflyramp.callers._request_contexts import (
     RouteMatch,
@@ -40,7 +41,6 @@
 from dragonflyramp.quotas import QuotaPolicy, UnlimitedQuotas
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, RoutingTable
-from dragonflyramp.tenants import Tenant
 
 #: Retry delay for the caller if no replica ran the request, usually because all
 #: were full: a slot becomes free after about the duration of one request.
@@ -129,9 +129,8 @@
             return refuse(
                 query, ResultCode.stopping, _NOT_RUN_RETRY_AFTER_SECONDS
             )
-        quota_delay_seconds = await _acquire_quota(
-            self.quotas, context.tenant, now_seconds
-        )
+        quota_check = QuotaCheck(self.quotas, context.tenant)
+        quota_delay_seconds = await quota_check.acquire(now_seconds)
         if quota_delay_seconds is not None:
             return refuse(query, ResultCode.quota_exceeded, quota_delay_seconds)
         with contextlib.ExitStack() as cleanup:
@@ -144,12 +143,17 @@
                     rejection.retry_after_seconds,
                 )
             return await self.suspect_guard.run(
-                context, functools.partial(self._send, query)
+                context, functools.partial(self._send, query, quota_check)
             )
 
-    async def _send(self, query: Query, context: RequestContext) -> Answer:
+    async def _send(
+        self, query: Query, quota_check: QuotaCheck, context: RequestContext
+    ) -> Answer:
         """Send a request to replicas and build the answer."""
         now_seconds = self.clock()
+        quota_delay_seconds = await quota_check.acquire(now_seconds)
+        if quota_delay_seconds is not None:
+            return refuse(query, ResultCode.quota_exceeded, quota_delay_seconds)
         route = context.route
         for service in route.services:
             self.backend_client.budgets.for_service(service).record_request(
@@ -267,15 +271,6 @@
         )
 
 
-async def _acquire_quota(
-    quotas: QuotaPolicy, tenant: Tenant | None, now_seconds: float
-) -> float | None:
-    """Return None if the tenant has quota, else the seconds until it has."""
-    if tenant is None or not tenant.has_quota:
-        return None
-    return await quotas.try_acquire(tenant, now_seconds)
-
-
 def _routed(context: RequestContext) -> RouteVersion:
     return RouteVersion(route=context.route, version=context.table.version)
 
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -13,10 +13,12 @@
 _sync_messages  messages between daemons and their encoding
 _synchronizers  exchange of view updates with other daemons
 _hub_links      selection of the daemons from which to request changes
+_quota_messages encoding of the messages on quotas
+_grants_grpc    asks of quota servers, and answers to them
 _links_grpc     gRPC server, and one client task for each link to a daemon
 """
 
-from dragonflyramp.members._clusters import Cluster
+from dragonflyramp.members._clusters import Cluster, quota_hubs
 from dragonflyramp.members._hub_links import HubLinks
 from dragonflyramp.members._links_grpc import SyncServer
 from dragonflyramp.members._memberships import Daemon, Membership
@@ -50,4 +52,5 @@
     'decode_record',
     'is_informed',
     'maintain_suspects',
+    'quota_hubs',
 )
--- a/dragonflyramp/members/_clusters.py
+++ b/dragonflyramp/members/_clusters.py
@@ -121,18 +121,7 @@
         hub order. The next daemons in the hub order are hubs as well: one for
         each hub that has lost the store, or more to reach `_MIN_HUB_COUNT`.
         """
-        reachable = [
-            daemon
-            for daemon in self.membership.hub_order()
-            if daemon.name not in self.daemon_health.unreachable
-        ]
-        first_daemon_by_domain: dict[str, Daemon] = {}
-        for candidate in reachable:
-            first_daemon_by_domain.setdefault(
-                candidate.failure_domain, candidate
-            )
-        hubs = list(first_daemon_by_domain.values())[:_HUB_COUNT]
-        others = [daemon for daemon in reachable if daemon not in hubs]
+        hubs, others = _first_of_domains(self)
         hubs_without_store_count = sum(
             hub.name in self.daemon_health.without_store for hub in hubs
         )
@@ -166,3 +155,32 @@
             self.daemon_health.response_age_seconds(now_seconds)
             > max_age_seconds
         )
+
+
+def quota_hubs(cluster: Cluster) -> tuple[Daemon, ...]:
+    """Return the hubs among which quota servers are selected.
+
+    They do not include substitutes for hubs that have lost the store, so that
+    quotas change hands rarely.
+    """
+    hubs, others = _first_of_domains(cluster)
+    missing_count = max(0, _MIN_HUB_COUNT - len(hubs))
+    return (*hubs, *others[:missing_count])
+
+
+def _first_of_domains(cluster: Cluster) -> tuple[list[Daemon], list[Daemon]]:
+    """Return the first daemons of the failure domains, and the others.
+
+    Both are in the hub order, without daemons that do not respond.
+    """
+    reachable = [
+        daemon
+        for daemon in cluster.membership.hub_order()
+        if daemon.name not in cluster.daemon_health.unreachable
+    ]
+    first_daemon_by_domain: dict[str, Daemon] = {}
+    for candidate in reachable:
+        first_daemon_by_domain.setdefault(candidate.failure_domain, candidate)
+    hubs = list(first_daemon_by_domain.values())[:_HUB_COUNT]
+    others = [daemon for daemon in reachable if daemon not in hubs]
+    return hubs, others
--- a/dragonflyramp/members/_hub_links.py
+++ b/dragonflyramp/members/_hub_links.py
@@ -9,6 +9,7 @@
 from dragonflyramp.members._links_grpc import LinkSet
 from dragonflyramp.members._memberships import Daemon
 from dragonflyramp.members._synchronizers import ViewSynchronizer
+from dragonflyramp.quotas import GrantClient
 
 _RECONCILE_INTERVAL_SECONDS = 0.25
 #: Limit on links to unreachable daemons. These links detect that a daemon
@@ -36,6 +37,10 @@
         self.synchronizer.wake_waiting_requests()
         self._links.renew_requests()
 
+    def create_grant_client(self) -> GrantClient:
+        """Return a client that asks quota servers over the links."""
+        return self._links.create_grant_client()
+
     async def run(self) -> None:
         """Open and close links until cancelled, then close all."""
         async with contextlib.AsyncExitStack() as cleanup:
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import zlib
 from collections.abc import Callable
@@ -16,6 +17,11 @@
 )
 from loguru import logger
 
+from dragonflyramp.members._grants_grpc import (
+    GRANT_METHOD,
+    LinkGrantClient,
+    answer_grant_request,
+)
 from dragonflyramp.members._memberships import Daemon
 from dragonflyramp.members._sync_messages import (
     SyncRequest,
@@ -100,7 +106,12 @@
         """
         server = aio.server(options=_SERVER_OPTIONS)
         methods = {
-            _METHOD: unary_unary_rpc_method_handler(self._handle_request)
+            _METHOD: unary_unary_rpc_method_handler(self._handle_request),
+            GRANT_METHOD: unary_unary_rpc_method_handler(
+                functools.partial(
+                    answer_grant_request, self._synchronizer.quota_leasing
+                )
+            ),
         }
         server.add_generic_rpc_handlers(
             (method_handlers_generic_handler(_SERVICE, methods),)
@@ -134,6 +145,7 @@
         self._synchronizer.crash_suspects.apply_report(
             request.suspicions, now_seconds
         )
+        self._synchronizer.quota_leasing.accept_offer(request.quota_offer)
         await self._synchronizer.wait_for_changes(request)
         response = self._synchronizer.build_response(request, self._clock())
         return _serialize(encode_response(response))
@@ -150,6 +162,8 @@
     _clock: Callable[[], float]
     #: Returns whether the other daemon is this daemon's primary hub.
     _is_primary: Callable[[], bool]
+    #: Connection to the other daemon, while it works.
+    channel: aio.Channel | None = None
     _pending_request: asyncio.Task[bytes] | None = None
     _failing_since_seconds: float | None = None
     _progress: LinkProgress = NO_PROGRESS
@@ -166,8 +180,10 @@
             async with _open_channel(self.address) as channel:
                 # A failed request closes the channel, because a dead
                 # connection does not always report an error.
+                self.channel = channel
                 while await self._poll(channel):
                     await asyncio.sleep(_REQUEST_PAUSE_SECONDS)
+                self.channel = None
             is_unreachable = self._is_unreachable(self._clock())
             await asyncio.sleep(
                 _PROBE_DELAY_SECONDS if is_unreachable else _RETRY_DELAY_SECONDS
@@ -186,6 +202,7 @@
             else _BACKUP_RESPONSE_DELAY_SECONDS,
             includes_samples=is_primary,
             progress=self._progress,
+            daemon_name=self.daemon.name if self.daemon else '',
             now_seconds=started_at_seconds,
         )
         pending = asyncio.create_task(_send_request(channel, request))
@@ -262,6 +279,12 @@
         for link in self._links.values():
             link.renew_request()
 
+    def create_grant_client(self) -> LinkGrantClient:
+        """Return a client for grants over the channels of the links."""
+        return LinkGrantClient(
+            self._find_channel, f'/{_SERVICE}/{GRANT_METHOD}'
+        )
+
     def reconcile(
         self, targets: dict[str, Daemon | None], primary_address: str
     ) -> None:
@@ -280,6 +303,13 @@
         """Close all links."""
         await self._tasks.cancel()
 
+    def _find_channel(self, daemon_name: str) -> aio.Channel | None:
+        """Return the connection to a daemon, if there is one."""
+        for link in self._links.values():
+            if link.daemon is not None and link.daemon.name == daemon_name:
+                return link.channel
+        return None
+
     def _open(self, address: str, daemon: Daemon | None) -> None:
         link = Link(
             address,
--- a/dragonflyramp/members/_sync_messages.py
+++ b/dragonflyramp/members/_sync_messages.py
@@ -7,11 +7,18 @@
 import attrs
 
 from dragonflyramp.members._memberships import Daemon, decode_daemon
+from dragonflyramp.members._quota_messages import (
+    decode_offer,
+    decode_stamp,
+    encode_offer,
+    encode_stamp,
+)
 from dragonflyramp.members._suspicion_fields import (
     decode_suspicion,
     require_short_text,
 )
 from dragonflyramp.object_limits import is_within_limits
+from dragonflyramp.quotas import LeaseOffer, LeaseStamp
 from dragonflyramp.replica_notices import NO_LEAVING_REPLICAS, LeavingReplicas
 from dragonflyramp.slow_replicas import LatencyAggregate, LatencyAggregates
 from dragonflyramp.suspects import (
@@ -31,6 +38,8 @@
 _SUSPICIONS_KEY = 'suspicions'
 _SUSPICIONS_VERSION_KEY = 'suspicions_version'
 _KNOWN_SUSPICIONS_KEY = 'known_suspicions_version'
+_QUOTA_OFFER_KEY = 'quota_offer'
+_QUOTA_STAMP_KEY = 'quota_stamp'
 
 
 @attrs.frozen(kw_only=True)
@@ -55,6 +64,9 @@
     suspicions: SuspicionReport = SuspicionReport()
     #: Version of the last report that the sender got from this daemon.
     known_suspicions_version: int = 0
+    #: Lease of the sender's share of the quotas; daemons of an earlier version
+    #: send none.
+    quota_offer: LeaseOffer | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -85,6 +97,8 @@
     leaving: LeavingReplicas = NO_LEAVING_REPLICAS
     #: Suspicions that the other daemon lacks.
     suspicions: SuspicionReport = SuspicionReport()
+    #: From which the other daemon's next lease is counted.
+    quota_stamp: LeaseStamp | None = None
 
 
 def encode_request(request: SyncRequest) -> Fields:
@@ -99,6 +113,7 @@
         _LEAVING_KEY: dict(request.leaving),
         **_encode_suspicions(request.suspicions),
         _KNOWN_SUSPICIONS_KEY: request.known_suspicions_version,
+        _QUOTA_OFFER_KEY: encode_offer(request.quota_offer),
     }
 
 
@@ -123,6 +138,7 @@
         known_suspicions_version=int(
             fields.get(_KNOWN_SUSPICIONS_KEY, NOT_REPORTED_VERSION)
         ),
+        quota_offer=decode_offer(fields.get(_QUOTA_OFFER_KEY)),
     )
 
 
@@ -135,6 +151,7 @@
         'told': [_encode_update(update) for update in response.updates],
         _LEAVING_KEY: dict(response.leaving),
         **_encode_suspicions(response.suspicions),
+        _QUOTA_STAMP_KEY: encode_stamp(response.quota_stamp),
     }
 
 
@@ -151,6 +168,7 @@
         updates=tuple(_decode_update(update) for update in fields['told']),
         leaving=_decode_leaving(fields),
         suspicions=_decode_suspicions(fields),
+        quota_stamp=decode_stamp(fields.get(_QUOTA_STAMP_KEY)),
     )
 
 
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -13,6 +13,7 @@
     SyncResponse,
     ViewUpdate,
 )
+from dragonflyramp.quotas import NoQuotaLeasing, QuotaLeasing
 from dragonflyramp.replica_notices import ReplicaNotices
 from dragonflyramp.runtime import Broadcast
 from dragonflyramp.slow_replicas import SlowReplicaDetector
@@ -58,6 +59,7 @@
     slow_replica_detector: SlowReplicaDetector
     replica_notices: ReplicaNotices = attrs.field(factory=ReplicaNotices)
     crash_suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    quota_leasing: QuotaLeasing = attrs.field(factory=NoQuotaLeasing)
     _view_changes: Broadcast = attrs.field(factory=Broadcast)
 
     def wake_waiting_requests(self) -> None:
@@ -71,11 +73,13 @@
         response_delay_seconds: float = 0,
         includes_samples: bool = False,
         progress: LinkProgress = NO_PROGRESS,
+        daemon_name: str = '',
         now_seconds: float,
     ) -> SyncRequest:
         """Return a request for all changes that the views lack.
 
-        `progress` is that of the link to the same daemon. With samples, the
+        `progress` is that of the link to the same daemon, and `daemon_name` its
+        name, if it is known. With samples, the
         request includes the latency samples that have not been sent yet. Each
         sample is sent once; a failed request loses its samples.
         """
@@ -98,6 +102,7 @@
                 self.crash_suspects.table, progress.sent_suspicions_version
             ),
             known_suspicions_version=progress.known_suspicions_version,
+            quota_offer=self.quota_leasing.build_offer(daemon_name),
         )
 
     def has_changes_for(self, request: SyncRequest) -> bool:
@@ -153,6 +158,7 @@
             suspicions=report_after(
                 self.crash_suspects.table, request.known_suspicions_version
             ),
+            quota_stamp=self.quota_leasing.build_stamp(),
         )
 
     def apply_response(
@@ -162,6 +168,9 @@
         self.cluster.membership.record_contact(response.sender, now_seconds)
         self.replica_notices.record_reported(response.leaving, now_seconds)
         self.crash_suspects.apply_report(response.suspicions, now_seconds)
+        self.quota_leasing.record_stamp(
+            response.sender.name, response.quota_stamp
+        )
         self.slow_replica_detector.apply_report(
             response.sender.name, response.report, now_seconds
         )
--- a/dragonflyramp/quotas/_policies.py
+++ b/dragonflyramp/quotas/_policies.py
@@ -18,6 +18,9 @@
         Return None if it may run, else the seconds until there is quota.
         """
 
+    async def run(self) -> None:
+        """Run the background tasks of the policy, if it has any."""
+
 
 @attrs.frozen
 class UnlimitedQuotas(QuotaPolicy):
@@ -25,3 +28,6 @@
 
     async def try_acquire(self, tenant: Tenant, now_seconds: float) -> None:
         """Return None: the request may run."""
+
+    async def run(self) -> None:
+        """Return at once: there is nothing to do."""
--- a/dragonflyramp/runtime.py
+++ b/dragonflyramp/runtime.py
@@ -57,6 +57,11 @@
     return int(time.time() * 1000)
 
 
+def boot_seconds() -> float:
+    """Return the monotonic time in seconds, suspension included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def run_daemon(main: DaemonMain) -> None:
     """Run a daemon's coroutine; SIGTERM and SIGINT set its stop event.
 
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -18,9 +18,7 @@
 from dragonflyramp.members import (
     DAEMONS_KIND,
     Cluster,
-    Daemon,
     HubLinks,
-    Membership,
     Registrar,
     StoredSuspectRecords,
     SyncServer,
@@ -47,9 +45,11 @@
 from dragonflyramp.tools._front_gauges import register_gauges
 from dragonflyramp.tools._front_views import (
     ChangeDispatcher,
+    create_membership,
     create_views,
     create_watchers,
 )
+from dragonflyramp.tools._quota_components import connect_quotas
 from dragonflyramp.tools._suspect_components import (
     connect_crash_detector,
     connect_suspects,
@@ -111,6 +111,7 @@
             self.preconnector.run(),
             maintain_suspects(self.suspect_records),
             self._detect_standstill(),
+            self.front.quotas.run(),
             *(watcher.run() for watcher in self.watchers),
         )
 
@@ -163,9 +164,7 @@
         fleet=create_fleet(machine, connection_tasks, _CLOCK),
         clock=_CLOCK,
     )
-    dispatcher = ChangeDispatcher(
-        routing_state, Membership(_create_own_daemon(machine))
-    )
+    dispatcher = ChangeDispatcher(routing_state, create_membership(machine))
     synchronizer = ViewSynchronizer(
         Cluster(dispatcher.membership),
         views,
@@ -187,6 +186,7 @@
         suspect_records,
         logs_all_answers=settings.logs_all_answers,
     )
+    connect_quotas(front, machine, synchronizer, dispatcher.hub_links)
     return FrontComponents(
         settings=settings,
         machine=machine,
@@ -252,14 +252,6 @@
     return StoreDecoder()
 
 
-def _create_own_daemon(machine: MachineSettings) -> Daemon:
-    return Daemon(
-        name=machine.node,
-        address=machine.member_address,
-        failure_domain=machine.failure_domain,
-    )
-
-
 def _create_native_api_server(
     front: Front, store: StoreClient
 ) -> NativeApiServer:
--- a/dragonflyramp/tools/_front_views.py
+++ b/dragonflyramp/tools/_front_views.py
@@ -5,9 +5,11 @@
 
 import attrs
 
+from dragonflyramp.machine_settings import MachineSettings
 from dragonflyramp.members import (
     DAEMONS_KIND,
     SUSPECTS_KIND,
+    Daemon,
     HubLinks,
     Membership,
     SuspectObjects,
@@ -46,6 +48,16 @@
         self.hub_links.notify_change()
 
 
+def create_membership(machine: MachineSettings) -> Membership:
+    """Create the membership of the daemon on a VM."""
+    own_daemon = Daemon(
+        name=machine.node,
+        address=machine.member_address,
+        failure_domain=machine.failure_domain,
+    )
+    return Membership(own_daemon)
+
+
 def create_views(decoder: ObjectDecoder) -> dict[str, View]:
     """Create a view of each kind of object that a front follows."""
     kinds = (*decoder.kinds, DAEMONS_KIND, SUSPECTS_KIND)
