--- a/dragonflyramp/tools/_quota_components.py
+++ b/dragonflyramp/tools/_quota_components.py
@@ -29,7 +29,6 @@
 )
 from dragonflyramp.routes import RoutingTable
 from dragonflyramp.runtime import boot_seconds
-from dragonflyramp.tenants import TenantDirectory
 
 #: Name of the contract with which quotas are in force from the start.
 _CONTRACT = 'quota'
@@ -45,8 +44,6 @@
 
     _current_table: Callable[[], RoutingTable | None]
     _is_contract_in_force: bool
-    _directory: TenantDirectory | None = None
-    _has_quotas: bool = False
 
     def find(self, tenant_name: str) -> QuotaLimit | None:
         """Return the limit of a tenant; None if it has none."""
@@ -59,17 +56,13 @@
         return limit_of(tenant)
 
     def is_active(self) -> bool:
-        """Return whether any tenant may have a quota."""
-        if self._is_contract_in_force:
-            return True
+        """Return whether any tenant may have a quota, now or soon.
+
+        Leases begin before the first quota, because buckets begin empty.
+        """
         table = self._current_table()
-        directory = table.tenants if table else None
-        if directory is not self._directory:
-            self._directory = directory
-            self._has_quotas = directory is not None and any(
-                tenant.has_quota for tenant in directory.by_name.values()
-            )
-        return self._has_quotas
+        has_tenants = table is not None and table.tenants is not None
+        return has_tenants or self._is_contract_in_force
 
 
 def connect_quotas(
