--- a/dragonflyramp/members/_quota_messages.py
+++ b/dragonflyramp/members/_quota_messages.py
@@ -111,8 +111,10 @@
 
 
 def _decode_stamp(encoded: Any) -> LeaseStamp:
-    process_id, sent_at_seconds = encoded
-    return LeaseStamp(_text(process_id), _number(sent_at_seconds))
+    process_id, sent_at_seconds, applied_sequence = encoded
+    return LeaseStamp(
+        _text(process_id), _number(sent_at_seconds), int(applied_sequence)
+    )
 
 
 def _decode_ask(
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -158,7 +158,7 @@
             suspicions=report_after(
                 self.crash_suspects.table, request.known_suspicions_version
             ),
-            quota_stamp=self.quota_leasing.build_stamp(),
+            quota_stamp=self.quota_leasing.build_stamp(request.quota_offer),
         )
 
     def apply_response(
--- a/dragonflyramp/quotas/_leases.py
+++ b/dragonflyramp/quotas/_leases.py
@@ -35,6 +35,12 @@
         """Return whether the lease may be used."""
         return self.begins_at_seconds <= now_seconds < self.ends_at_seconds
 
+    def cut_off(self, now_seconds: float) -> '_Lease':
+        """Return the lease without the time after now."""
+        return attrs.evolve(
+            self, ends_at_seconds=min(self.ends_at_seconds, now_seconds)
+        )
+
     def continues_with(self, offer: LeaseOffer, now_seconds: float) -> bool:
         """Return whether an offer only extends the lease."""
         return (
@@ -79,7 +85,7 @@
             if previous.continues_with(offer, now_seconds):
                 begins_at_seconds = previous.begins_at_seconds
             else:
-                self._replace(previous, now_seconds)
+                self._replaced.append(previous.cut_off(now_seconds))
         self._leases[offer.process_id] = _Lease(
             sequence=offer.sequence,
             share=offer.share,
@@ -88,6 +94,11 @@
             ends_at_seconds=ends_at_seconds,
         )
 
+    def applied_sequence(self, process_id: str) -> int:
+        """Return the number of the last offer that counts; 0 for none."""
+        lease = self._leases.get(process_id)
+        return 0 if lease is None else lease.sequence
+
     def has_ended(self, now_seconds: float) -> bool:
         """Return whether there are leases for `remove_ended`."""
         return bool(self._replaced) or any(
@@ -136,11 +147,3 @@
         # Leases of fronts that count different numbers of daemons may add up
         # to more than the whole.
         return min(share_seconds, end_seconds - start_seconds)
-
-    def _replace(self, previous: _Lease, now_seconds: float) -> None:
-        self._replaced.append(
-            attrs.evolve(
-                previous,
-                ends_at_seconds=min(previous.ends_at_seconds, now_seconds),
-            )
-        )
--- a/dragonflyramp/quotas/_messages.py
+++ b/dragonflyramp/quotas/_messages.py
@@ -16,6 +16,9 @@
 
     process_id: str
     sent_at_seconds: float
+    #: Last offer of the receiving process that is in force or has been; the
+    #: hub uses no earlier one any more.
+    applied_sequence: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/quotas/_nodes.py
+++ b/dragonflyramp/quotas/_nodes.py
@@ -41,8 +41,8 @@
     def accept_offer(self, offer: LeaseOffer | None) -> None:
         """Apply the lease offer in a message of another daemon."""
 
-    def build_stamp(self) -> LeaseStamp | None:
-        """Return the stamp of a message to another daemon, if any."""
+    def build_stamp(self, offer: LeaseOffer | None) -> LeaseStamp | None:
+        """Return the stamp of a reply to a message with an offer, if any."""
 
     def record_stamp(self, hub_name: str, stamp: LeaseStamp | None) -> None:
         """Keep the stamp in a message of a hub."""
@@ -61,7 +61,7 @@
     def accept_offer(self, offer: LeaseOffer | None) -> None:
         """Ignore an offer."""
 
-    def build_stamp(self) -> None:
+    def build_stamp(self, offer: LeaseOffer | None) -> None:
         """Return None: no lease is accepted."""
 
     def record_stamp(self, hub_name: str, stamp: LeaseStamp | None) -> None:
@@ -92,9 +92,13 @@
         self.server.leases.is_confirmed = self.is_confirmed()
         own_name = self.server.own_name
         self.leases.record_stamp(
-            own_name, self.server.stamp(now_seconds), now_seconds
+            own_name, self.server.stamp(None, now_seconds), now_seconds
+        )
+        offer = self.leases.build_offer(own_name, now_seconds)
+        self.accept_offer(offer)
+        self.leases.record_stamp(
+            own_name, self.server.stamp(offer, now_seconds), now_seconds
         )
-        self.accept_offer(self.leases.build_offer(own_name, now_seconds))
         self.server.remove_ended_leases(now_seconds)
 
     def build_offer(self, hub_name: str) -> LeaseOffer | None:
@@ -108,9 +112,11 @@
         if offer is not None:
             self.server.leases.accept(offer, self.clock())
 
-    def build_stamp(self) -> LeaseStamp | None:
-        """Return the stamp of a message to another daemon, if any."""
-        return self.server.stamp(self.clock()) if self.is_active() else None
+    def build_stamp(self, offer: LeaseOffer | None) -> LeaseStamp | None:
+        """Return the stamp of a reply to a message with an offer, if any."""
+        if not self.is_active():
+            return None
+        return self.server.stamp(offer, self.clock())
 
     def record_stamp(self, hub_name: str, stamp: LeaseStamp | None) -> None:
         """Keep the stamp in a message of a hub."""
--- a/dragonflyramp/quotas/_servers.py
+++ b/dragonflyramp/quotas/_servers.py
@@ -17,6 +17,7 @@
 from dragonflyramp.quotas._messages import (
     GrantReply,
     GrantRequest,
+    LeaseOffer,
     LeaseStamp,
     QuotaAsk,
     QuotaGrant,
@@ -46,9 +47,14 @@
         """Return the name of this daemon."""
         return self.leases.own_name
 
-    def stamp(self, now_seconds: float) -> LeaseStamp:
-        """Return the stamp of a message that is sent now."""
-        return LeaseStamp(self.leases.process_id, now_seconds)
+    def stamp(self, offer: LeaseOffer | None, now_seconds: float) -> LeaseStamp:
+        """Return the stamp of a reply to a message with an offer."""
+        process_id = '' if offer is None else offer.process_id
+        return LeaseStamp(
+            self.leases.process_id,
+            now_seconds,
+            self.leases.applied_sequence(process_id),
+        )
 
     def answer_request(
         self, request: GrantRequest, now_seconds: float
@@ -59,7 +65,7 @@
         for settlement in request.settlements:
             self._settle(settlement, now_seconds)
         return GrantReply(
-            stamp=self.stamp(now_seconds),
+            stamp=self.stamp(request.offer, now_seconds),
             grants=tuple(self._grant(ask, now_seconds) for ask in request.asks),
         )
 
--- a/dragonflyramp/quotas/_shares.py
+++ b/dragonflyramp/quotas/_shares.py
@@ -75,44 +75,76 @@
         return 1 / self._daemon_count
 
 
+@attrs.frozen
+class _RecordedOffers:
+    """Offers to one hub under one hub list."""
+
+    #: The last of them.
+    sequence: int
+    #: When their leases have ended and the units ahead expired.
+    ends_at_seconds: float
+
+
 @attrs.define(eq=False)
 class HubLists:
     """Lists of hubs under which a front has offered its share lately."""
 
     #: List that is in force.
     current: HubList
-    #: When the leases under a list have ended and the units ahead expired.
-    _ends_at_seconds: dict[HubList, float] = attrs.field(factory=dict)
+    #: Offers that hubs may still use, by hub and hub list.
+    _offers: dict[tuple[str, HubList], _RecordedOffers] = attrs.field(
+        factory=dict
+    )
 
     def in_use(self, now_seconds: float) -> tuple[HubList, ...]:
         """Return the lists of an offer that is sent now, in order."""
         former = {
             hub_list
-            for hub_list, ends_at_seconds in self._ends_at_seconds.items()
-            if ends_at_seconds > now_seconds
+            for (_, hub_list), offers in self._offers.items()
+            if offers.ends_at_seconds > now_seconds
         }
         return tuple(sorted(former | {self.current}))
 
     def record_offer(
-        self, stamp_received_at_seconds: float, now_seconds: float
+        self,
+        hub_name: str,
+        sequence: int,
+        stamp_received_at_seconds: float,
+        now_seconds: float,
     ) -> None:
-        """Remember the current list while leases under it may be valid."""
-        self._ends_at_seconds = {
-            hub_list: ends_at_seconds
-            for hub_list, ends_at_seconds in self._ends_at_seconds.items()
-            if ends_at_seconds > now_seconds
+        """Remember the current list while a lease under it may be valid."""
+        self._offers = {
+            key: offers
+            for key, offers in self._offers.items()
+            if offers.ends_at_seconds > now_seconds
         }
-        self._ends_at_seconds[self.current] = max(
-            self._ends_at_seconds.get(self.current, now_seconds),
-            stamp_received_at_seconds + AWAY_SECONDS,
+        self._offers[hub_name, self.current] = _RecordedOffers(
+            sequence, stamp_received_at_seconds + AWAY_SECONDS
         )
 
+    def record_applied(
+        self, hub_name: str, applied_sequence: int, now_seconds: float
+    ) -> None:
+        """Take note that a hub uses no earlier offers than one.
+
+        Units ahead that it has granted before are valid for a while.
+        """
+        for key, offers in self._offers.items():
+            if key[0] == hub_name and offers.sequence < applied_sequence:
+                self._offers[key] = _RecordedOffers(
+                    offers.sequence,
+                    min(
+                        offers.ends_at_seconds,
+                        now_seconds + AHEAD_VALIDITY_SECONDS,
+                    ),
+                )
+
     def leased(self, now_seconds: float) -> tuple[HubList, ...]:
         """Return lists under which leases may be valid, the oldest first."""
         return tuple(
             hub_list
-            for hub_list, ends_at_seconds in self._ends_at_seconds.items()
-            if ends_at_seconds - AHEAD_VALIDITY_SECONDS > now_seconds
+            for (_, hub_list), offers in self._offers.items()
+            if offers.ends_at_seconds - AHEAD_VALIDITY_SECONDS > now_seconds
         )
 
 
@@ -151,8 +183,22 @@
     def record_stamp(
         self, hub_name: str, stamp: LeaseStamp, now_seconds: float
     ) -> None:
-        """Keep the stamp in a message of a hub."""
+        """Keep the stamp in a message of a hub, unless it is an old one.
+
+        Later offers must not have earlier stamps: when the lease of one has
+        ended, the hub would accept an earlier offer that arrives late.
+        """
+        last = self._stamps.get(hub_name)
+        if (
+            last is not None
+            and last.stamp.process_id == stamp.process_id
+            and last.stamp.sent_at_seconds > stamp.sent_at_seconds
+        ):
+            return
         self._stamps[hub_name] = _ReceivedStamp(stamp, now_seconds)
+        self._hub_lists.record_applied(
+            hub_name, stamp.applied_sequence, now_seconds
+        )
 
     def other_hub_names(self) -> tuple[str, ...]:
         """Return the names of the other hubs that could be quota servers."""
@@ -171,8 +217,10 @@
         hub_lists = self._hub_lists.in_use(now_seconds)
         if not share or not received or len(hub_lists) > _MAX_HUB_LISTS:
             return None
-        self._hub_lists.record_offer(received.received_at_seconds, now_seconds)
         self._sequence += 1
+        self._hub_lists.record_offer(
+            hub_name, self._sequence, received.received_at_seconds, now_seconds
+        )
         self._sent_offers[hub_name] = _SentOffer(
             share, hub_lists, received.received_at_seconds
         )
--- a/tests/quota_models.py
+++ b/tests/quota_models.py
@@ -139,9 +139,10 @@
         while True:
             if hub_name not in self.lost and hub_name != node.server.own_name:
                 hub = self._node(hub_name)
-                hub.accept_offer(node.build_offer(hub_name))
+                offer = node.build_offer(hub_name)
+                hub.accept_offer(offer)
                 await asyncio.sleep(self.rng.uniform(0, 2))
-                node.record_stamp(hub_name, hub.build_stamp())
+                node.record_stamp(hub_name, hub.build_stamp(offer))
             await asyncio.sleep(0.02)
 
     def _node(self, name: str) -> QuotaNode:
--- a/tests/test_quota_model.py
+++ b/tests/test_quota_model.py
@@ -374,7 +374,8 @@
             return
         if isinstance(message, LeaseOffer):
             front.node.accept_offer(message)
-        stamp = front.node.build_stamp()
+        offer = message if isinstance(message, LeaseOffer) else None
+        stamp = front.node.build_stamp(offer)
         assert stamp is not None
         self._post(_Letter(front, letter.sender, stamp))
 
