--- a/dragonflyramp/callers/_quota_checks.py
+++ b/dragonflyramp/callers/_quota_checks.py
@@ -9,6 +9,8 @@
 from dragonflyramp.runtime import boot_seconds
 from dragonflyramp.tenants import Tenant
 
+_MS_PER_SECOND = 1000
+
 
 @attrs.define(eq=False)
 class QuotaCheck:
@@ -35,5 +37,8 @@
         if self.clock() <= self._valid_until_seconds:
             return None
         delay_seconds = await self.quotas.try_acquire(tenant, now_seconds)
-        self._valid_until_seconds = self.clock() + MAX_SEND_DELAY_SECONDS
-        return delay_seconds
+        if delay_seconds is None:
+            self._valid_until_seconds = self.clock() + MAX_SEND_DELAY_SECONDS
+            return None
+        # The header for the caller has whole milliseconds.
+        return math.ceil(delay_seconds * _MS_PER_SECOND) / _MS_PER_SECOND
