--- a/tests/test_quota_model.py
+++ b/tests/test_quota_model.py
@@ -262,7 +262,7 @@
         for hub in self.fronts:
             if hub.name in hub_names:
                 self._exchange(self._poll(front, hub))
-            wanted = 20 if is_using else 0
+            wanted = 20 if is_using else 3
             self._exchange(self._ask(front, wanted, 40, hub, offers=False))
         if is_using:
             self._use_units(front)
