--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -19,9 +19,11 @@
 from dragonflyramp.callers._in_flight import InFlightCounter
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._queries import Query
+from dragonflyramp.callers._quota_checks import QuotaCheck
 from dragonflyramp.callers._request_logs import (
     RequestLog,
     refuse,
+    refuse_rejected,
     refuse_unmatched,
 )
 from dragonflyramp.callers._request_contexts import (
@@ -36,11 +38,10 @@
 from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
 from dragonflyramp.callers._suspect_guards import SuspectGuard
 from dragonflyramp.callers._traffic_splits import WeightedRoundRobin
-from dragonflyramp.metrics import counters
 from dragonflyramp.quotas import QuotaPolicy, UnlimitedQuotas
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, RoutingTable
-from dragonflyramp.tenants import KeyTrust, Tenant, TrustAlways
+from dragonflyramp.tenants import KeyTrust, TrustAlways
 
 #: Retry delay for the caller if no replica ran the request, usually because all
 #: were full: a slot becomes free after about the duration of one request.
@@ -120,9 +121,8 @@
                 _NOT_RUN_RETRY_AFTER_SECONDS,
                 tenant_name=context.tenant_name,
             )
-        quota_delay_seconds = await _acquire_quota(
-            self.quotas, context.tenant, now_seconds
-        )
+        quota_check = QuotaCheck(self.quotas, context.tenant)
+        quota_delay_seconds = await quota_check.acquire(now_seconds)
         if quota_delay_seconds is not None:
             return refuse(
                 query,
@@ -133,20 +133,24 @@
         with contextlib.ExitStack() as cleanup:
             rejection = await self.admission.admit(context, cleanup)
             if rejection is not None:
-                counters.add('admission_rejections', rejection.reason)
-                return refuse(
-                    query,
-                    ResultCode.not_admitted,
-                    rejection.retry_after_seconds,
-                    tenant_name=context.tenant_name,
-                )
+                return refuse_rejected(query, rejection, context.tenant_name)
             return await self.suspect_guard.run(
-                context, functools.partial(self._send, query)
+                context, functools.partial(self._send, query, quota_check)
             )
 
-    async def _send(self, query: Query, context: RequestContext) -> Answer:
+    async def _send(
+        self, query: Query, quota_check: QuotaCheck, context: RequestContext
+    ) -> Answer:
         """Send a request to replicas and build the answer."""
         now_seconds = self.clock()
+        quota_delay_seconds = await quota_check.acquire(now_seconds)
+        if quota_delay_seconds is not None:
+            return refuse(
+                query,
+                ResultCode.quota_exceeded,
+                quota_delay_seconds,
+                tenant_name=context.tenant_name,
+            )
         route = context.route
         for service in route.services:
             self.backend_client.budgets.for_service(service).record_request(
@@ -278,12 +282,3 @@
         trusts_keys=not query.api_key
         or front.key_trust.trusts_keys(front.clock()),
     )
-
-
-async def _acquire_quota(
-    quotas: QuotaPolicy, tenant: Tenant | None, now_seconds: float
-) -> float | None:
-    """Return None if the tenant has quota, else the seconds until it has."""
-    if tenant is None or not tenant.has_quota:
-        return None
-    return await quotas.try_acquire(tenant, now_seconds)
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -6,6 +6,7 @@
 import attrs
 from loguru import logger
 
+from dragonflyramp.admission import Rejection
 from dragonflyramp.backends import (
     FetchResult,
     Peers,
@@ -115,6 +116,19 @@
     return refuse(query, code, retry_after_seconds)
 
 
+def refuse_rejected(
+    query: Query, rejection: Rejection, tenant_name: str | None
+) -> Refusal:
+    """Count, log and return the refusal of a query that was not admitted."""
+    counters.add('admission_rejections', rejection.reason)
+    return refuse(
+        query,
+        ResultCode.not_admitted,
+        rejection.retry_after_seconds,
+        tenant_name=tenant_name,
+    )
+
+
 def _outcome_name(answer: Answer) -> str:
     if isinstance(answer, Refusal):
         return answer.code.name
--- a/dragonflyramp/members/_sync_messages.py
+++ b/dragonflyramp/members/_sync_messages.py
@@ -7,6 +7,12 @@
 import attrs
 
 from dragonflyramp.members._memberships import Daemon, decode_daemon
+from dragonflyramp.members._quota_messages import (
+    decode_offer,
+    decode_stamp,
+    encode_offer,
+    encode_stamp,
+)
 from dragonflyramp.members._rollout_fields import (
     decode_rollout_report,
     encode_rollout_report,
@@ -16,6 +22,7 @@
     require_short_text,
 )
 from dragonflyramp.object_limits import is_within_limits
+from dragonflyramp.quotas import LeaseOffer, LeaseStamp
 from dragonflyramp.replica_notices import NO_LEAVING_REPLICAS, LeavingReplicas
 from dragonflyramp.rollouts import NO_ROLLOUT_REPORT, RolloutReport
 from dragonflyramp.slow_replicas import LatencyAggregate, LatencyAggregates
@@ -36,6 +43,8 @@
 _SUSPICIONS_KEY = 'suspicions'
 _SUSPICIONS_VERSION_KEY = 'suspicions_version'
 _KNOWN_SUSPICIONS_KEY = 'known_suspicions_version'
+_QUOTA_OFFER_KEY = 'quota_offer'
+_QUOTA_STAMP_KEY = 'quota_stamp'
 
 
 @attrs.frozen(kw_only=True)
@@ -62,6 +71,9 @@
     known_suspicions_version: int = 0
     #: Answers of rollouts that the sender has counted since its start.
     rollout_report: RolloutReport = NO_ROLLOUT_REPORT
+    #: Lease of the sender's share of the quotas; daemons of an earlier version
+    #: send none.
+    quota_offer: LeaseOffer | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -92,6 +104,8 @@
     leaving: LeavingReplicas = NO_LEAVING_REPLICAS
     #: Suspicions that the other daemon lacks.
     suspicions: SuspicionReport = SuspicionReport()
+    #: From which the other daemon's next lease is counted.
+    quota_stamp: LeaseStamp | None = None
 
 
 def encode_request(request: SyncRequest) -> Fields:
@@ -107,6 +121,7 @@
         **_encode_suspicions(request.suspicions),
         _KNOWN_SUSPICIONS_KEY: request.known_suspicions_version,
         **encode_rollout_report(request.rollout_report),
+        _QUOTA_OFFER_KEY: encode_offer(request.quota_offer),
     }
 
 
@@ -132,6 +147,7 @@
             fields.get(_KNOWN_SUSPICIONS_KEY, NOT_REPORTED_VERSION)
         ),
         rollout_report=decode_rollout_report(fields),
+        quota_offer=decode_offer(fields.get(_QUOTA_OFFER_KEY)),
     )
 
 
@@ -144,6 +160,7 @@
         'told': [_encode_update(update) for update in response.updates],
         _LEAVING_KEY: dict(response.leaving),
         **_encode_suspicions(response.suspicions),
+        _QUOTA_STAMP_KEY: encode_stamp(response.quota_stamp),
     }
 
 
@@ -160,6 +177,7 @@
         updates=tuple(_decode_update(update) for update in fields['told']),
         leaving=_decode_leaving(fields),
         suspicions=_decode_suspicions(fields),
+        quota_stamp=decode_stamp(fields.get(_QUOTA_STAMP_KEY)),
     )
 
 
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -13,6 +13,7 @@
     SyncResponse,
     ViewUpdate,
 )
+from dragonflyramp.quotas import NoQuotaLeasing, QuotaLeasing
 from dragonflyramp.replica_notices import ReplicaNotices
 from dragonflyramp.rollouts import ReportedAnswers
 from dragonflyramp.runtime import Broadcast
@@ -60,6 +61,7 @@
     replica_notices: ReplicaNotices = attrs.field(factory=ReplicaNotices)
     crash_suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     rollout_answers: ReportedAnswers = attrs.field(factory=ReportedAnswers)
+    quota_leasing: QuotaLeasing = attrs.field(factory=NoQuotaLeasing)
     _view_changes: Broadcast = attrs.field(factory=Broadcast)
 
     def wake_waiting_requests(self) -> None:
@@ -73,11 +75,13 @@
         response_delay_seconds: float = 0,
         includes_samples: bool = False,
         progress: LinkProgress = NO_PROGRESS,
+        daemon_name: str = '',
         now_seconds: float,
     ) -> SyncRequest:
         """Return a request for all changes that the views lack.
 
-        `progress` is that of the link to the same daemon. With samples, the
+        `progress` is that of the link to the same daemon, and `daemon_name` its
+        name, if it is known. With samples, the
         request includes the latency samples that have not been sent yet. Each
         sample is sent once; a failed request loses its samples.
         """
@@ -101,6 +105,7 @@
             ),
             known_suspicions_version=progress.known_suspicions_version,
             rollout_report=self.rollout_answers.own.report(),
+            quota_offer=self.quota_leasing.build_offer(daemon_name),
         )
 
     def has_changes_for(self, request: SyncRequest) -> bool:
@@ -156,6 +161,7 @@
             suspicions=report_after(
                 self.crash_suspects.table, request.known_suspicions_version
             ),
+            quota_stamp=self.quota_leasing.build_stamp(request.quota_offer),
         )
 
     def apply_response(
@@ -165,6 +171,9 @@
         self.cluster.membership.record_contact(response.sender, now_seconds)
         self.replica_notices.record_reported(response.leaving, now_seconds)
         self.crash_suspects.apply_report(response.suspicions, now_seconds)
+        self.quota_leasing.record_stamp(
+            response.sender.name, response.quota_stamp
+        )
         self.slow_replica_detector.apply_report(
             response.sender.name, response.report, now_seconds
         )
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -17,9 +17,7 @@
 from dragonflyramp.members import (
     DAEMONS_KIND,
     Cluster,
-    Daemon,
     HubLinks,
-    Membership,
     Registrar,
     StoredSuspectRecords,
     SyncServer,
@@ -49,9 +47,11 @@
 from dragonflyramp.tools._front_views import (
     ChangeDispatcher,
     create_decoder,
+    create_membership,
     create_views,
     create_watchers,
 )
+from dragonflyramp.tools._quota_components import connect_quotas
 from dragonflyramp.tools._rollout_components import connect_rollouts
 from dragonflyramp.tools._suspect_components import (
     connect_crash_detector,
@@ -115,6 +115,7 @@
             self.preconnector.run(),
             maintain_suspects(self.suspect_records),
             self._detect_standstill(),
+            self.front.quotas.run(),
             *(watcher.run() for watcher in self.watchers),
             self.dispatcher.run_rollouts(),
         )
@@ -168,9 +169,7 @@
         fleet=create_fleet(machine, views, connection_tasks, _CLOCK),
         clock=_CLOCK,
     )
-    dispatcher = ChangeDispatcher(
-        routing_state, Membership(_create_own_daemon(machine))
-    )
+    dispatcher = ChangeDispatcher(routing_state, create_membership(machine))
     synchronizer = ViewSynchronizer(
         Cluster(dispatcher.membership),
         views,
@@ -196,6 +195,7 @@
         revocation_bounds=machine.revocation_bounds,
         logs_all_answers=settings.logs_all_answers,
     )
+    connect_quotas(front, machine, synchronizer, dispatcher.hub_links)
     return FrontComponents(
         settings=settings,
         machine=machine,
@@ -252,13 +252,5 @@
     )
 
 
-def _create_own_daemon(machine: MachineSettings) -> Daemon:
-    return Daemon(
-        name=machine.node,
-        address=machine.member_address,
-        failure_domain=machine.failure_domain,
-    )
-
-
 _CLOCK = time.monotonic
 _TICK_INTERVAL_SECONDS = 0.2
--- a/dragonflyramp/tools/_front_views.py
+++ b/dragonflyramp/tools/_front_views.py
@@ -10,6 +10,7 @@
 from dragonflyramp.members import (
     DAEMONS_KIND,
     SUSPECTS_KIND,
+    Daemon,
     HubLinks,
     Membership,
     SuspectObjects,
@@ -77,6 +78,16 @@
     return StoreDecoder()
 
 
+def create_membership(machine: MachineSettings) -> Membership:
+    """Create the membership of the daemon on a VM."""
+    own_daemon = Daemon(
+        name=machine.node,
+        address=machine.member_address,
+        failure_domain=machine.failure_domain,
+    )
+    return Membership(own_daemon)
+
+
 def create_views(
     decoder: ObjectDecoder, machine: MachineSettings
 ) -> dict[str, View]:
