--- a/dragonflyramp/_changes.py
+++ b/dragonflyramp/_changes.py
@@ -14,15 +14,33 @@
     return MappingProxyType(dict(objects_by_name))
 
 
+@attrs.frozen(order=True)
+class Position:
+    """Point in the history of the store.
+
+    A store that was restored from an older copy gives out the revisions after
+    that copy again, in the next era.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @attrs.frozen
 class Listing:
-    """All objects of a kind by name, as of one revision."""
+    """All objects of a kind by name, as of one position."""
 
     revision: int
     #: A copy, because views and builders go on changing theirs.
     objects_by_name: Mapping[str, Fields] = attrs.field(
         converter=_frozen_copy, repr=False
     )
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return the position of which the objects are."""
+        return Position(self.era, self.revision)
 
 
 @attrs.frozen
@@ -36,15 +54,21 @@
 
 @attrs.frozen
 class ChangeBatch:
-    """Changes between an earlier revision and `revision`, in order."""
+    """Changes between an earlier revision of the era and `revision`."""
 
     revision: int
     changes: tuple[Change, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return the position after the changes."""
+        return Position(self.era, self.revision)
 
 
 @attrs.define(eq=False)
 class ListingBuilder:
-    """Build a listing of one revision from pages, each of its own.
+    """Build a listing of one revision from pages of one era.
 
     The store may serve the pages of a listing at different ages. With all
     changes after the oldest page, they are the objects of the revision up to
@@ -53,6 +77,8 @@
 
     #: Revision of the oldest page, or of the last changes.
     revision: int = 0
+    #: Era of the first page.
+    era: int = 0
     _newest_revision: int = 0
     _objects_by_name: dict[str, Fields] = attrs.field(factory=dict, repr=False)
 
@@ -61,14 +87,18 @@
         """Return whether the changes after `revision` are missing."""
         return self.revision < self._newest_revision
 
-    def add_page(self, page: Listing) -> None:
-        """Add the objects of a page."""
+    def add_page(self, page: Listing) -> bool:
+        """Add the objects of a page; return false if its era is another."""
         is_first = not self._newest_revision
+        if not is_first and page.era != self.era:
+            return False
+        self.era = page.era
         self.revision = (
             page.revision if is_first else min(self.revision, page.revision)
         )
         self._newest_revision = max(self._newest_revision, page.revision)
         self._objects_by_name.update(page.objects_by_name)
+        return True
 
     def apply(self, changes: ChangeBatch) -> None:
         """Apply the changes after `revision`."""
@@ -78,7 +108,7 @@
 
     def build(self) -> Listing:
         """Return the objects as of `revision`."""
-        return Listing(self.revision, self._objects_by_name)
+        return Listing(self.revision, self._objects_by_name, self.era)
 
 
 def apply_change(objects_by_name: dict[str, Fields], change: Change) -> None:
--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -17,6 +17,7 @@
 _trial_claims    claims of these trials
 _request_logs    log lines and counters of requests
 _claims          at-most-once execution of requests with an idempotency key
+_held_claims     claims of this front, for a restore of the store
 _native_api_http HTTP server of the native API
 """
 
@@ -37,6 +38,7 @@
     TargetCutoff,
 )
 from dragonflyramp.callers._fronts import Front
+from dragonflyramp.callers._held_claims import HeldClaims
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._native_api_http import NativeApi, NativeApiServer
 from dragonflyramp.callers._queries import Query
@@ -51,6 +53,7 @@
     'CutoffPolicy',
     'DeadlineCutoff',
     'Front',
+    'HeldClaims',
     'MergedAnswer',
     'Merger',
     'NativeApi',
--- a/dragonflyramp/callers/_claims.py
+++ b/dragonflyramp/callers/_claims.py
@@ -5,8 +5,12 @@
 is known not to have run. After a success it records the body of the reply as
 the outcome in the claim. Otherwise the claim stays without an outcome, and the
 request is never sent again.
+
+After a restore of the store, no claim is created until the other fronts have
+written theirs again.
 """
 
+import contextlib
 import hashlib
 from collections.abc import Awaitable, Callable
 
@@ -20,14 +24,18 @@
     RelayedAnswer,
     RelayedFailure,
 )
+from dragonflyramp.callers._held_claims import (
+    CLAIMS_KIND,
+    DIGEST_KEY,
+    OUTCOME_KEY,
+    ClaimRewriter,
+    HeldClaims,
+)
+from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 from dragonflyramp.stores import KeyedStore
 from dragonflyramp.views import Fields
 
-_CLAIMS_KIND = 'dragonflyramp-claims'
-_DIGEST_KEY = 'digest'
-_OUTCOME_KEY = 'outcome'
-
 
 @attrs.frozen(kw_only=True)
 class KeyedRequest:
@@ -71,6 +79,12 @@
     """Run keyed requests at most once, with claims in the platform's store."""
 
     _store: KeyedStore
+    held: HeldClaims = attrs.field(factory=HeldClaims)
+
+    @property
+    def rewriter(self) -> ClaimRewriter:
+        """Return what writes the claims again after a restore."""
+        return ClaimRewriter(self._store, self.held)
 
     async def run(
         self, keyed_request: KeyedRequest, send: Callable[[], Awaitable[Answer]]
@@ -80,11 +94,22 @@
         Return its result, or that of the request that claimed the key. Codes
         other than `ok` and `outcome_replayed` are failures.
         """
-        spec = {_DIGEST_KEY: keyed_request.body_digest}
+        store_era = self.held.store_era
+        era = store_era.number
+        if store_era.rewrite_ends_in_seconds(self.held.clock()):
+            counters.add('claims_refused', 'store_restored')
+            return KeyedResult(ResultCode.claim_failed)
+        spec = {DIGEST_KEY: keyed_request.body_digest}
         create_result = await self._store.create(
-            _CLAIMS_KIND, keyed_request.claim_name, spec
+            CLAIMS_KIND, keyed_request.claim_name, spec
         )
         if isinstance(create_result, Success):
+            if store_era.number != era:
+                # Another front may have had the claim before the restore. As
+                # after a lost reply, this one never gets an outcome.
+                counters.add('claims_refused', 'store_restored')
+                return KeyedResult(ResultCode.claim_failed)
+            self.held.add(keyed_request.claim_name, spec)
             revision = create_result.unwrap()['meta']['rev']
             return await self._send_claimed(keyed_request, revision, send)
         if create_result.failure() is ResultCode.version_conflict:
@@ -99,7 +124,12 @@
         revision: int,
         send: Callable[[], Awaitable[Answer]],
     ) -> KeyedResult:
-        answer = await send()
+        name = keyed_request.claim_name
+        spec = {DIGEST_KEY: keyed_request.body_digest}
+        with contextlib.ExitStack() as cleanup:
+            # The caller may leave meanwhile.
+            cleanup.callback(self.held.finish, name, spec)
+            answer = await send()
         if isinstance(answer, RelayedFailure):
             return KeyedResult(ResultCode.backend_error)
         if isinstance(answer, RelayedAnswer):
@@ -108,34 +138,34 @@
             except UnicodeDecodeError:
                 # JSON cannot hold it, and another text is not the outcome.
                 return KeyedResult(ResultCode.bad_reply)
-            spec = {
-                _DIGEST_KEY: keyed_request.body_digest,
-                _OUTCOME_KEY: outcome,
-            }
+            spec = {**spec, OUTCOME_KEY: outcome}
+            self.held.finish(name, spec)
             replace_result = await self._store.replace(
-                _CLAIMS_KIND, keyed_request.claim_name, spec, revision
+                CLAIMS_KIND, name, spec, revision
             )
+            if self.held.may_be_lost(name):
+                # The restore may also have removed what was replaced.
+                replace_result = await self.rewriter.write(name, spec)
             _warn_if_update_failed(keyed_request, replace_result)
             return KeyedResult(ResultCode.ok, outcome)
         assert isinstance(answer, Refusal)
         if answer.may_have_run:
             return KeyedResult(ResultCode.outcome_unknown)
-        delete_result = await self._store.delete(
-            _CLAIMS_KIND, keyed_request.claim_name
-        )
+        self.held.release(name)
+        delete_result = await self._store.delete(CLAIMS_KIND, name)
         _warn_if_update_failed(keyed_request, delete_result)
         return KeyedResult(answer.code)
 
     async def _replay(self, keyed_request: KeyedRequest) -> KeyedResult:
         read_result = await self._store.read(
-            _CLAIMS_KIND, keyed_request.claim_name
+            CLAIMS_KIND, keyed_request.claim_name
         )
         if isinstance(read_result, Failure):
             return KeyedResult(ResultCode.claim_failed)
         spec = read_result.unwrap().get('spec') or {}
-        if spec.get(_DIGEST_KEY) != keyed_request.body_digest:
+        if spec.get(DIGEST_KEY) != keyed_request.body_digest:
             return KeyedResult(ResultCode.key_reused)
-        outcome = spec.get(_OUTCOME_KEY)
+        outcome = spec.get(OUTCOME_KEY)
         if outcome is not None:
             return KeyedResult(ResultCode.outcome_replayed, outcome)
         return KeyedResult(ResultCode.already_claimed)
--- a/dragonflyramp/callers/_native_api_http.py
+++ b/dragonflyramp/callers/_native_api_http.py
@@ -173,6 +173,10 @@
         bound_host, bound_port = self._runner.addresses[0][:2]
         return f'{bound_host}:{bound_port}'
 
+    async def run(self) -> None:
+        """Write claims again after each restore of the store."""
+        await self._api.claims.rewriter.run()
+
     async def stop(self) -> None:
         """Close the port and the open connections."""
         if self._runner is not None:
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -8,6 +8,7 @@
 _registrars     entries of the daemons in the store
 _suspect_records  records of requests that end replicas, and claims of trials
 _suspect_objects  the objects of these records in the store
+_suspect_restores  records that a restored store has forgotten
 _suspicion_fields checks of the fields of records and messages
 _watchers       updates of the views from the store
 _sync_messages  messages between daemons and their encoding
@@ -30,6 +31,7 @@
     StoredSuspectRecords,
     maintain_suspects,
 )
+from dragonflyramp.members._suspect_restores import SuspectRestorer
 from dragonflyramp.members._synchronizers import (
     ViewSynchronizer,
     is_informed,
@@ -47,6 +49,7 @@
     'Registrar',
     'StoredSuspectRecords',
     'SuspectObjects',
+    'SuspectRestorer',
     'SyncServer',
     'ViewSynchronizer',
     'Watcher',
--- a/dragonflyramp/members/_hub_links.py
+++ b/dragonflyramp/members/_hub_links.py
@@ -40,7 +40,12 @@
         """Open and close links until cancelled, then close all."""
         async with contextlib.AsyncExitStack() as cleanup:
             cleanup.push_async_callback(self._links.close)
+            sent_era = self.synchronizer.store_era.number
             while True:
+                if self.synchronizer.store_era.number != sent_era:
+                    # Hubs may not have noticed the restore yet.
+                    sent_era = self.synchronizer.store_era.number
+                    self._links.renew_requests()
                 self.synchronizer.cluster.membership.expire_contacts(
                     self.clock()
                 )
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -122,6 +122,7 @@
         if request is None:
             await context.abort(StatusCode.INVALID_ARGUMENT)
         now_seconds = self._clock()
+        self._synchronizer.store_era.observe(request.store_era, now_seconds)
         self._synchronizer.cluster.membership.record_contact(
             request.sender, now_seconds
         )
--- a/dragonflyramp/members/_registrars.py
+++ b/dragonflyramp/members/_registrars.py
@@ -1,6 +1,7 @@
 """Register this daemon, and remove the entries of lost daemons."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Any
@@ -20,6 +21,9 @@
 _INITIAL_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 2
 _RECONCILE_INTERVAL_SECONDS = 5
+#: After a restore of the store, the daemons write their entries within this
+#: time, so that not all of them write at once.
+_REWRITE_SPREAD_SECONDS = 0.5
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -48,8 +52,9 @@
             # entry from before a restart and so saves a write.
             await asyncio.sleep(_INITIAL_BACKOFF_SECONDS)
         while True:
+            era = self.view.position.era
             await self.reconcile()
-            await asyncio.sleep(_RECONCILE_INTERVAL_SECONDS)
+            await self._wait_for_round(era)
 
     async def reconcile(self) -> None:
         """Register if needed, and remove the entries of lost daemons.
@@ -71,6 +76,15 @@
         if is_first_hub and uptime_seconds >= self.min_removal_uptime_seconds:
             await self._remove_lost_entries()
 
+    async def _wait_for_round(self, era: int) -> None:
+        """Wait for the next round, or for the listing after a restore."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_RECONCILE_INTERVAL_SECONDS):
+                while self.view.position.era == era:
+                    await self.view.new_era.wait()
+        if self.view.position.era != era:
+            await asyncio.sleep(self.rng.uniform(0, _REWRITE_SPREAD_SECONDS))
+
     async def _remove_lost_entries(self) -> None:
         lost = self.cluster.membership.names_without_contact()
         if 2 * len(lost) > len(self.view.objects_by_name):
--- a/dragonflyramp/members/_suspect_objects.py
+++ b/dragonflyramp/members/_suspect_objects.py
@@ -16,9 +16,9 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.object_limits import DECODE_ERRORS
 from dragonflyramp.results import ResultCode
-from dragonflyramp.stores import KeyedStore
+from dragonflyramp.stores import KeyedStore, StoreEra
 from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
-from dragonflyramp.views import Fields, View
+from dragonflyramp.views import Fields, Position, View
 
 #: Kind of the records in the store.
 SUSPECTS_KIND = 'dragonflyramp-suspects'
@@ -30,13 +30,29 @@
 
     record: SuspectRecord
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return the position of the write of the object."""
+        return Position(self.era, self.revision)
+
+
+@attrs.frozen
+class LostRecord:
+    """Record that the store has forgotten or has in an older form."""
+
+    record: SuspectRecord
+    #: Whether only this daemon has seen it, because it has written it.
+    is_own: bool
 
 
 @attrs.define(eq=False, kw_only=True)
 class SuspectObjects:
     """Records in the store, as the view and own writes show them.
 
-    Each write is conditional on the revision that this daemon knows.
+    Each write is conditional on the revision that this daemon knows. After a
+    restore, the records of the era before are lost until they are back.
     """
 
     store: KeyedStore
@@ -44,17 +60,25 @@
     suspects: CrashSuspects
     #: Returns the monotonic time in seconds.
     clock: Callable[[], float]
+    store_era: StoreEra = attrs.field(factory=StoreEra)
     by_fingerprint: dict[str, StoredRecord] = attrs.field(factory=dict)
+    lost: dict[str, LostRecord] = attrs.field(factory=dict)
+    #: Position of the view when its changes were applied last.
+    _applied_position: Position = Position()
 
     def apply_changes(self, names: Collection[str]) -> None:
         """Apply the objects that changed in the view."""
         now_seconds = self.clock()
+        if self._applied_position.era != self.view.position.era:
+            self._lose_records()
+            names = self.view.objects_by_name.keys()
+        self._applied_position = self.view.position
         for name in names:
             fields = self.view.objects_by_name.get(name)
             if fields is None:
                 self._apply_removal(name, now_seconds)
                 continue
-            stored = decode_record(fields)
+            stored = decode_record(fields, self.view.position.era)
             if stored is None:
                 counters.add('bad_objects', 'suspect')
                 logger.bind(fingerprint=name).warning(
@@ -65,7 +89,9 @@
 
     def find(self, fingerprint: str) -> SuspectRecord | None:
         """Return the record of a request, if there is one."""
-        stored = self.by_fingerprint.get(fingerprint)
+        stored = self.lost.get(fingerprint) or self.by_fingerprint.get(
+            fingerprint
+        )
         return None if stored is None else stored.record
 
     async def write(
@@ -73,6 +99,9 @@
     ) -> ResultCode:
         """Create or replace a record; fail with a code of `KeyedStore`."""
         known = self.by_fingerprint.get(fingerprint)
+        # The write may take effect after a restore that is noticed with its
+        # reply; as one of the era before, the record is looked for again.
+        era = self.store_era.number
         spec = encode_record(record)
         if known is None:
             write_result = await self.store.create(
@@ -86,11 +115,12 @@
             code: ResultCode = write_result.failure()
             counters.add('suspect_record_failures', code.name)
             return code
-        stored = decode_record(write_result.unwrap())
+        stored = decode_record(write_result.unwrap(), era)
         if stored is None:
             return ResultCode.bad_reply
         now_seconds = self.clock()
         self._apply(fingerprint, stored, now_seconds)
+        self.lost.pop(fingerprint, None)
         # Normally the view has the record later. It may also have read already
         # that another daemon has removed it.
         if fingerprint not in self.view.objects_by_name:
@@ -99,6 +129,7 @@
 
     async def remove(self, fingerprint: str) -> None:
         """Remove a record if there is one."""
+        self.lost.pop(fingerprint, None)
         if fingerprint in self.by_fingerprint:
             await self.store.delete(SUSPECTS_KIND, fingerprint)
 
@@ -106,9 +137,12 @@
         self, fingerprint: str, stored: StoredRecord, now_seconds: float
     ) -> None:
         known = self.by_fingerprint.get(fingerprint)
-        if known is not None and stored.revision < known.revision:
+        if known is not None and stored.position < known.position:
             return
         self.by_fingerprint[fingerprint] = stored
+        lost = self.lost.get(fingerprint)
+        if lost is not None and _is_back(stored.record, lost.record):
+            self.lost.pop(fingerprint)
         self.suspects.apply_stored(
             fingerprint, stored.record.suspicion, now_seconds
         )
@@ -116,12 +150,44 @@
     def _apply_removal(self, fingerprint: str, now_seconds: float) -> None:
         known = self.by_fingerprint.get(fingerprint)
         # This daemon may have written a record that the view does not have yet.
-        if known is not None and known.revision <= self.view.revision:
+        if known is not None and known.position <= self.view.position:
             self.by_fingerprint.pop(fingerprint)
+            if known.era != self.view.position.era:
+                # The restore has removed it, and not a success.
+                self.lost[fingerprint] = LostRecord(known.record, is_own=True)
+                return
             self.suspects.apply_removal(
                 fingerprint, known.record.suspicion, now_seconds
             )
 
+    def _lose_records(self) -> None:
+        """Keep what was known before a restore, until the store has it."""
+        for fingerprint, known in tuple(self.by_fingerprint.items()):
+            if known.era < self.view.position.era:
+                self.by_fingerprint.pop(fingerprint)
+                self.lost[fingerprint] = LostRecord(
+                    known.record,
+                    is_own=known.position > self._applied_position,
+                )
+
+
+def _is_back(stored: SuspectRecord, lost: SuspectRecord) -> bool:
+    """Return whether the store has a record that it had lost, or a later one.
+
+    The end of a trial changes neither the order nor the time of a record.
+    """
+    if _age_key(stored) != _age_key(lost):
+        return _age_key(stored) > _age_key(lost)
+    return attrs.evolve(stored, seen_ms=lost.seen_ms) == lost
+
+
+def _age_key(record: SuspectRecord) -> tuple[int, ...]:
+    return (
+        *record.suspicion.order,
+        record.late_trial_count,
+        record.changed_ms,
+    )
+
 
 def encode_record(record: SuspectRecord) -> Fields:
     """Encode a record as the `spec` of an object."""
@@ -131,7 +197,7 @@
     }
 
 
-def decode_record(fields: Fields) -> StoredRecord | None:
+def decode_record(fields: Fields, era: int = 0) -> StoredRecord | None:
     """Decode an object; return None if it is malformed."""
     with contextlib.suppress(*DECODE_ERRORS):
         spec = fields['spec']
@@ -148,7 +214,7 @@
             changed_ms=require_count(spec['changed_ms']),
             seen_ms=require_count(spec['seen_ms']),
         )
-        return StoredRecord(record, require_count(fields['meta']['rev']))
+        return StoredRecord(record, require_count(fields['meta']['rev']), era)
     return None
 
 
--- a/dragonflyramp/members/_suspect_records.py
+++ b/dragonflyramp/members/_suspect_records.py
@@ -99,6 +99,14 @@
         """Claim a trial, which one daemon gets at a time."""
         if not self._has_room(fingerprint, suspicion):
             return ClaimOutcome.unavailable
+        store_era = self.suspect_objects.store_era
+        era = store_era.number
+        if fingerprint in self.suspect_objects.lost or (
+            store_era.rewrite_ends_in_seconds(self.suspect_objects.clock())
+        ):
+            # Another daemon may have a claim that is not written again yet.
+            counters.add('suspect_claims', 'store_restored')
+            return ClaimOutcome.taken
         record = self.find(fingerprint) or SuspectRecord(suspicion=suspicion)
         if suspicion.order > record.suspicion.order:
             record = attrs.evolve(record, suspicion=suspicion)
@@ -109,6 +117,9 @@
         )
         code = await self.suspect_objects.write(fingerprint, claimed)
         counters.add('suspect_claims', code.name)
+        if code is ResultCode.ok and store_era.number != era:
+            await self.end_trial(fingerprint, record.suspicion)
+            return ClaimOutcome.taken
         return _CLAIM_OUTCOMES.get(code, ClaimOutcome.unavailable)
 
     async def end_trial(self, fingerprint: str, suspicion: Suspicion) -> None:
--- a/dragonflyramp/members/_sync_messages.py
+++ b/dragonflyramp/members/_sync_messages.py
@@ -9,6 +9,7 @@
 from dragonflyramp.members._memberships import Daemon, decode_daemon
 from dragonflyramp.members._suspicion_fields import (
     decode_suspicion,
+    require_count,
     require_short_text,
 )
 from dragonflyramp.object_limits import is_within_limits
@@ -31,6 +32,9 @@
 _SUSPICIONS_KEY = 'suspicions'
 _SUSPICIONS_VERSION_KEY = 'suspicions_version'
 _KNOWN_SUSPICIONS_KEY = 'known_suspicions_version'
+_ERAS_KEY = 'eras'
+_STORE_ERA_KEY = 'store_era'
+_ERA_KEY = 'era'
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +44,11 @@
     sender: Daemon
     #: Revision of each view by kind.
     revisions: Mapping[str, int]
+    #: Era of each view by kind, 0 if it is missing. None from a daemon of an
+    #: earlier version, which compares revisions only.
+    eras: Mapping[str, int] | None = None
+    #: Newest era of the store that the sender has heard of.
+    store_era: int = 0
     #: How long to wait for a change before responding without one.
     wait_seconds: float = 0
     #: How long to delay the response after a change. Requests to backup hubs
@@ -66,6 +75,7 @@
     age_seconds: float
     #: How long ago the store became available again after an outage.
     outage_age_seconds: float
+    era: int = 0
     #: None if the revision of the other daemon's view is not older.
     changes: ChangeBatch | Listing | None = None
 
@@ -92,6 +102,8 @@
     return {
         _SENDER_KEY: attrs.astuple(request.sender),
         'revisions': dict(request.revisions),
+        _ERAS_KEY: dict(request.eras or {}),
+        _STORE_ERA_KEY: request.store_era,
         'wait': request.wait_seconds,
         'patience': request.response_delay_seconds,
         _AGGREGATES_KEY: _encode_aggregates(request.samples),
@@ -114,6 +126,8 @@
             kind: int(revision)
             for kind, revision in fields['revisions'].items()
         },
+        eras=_decode_eras(fields),
+        store_era=require_count(fields.get(_STORE_ERA_KEY, 0)),
         wait_seconds=min(float(fields['wait']), _MAX_WAIT_SECONDS),
         response_delay_seconds=float(fields['patience']),
         samples=_decode_aggregates(fields[_AGGREGATES_KEY]),
@@ -180,6 +194,13 @@
     )
 
 
+def _decode_eras(fields: Fields) -> Mapping[str, int] | None:
+    eras = fields.get(_ERAS_KEY)
+    if eras is None:
+        return None
+    return {kind: require_count(era) for kind, era in eras.items()}
+
+
 def _decode_leaving(fields: Fields) -> LeavingReplicas:
     # Daemons of an earlier version send none.
     return {
@@ -219,6 +240,8 @@
         'age': round(update.age_seconds, 3),
         'outage_age': round(update.outage_age_seconds, 3),
     }
+    if update.era:
+        fields[_ERA_KEY] = update.era
     if isinstance(update.changes, Listing):
         fields['all'] = dict(update.changes.objects_by_name)
     elif update.changes is not None:
@@ -230,6 +253,7 @@
 
 def _decode_update(fields: Fields) -> ViewUpdate:
     revision = int(fields['revision'])
+    era = require_count(fields.get(_ERA_KEY, 0))
     changes: ChangeBatch | Listing | None = None
     objects_by_name = fields.get('all')
     encoded_changes = fields.get('changes')
@@ -240,16 +264,18 @@
                 str(name): _limit(object_fields)
                 for name, object_fields in objects_by_name.items()
             },
+            era,
         )
     elif encoded_changes is not None:
         decoded_changes = tuple(
             Change(str(name), _limit(object_fields))
             for name, object_fields in encoded_changes
         )
-        changes = ChangeBatch(revision, decoded_changes)
+        changes = ChangeBatch(revision, decoded_changes, era)
     return ViewUpdate(
         kind=str(fields['kind']),
         revision=revision,
+        era=era,
         age_seconds=float(fields['age']),
         outage_age_seconds=float(fields['outage_age']),
         changes=changes,
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -16,12 +16,13 @@
 from dragonflyramp.replica_notices import ReplicaNotices
 from dragonflyramp.runtime import Broadcast
 from dragonflyramp.slow_replicas import SlowReplicaDetector
+from dragonflyramp.stores import StoreEra
 from dragonflyramp.suspects import (
     CrashSuspects,
     has_changes_after,
     report_after,
 )
-from dragonflyramp.views import ChangeBatch, Listing, View
+from dragonflyramp.views import ChangeBatch, Listing, Position, View
 
 #: Leaving replicas are sent again for this long, because the daemons do not
 #: share a clock and a message takes a while.
@@ -58,6 +59,7 @@
     slow_replica_detector: SlowReplicaDetector
     replica_notices: ReplicaNotices = attrs.field(factory=ReplicaNotices)
     crash_suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    store_era: StoreEra = attrs.field(factory=StoreEra)
     _view_changes: Broadcast = attrs.field(factory=Broadcast)
 
     def wake_waiting_requests(self) -> None:
@@ -84,6 +86,12 @@
             revisions={
                 kind: view.revision for kind, view in self.views.items()
             },
+            eras={
+                kind: view.position.era
+                for kind, view in self.views.items()
+                if view.position.era
+            },
+            store_era=self.store_era.number,
             wait_seconds=wait_seconds,
             response_delay_seconds=response_delay_seconds,
             samples=self.slow_replica_detector.pop_unsent_samples()
@@ -105,8 +113,8 @@
         return has_changes_after(
             self.crash_suspects.table, request.known_suspicions_version
         ) or any(
-            request.revisions.get(kind, 0) < view.last_change_revision
-            for kind, view in self.views.items()
+            _known_position(request, view) < view.last_change_position
+            for view in self.views.values()
         )
 
     async def wait_for_changes(self, request: SyncRequest) -> None:
@@ -141,8 +149,8 @@
             is_store_lost=own_daemon.name
             in self.cluster.daemon_health.without_store,
             updates=tuple(
-                _build_update(view, request.revisions.get(kind, 0), now_seconds)
-                for kind, view in self.views.items()
+                _build_update(view, request, now_seconds)
+                for view in self.views.values()
             ),
             leaving=self.replica_notices.leaving_since(
                 now_seconds
@@ -175,8 +183,10 @@
 
     def _apply_update(self, update: ViewUpdate, now_seconds: float) -> None:
         view = self.views.get(update.kind)
-        if view is None or update.revision < view.revision:
+        position = Position(update.era, update.revision)
+        if view is None or position < view.position:
             return
+        self.store_era.observe(update.era, now_seconds)
         confirmed_at_seconds = now_seconds - update.age_seconds
         view.record_outage_end(now_seconds - update.outage_age_seconds)
         names: set[str] = set()
@@ -184,8 +194,11 @@
             names = view.replace(update.changes, confirmed_at_seconds)
         elif update.changes is not None:
             names = view.apply(update.changes, confirmed_at_seconds)
-        elif update.revision == view.revision:
-            view.apply(ChangeBatch(update.revision, ()), confirmed_at_seconds)
+        elif position == view.position:
+            view.apply(
+                ChangeBatch(update.revision, (), update.era),
+                confirmed_at_seconds,
+            )
         if names:
             self.on_change(view.kind, names)
 
@@ -219,17 +232,33 @@
     )
 
 
+def _known_position(request: SyncRequest, view: View) -> Position:
+    """Return the position of the view of a request's sender.
+
+    A daemon of an earlier version ignores eras, and updates by revision only.
+    """
+    revision = request.revisions.get(view.kind, 0)
+    if request.eras is None:
+        return Position(view.position.era, revision)
+    return Position(request.eras.get(view.kind, 0), revision)
+
+
 def _build_update(
-    view: View, known_revision: int, now_seconds: float
+    view: View, request: SyncRequest, now_seconds: float
 ) -> ViewUpdate:
-    changes = None
-    if known_revision < view.revision:
+    known_position = _known_position(request, view)
+    changes: ChangeBatch | Listing | None = None
+    if known_position < view.position:
+        if request.eras is None and view.position.era:
+            # The revision may be that of an earlier era.
+            known_position = Position()
         # If no object of this kind changed, the batch is empty, but carries the
         # revision from which a watch continues.
-        changes = view.changes_since(known_revision)
+        changes = view.changes_since(known_position)
     return ViewUpdate(
         kind=view.kind,
         revision=view.revision,
+        era=view.position.era,
         age_seconds=min(view.age_seconds(now_seconds), MAX_AGE_SECONDS),
         outage_age_seconds=min(
             now_seconds - view.outage_ended_at_seconds, MAX_AGE_SECONDS
--- a/dragonflyramp/members/_watchers.py
+++ b/dragonflyramp/members/_watchers.py
@@ -1,18 +1,21 @@
 """Watch the store on hubs and on daemons that no hub updates."""
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeAlias
 
 import attrs
 from loguru import logger
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from dragonflyramp.members._clusters import Cluster
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
-from dragonflyramp.stores import WatchedStore
-from dragonflyramp.views import View
+from dragonflyramp.runtime import Broadcast
+from dragonflyramp.stores import StoreEra, WatchedStore
+from dragonflyramp.views import ChangeBatch, View
 
 #: An isolated daemon watches the store when its view is older than this.
 _MAX_ISOLATED_VIEW_AGE_SECONDS = 3
@@ -86,6 +89,7 @@
     clock: Callable[[], float]
     rng: random.Random
     timing: WatchTiming = WatchTiming()
+    store_era: StoreEra = attrs.field(factory=StoreEra)
     _backoff: _Backoff = attrs.field(factory=_Backoff)
 
     async def run(self) -> None:
@@ -106,7 +110,15 @@
         return is_isolated and age_seconds > _MAX_ISOLATED_VIEW_AGE_SECONDS
 
     async def _call_store(self) -> None:
-        if self.view.revision:
+        if (
+            self.view.revision
+            and self.view.position.era < self.store_era.number
+        ):
+            # Revisions are given out again after a restore, so changes after
+            # that of the view are unknown.
+            counters.add('watch_restarts', 'new_era')
+            code = await self._list_objects(allow_stale=False)
+        elif self.view.revision:
             code = await self._watch_changes()
         else:
             code = await self._list_objects(
@@ -140,10 +152,14 @@
         return ResultCode.ok
 
     async def _watch_changes(self) -> ResultCode:
-        revision = self.view.revision
-        watch_result = await self.store.watch(
-            self.view.kind, revision, self.timing.wait_seconds
+        watch_result = await _run_until(
+            self.store.watch(
+                self.view.kind, self.view.revision, self.timing.wait_seconds
+            ),
+            self.store_era.restored,
         )
+        if watch_result is None:
+            return ResultCode.ok
         if isinstance(watch_result, Failure):
             code: ResultCode = watch_result.failure()
             return code
@@ -174,3 +190,21 @@
     def _notify(self, names: set[str]) -> None:
         if names:
             self.on_change(self.view.kind, names)
+
+
+_Watched: TypeAlias = Result[ChangeBatch, ResultCode]
+
+
+async def _run_until(
+    watch: Coroutine[Any, Any, _Watched], restored: Broadcast
+) -> _Watched | None:
+    """Run a watch; cancel it and return None when the store is restored."""
+    with contextlib.ExitStack() as cleanup:
+        watch_task = asyncio.ensure_future(watch)
+        cleanup.callback(watch_task.cancel)
+        restore_task = asyncio.ensure_future(restored.wait())
+        cleanup.callback(restore_task.cancel)
+        await asyncio.wait(
+            (watch_task, restore_task), return_when=asyncio.FIRST_COMPLETED
+        )
+        return watch_task.result() if watch_task.done() else None
--- a/dragonflyramp/operators/_commits.py
+++ b/dragonflyramp/operators/_commits.py
@@ -22,6 +22,8 @@
 
     root: Root
     version: int
+    #: Era of the store in which the root was read that this one replaces.
+    era: int = 0
 
     def resolve(self, read_back: StoredRoot) -> PushOutcome | None:
         """Return the outcome that a root read back proves; None without proof.
@@ -57,6 +59,8 @@
     may_have_taken_effect = False
     for attempt in range(text_store.retries.max_attempts):
         write_result = await text_store.write_root(update.root, update.version)
+        if text_store.store.current_era() != update.era:
+            return _restored_outcome()
         if isinstance(write_result, Success):
             return Accepted(root=update.root)
         code = write_result.failure()
@@ -102,6 +106,13 @@
     )
 
 
+def _restored_outcome() -> Unknown:
+    return _unknown_outcome(
+        'the store was restored from an older copy during this push; '
+        'compare your text with the output of `show`, and push again'
+    )
+
+
 def _unknown_outcome(sentence: str) -> Unknown:
     return Unknown(
         problem=Problem(code=ResultCode.push_unknown, sentence=sentence)
--- a/dragonflyramp/operators/_proposals.py
+++ b/dragonflyramp/operators/_proposals.py
@@ -18,7 +18,12 @@
     split_text,
 )
 from dragonflyramp.operators._problems import Problem
-from dragonflyramp.operators._roots import Root, sorted_holds
+from dragonflyramp.operators._roots import (
+    Root,
+    is_of_earlier_era,
+    next_number,
+    sorted_holds,
+)
 from dragonflyramp.operators._text_stores import StoredRoot
 from dragonflyramp.results import ResultCode
 
@@ -49,6 +54,19 @@
     proposal: Proposal
     configuration: Configuration
     stored_root: StoredRoot
+    #: Era of the store in which its root was read.
+    era: int = 0
+
+    @property
+    def is_stored(self) -> bool:
+        """Return whether the text is stored, with all its parts.
+
+        Parts of a root of an earlier era may be missing.
+        """
+        root = self.stored_root.root
+        if root is None or is_of_earlier_era(root, self.era):
+            return False
+        return root.parts == self.part_refs
 
     @property
     def part_refs(self) -> tuple[PartRef, ...]:
@@ -56,10 +74,13 @@
         return tuple(map(part_ref_of, split_text(self.proposal.text)))
 
     def new_parts(self) -> dict[str, bytes]:
-        """Return the parts that are not in the stored root, by SHA-256."""
+        """Return the parts that may not be stored, by SHA-256."""
         stored = self.stored_root.root
+        has_parts = stored and not is_of_earlier_era(stored, self.era)
         stored_digests = (
-            {ref.sha256 for ref in stored.parts} if stored else set()
+            {ref.sha256 for ref in stored.parts}
+            if stored and has_parts
+            else set()
         )
         parts = {
             sha256_hex(part): part for part in split_text(self.proposal.text)
@@ -73,7 +94,7 @@
     def next_root(self) -> Root:
         """Return the root that makes the proposal the stored text."""
         proposal = self.proposal
-        number = self.stored_root.number + 1
+        number = next_number(self.stored_root.number, self.era)
         stored = self.stored_root.root
         return Root(
             number=number,
--- a/dragonflyramp/operators/_pushers.py
+++ b/dragonflyramp/operators/_pushers.py
@@ -48,7 +48,10 @@
                 read_result.failure(), 'the stored text cannot be read'
             )
         parsed_proposal = ParsedProposal(
-            proposal, parse_result.unwrap(), read_result.unwrap()
+            proposal,
+            parse_result.unwrap(),
+            read_result.unwrap(),
+            self.text_store.store.current_era(),
         )
         outcome = await self._push_parsed(parsed_proposal)
         if isinstance(outcome, Refused):
@@ -59,7 +62,7 @@
         self, parsed_proposal: ParsedProposal
     ) -> PushOutcome:
         root = parsed_proposal.stored_root.root
-        if root and root.parts == parsed_proposal.part_refs:
+        if root and parsed_proposal.is_stored:
             return Accepted(root=root, is_changed=False)
         problems = parsed_proposal.problems() or await self._hold_problems(
             parsed_proposal
@@ -76,7 +79,9 @@
                     'the stored text is unchanged',
                 )
         update = RootUpdate(
-            parsed_proposal.next_root(), parsed_proposal.stored_root.version
+            parsed_proposal.next_root(),
+            parsed_proposal.stored_root.version,
+            parsed_proposal.era,
         )
         outcome = await commit_update(self.text_store, update)
         if isinstance(outcome, Accepted):
--- a/dragonflyramp/operators/_roots.py
+++ b/dragonflyramp/operators/_roots.py
@@ -14,6 +14,9 @@
 ROOT_NAME = 'texts/root'
 #: Number of earlier changes that the root records.
 HISTORY_LENGTH = 32
+#: Numbers of an era of the store begin after this number times the era. So a
+#: number that a restored store has forgotten is not given out again.
+_NUMBERS_PER_ERA = 1_000_000
 
 _SHA256_PATTERN = re.compile('[0-9a-f]{64}')
 
@@ -72,6 +75,20 @@
         return tuple(earlier[-HISTORY_LENGTH:])
 
 
+def next_number(number: int, era: int) -> int:
+    """Return the number of the push after a number, in an era of the store.
+
+    >>> next_number(7, 0), next_number(7, 1), next_number(1000001, 1)
+    (8, 1000001, 1000002)
+    """
+    return max(number, era * _NUMBERS_PER_ERA) + 1
+
+
+def is_of_earlier_era(root: Root, era: int) -> bool:
+    """Return whether a root was stored before the last restore."""
+    return root.number <= era * _NUMBERS_PER_ERA
+
+
 def sorted_holds(holds: Iterable[Hold]) -> tuple[Hold, ...]:
     """Return the holds in the order in which a root lists them."""
     return tuple(sorted(holds, key=lambda hold: hold.name))
--- a/dragonflyramp/platform/_api_http.py
+++ b/dragonflyramp/platform/_api_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import socket
 import time
 from collections.abc import AsyncIterator, Mapping
@@ -19,6 +20,7 @@
 from dragonflyramp.object_limits import has_few_values
 from dragonflyramp.platform._json_replies import decode_json_object
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stores import StoreEra
 from dragonflyramp.views import Fields
 
 #: Idle time before the first TCP keep-alive probe, and between probes. A dead
@@ -37,6 +39,8 @@
 _MAX_REPLY_BYTES = 8_388_608
 
 _BASE_PATH = '/api/objects'
+_ERA_HEADER = 'Store-Era'
+_ERA_PATTERN = re.compile('[0-9]{1,9}')
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +56,14 @@
     timeout_seconds: float | None = None
 
 
+@attrs.frozen
+class ApiReply:
+    """JSON object of a reply, and the era of the store that sent it."""
+
+    fields: Fields
+    era: int
+
+
 class ApiClient:
     """Call the object API with timeouts, and record metrics of the calls."""
 
@@ -65,15 +77,24 @@
         self._session = session
         self._base_url = f'http://{address}{_BASE_PATH}'
         self._timeout_seconds = timeout_seconds
+        #: Newest era that a reply had.
+        self.era = StoreEra()
 
     async def send(self, call: ApiCall) -> Result[Fields, ResultCode]:
-        """Send one call and return the JSON object of the reply.
+        """Send one call and return the JSON object of the reply."""
+        call_result = await self.send_for_reply(call)
+        return call_result.map(lambda reply: reply.fields)
+
+    async def send_for_reply(
+        self, call: ApiCall
+    ) -> Result[ApiReply, ResultCode]:
+        """Send one call and return the JSON object of the reply and its era.
 
         Failures are result codes, never exceptions: object_missing (status
         404), version_conflict (409), history_gone (410), body_too_large (413),
         bad_reply if the body is not a JSON object, and platform_down for other
-        error statuses, connection errors and timeouts. A reply that is too
-        large to be held also gives body_too_large.
+        error statuses, connection errors, timeouts, and replies of an era that
+        is over. A reply that is too large to be held also gives body_too_large.
         """
         counters.add('platform_calls', call.purpose)
         started_at_seconds = time.monotonic()
@@ -87,7 +108,7 @@
             counters.add('platform_failures', f'{call.purpose}_{code.name}')
         return call_result
 
-    async def _exchange(self, call: ApiCall) -> Result[Fields, ResultCode]:
+    async def _exchange(self, call: ApiCall) -> Result[ApiReply, ResultCode]:
         total_seconds = call.timeout_seconds or self._timeout_seconds
         request = self._session.request(
             call.method,
@@ -101,13 +122,33 @@
         )
         try:
             async with request as reply:
+                era = self._decode_era(reply.headers.get(_ERA_HEADER))
+                if era is None:
+                    return Failure(ResultCode.platform_down)
                 body = await _read_body(reply)
                 if body is None:
                     return Failure(ResultCode.body_too_large)
-                return _decode_reply(reply.status, body)
+                return _decode_reply(reply.status, body).map(
+                    lambda fields: ApiReply(fields, era)
+                )
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return Failure(ResultCode.platform_down)
 
+    def _decode_era(self, header: str | None) -> int | None:
+        """Return the era of a reply; None if that era is over.
+
+        A reply without the header is of era 0. A malformed header is ignored:
+        the reply counts as of the newest era.
+        """
+        if header is not None and not _ERA_PATTERN.fullmatch(header):
+            counters.add('store_era_failures', 'malformed')
+            return self.era.number
+        number = int(header or 0)
+        if self.era.observe(number, time.monotonic()):
+            return number
+        counters.add('store_era_failures', 'older')
+        return None
+
 
 @contextlib.asynccontextmanager
 async def open_api_client(
--- a/dragonflyramp/platform/_object_stores.py
+++ b/dragonflyramp/platform/_object_stores.py
@@ -40,6 +40,10 @@
             lambda stored_object: _decode_object(name, stored_object)
         )
 
+    def current_era(self) -> int:
+        """Return the newest era that an answer had."""
+        return self._client.era.number
+
     async def write(
         self, name: str, body: bytes, version: int
     ) -> Result[int, ResultCode]:
--- a/dragonflyramp/platform/_store_http.py
+++ b/dragonflyramp/platform/_store_http.py
@@ -29,6 +29,8 @@
     def __init__(self, api: ApiClient) -> None:
         """Send calls through an API client, which the caller closes."""
         self._api = api
+        #: Newest era of the store that a reply had.
+        self.era = api.era
 
     async def list_objects(
         self, kind: str, *, allow_stale: bool = False
@@ -56,7 +58,7 @@
         """
         wait_ms = int(wait_seconds * 1000)
         query = {'watch': str(revision), 'wait_ms': str(wait_ms)}
-        call_result = await self._api.send(
+        call_result = await self._api.send_for_reply(
             ApiCall(
                 purpose='watch',
                 path_and_query=_build_path_and_query(kind, '', query),
@@ -139,7 +141,7 @@
     base_query = {'allow_stale': '1'} if allow_stale else {}
     query = base_query
     while True:
-        page_result = await api.send(
+        page_result = await api.send_for_reply(
             ApiCall(
                 purpose='list',
                 path_and_query=_build_path_and_query(kind, '', query),
@@ -150,7 +152,8 @@
         page = parse_page(kind, page_result.unwrap())
         if page is None:
             return Failure(ResultCode.bad_reply)
-        builder.add_page(page.listing)
+        if not builder.add_page(page.listing):
+            return Failure(ResultCode.history_gone)
         if not page.next_after:
             return Success(None)
         if page.next_after <= query.get('after', ''):
@@ -168,6 +171,8 @@
     if isinstance(changes_result, Failure):
         return changes_result
     changes = changes_result.unwrap()
+    if changes.era != builder.era:
+        return Failure(ResultCode.history_gone)
     if changes.revision <= revision:
         return Failure(ResultCode.bad_reply)
     builder.apply(changes)
--- a/dragonflyramp/platform/_store_replies.py
+++ b/dragonflyramp/platform/_store_replies.py
@@ -8,10 +8,11 @@
 
 from dragonflyramp.metrics import counters
 from dragonflyramp.object_limits import is_within_limits
+from dragonflyramp.platform._api_http import ApiReply
 from dragonflyramp.platform._json_replies import create_unreadable_object
 from dragonflyramp.platform._store_decoders import ENTRIES_KIND
 from dragonflyramp.results import ResultCode
-from dragonflyramp.views import Change, ChangeBatch, Fields, Listing
+from dragonflyramp.views import Change, ChangeBatch, Listing
 
 #: Limit of the platform on the bytes of an object.
 _MAX_OBJECT_SIZE = 1024 * 1024
@@ -30,8 +31,9 @@
     next_after: str
 
 
-def parse_page(kind: str, fields: Fields) -> Page | None:
+def parse_page(kind: str, reply: ApiReply) -> Page | None:
     """Parse a page of a listing; return None if it is malformed."""
+    fields = reply.fields
     listed_objects = fields.get('items')
     revision = fields.get('at_rev')
     if not isinstance(listed_objects, list) or not isinstance(revision, int):
@@ -45,17 +47,22 @@
     next_after = ''
     if fields.get('has_more'):
         next_after = max(map(_raw_name, listed_objects), default='')
-    return Page(Listing(revision, objects_by_name), next_after)
+    return Page(Listing(revision, objects_by_name, reply.era), next_after)
 
 
-def parse_changes(kind: str, fields: Fields) -> Result[ChangeBatch, ResultCode]:
+def parse_changes(
+    kind: str, reply: ApiReply
+) -> Result[ChangeBatch, ResultCode]:
     """Parse the changes of a watch; fail with bad_reply."""
+    fields = reply.fields
     events = fields.get('events')
     revision = fields.get('at_rev')
     if not isinstance(events, list) or not isinstance(revision, int):
         return Failure(ResultCode.bad_reply)
     changes = (_parse_event(kind, event) for event in events)
-    return Success(ChangeBatch(revision, tuple(filter(None, changes))))
+    return Success(
+        ChangeBatch(revision, tuple(filter(None, changes)), reply.era)
+    )
 
 
 def _parse_event(kind: str, event: Any) -> Change | None:
--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -72,6 +72,10 @@
     skipped_entries: set[str] = attrs.field(factory=set)
     #: Due times of delayed removals by entry name, in seconds of `clock`.
     _pending_removals: dict[str, float] = attrs.field(factory=dict)
+    #: When holds end that the store lacks after a restore; None without any.
+    _holds_due_at_seconds: float | None = None
+    #: Whether the configuration of the view is older than the one in force.
+    _is_view_older: bool = False
 
     @property
     def has_synced(self) -> bool:
@@ -85,13 +89,13 @@
         if kind == self.decoder.config_kind:
             self._apply_table()
         if kind == self.decoder.holds_kind:
-            held_domains = self.decoder.decode_held_domains(
-                self.views[kind].objects_by_name
-            )
-            self.are_holds_readable = held_domains is not None
-            _update_held_domains(self.fleet, held_domains)
+            self._apply_holds()
         elif kind == self.decoder.entries_kind:
-            self._apply_entries(self.views[kind], names)
+            now_seconds = self.clock()
+            if _is_mass_removal(self.views[kind], names):
+                self.views[kind].record_outage_end(now_seconds)
+            for name in names:
+                self._apply_entry(name, now_seconds)
 
     async def run(self) -> None:
         """Remove replicas and notices that are due, until cancelled."""
@@ -102,7 +106,14 @@
             expire_notices(self.fleet, now_seconds)
 
     def remove_due_replicas(self, now_seconds: float) -> None:
-        """Remove the replicas that have not registered again in time."""
+        """Remove the replicas that have not registered again in time.
+
+        End the holds that operators have not written again in time.
+        """
+        holds_due_at_seconds = self._holds_due_at_seconds
+        if holds_due_at_seconds is not None:
+            if now_seconds >= holds_due_at_seconds:
+                self._apply_holds()
         due = [
             name
             for name, due_at_seconds in self._pending_removals.items()
@@ -123,6 +134,9 @@
                 'it is not applied'
             )
             return
+        self._is_view_older = (
+            self.table is not None and table.version < self.table.version
+        )
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
@@ -130,12 +144,24 @@
             'configuration in force'
         )
 
-    def _apply_entries(self, view: View, names: set[str]) -> None:
-        now_seconds = self.clock()
-        if _is_mass_removal(view, names):
-            view.record_outage_end(now_seconds)
-        for name in names:
-            self._apply_entry(name, now_seconds)
+    def _apply_holds(self) -> None:
+        """Apply the holds; after a restore, keep missing ones for a while.
+
+        The text contains the holds, and an older text is not applied.
+        """
+        self._holds_due_at_seconds = None
+        decoder = self.decoder
+        if decoder.holds_kind == decoder.config_kind and self._is_view_older:
+            return
+        view = self.views[decoder.holds_kind]
+        held_domains = decoder.decode_held_domains(view.objects_by_name)
+        self.are_holds_readable = held_domains is not None
+        due_at_seconds = view.restored_at_seconds + _REMOVAL_DELAY_SECONDS
+        if held_domains is not None and self.clock() < due_at_seconds:
+            if self.fleet.held_domains - held_domains:
+                self._holds_due_at_seconds = due_at_seconds
+            held_domains |= self.fleet.held_domains
+        _update_held_domains(self.fleet, held_domains)
 
     def _apply_entry(self, name: str, now_seconds: float) -> None:
         view = self.views[self.decoder.entries_kind]
--- a/dragonflyramp/stores.py
+++ b/dragonflyramp/stores.py
@@ -1,18 +1,73 @@
-"""Define the interfaces to the platform's store."""
+"""Define the interfaces to the platform's store, and track its era."""
 
+import math
 from typing import Any, Protocol
 
 import attrs
+from loguru import logger
 from returns.result import Result
 
+from dragonflyramp.metrics import counters
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.results import ResultCode
+from dragonflyramp.runtime import Broadcast
 from dragonflyramp.views import ChangeBatch, Fields, Listing
 
 #: Version to pass to a write that creates an object.
 ABSENT_VERSION = 0
 #: Maximum size of a body that the platform stores.
 MAX_OBJECT_BYTES = 1024 * 1024
+#: By this time after a daemon has noticed a restore, the daemons in touch have
+#: noticed it too, and have written their claims again: a poll of a hub takes up
+#: to 2.6 s.
+_REWRITE_SECONDS = 5
+
+
+@attrs.define(eq=False)
+class StoreEra:
+    """Newest era of the store that this process has heard of.
+
+    The era rises by one each time the store is restored from an older copy.
+    What was written after that copy is gone then.
+    """
+
+    number: int = 0
+    #: Restores that this process has noticed.
+    restore_count: int = 0
+    #: Wakes tasks that wait for a restore.
+    restored: Broadcast = attrs.field(factory=Broadcast)
+    _is_known: bool = False
+    _restored_at_seconds: float = -math.inf
+
+    def observe(self, number: int, now_seconds: float) -> bool:
+        """Record an era of the store; return whether it is the newest.
+
+        The first one is no restore. An older one comes from an answer that was
+        under way during a restore, or from elsewhere.
+        """
+        if number < self.number:
+            return False
+        previous = self.number
+        was_known = self._is_known
+        self.number = number
+        self._is_known = True
+        if number > previous:
+            # A process that has just started may have missed a restore.
+            self._restored_at_seconds = now_seconds
+        if was_known and number > previous:
+            self.restore_count += 1
+            counters.add('store_restores', 'noticed')
+            logger.bind(era=number, previous_era=previous).warning(
+                'store restored from an older copy; listing again'
+            )
+            self.restored.wake()
+        return True
+
+    def rewrite_ends_in_seconds(self, now_seconds: float) -> float:
+        """Return how long claims may be missing that are written again."""
+        return max(
+            0, self._restored_at_seconds + _REWRITE_SECONDS - now_seconds
+        )
 
 
 class KeyedStore(Protocol):
@@ -88,6 +143,10 @@
         Fail with object_missing, platform_down or bad_reply.
         """
 
+    def current_era(self) -> int:
+        """Return the newest era that an answer had; 0 without eras."""
+        return 0
+
     async def write(
         self, name: str, body: bytes, version: int
     ) -> Result[int, ResultCode]:
--- a/dragonflyramp/tools/_caller_components.py
+++ b/dragonflyramp/tools/_caller_components.py
@@ -3,7 +3,13 @@
 import functools
 from collections.abc import Callable
 
-from dragonflyramp.callers import Claims, Front, NativeApi, NativeApiServer
+from dragonflyramp.callers import (
+    Claims,
+    Front,
+    HeldClaims,
+    NativeApi,
+    NativeApiServer,
+)
 from dragonflyramp.machine_settings import RevocationBounds
 from dragonflyramp.members import ViewSynchronizer, news_age_seconds
 from dragonflyramp.platform import StoreClient, parse_api_key
@@ -30,7 +36,7 @@
     return NativeApiServer(
         NativeApi(
             front=front,
-            claims=Claims(store),
+            claims=Claims(store, HeldClaims(store.era, clock)),
             clock=clock,
             name_search_route=search_route_name,
             name_submit_route=submit_route_name,
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -26,7 +26,6 @@
     SyncServer,
     ViewSynchronizer,
     Watcher,
-    maintain_suspects,
 )
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.platform import (
@@ -58,6 +57,7 @@
     connect_suspects,
     create_suspect_guard,
     create_suspect_records,
+    run_suspect_records,
 )
 
 
@@ -112,7 +112,8 @@
             self.hub_links.run(),
             self.routing_state.run(),
             self.preconnector.run(),
-            maintain_suspects(self.suspect_records),
+            run_suspect_records(self.suspect_records),
+            self.native_api_server.run(),
             self._detect_standstill(),
             *(watcher.run() for watcher in self.watchers),
         )
@@ -177,6 +178,7 @@
             functools.partial(apply_peer_latency_ratios, routing_state.fleet)
         ),
         routing_state.fleet.reply_notices.notices,
+        store_era=store.era,
     )
     dispatcher.hub_links = HubLinks(synchronizer, machine.seeds, _CLOCK)
     suspect_records = create_suspect_records(store, synchronizer, _CLOCK)
@@ -234,7 +236,9 @@
     logs_all_answers: bool,
 ) -> Front:
     connect_crash_detector(backend_client, synchronizer, suspect_records)
-    register_gauges(routing_state, backend_client, _CLOCK)
+    register_gauges(
+        routing_state, backend_client, synchronizer.store_era, _CLOCK
+    )
     return Front(
         backend_client=backend_client,
         clock=_CLOCK,
--- a/dragonflyramp/tools/_front_gauges.py
+++ b/dragonflyramp/tools/_front_gauges.py
@@ -8,6 +8,7 @@
 from dragonflyramp.members import DAEMONS_KIND
 from dragonflyramp.metrics import gauges
 from dragonflyramp.routing_state import RoutingState
+from dragonflyramp.stores import StoreEra
 from dragonflyramp.suspects import (
     MAX_CRASH_ROUNDS,
     SuspicionTable,
@@ -18,6 +19,7 @@
 def register_gauges(
     routing_state: RoutingState,
     backend_client: BackendClient,
+    store_era: StoreEra,
     clock: Callable[[], float],
 ) -> None:
     """Register all gauges of a front."""
@@ -44,16 +46,21 @@
         'configuration_version', lambda: _configuration_version(routing_state)
     )
     _register_suspects(backend_client.crash_detector.suspects.table)
+    _register_objects(routing_state, store_era)
+    gauges.register('daemons_counted', backend_client.peers.daemon_count)
     gauges.register(
-        'entries_skipped', lambda: len(routing_state.skipped_entries)
+        'budget_left_share', lambda: _budget_left_share(backend_client, clock())
     )
+
+
+def _register_objects(routing_state: RoutingState, store_era: StoreEra) -> None:
     gauges.register(
-        'holds_unreadable', lambda: float(not routing_state.are_holds_readable)
+        'entries_skipped', lambda: len(routing_state.skipped_entries)
     )
-    gauges.register('daemons_counted', backend_client.peers.daemon_count)
     gauges.register(
-        'budget_left_share', lambda: _budget_left_share(backend_client, clock())
+        'holds_unreadable', lambda: float(not routing_state.are_holds_readable)
     )
+    gauges.register('store_era', lambda: store_era.number)
 
 
 def _register_suspects(table: SuspicionTable) -> None:
--- a/dragonflyramp/tools/_front_views.py
+++ b/dragonflyramp/tools/_front_views.py
@@ -74,6 +74,7 @@
             clock=clock,
             rng=random.Random(),
             timing=timings.get(view.kind, WatchTiming()),
+            store_era=synchronizer.store_era,
         )
         for view in synchronizer.views.values()
     )
--- a/dragonflyramp/tools/_suspect_components.py
+++ b/dragonflyramp/tools/_suspect_components.py
@@ -10,10 +10,12 @@
     HubLinks,
     StoredSuspectRecords,
     SuspectObjects,
+    SuspectRestorer,
     ViewSynchronizer,
     is_informed,
+    maintain_suspects,
 )
-from dragonflyramp.runtime import Coalescer, unix_ms
+from dragonflyramp.runtime import Coalescer, run_all, unix_ms
 from dragonflyramp.stores import KeyedStore
 from dragonflyramp.tools._front_views import ChangeDispatcher
 
@@ -30,12 +32,21 @@
             view=synchronizer.views[SUSPECTS_KIND],
             suspects=synchronizer.crash_suspects,
             clock=clock,
+            store_era=synchronizer.store_era,
         ),
         cluster=synchronizer.cluster,
         wall_clock_ms=unix_ms,
     )
 
 
+async def run_suspect_records(records: StoredSuspectRecords) -> None:
+    """Remove old records, and write lost ones again, until cancelled."""
+    restorer = SuspectRestorer(
+        suspect_objects=records.suspect_objects, cluster=records.cluster
+    )
+    await run_all(maintain_suspects(records), restorer.run())
+
+
 def connect_suspects(
     records: StoredSuspectRecords,
     dispatcher: ChangeDispatcher,
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -1,8 +1,9 @@
 """Keep local copies of the store's objects, one view for each kind.
 
 A view is updated by a watch on the platform's store or by another daemon. It
-never goes back to an older revision. A revision is a number that the store
-increments with every change of an object of any kind.
+never goes back to an older position, which is an era and a revision. A revision
+is a number that the store increments with every change of an object of any
+kind. An era begins when the store is restored from an older copy.
 
 _changes      listings and changes of objects
 _change_logs  recent changes, for daemons at an older revision
@@ -21,8 +22,10 @@
     Fields,
     Listing,
     ListingBuilder,
+    Position,
     apply_change,
 )
+from dragonflyramp.runtime import Broadcast
 
 __all__ = (
     'Change',
@@ -30,6 +33,7 @@
     'Fields',
     'Listing',
     'ListingBuilder',
+    'Position',
     'View',
 )
 
@@ -39,22 +43,32 @@
 
 
 @attrs.define(eq=False)
-class View:
+class View:  # noqa: WPS214 - seven methods, and the revision alone
     """Local copy of the objects of one kind, with a log of what changed."""
 
     kind: str
-    revision: int = 0
-    #: Revision of the last change of this kind; `revision` also counts the
+    position: Position = Position()
+    #: Position of the last change of this kind; `position` also counts the
     #: changes of other kinds.
-    last_change_revision: int = 0
+    last_change_position: Position = Position()
     #: When the store last confirmed the view, directly or through another
     #: daemon.
     confirmed_at_seconds: float = -math.inf
     #: When the store last became available again after an outage.
     outage_ended_at_seconds: float = -math.inf
+    #: When this daemon got the first listing of a new era, by the clock of the
+    #: caller; the listing is as of about that time.
+    restored_at_seconds: float = -math.inf
     #: Not in the `repr`: the configuration holds API keys.
     _objects_by_name: dict[str, Fields] = attrs.field(factory=dict, repr=False)
     _change_log: ChangeLog = attrs.field(factory=ChangeLog)
+    #: Wakes tasks that wait for the first listing of a new era.
+    new_era: Broadcast = attrs.field(factory=Broadcast, repr=False)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the view; 0 before the first listing."""
+        return self.position.revision
 
     @property
     def objects_by_name(self) -> Mapping[str, Fields]:
@@ -76,27 +90,37 @@
     ) -> set[str]:
         """Replace all objects and return the names of those that changed.
 
-        An older listing is ignored.
+        An older listing is ignored. One of a new era counts as the end of an
+        outage: what it lacks may be written again.
         """
-        if listing.revision < self.revision:
+        if listing.position < self.position:
             return set()
         previous = self._objects_by_name
-        previous_revision = self.revision
+        previous_position = self.position
         self._objects_by_name = dict(listing.objects_by_name)
-        self.revision = listing.revision
+        self.position = listing.position
         self._confirm(confirmed_at_seconds)
+        is_restored = bool(previous_position.revision) and (
+            listing.era > previous_position.era
+        )
+        if is_restored:
+            self.restored_at_seconds = confirmed_at_seconds
+            self.record_outage_end(confirmed_at_seconds)
+            self.new_era.wake()
         names = previous.keys() | self._objects_by_name.keys()
         changed = {
             name
             for name in names
             if previous.get(name) != self._objects_by_name.get(name)
         }
-        if changed or not previous_revision:
-            self.last_change_revision = listing.revision
+        if changed or is_restored or not previous_position.revision:
+            self.last_change_position = listing.position
             self._change_log.restart(listing.revision)
         else:
             # An object may have been created and removed in the meantime.
-            self._change_log.add_gap(previous_revision, listing.revision)
+            self._change_log.add_gap(
+                previous_position.revision, listing.revision
+            )
         return changed
 
     def apply(
@@ -104,34 +128,40 @@
     ) -> set[str]:
         """Apply changes and return the names of the changed objects.
 
-        Changes that end at an older revision are ignored.
+        Changes that end at an older position are ignored, and those of another
+        era, which follow a revision of that era.
         """
-        if changes.revision < self.revision:
+        if changes.era != self.position.era or changes.revision < self.revision:
             return set()
         names = set()
         for change in changes.changes:
             names.add(change.name)
             self._change_log.add(change.name, changes.revision)
             apply_change(self._objects_by_name, change)
-        self.revision = changes.revision
+        self.position = changes.position
         if names:
-            self.last_change_revision = changes.revision
+            self.last_change_position = changes.position
         self._confirm(confirmed_at_seconds)
         return names
 
-    def changes_since(self, revision: int) -> ChangeBatch | Listing:
-        """Return the last change of each object after a revision.
+    def changes_since(self, position: Position) -> ChangeBatch | Listing:
+        """Return the last change of each object after a position.
 
-        Return a listing if the log does not reach back to the revision.
+        Return a listing if the log does not reach back to the position.
         """
-        names = self._change_log.names_since(revision)
+        names = None
+        if position.era == self.position.era:
+            names = self._change_log.names_since(position.revision)
         if names is None:
-            return Listing(self.revision, self._objects_by_name)
+            return Listing(
+                self.revision, self._objects_by_name, self.position.era
+            )
         return ChangeBatch(
             self.revision,
             tuple(
                 Change(name, self._objects_by_name.get(name)) for name in names
             ),
+            self.position.era,
         )
 
     def _confirm(self, confirmed_at_seconds: float) -> None:
--- a/tests/standins/stores.py
+++ b/tests/standins/stores.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -41,6 +42,8 @@
     """Store objects by kind and name, and their changes as ordered events."""
 
     revision: int = 100
+    #: Sent as `Store-Era` in all replies; None for a store without the header.
+    era: int | None = None
     objects_by_kind: dict[str, dict[str, Any]] = attrs.field(factory=dict)
     faults: StoreFaults = attrs.field(factory=StoreFaults)
     #: Bytes that replace a text in replies, such as those of another writer
@@ -54,6 +57,8 @@
     on_page: Callable[[], None] = lambda: None
     #: Revision, kind and event of each change.
     _events: list[tuple[int, str, Any]] = attrs.field(factory=list)
+    #: Time of each change, for copies.
+    _event_times: list[float] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
@@ -72,6 +77,26 @@
         self._record_event(kind, {'tombstone': True, 'object': stored})
         return stored
 
+    def restore(self, age_seconds: float) -> None:
+        """Restore the copy of some seconds ago."""
+        copied_at_seconds = time.monotonic() - age_seconds
+        count = sum(
+            event_time <= copied_at_seconds for event_time in self._event_times
+        )
+        self.restore_copy(self._events[count - 1][0] if count else 0)
+
+    def restore_copy(self, revision: int) -> None:
+        """Forget all later writes, and give out their revisions again."""
+        self._events = [event for event in self._events if event[0] <= revision]
+        self._event_times = self._event_times[: len(self._events)]
+        self.objects_by_kind = {
+            kind: self.objects_at(kind, revision)
+            for kind in self.objects_by_kind
+        }
+        self.revision = revision
+        self.era = (self.era or 0) + 1
+        self.wake_watches()
+
     def objects_at(self, kind: str, revision: int) -> dict[str, Any]:
         """Return the objects of a kind as of a revision."""
         objects_by_name: dict[str, Any] = {}
@@ -95,7 +120,11 @@
         loop = asyncio.get_running_loop()
         timeout_at_seconds = loop.time() + wait_seconds
         events = self._events_after(kind, revision)
-        while not events and loop.time() < timeout_at_seconds:
+        while (
+            not events
+            and revision <= self.revision
+            and loop.time() < timeout_at_seconds
+        ):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(timeout_at_seconds):
                     await self._changed.wait()
@@ -111,6 +140,7 @@
 
     def _record_event(self, kind: str, event: dict[str, Any]) -> None:
         self._events.append((self.revision, kind, event))
+        self._event_times.append(time.monotonic())
         self.wake_watches()
 
 
@@ -134,6 +164,7 @@
     async def start(self, port: int = 0) -> str:
         """Listen and return `IP:port`; port 0 selects a free port."""
         app = web.Application(middlewares=[self._inject_faults])
+        app.on_response_prepare.append(self._add_era)
         kind_path = '/api/objects/{kind}'
         app.add_routes(
             [
@@ -157,6 +188,12 @@
         if self._runner:
             await self._runner.cleanup()
 
+    async def _add_era(
+        self, request: web.Request, reply: web.StreamResponse
+    ) -> None:
+        if self.store.era is not None:
+            reply.headers['Store-Era'] = str(self.store.era)
+
     @web.middleware
     async def _inject_faults(
         self,
@@ -223,6 +260,8 @@
         events = await self.store.wait_for_events(kind, revision, wait_seconds)
         if self.store.faults.status:
             return web.Response(status=self.store.faults.status)
+        if revision > self.store.revision:
+            return web.Response(status=410)
         return self._encode({'events': events, 'at_rev': self.store.revision})
 
     def _encode(self, fields: dict[str, Any]) -> web.Response:
@@ -269,6 +308,8 @@
             self.store.put(kind, name, spec)
         for kind, name in command.get('remove', ()):
             self.store.remove(kind, name)
+        for age_seconds in command.get('restore', ()):
+            self.store.restore(age_seconds)
         self.store.faults = attrs.evolve(
             self.store.faults, **command.get('faults', {})
         )
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -37,7 +37,7 @@
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.suspects import Suspicion
 from dragonflyramp.tools._text_decoders import TextDecoder
-from dragonflyramp.views import Change, ChangeBatch, Listing, View
+from dragonflyramp.views import Change, ChangeBatch, Listing, Position, View
 from tests.deployments import make_configuration
 from tests.standins.stores import StoreFaults, StoreServer
 from tests.standins.waits import eventually
@@ -112,12 +112,14 @@
     view = View(_ENTRIES_KIND)
     view.replace(Listing(5, {'a': {}}), 1)
     view.apply(ChangeBatch(6, (Change('b', {}),)), 2)
-    assert view.changes_since(5) == ChangeBatch(6, (Change('b', {}),))
-    assert view.changes_since(4) == Listing(6, {'a': {}, 'b': {}})
+    assert view.changes_since(Position(0, 5)) == ChangeBatch(
+        6, (Change('b', {}),)
+    )
+    assert view.changes_since(Position(0, 4)) == Listing(6, {'a': {}, 'b': {}})
     for revision in range(7, 600):
         view.apply(ChangeBatch(revision, (Change(f'c{revision}', {}),)), 3)
-    assert isinstance(view.changes_since(6), Listing)
-    assert isinstance(view.changes_since(598), ChangeBatch)
+    assert isinstance(view.changes_since(Position(0, 6)), Listing)
+    assert isinstance(view.changes_since(Position(0, 598)), ChangeBatch)
 
 
 def test_log_of_long_names_is_bounded() -> None:
@@ -127,8 +129,8 @@
     for revision in range(6, 26):
         name = str(revision).zfill(8192)
         view.apply(ChangeBatch(revision, (Change(name, {}),)), 3)
-    assert isinstance(view.changes_since(6), Listing)
-    assert isinstance(view.changes_since(24), ChangeBatch)
+    assert isinstance(view.changes_since(Position(0, 6)), Listing)
+    assert isinstance(view.changes_since(Position(0, 24)), ChangeBatch)
 
 
 def test_log_of_changes_is_bounded_in_bytes() -> None:
@@ -146,7 +148,9 @@
     held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert held_bytes < 1_000_000
-    assert view.changes_since(2) == ChangeBatch(301, (Change('main', fields),))
+    assert view.changes_since(Position(0, 2)) == ChangeBatch(
+        301, (Change('main', fields),)
+    )
 
 
 def test_relisting_hides_no_change() -> None:
@@ -158,13 +162,15 @@
     view.replace(Listing(5, {'a': {}}), 1)
     view.apply(ChangeBatch(6, (Change('a', {'x': 1}),)), 2)
     view.replace(Listing(10, {'a': {'x': 1}}), 3)
-    assert view.changes_since(8) == Listing(10, {'a': {'x': 1}})
-    assert view.changes_since(6) == ChangeBatch(10, ())
+    assert view.changes_since(Position(0, 8)) == Listing(10, {'a': {'x': 1}})
+    assert view.changes_since(Position(0, 6)) == ChangeBatch(10, ())
     view.replace(Listing(14, {'a': {'x': 1}}), 4)
     view.apply(ChangeBatch(15, ()), 5)
-    assert isinstance(view.changes_since(8), Listing)
-    assert isinstance(view.changes_since(12), Listing)
-    assert view.changes_since(5) == ChangeBatch(15, (Change('a', {'x': 1}),))
+    assert isinstance(view.changes_since(Position(0, 8)), Listing)
+    assert isinstance(view.changes_since(Position(0, 12)), Listing)
+    assert view.changes_since(Position(0, 5)) == ChangeBatch(
+        15, (Change('a', {'x': 1}),)
+    )
 
 
 def test_long_gap_counts_as_outage() -> None:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -38,6 +38,7 @@
     ChangeBatch,
     Listing,
     ListingBuilder,
+    Position,
     View,
 )
 from tests.front_harnesses import (
@@ -169,7 +170,7 @@
     """
     view = View('servers')
     view.replace(Listing(5, {'a': {}}), 0)
-    listing = view.changes_since(1)
+    listing = view.changes_since(Position(0, 1))
     view.apply(ChangeBatch(6, (Change('b', {}), Change('a', None))), 0)
     assert listing == Listing(5, {'a': {}})
 
