--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -1,5 +1,6 @@
 """Fuzz the decoders, and check views after reordered responses."""
 
+import functools
 import json
 import random
 from collections.abc import Callable
@@ -15,7 +16,6 @@
     _serialize,
 )
 from dragonflyramp.members._sync_messages import (
-    SyncResponse,
     decode_request,
     decode_response,
     encode_response,
@@ -30,7 +30,7 @@
 from dragonflyramp.platform._headers import without_tenant_headers
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.slow_replicas import SlowReplicaDetector
-from dragonflyramp.views import Change, ChangeBatch, Listing, View
+from dragonflyramp.views import Change, ChangeBatch, Listing, Position, View
 
 _ENTRIES_KIND = 'servers'
 _ObjectsByName = dict[str, dict[str, int]]
@@ -185,62 +185,103 @@
 class _Model:  # noqa: WPS230 - the state of the whole model
     """Model a store, and daemons whose responses arrive late and out of order.
 
-    Each view must equal the store at the view's revision, and its revision
-    must never decrease.
+    Each view must equal the store at the view's position, and its position
+    must never decrease. A restore gives out revisions again, in a new era.
     """
 
     def __init__(self) -> None:
         """Start with an empty store and empty views."""
+        self.era = 0
         self.revision = 1
         self.objects_by_name: _ObjectsByName = {}
-        self.history: dict[int, _ObjectsByName] = {1: {}}
+        self.history: dict[Position, _ObjectsByName] = {Position(0, 1): {}}
+        #: Counts the changes, so that no two objects are equal by chance.
+        self.change_count = 0
         self.changes: list[tuple[int, Change]] = []
         self.synchronizers = [
             _synchronizer(f'd{index}') for index in range(_DAEMON_COUNT)
         ]
-        #: The highest revision of each view so far.
-        self.highest_revisions = [0 for _ in self.synchronizers]
-        self.in_flight: list[tuple[ViewSynchronizer, SyncResponse]] = []
+        #: The highest position of each view so far.
+        self.highest_positions = [Position() for _ in self.synchronizers]
+        self.in_flight: list[tuple[ViewSynchronizer, Callable[[], object]]] = []
+
+    @property
+    def position(self) -> Position:
+        """Return the position of the store."""
+        return Position(self.era, self.revision)
 
     def change(self, name: str, *, is_removal: bool) -> None:
         """Change or remove one object in the store."""
         self.revision += 1
-        fields = None if is_removal else {'at': self.revision}
+        self.change_count += 1
+        fields = None if is_removal else {'at': self.change_count}
         if fields is None:
             self.objects_by_name.pop(name, None)
         else:
             self.objects_by_name[name] = fields
         self.changes.append((self.revision, Change(name, fields)))
-        self.history[self.revision] = dict(self.objects_by_name)
+        self.history[self.position] = dict(self.objects_by_name)
 
     def change_another_kind(self) -> None:
         """Increment the store's revision without a change of this kind."""
         self.revision += 1
-        self.history[self.revision] = dict(self.objects_by_name)
+        self.history[self.position] = dict(self.objects_by_name)
+
+    def restore(self, revisions_back: int) -> None:
+        """Restore the store from an older copy of this era."""
+        revision = max(1, self.revision - revisions_back)
+        while Position(self.era, revision) not in self.history:
+            revision += 1
+        self.objects_by_name = dict(self.history[Position(self.era, revision)])
+        self.changes = [
+            (changed_revision, change)
+            for changed_revision, change in self.changes
+            if changed_revision <= revision
+        ]
+        self.era += 1
+        self.revision = revision
+        self.history[self.position] = dict(self.objects_by_name)
 
     def list_objects(self, index: int) -> None:
-        """Replace the objects of a daemon's view with a listing."""
-        view = self.synchronizers[index].views[_ENTRIES_KIND]
-        view.replace(Listing(self.revision, dict(self.objects_by_name)), 1)
+        """Send a listing to a daemon, which gets it when it is delivered."""
+        synchronizer = self.synchronizers[index]
+        view = synchronizer.views[_ENTRIES_KIND]
+        listing = Listing(self.revision, self.objects_by_name, self.era)
+        self.in_flight.append(
+            (synchronizer, functools.partial(view.replace, listing, 1))
+        )
 
     def list_stale(self, index: int, revisions_back: int) -> None:
         """Fill an empty view with a listing of an older revision."""
         view = self.synchronizers[index].views[_ENTRIES_KIND]
         if not view.revision:
-            revision = max(1, self.revision - revisions_back)
-            view.replace(Listing(revision, dict(self.history[revision])), 1)
+            position = Position(
+                self.era, max(1, self.revision - revisions_back)
+            )
+            if position in self.history:
+                objects_by_name = self.history[position]
+                view.replace(
+                    Listing(position.revision, objects_by_name, self.era), 1
+                )
 
     def watch(self, index: int) -> None:
-        """Apply the changes that a daemon's watch returns."""
-        view = self.synchronizers[index].views[_ENTRIES_KIND]
-        if view.revision:
+        """Send a daemon the changes after the revision of its view.
+
+        The store does not know the era in which the daemon got the revision.
+        """
+        synchronizer = self.synchronizers[index]
+        view = synchronizer.views[_ENTRIES_KIND]
+        if 0 < view.revision <= self.revision:
             known_revision = view.revision
             missing_changes = [
                 change
                 for revision, change in self.changes
                 if revision > known_revision
             ]
-            view.apply(ChangeBatch(self.revision, tuple(missing_changes)), 1)
+            batch = ChangeBatch(self.revision, tuple(missing_changes), self.era)
+            self.in_flight.append(
+                (synchronizer, functools.partial(view.apply, batch, 1))
+            )
 
     def exchange(self, requester: int, responder: int) -> None:
         """Send a request; its response stays in flight until delivered."""
@@ -250,39 +291,56 @@
             _serialize(encode_response(response)), decode_response
         )
         assert decoded is not None
-        self.in_flight.append((self.synchronizers[requester], decoded))
+        synchronizer = self.synchronizers[requester]
+        self.in_flight.append(
+            (
+                synchronizer,
+                functools.partial(synchronizer.apply_response, decoded, 1),
+            )
+        )
 
     def deliver(self, position: int) -> None:
         """Deliver one of the responses in flight."""
         if not self.in_flight:
             return
         index = position % len(self.in_flight)
-        synchronizer, response = self.in_flight.pop(index)
-        synchronizer.apply_response(response, 1)
+        _, apply_answer = self.in_flight.pop(index)
+        apply_answer()
 
     def restart(self, index: int) -> None:
         """Restart a daemon with an empty view, and drop responses to it."""
         previous_synchronizer = self.synchronizers[index]
         self.in_flight = [
-            (synchronizer, response)
-            for synchronizer, response in self.in_flight
+            (synchronizer, apply_answer)
+            for synchronizer, apply_answer in self.in_flight
             if synchronizer is not previous_synchronizer
         ]
         self.synchronizers[index] = _synchronizer(f'd{index}')
-        self.highest_revisions[index] = 0
+        self.highest_positions[index] = Position()
 
     def check_views(self) -> None:
-        """Compare each view with the store at the view's revision."""
+        """Compare each view with the store at the view's position."""
         for index, synchronizer in enumerate(self.synchronizers):
             view = synchronizer.views[_ENTRIES_KIND]
-            assert view.revision >= self.highest_revisions[index]
-            self.highest_revisions[index] = view.revision
+            assert view.position >= self.highest_positions[index]
+            self.highest_positions[index] = view.position
             if view.revision:
-                assert view.objects_by_name == self.history[view.revision]
+                assert view.objects_by_name == self.history[view.position]
+
+    def converge(self) -> None:
+        """Let one daemon list, and the others ask it; deliver all answers."""
+        self.list_objects(0)
+        while self.in_flight:
+            self.deliver(0)
+        for requester in range(1, _DAEMON_COUNT):
+            self.exchange(requester, 0)
+            self.deliver(0)
 
 
-def _make_random_step(model: _Model, rng: random.Random) -> None:
-    """Make a random step; requests and deliveries have equal weights."""
+def _make_random_step(
+    model: _Model, rng: random.Random, restore_weight: int
+) -> None:
+    """Make a random step; answers are about as often sent as delivered."""
     index = rng.randrange(_DAEMON_COUNT)
     steps: dict[Callable[[], None], int] = {
         lambda: model.change(
@@ -293,18 +351,30 @@
         lambda: model.list_stale(index, rng.randrange(5)): 1,
         lambda: model.watch(index): 3,
         lambda: model.exchange(index, rng.randrange(_DAEMON_COUNT)): 6,
-        lambda: model.deliver(rng.randrange(50)): 6,
+        lambda: model.deliver(rng.randrange(50)): 10,
+        lambda: model.restore(rng.randrange(8)): restore_weight,
         lambda: model.restart(index): 1,
     }
     chosen_steps = rng.choices(tuple(steps), weights=tuple(steps.values()))
     chosen_steps[0]()
 
 
+@pytest.mark.parametrize('restore_weight', [0, 1])
 @pytest.mark.parametrize('seed', range(20))
-def test_views_match_store_history(seed: int) -> None:
-    """Late and reordered responses must not corrupt a view or undo changes."""
+def test_views_match_store_history(seed: int, restore_weight: int) -> None:
+    """Late and reordered responses must not corrupt a view or undo changes.
+
+    Nor may answers from before a restore, or revisions that are given out
+    again.
+    """
     rng = random.Random(seed)
     model = _Model()
     for _ in range(_STEP_COUNT):
-        _make_random_step(model, rng)
+        _make_random_step(model, rng, restore_weight)
         model.check_views()
+    model.converge()
+    for synchronizer in model.synchronizers:
+        view = synchronizer.views[_ENTRIES_KIND]
+        assert view.position == model.position
+        assert view.objects_by_name == model.objects_by_name
+        assert synchronizer.store_era.number <= model.era
