Keep entries of later processes across a restore, and test restores

An entry that a restore brings back counted as another process of the replica, and so as the end of the present one.

--- a/dragonflyramp/members/_suspect_objects.py
+++ b/dragonflyramp/members/_suspect_objects.py
@@ -141,8 +141,9 @@
             return
         self.by_fingerprint[fingerprint] = stored
         lost = self.lost.get(fingerprint)
-        if lost is not None and _is_back(stored.record, lost.record):
-            self.lost.pop(fingerprint)
+        if lost is not None:
+            if _age_key(stored.record) >= _age_key(lost.record):
+                self.lost.pop(fingerprint)
         self.suspects.apply_stored(
             fingerprint, stored.record.suspicion, now_seconds
         )
@@ -171,21 +172,16 @@
                 )
 
 
-def _is_back(stored: SuspectRecord, lost: SuspectRecord) -> bool:
-    """Return whether the store has a record that it had lost, or a later one.
+def _age_key(record: SuspectRecord) -> tuple[int, ...]:
+    """Return the key by which the later one of two records is known.
 
     The end of a trial changes neither the order nor the time of a record.
     """
-    if _age_key(stored) != _age_key(lost):
-        return _age_key(stored) > _age_key(lost)
-    return attrs.evolve(stored, seen_ms=lost.seen_ms) == lost
-
-
-def _age_key(record: SuspectRecord) -> tuple[int, ...]:
     return (
         *record.suspicion.order,
         record.late_trial_count,
         record.changed_ms,
+        not record.claimed_by,
     )
 
 
--- a/dragonflyramp/members/_suspect_records.py
+++ b/dragonflyramp/members/_suspect_records.py
@@ -118,7 +118,9 @@
         code = await self.suspect_objects.write(fingerprint, claimed)
         counters.add('suspect_claims', code.name)
         if code is ResultCode.ok and store_era.number != era:
-            await self.end_trial(fingerprint, record.suspicion)
+            # As it was, so that a claim that another daemon writes again is the
+            # later one.
+            await self.suspect_objects.write(fingerprint, record)
             return ClaimOutcome.taken
         return _CLAIM_OUTCOMES.get(code, ClaimOutcome.unavailable)
 
--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -7,9 +7,14 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.backends import Fleet, expire_notices, hold_domains
+from dragonflyramp.backends import (
+    Fleet,
+    Replica,
+    expire_notices,
+    hold_domains,
+)
 from dragonflyramp.metrics import counters
-from dragonflyramp.replicas import ReplicaEntry
+from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import RoutingTable
 from dragonflyramp.views import Fields, View
 
@@ -70,7 +75,8 @@
     are_holds_readable: bool = True
     #: Names of the entries that are malformed.
     skipped_entries: set[str] = attrs.field(factory=set)
-    #: Due times of delayed removals by entry name, in seconds of `clock`.
+    #: Due times of delayed removals, and of older entries after a restore, by
+    #: entry name, in seconds of `clock`.
     _pending_removals: dict[str, float] = attrs.field(factory=dict)
     #: When holds end that the store lacks after a restore; None without any.
     _holds_due_at_seconds: float | None = None
@@ -119,9 +125,13 @@
             for name, due_at_seconds in self._pending_removals.items()
             if now_seconds >= due_at_seconds
         ]
+        entries = self.views[self.decoder.entries_kind].objects_by_name
         for name in due:
             self._pending_removals.pop(name)
-            self.fleet.update(name, None, now_seconds)
+            if name in entries:
+                self._apply_entry(name, now_seconds)
+            else:
+                self.fleet.update(name, None, now_seconds)
 
     def _apply_table(self) -> None:
         table = self.decoder.decode_table(
@@ -184,9 +194,26 @@
                 logger.bind(entry=name).warning(
                     'replica entry is malformed; the replica is not used'
                 )
+        known = self.fleet.all_replicas().get(name)
+        due_at_seconds = view.restored_at_seconds + _REMOVAL_DELAY_SECONDS
+        if now_seconds < due_at_seconds and _is_older(entry, known):
+            # After a restore, the replica writes its entry again.
+            self._pending_removals[name] = due_at_seconds
+            return
         self.fleet.update(name, entry, now_seconds)
 
 
+def _is_older(entry: ReplicaEntry | None, known: Replica | None) -> bool:
+    """Return whether an entry is probably from before the known one."""
+    if entry is None or known is None:
+        return False
+    if entry.start_time_ms != known.entry.start_time_ms:
+        return entry.start_time_ms < known.entry.start_time_ms
+    return known.entry.state is ReplicaState.draining and (
+        entry.state is ReplicaState.ready
+    )
+
+
 def _is_mass_removal(view: View, names: set[str]) -> bool:
     """Return whether enough entries were removed to indicate an outage."""
     removed_count = len(names - view.objects_by_name.keys())
--- a/tests/standins/stores.py
+++ b/tests/standins/stores.py
@@ -33,6 +33,8 @@
     lost_replies: int = 0
     #: Watches of older revisions are answered with 410.
     oldest_revision: int = 0
+    #: Sent as `Store-Era` in place of the era, unless it is None.
+    era_header: str | None = None
     #: Revisions of the data in the next stale pages; later ones are current.
     stale_revisions: tuple[int, ...] = ()
 
@@ -191,8 +193,11 @@
     async def _add_era(
         self, request: web.Request, reply: web.StreamResponse
     ) -> None:
-        if self.store.era is not None:
-            reply.headers['Store-Era'] = str(self.store.era)
+        era_header = self.store.faults.era_header
+        if era_header is None and self.store.era is not None:
+            era_header = str(self.store.era)
+        if era_header is not None:
+            reply.headers['Store-Era'] = era_header
 
     @web.middleware
     async def _inject_faults(
--- a/tests/test_fuzzing.py
+++ b/tests/test_fuzzing.py
@@ -4,7 +4,7 @@
 import json
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeAlias
 
 import pytest
 from hypothesis import given, settings
@@ -182,6 +182,10 @@
     )
 
 
+#: Recipient of an answer, and what applies the answer to it.
+_Answer: TypeAlias = tuple[ViewSynchronizer, Callable[[], object]]
+
+
 class _Model:  # noqa: WPS230 - the state of the whole model
     """Model a store, and daemons whose responses arrive late and out of order.
 
@@ -203,7 +207,7 @@
         ]
         #: The highest position of each view so far.
         self.highest_positions = [Position() for _ in self.synchronizers]
-        self.in_flight: list[tuple[ViewSynchronizer, Callable[[], object]]] = []
+        self.in_flight: list[_Answer] = []
 
     @property
     def position(self) -> Position:
@@ -258,8 +262,8 @@
             position = Position(
                 self.era, max(1, self.revision - revisions_back)
             )
-            if position in self.history:
-                objects_by_name = self.history[position]
+            objects_by_name = self.history.get(position)
+            if objects_by_name is not None:
                 view.replace(
                     Listing(position.revision, objects_by_name, self.era), 1
                 )
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -318,6 +318,46 @@
     assert not hub.has_changes_for(request)
 
 
+def test_earlier_version_gets_listings_of_new_era() -> None:
+    """A daemon that knows no eras must neither mix them nor poll without pause.
+
+    Its revision may be one that was given out again.
+    """
+    hub = _synchronizer('hub')
+    view = hub.views[_ENTRIES_KIND]
+    view.replace(Listing(9, {'lost': {}}), 1)
+    view.replace(Listing(5, {'a': {}}, 1), 2)
+    view.apply(ChangeBatch(6, (Change('b', {}),), 1), 3)
+    earlier = _synchronizer('earlier')
+    for known_revision, listing in (
+        (5, Listing(6, {'a': {}, 'b': {}}, 1)),
+        (6, None),
+        (9, None),
+    ):
+        fields = encode_request(earlier.build_request(now_seconds=1))
+        fields['revisions'][_ENTRIES_KIND] = known_revision
+        fields.pop('eras')
+        fields.pop('store_era')
+        request = decode_request(fields)
+        assert hub.has_changes_for(request) == (listing is not None)
+        assert hub.build_response(request, 4).updates[0].changes == listing
+
+
+def test_request_tells_hub_of_restore() -> None:
+    """A hub must hear of a restore that another daemon has noticed."""
+    sender, hub = _synchronizer('sender'), _synchronizer('hub')
+    sender.store_era.observe(7, 1)
+    request = decode_request(
+        encode_request(sender.build_request(now_seconds=1))
+    )
+    assert request.store_era == 7
+    hub.views[_ENTRIES_KIND].replace(Listing(9, {}, 7), 1)
+    sender.apply_response(hub.build_response(request, 1), 1)
+    assert sender.views[_ENTRIES_KIND].position == Position(7, 9)
+    with pytest.raises(ValueError, match='-1'):
+        decode_request({**encode_request(request), 'store_era': -1})
+
+
 def test_front_without_news_is_uninformed() -> None:
     """A front that hears of nobody must not take its view for the present."""
     synchronizer = _synchronizer('d')
