--- a/dragonflyramp/callers/_held_claims.py
+++ b/dragonflyramp/callers/_held_claims.py
@@ -118,8 +118,7 @@
         store_era = self.held.store_era
         written_era = store_era.number
         while True:
-            while store_era.number == written_era:
-                await store_era.restored.wait()
+            await store_era.wait_for_later(written_era)
             written_era = store_era.number
             await self.write_all()
 
--- a/dragonflyramp/members/_watchers.py
+++ b/dragonflyramp/members/_watchers.py
@@ -13,7 +13,6 @@
 from dragonflyramp.members._clusters import Cluster
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
-from dragonflyramp.runtime import Broadcast
 from dragonflyramp.stores import StoreEra, WatchedStore
 from dragonflyramp.views import ChangeBatch, View
 
@@ -156,7 +155,7 @@
             self.store.watch(
                 self.view.kind, self.view.revision, self.timing.wait_seconds
             ),
-            self.store_era.restored,
+            self.store_era.wait_for_later(self.view.position.era),
         )
         if watch_result is None:
             return ResultCode.ok
@@ -196,13 +195,13 @@
 
 
 async def _run_until(
-    watch: Coroutine[Any, Any, _Watched], restored: Broadcast
+    watch: Coroutine[Any, Any, _Watched], restore: Coroutine[Any, Any, None]
 ) -> _Watched | None:
-    """Run a watch; cancel it and return None when the store is restored."""
+    """Run a watch; cancel it and return None when the other wait ends."""
     with contextlib.ExitStack() as cleanup:
         watch_task = asyncio.ensure_future(watch)
         cleanup.callback(watch_task.cancel)
-        restore_task = asyncio.ensure_future(restored.wait())
+        restore_task = asyncio.ensure_future(restore)
         cleanup.callback(restore_task.cancel)
         await asyncio.wait(
             (watch_task, restore_task), return_when=asyncio.FIRST_COMPLETED
--- a/dragonflyramp/stores.py
+++ b/dragonflyramp/stores.py
@@ -34,8 +34,7 @@
     number: int = 0
     #: Restores that this process has noticed.
     restore_count: int = 0
-    #: Wakes tasks that wait for a restore.
-    restored: Broadcast = attrs.field(factory=Broadcast)
+    _restored: Broadcast = attrs.field(factory=Broadcast)
     _is_known: bool = False
     _restored_at_seconds: float = -math.inf
 
@@ -60,9 +59,14 @@
             logger.bind(era=number, previous_era=previous).warning(
                 'store restored from an older copy; listing again'
             )
-            self.restored.wake()
+            self._restored.wake()
         return True
 
+    async def wait_for_later(self, number: int) -> None:
+        """Wait until an era after a number is known."""
+        while self.number <= number:
+            await self._restored.wait()
+
     def rewrite_ends_in_seconds(self, now_seconds: float) -> float:
         """Return how long claims may be missing that are written again."""
         return max(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -14,6 +14,7 @@
 from dragonflyramp.backends import Fleet
 from dragonflyramp.callers import Claims, HeldClaims, Refusal, RelayedAnswer
 from dragonflyramp.callers._claims import KeyedRequest, KeyedResult
+from dragonflyramp.callers._held_claims import CLAIMS_KIND
 from dragonflyramp.members import (
     DAEMONS_KIND,
     SUSPECTS_KIND,
@@ -408,6 +409,47 @@
     assert other_caller.send_count == 0
 
 
+async def test_each_restore_is_followed_by_writes(
+    store_server: StoreServer, store_client: StoreClient
+) -> None:
+    """Claims and records must be written again after each restore.
+
+    A second restore may come while those of the first one are written.
+    """
+    store = store_server.store
+    store.era = 0
+    claims = _claims(store_client, time.monotonic)
+    await claims.run(_KEYED_REQUEST, _Caller().send)
+    daemon = _SuspectDaemon('d1', store_client)
+    await daemon.records.save('f', _SUSPICION, '')
+    await daemon.read()
+    restorer = SuspectRestorer(
+        suspect_objects=daemon.suspect_objects, cluster=_cluster('d1')
+    )
+    tasks = TaskSet()
+    tasks.start(claims.rewriter.run(), 'claims')
+    tasks.start(restorer.run(), 'records')
+    await asyncio.sleep(0)
+
+    def are_written() -> bool:  # noqa: WPS430 - closes over the store
+        return all(
+            store.objects_by_kind.get(kind)
+            for kind in (CLAIMS_KIND, SUSPECTS_KIND)
+        )
+
+    for restore_count in (1, 2, 3):
+        store.restore_copy(0)
+        for _ in range(restore_count % 2):
+            # Two restores in a row, of which the first is noticed.
+            await store_client.read(_ENTRIES_KIND, 'x')
+            store.restore_copy(0)
+        await daemon.read()
+        await eventually(are_written)
+        await daemon.read()
+        assert not daemon.suspect_objects.lost
+    await tasks.cancel()
+
+
 async def test_claim_granted_across_restore_is_not_used(
     store_server: StoreServer, store_client: StoreClient
 ) -> None:
