--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -7,9 +7,14 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.backends import Fleet, expire_notices, hold_domains
+from dragonflyramp.backends import (
+    Fleet,
+    Replica,
+    expire_notices,
+    hold_domains,
+)
 from dragonflyramp.metrics import counters
-from dragonflyramp.replicas import ReplicaEntry
+from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import RoutingTable
 from dragonflyramp.views import Fields, View
 
@@ -70,8 +75,13 @@
     are_holds_readable: bool = True
     #: Names of the entries that are malformed.
     skipped_entries: set[str] = attrs.field(factory=set)
-    #: Due times of delayed removals by entry name, in seconds of `clock`.
+    #: Due times of delayed removals, and of older entries after a restore, by
+    #: entry name, in seconds of `clock`.
     _pending_removals: dict[str, float] = attrs.field(factory=dict)
+    #: When holds end that the store lacks after a restore; None without any.
+    _holds_due_at_seconds: float | None = None
+    #: Whether the configuration of the view is older than the one in force.
+    _is_view_older: bool = False
 
     @property
     def has_synced(self) -> bool:
@@ -85,13 +95,13 @@
         if kind == self.decoder.config_kind:
             self._apply_table()
         if kind == self.decoder.holds_kind:
-            held_domains = self.decoder.decode_held_domains(
-                self.views[kind].objects_by_name
-            )
-            self.are_holds_readable = held_domains is not None
-            _update_held_domains(self.fleet, held_domains)
+            self._apply_holds()
         elif kind == self.decoder.entries_kind:
-            self._apply_entries(self.views[kind], names)
+            now_seconds = self.clock()
+            if _is_mass_removal(self.views[kind], names):
+                self.views[kind].record_outage_end(now_seconds)
+            for name in names:
+                self._apply_entry(name, now_seconds)
 
     async def run(self) -> None:
         """Remove replicas and notices that are due, until cancelled."""
@@ -102,15 +112,26 @@
             expire_notices(self.fleet, now_seconds)
 
     def remove_due_replicas(self, now_seconds: float) -> None:
-        """Remove the replicas that have not registered again in time."""
+        """Remove the replicas that have not registered again in time.
+
+        End the holds that operators have not written again in time.
+        """
+        holds_due_at_seconds = self._holds_due_at_seconds
+        if holds_due_at_seconds is not None:
+            if now_seconds >= holds_due_at_seconds:
+                self._apply_holds()
         due = [
             name
             for name, due_at_seconds in self._pending_removals.items()
             if now_seconds >= due_at_seconds
         ]
+        entries = self.views[self.decoder.entries_kind].objects_by_name
         for name in due:
             self._pending_removals.pop(name)
-            self.fleet.update(name, None, now_seconds)
+            if name in entries:
+                self._apply_entry(name, now_seconds)
+            else:
+                self.fleet.update(name, None, now_seconds)
 
     def _apply_table(self) -> None:
         table = self.decoder.decode_table(
@@ -123,6 +144,9 @@
                 'it is not applied'
             )
             return
+        self._is_view_older = (
+            self.table is not None and table.version < self.table.version
+        )
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
@@ -130,12 +154,24 @@
             'configuration in force'
         )
 
-    def _apply_entries(self, view: View, names: set[str]) -> None:
-        now_seconds = self.clock()
-        if _is_mass_removal(view, names):
-            view.record_outage_end(now_seconds)
-        for name in names:
-            self._apply_entry(name, now_seconds)
+    def _apply_holds(self) -> None:
+        """Apply the holds; after a restore, keep missing ones for a while.
+
+        The text contains the holds, and an older text is not applied.
+        """
+        self._holds_due_at_seconds = None
+        decoder = self.decoder
+        if decoder.holds_kind == decoder.config_kind and self._is_view_older:
+            return
+        view = self.views[decoder.holds_kind]
+        held_domains = decoder.decode_held_domains(view.objects_by_name)
+        self.are_holds_readable = held_domains is not None
+        due_at_seconds = view.restored_at_seconds + _REMOVAL_DELAY_SECONDS
+        if held_domains is not None and self.clock() < due_at_seconds:
+            if self.fleet.held_domains - held_domains:
+                self._holds_due_at_seconds = due_at_seconds
+            held_domains |= self.fleet.held_domains
+        _update_held_domains(self.fleet, held_domains)
 
     def _apply_entry(self, name: str, now_seconds: float) -> None:
         view = self.views[self.decoder.entries_kind]
@@ -158,9 +194,26 @@
                 logger.bind(entry=name).warning(
                     'replica entry is malformed; the replica is not used'
                 )
+        known = self.fleet.all_replicas().get(name)
+        due_at_seconds = view.restored_at_seconds + _REMOVAL_DELAY_SECONDS
+        if now_seconds < due_at_seconds and _is_older(entry, known):
+            # After a restore, the replica writes its entry again.
+            self._pending_removals[name] = due_at_seconds
+            return
         self.fleet.update(name, entry, now_seconds)
 
 
+def _is_older(entry: ReplicaEntry | None, known: Replica | None) -> bool:
+    """Return whether an entry is probably from before the known one."""
+    if entry is None or known is None:
+        return False
+    if entry.start_time_ms != known.entry.start_time_ms:
+        return entry.start_time_ms < known.entry.start_time_ms
+    return known.entry.state is ReplicaState.draining and (
+        entry.state is ReplicaState.ready
+    )
+
+
 def _is_mass_removal(view: View, names: set[str]) -> bool:
     """Return whether enough entries were removed to indicate an outage."""
     removed_count = len(names - view.objects_by_name.keys())
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -37,7 +37,7 @@
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 from dragonflyramp.suspects import Suspicion
 from dragonflyramp.tools._text_decoders import TextDecoder
-from dragonflyramp.views import Change, ChangeBatch, Listing, View
+from dragonflyramp.views import Change, ChangeBatch, Listing, Position, View
 from tests.deployments import make_configuration
 from tests.standins.stores import StoreFaults, StoreServer
 from tests.standins.waits import eventually
@@ -112,12 +112,14 @@
     view = View(_ENTRIES_KIND)
     view.replace(Listing(5, {'a': {}}), 1)
     view.apply(ChangeBatch(6, (Change('b', {}),)), 2)
-    assert view.changes_since(5) == ChangeBatch(6, (Change('b', {}),))
-    assert view.changes_since(4) == Listing(6, {'a': {}, 'b': {}})
+    assert view.changes_since(Position(0, 5)) == ChangeBatch(
+        6, (Change('b', {}),)
+    )
+    assert view.changes_since(Position(0, 4)) == Listing(6, {'a': {}, 'b': {}})
     for revision in range(7, 600):
         view.apply(ChangeBatch(revision, (Change(f'c{revision}', {}),)), 3)
-    assert isinstance(view.changes_since(6), Listing)
-    assert isinstance(view.changes_since(598), ChangeBatch)
+    assert isinstance(view.changes_since(Position(0, 6)), Listing)
+    assert isinstance(view.changes_since(Position(0, 598)), ChangeBatch)
 
 
 def test_log_of_long_names_is_bounded() -> None:
@@ -127,8 +129,8 @@
     for revision in range(6, 26):
         name = str(revision).zfill(8192)
         view.apply(ChangeBatch(revision, (Change(name, {}),)), 3)
-    assert isinstance(view.changes_since(6), Listing)
-    assert isinstance(view.changes_since(24), ChangeBatch)
+    assert isinstance(view.changes_since(Position(0, 6)), Listing)
+    assert isinstance(view.changes_since(Position(0, 24)), ChangeBatch)
 
 
 def test_log_of_changes_is_bounded_in_bytes() -> None:
@@ -146,7 +148,9 @@
     held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert held_bytes < 1_000_000
-    assert view.changes_since(2) == ChangeBatch(301, (Change('main', fields),))
+    assert view.changes_since(Position(0, 2)) == ChangeBatch(
+        301, (Change('main', fields),)
+    )
 
 
 def test_relisting_hides_no_change() -> None:
@@ -158,13 +162,15 @@
     view.replace(Listing(5, {'a': {}}), 1)
     view.apply(ChangeBatch(6, (Change('a', {'x': 1}),)), 2)
     view.replace(Listing(10, {'a': {'x': 1}}), 3)
-    assert view.changes_since(8) == Listing(10, {'a': {'x': 1}})
-    assert view.changes_since(6) == ChangeBatch(10, ())
+    assert view.changes_since(Position(0, 8)) == Listing(10, {'a': {'x': 1}})
+    assert view.changes_since(Position(0, 6)) == ChangeBatch(10, ())
     view.replace(Listing(14, {'a': {'x': 1}}), 4)
     view.apply(ChangeBatch(15, ()), 5)
-    assert isinstance(view.changes_since(8), Listing)
-    assert isinstance(view.changes_since(12), Listing)
-    assert view.changes_since(5) == ChangeBatch(15, (Change('a', {'x': 1}),))
+    assert isinstance(view.changes_since(Position(0, 8)), Listing)
+    assert isinstance(view.changes_since(Position(0, 12)), Listing)
+    assert view.changes_since(Position(0, 5)) == ChangeBatch(
+        15, (Change('a', {'x': 1}),)
+    )
 
 
 def test_long_gap_counts_as_outage() -> None:
@@ -312,6 +318,46 @@
     assert not hub.has_changes_for(request)
 
 
+def test_earlier_version_gets_listings_of_new_era() -> None:
+    """A daemon that knows no eras must neither mix them nor poll without pause.
+
+    Its revision may be one that was given out again.
+    """
+    hub = _synchronizer('hub')
+    view = hub.views[_ENTRIES_KIND]
+    view.replace(Listing(9, {'lost': {}}), 1)
+    view.replace(Listing(5, {'a': {}}, 1), 2)
+    view.apply(ChangeBatch(6, (Change('b', {}),), 1), 3)
+    earlier = _synchronizer('earlier')
+    for known_revision, listing in (
+        (5, Listing(6, {'a': {}, 'b': {}}, 1)),
+        (6, None),
+        (9, None),
+    ):
+        fields = encode_request(earlier.build_request(now_seconds=1))
+        fields['revisions'][_ENTRIES_KIND] = known_revision
+        fields.pop('eras')
+        fields.pop('store_era')
+        request = decode_request(fields)
+        assert hub.has_changes_for(request) == (listing is not None)
+        assert hub.build_response(request, 4).updates[0].changes == listing
+
+
+def test_request_tells_hub_of_restore() -> None:
+    """A hub must hear of a restore that another daemon has noticed."""
+    sender, hub = _synchronizer('sender'), _synchronizer('hub')
+    sender.store_era.observe(7, 1)
+    request = decode_request(
+        encode_request(sender.build_request(now_seconds=1))
+    )
+    assert request.store_era == 7
+    hub.views[_ENTRIES_KIND].replace(Listing(9, {}, 7), 1)
+    sender.apply_response(hub.build_response(request, 1), 1)
+    assert sender.views[_ENTRIES_KIND].position == Position(7, 9)
+    with pytest.raises(ValueError, match='-1'):
+        decode_request({**encode_request(request), 'store_era': -1})
+
+
 def test_front_without_news_is_uninformed() -> None:
     """A front that hears of nobody must not take its view for the present."""
     synchronizer = _synchronizer('d')
