Follow rollouts across a restore of the store

Revisions go back after a restore, so that an order or a record of the new era was ignored as older, and a record that the store had lost was never written again. A front now forgets the revisions, keeps the later of two records of the same order, and creates a lost record anew.

--- a/dragonflyramp/rollouts/__init__.py
+++ b/dragonflyramp/rollouts/__init__.py
@@ -35,7 +35,10 @@
     record_outstanding,
     update_withdrawn,
 )
-from dragonflyramp.rollouts._known_rollouts import KnownRollouts
+from dragonflyramp.rollouts._known_rollouts import (
+    KnownRollouts,
+    record_restore,
+)
 from dragonflyramp.rollouts._observations import Observer, RolloutPeers
 from dragonflyramp.rollouts._orders import (
     RolloutOrder,
@@ -82,5 +85,6 @@
     'StartTimes',
     'VersionPolicy',
     'record_outstanding',
+    'record_restore',
     'update_withdrawn',
 )
--- a/dragonflyramp/rollouts/_known_rollouts.py
+++ b/dragonflyramp/rollouts/_known_rollouts.py
@@ -10,6 +10,7 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.rollouts._orders import RolloutOrder, RolloutState
 from dragonflyramp.rollouts._records import (
+    UNKNOWN_REVISION,
     Phase,
     RolloutRecord,
     StoredRecord,
@@ -106,7 +107,7 @@
             fields = self.orders_view.objects_by_name.get(name)
             if fields is None:
                 self.orders.pop(name, None)
-                self._refresh(name)
+                self.refresh(name)
                 logger.bind(service=name).info('rollout order removed')
                 continue
             order = self.decode_order(name, fields)
@@ -126,7 +127,7 @@
         self.orders[order.service] = order
         if known is None or known.key != order.key:
             self._begin(order)
-        self._refresh(order.service)
+        self.refresh(order.service)
 
     def apply_records(self, names: Collection[str]) -> None:
         """Apply the records that changed in their view.
@@ -148,15 +149,29 @@
             )
             return
         known = self.records.get(service)
-        if known is not None and stored.revision <= known.revision:
-            return
+        if known is not None:
+            if stored.revision <= known.revision:
+                return
+            stored = _without_regression(known, stored)
         now_seconds = self.clock()
         self.records[service] = stored
         self.changed_at_seconds[service] = now_seconds
         order = self.orders.get(service)
         if order is not None and order.key == stored.record.order_key:
             self.start_times.adopt(order, stored.record, now_seconds)
-        self._refresh(service)
+        self.refresh(service)
+
+    def refresh(self, service: str) -> None:
+        """Combine the order and the record of a service anew."""
+        order = self.orders.get(service)
+        if order is None:
+            self._rollouts.pop(service, None)
+            return
+        self._rollouts[service] = create_rollout(
+            order,
+            self.records.get(service),
+            self.start_times.began_at_seconds(service, self.clock()),
+        )
 
     def _begin(self, order: RolloutOrder) -> None:
         now_seconds = self.clock()
@@ -171,13 +186,23 @@
             state=order.state.value if order.state else '',
         ).info('rollout ordered')
 
-    def _refresh(self, service: str) -> None:
-        order = self.orders.get(service)
-        if order is None:
-            self._rollouts.pop(service, None)
-            return
-        self._rollouts[service] = create_rollout(
-            order,
-            self.records.get(service),
-            self.start_times.began_at_seconds(service, self.clock()),
-        )
+
+def record_restore(known: KnownRollouts) -> None:
+    """Forget the revisions, which a restored store gives out again."""
+    for service, order in known.orders.items():
+        known.orders[service] = attrs.evolve(order, revision=UNKNOWN_REVISION)
+    for service, stored in known.records.items():
+        known.records[service] = attrs.evolve(stored, revision=UNKNOWN_REVISION)
+        known.refresh(service)
+
+
+def _without_regression(
+    known: StoredRecord, stored: StoredRecord
+) -> StoredRecord:
+    """Return the stored record, or a later one that a restore has lost."""
+    is_same_rollout = known.record.order_key == stored.record.order_key
+    is_restored = known.revision == UNKNOWN_REVISION
+    if is_restored and is_same_rollout:
+        latest = max(known.record, stored.record, key=lambda each: each.beat)
+        return attrs.evolve(stored, record=latest)
+    return stored
--- a/dragonflyramp/rollouts/_records.py
+++ b/dragonflyramp/rollouts/_records.py
@@ -12,6 +12,9 @@
 #: Kind of the records in the store.
 RECORDS_KIND = 'dragonflyramp-rollouts'
 
+#: Revision of an object that has not been read since a restore of the store.
+UNKNOWN_REVISION = 0
+
 _MAX_TEXT_LENGTH = 300
 #: The record names the replicas that get requests, few at a time.
 _MAX_REPLICAS = 64
--- a/dragonflyramp/rollouts/_stores.py
+++ b/dragonflyramp/rollouts/_stores.py
@@ -105,6 +105,10 @@
         spec = encode_record(record)
         if stored is None:
             return await self.store.create(RECORDS_KIND, service, spec)
-        return await self.store.replace(
+        write_result = await self.store.replace(
             RECORDS_KIND, service, spec, stored.revision
         )
+        if write_result == Failure(ResultCode.object_missing):
+            # A restored store has lost the record.
+            return await self.store.create(RECORDS_KIND, service, spec)
+        return write_result
--- a/dragonflyramp/tools/_rollout_components.py
+++ b/dragonflyramp/tools/_rollout_components.py
@@ -31,9 +31,11 @@
     StartTimes,
     VersionPolicy,
     record_outstanding,
+    record_restore,
     update_withdrawn,
 )
 from dragonflyramp.runtime import Coalescer, run_all, unix_ms
+from dragonflyramp.stores import StoreEra
 from dragonflyramp.views import View
 
 #: Kinds of objects of rollouts: the orders and the product's own records.
@@ -51,6 +53,7 @@
     front: FrontRollouts
     fleet: Fleet
     coordinator: Coordinator
+    store_era: StoreEra
 
     def apply_changes(self, kind: str, names: set[str]) -> None:
         """Apply the objects that changed in the view of a kind."""
@@ -69,7 +72,16 @@
 
     async def run(self) -> None:
         """Coordinate rollouts and report drained services, until cancelled."""
-        await run_all(self.coordinator.run(), self._report_drained())
+        await run_all(
+            self.coordinator.run(),
+            self._report_drained(),
+            self._follow_restores(),
+        )
+
+    async def _follow_restores(self) -> None:
+        while True:
+            await self.store_era.wait_for_later(self.store_era.number)
+            record_restore(self.front.known)
 
     async def _report_drained(self) -> None:
         while True:
@@ -197,6 +209,7 @@
             ),
             writer=writer,
         ),
+        store_era=synchronizer.store_era,
     )
     writer.on_change = components.apply_service
     return components
--- a/tests/rollout_stores.py
+++ b/tests/rollout_stores.py
@@ -63,8 +63,10 @@
         """Replace an object that is at a revision."""
         if self.is_down:
             return Failure(ResultCode.platform_down)
-        meta = self.objects_by_kind[kind][name]['meta']
-        if meta['rev'] != revision:
+        stored = self.objects_by_kind[kind].get(name)
+        if stored is None:
+            return Failure(ResultCode.object_missing)
+        if stored['meta']['rev'] != revision:
             return Failure(ResultCode.version_conflict)
         return Success(self.put(kind, name, spec=spec))
 
