--- a/benchmarks/emulator/_deployments.py
+++ b/benchmarks/emulator/_deployments.py
@@ -101,7 +101,7 @@
         for shard_index in range(experiment.shards)
         for replica in _make_shard_replicas(experiment, shard_index, rng)
     }
-    _assign_faults(experiment, list(replicas.values()), rng)
+    assign_faults(experiment, list(replicas.values()), rng)
     tasks = TaskSet()
     daemons = [
         Daemon(
@@ -113,7 +113,7 @@
     ]
     routing_table = _make_routing_table(experiment)
     fronts = [
-        _make_front(
+        make_front(
             experiment,
             policy_set,
             daemon,
@@ -141,11 +141,12 @@
     ]
 
 
-def _assign_faults(
+def assign_faults(
     experiment: Experiment,
     replicas: list[EmulatedReplica],
     rng: random.Random,
 ) -> None:
+    """Give each fault to a random share of the replicas."""
     for fault in experiment.faults:
         faulty_replicas = rng.sample(
             replicas, round(fault.share * len(replicas))
@@ -189,7 +190,7 @@
     )
 
 
-def _make_front(  # noqa: WPS211 - all dependencies of a front
+def make_front(  # noqa: WPS211 - all dependencies of a front
     experiment: Experiment,
     policy_set: PolicySet,
     daemon: Daemon,
@@ -198,6 +199,7 @@
     routing_table: RoutingTable,
     tasks: TaskSet,
 ) -> EmulatedFront:
+    """Create a front that knows all replicas and all other fronts."""
     loop_time = asyncio.get_running_loop().time
     membership = Membership(daemon)
     membership.update_registered(
--- a/benchmarks/emulator/_replicas.py
+++ b/benchmarks/emulator/_replicas.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import attrs
 
@@ -23,6 +25,8 @@
     experiment: Experiment
     rng: random.Random
     faults: list[Fault] = attrs.field(factory=list)
+    #: Median work of requests by path; that of the experiment for others.
+    work_ms_by_path: Mapping[str, float] = MappingProxyType({})
     #: Number of requests received, including refused ones.
     received_count: int = 0
     running_requests: InFlightCounter = attrs.field(factory=InFlightCounter)
@@ -47,7 +51,7 @@
             await self._slots.acquire()
         with self.running_requests, contextlib.ExitStack() as cleanup:
             cleanup.callback(self._slots.release)
-            await self._run_work()
+            await self._run_work(request)
         return self._make_reply(request, _OK)
 
     async def connect(self) -> None:
@@ -55,11 +59,13 @@
         async with self._slots:
             await asyncio.sleep(self.experiment.connect_ms / 1000)
 
-    async def _run_work(self) -> None:
+    async def _run_work(self, request: Request) -> None:
         if self._active_fault('silent') is not None:
             await asyncio.sleep(self.experiment.timeout_ms / 1000)
         spread = self.experiment.work_spread
-        work_ms = self.experiment.work_ms * self.rng.lognormvariate(0, spread)
+        work_ms = self.work_ms_by_path.get(
+            request.path_and_query, self.experiment.work_ms
+        ) * self.rng.lognormvariate(0, spread)
         slow_fault = self._active_fault('slow')
         if slow_fault is not None:
             work_ms *= slow_fault.factor
--- a/dragonflyramp/admission/_policies.py
+++ b/dragonflyramp/admission/_policies.py
@@ -22,7 +22,10 @@
     """Policy for the order in which requests run."""
 
     async def admit(
-        self, context: RequestContext, cleanup: contextlib.ExitStack
+        self,
+        context: RequestContext,
+        cleanup: contextlib.ExitStack,
+        now_seconds: float,
     ) -> Rejection | None:
         """Wait until a request may run, or reject it.
 
@@ -30,12 +33,21 @@
         its caller has left.
         """
 
+    def stop_waiting(self) -> None:
+        """Reject the requests that wait; let none wait from now on."""
+
 
 @attrs.frozen
 class AdmitAll(AdmissionPolicy):
     """Let all requests run at once, in the order of their arrival."""
 
     async def admit(
-        self, context: RequestContext, cleanup: contextlib.ExitStack
+        self,
+        context: RequestContext,
+        cleanup: contextlib.ExitStack,
+        now_seconds: float,
     ) -> None:
         """Return None: the request may run."""
+
+    def stop_waiting(self) -> None:
+        """Do nothing, because no request waits."""
--- a/dragonflyramp/backends/_latencies.py
+++ b/dragonflyramp/backends/_latencies.py
@@ -18,6 +18,9 @@
 #: target.
 _INITIAL_TYPICAL_SHARE = 0.2
 _TYPICAL_QUANTILE = 0.5
+#: Fast latency as a share of the typical one until there are enough samples.
+_INITIAL_FAST_SHARE = 0.5
+_FAST_QUANTILE = 0.1
 _TAIL_QUANTILE = 0.93
 #: Limit on the routes whose latencies are kept, those of earlier
 #: configurations included.
@@ -31,6 +34,8 @@
     target_ms: float
     #: Median latency.
     typical_ms: float = attrs.field(init=False)
+    #: Low quantile: the latency with little or no queueing.
+    fast_ms: float = attrs.field(init=False)
     #: High quantile, which few parts exceed.
     tail_ms: float = attrs.field(init=False)
     _samples: collections.deque[float] = attrs.field(
@@ -41,6 +46,7 @@
     def __attrs_post_init__(self) -> None:
         """Derive initial estimates from the target."""
         self.typical_ms = self.target_ms * _INITIAL_TYPICAL_SHARE
+        self.fast_ms = self.typical_ms * _INITIAL_FAST_SHARE
         self.tail_ms = 2 * self.typical_ms
 
     def record(self, latency_ms: float) -> None:
@@ -55,6 +61,7 @@
         self._new_sample_count = 0
         ordered = sorted(self._samples)
         self.typical_ms = ordered[int(len(ordered) * _TYPICAL_QUANTILE)]
+        self.fast_ms = ordered[int(len(ordered) * _FAST_QUANTILE)]
         self.tail_ms = ordered[int(len(ordered) * _TAIL_QUANTILE)]
 
 
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -1,6 +1,8 @@
 """Update replica and route statistics from the outcomes of attempts."""
 
 import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
 
 import attrs
 
@@ -9,7 +11,7 @@
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._latencies import LatenciesByRoute
 from dragonflyramp.backends._reply_checks import ReplyVerdict
-from dragonflyramp.messages import Reply
+from dragonflyramp.messages import Load, Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
 from dragonflyramp.slow_replicas import SlowReplicaDetector
@@ -18,6 +20,15 @@
 #: keeps the connection open. Until then, the age of the request shows the
 #: selector how slow the replica is.
 _LATE_REPLY_TIMEOUT_SECONDS = 0.25
+#: Called with a service, the load that one of its replicas reports, the fast
+#: latency of the route in ms, and the monotonic time.
+LoadListener: TypeAlias = Callable[[str, Load, float, float], None]
+
+
+def _ignore_load(
+    service: str, load: Load, fast_ms: float, now_seconds: float
+) -> None:
+    """Do nothing, for clients without admission control."""
 
 
 @attrs.define(eq=False)
@@ -26,6 +37,7 @@
 
     _latencies: LatenciesByRoute
     _slow_replica_detector: SlowReplicaDetector
+    on_load: LoadListener = _ignore_load
 
     def record_reply(
         self,
@@ -41,6 +53,12 @@
         replica = attempt.replica
         if reply.load is not None:
             replica.stats.record_load(reply.load, now_seconds)
+            self.on_load(
+                replica.entry.service,
+                reply.load,
+                self._latencies.for_route(context.route).fast_ms,
+                now_seconds,
+            )
         if reply.is_misdirected:
             replica.health.record_misdirected(now_seconds)
         elif verdict is ReplyVerdict.success:
--- a/dragonflyramp/backends/_schedulers.py
+++ b/dragonflyramp/backends/_schedulers.py
@@ -44,7 +44,7 @@
                 return False
             remaining_seconds = timeout_at_seconds - now_seconds
             await client.fleet.capacity_events.wait(
-                self._service, remaining_seconds
+                self._service, remaining_seconds, self._context.priority
             )
             waited_seconds = client.clock() - now_seconds
             latencies.record('room_waits', waited_seconds * 1000)
--- a/dragonflyramp/callers/_cutoffs.py
+++ b/dragonflyramp/callers/_cutoffs.py
@@ -1,11 +1,10 @@
 """Decide when a search stops waiting for its slowest shards."""
 
-import math
 from typing import Protocol
 
 import attrs
 
-from dragonflyramp.routes import answer_due_ms
+from dragonflyramp.routes import answer_due_ms, required_shard_count
 
 
 @attrs.frozen(kw_only=True)
@@ -39,11 +38,6 @@
         return self.succeeded_count + self.failed_count == self.shard_count
 
 
-def required_shard_count(shard_count: int, min_share: float) -> int:
-    """Return the number of successful shards that an answer requires."""
-    return max(1, math.ceil(min_share * shard_count - _ROUNDING_TOLERANCE))
-
-
 class CutoffPolicy(Protocol):
     """Policy for when a search may return a partial answer.
 
@@ -95,8 +89,3 @@
     ) -> float:
         """Return the deadline."""
         return deadline_at_seconds
-
-
-#: Tolerance for floating-point errors: 0.07 * 100 is greater than 7 and would
-#: otherwise require an eighth shard.
-_ROUNDING_TOLERANCE = 1e-9
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -135,7 +135,9 @@
         if quota_delay_seconds is not None:
             return refuse(query, ResultCode.quota_exceeded, quota_delay_seconds)
         with contextlib.ExitStack() as cleanup:
-            rejection = await self.admission.admit(context, cleanup)
+            rejection = await self.admission.admit(
+                context, cleanup, now_seconds
+            )
             if rejection is not None:
                 counters.add('admission_rejections', rejection.reason)
                 return refuse(
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -1,6 +1,7 @@
 """Define the routing table: which services answer which requests."""
 
 import itertools
+import math
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
@@ -13,6 +14,9 @@
 _NETWORK_OVERHEAD_MS = 12.0
 #: Latency outside this daemon for queueing, as a share of the latency target.
 _QUEUEING_SHARE = 0.03
+#: Tolerance for floating-point errors: 0.07 * 100 is greater than 7 and would
+#: otherwise require an eighth shard.
+_ROUNDING_TOLERANCE = 1e-9
 
 
 @attrs.frozen
@@ -38,6 +42,11 @@
     #: Minimum share of the shards in an answer, between 0 and 1.
     min_share: float
 
+    @property
+    def required_count(self) -> int:
+        """Return the number of successful shards that an answer requires."""
+        return required_shard_count(len(self.shards), self.min_share)
+
 
 @attrs.frozen(kw_only=True)
 class Route:
@@ -135,6 +144,11 @@
         return None
 
 
+def required_shard_count(shard_count: int, min_share: float) -> int:
+    """Return the number of successful shards that an answer requires."""
+    return max(1, math.ceil(min_share * shard_count - _ROUNDING_TOLERANCE))
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
 
