--- a/benchmarks/emulator/_contention.py
+++ b/benchmarks/emulator/_contention.py
@@ -111,14 +111,10 @@
 
 
 def _add_admission(emulated_front: EmulatedFront, seed: int) -> None:
-    client = emulated_front.front.backend_client
-    admission = create_priority_admission(
-        client.clock,
-        random.Random(f'{seed}/{emulated_front.name}'),
-        client.fast_ms,
+    front = emulated_front.front
+    front.admission = create_priority_admission(
+        front.backend_client, random.Random(f'{seed}/{emulated_front.name}')
     )
-    client.recorder.on_load = admission.record_load
-    emulated_front.front.admission = admission
 
 
 def _make_table(run: ContentionRun) -> RoutingTable:
--- a/dragonflyramp/admission/__init__.py
+++ b/dragonflyramp/admission/__init__.py
@@ -6,7 +6,6 @@
 _contentions        kinds of requests that share services
 _service_loads      expected waits for a slot, from reports of replicas
 _tenant_shares      how much each tenant has used lately
-_rejection_limits   limit on the rejections of each kind of request
 _waiting_requests   requests that wait for capacity, and their order
 """
 
--- a/dragonflyramp/admission/_contentions.py
+++ b/dragonflyramp/admission/_contentions.py
@@ -8,9 +8,12 @@
 from dragonflyramp.backends import RequestContext
 from dragonflyramp.routes import Route, RoutingTable, answer_due_ms
 
-#: A request waits at most for this share of what a more urgent one can wait, so
-#: that the urgent one is still in time.
-_URGENT_SLACK_SHARE = 0.5
+#: Share of its slack that a request may wait. The rest is for the wait of a new
+#: connection, for replicas that are slower than the mean, and for the requests
+#: that other fronts send until this one hears of them.
+_OWN_SLACK_SHARE = 0.1
+#: Share of the slack of a more urgent request on the same services.
+_URGENT_SLACK_SHARE = 0.05
 #: Returns the fast latency of a route in ms.
 FastLatency: TypeAlias = Callable[[Route], float]
 _Priority: TypeAlias = tuple[int, int]
@@ -48,12 +51,12 @@
 
     def tolerated_ms(self, context: RequestContext) -> float:
         """Return the expected wait up to which a request is admitted."""
-        slacks_ms = [self.slack_ms(context.route)]
+        tolerated_ms = self.slack_ms(context.route) * _OWN_SLACK_SHARE
         for rival in self._rivals(context):
             if rival.priority < context.priority:
-                slack_ms = self.slack_ms(rival.route)
-                slacks_ms.append(slack_ms * _URGENT_SLACK_SHARE)
-        return min(slacks_ms)
+                slack_ms = self.slack_ms(rival.route) * _URGENT_SLACK_SHARE
+                tolerated_ms = min(tolerated_ms, slack_ms)
+        return tolerated_ms
 
     def _rivals(self, context: RequestContext) -> tuple[Rival, ...]:
         if context.table is not self._table:
--- a/dragonflyramp/admission/_priority_admission.py
+++ b/dragonflyramp/admission/_priority_admission.py
@@ -7,16 +7,22 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.admission._contentions import Contentions, FastLatency
+from dragonflyramp.admission._contentions import Contentions
 from dragonflyramp.admission._policies import AdmissionPolicy, Rejection
-from dragonflyramp.admission._rejection_limits import RejectionLimiter
 from dragonflyramp.admission._service_loads import ServiceLoads
 from dragonflyramp.admission._shortages import Shortage, ShortageAssessor
 from dragonflyramp.admission._tenant_shares import TenantShares
 from dragonflyramp.admission._waiting_requests import WaitingRequests
-from dragonflyramp.backends import RequestContext
+from dragonflyramp.backends import BackendClient, RequestContext
 from dragonflyramp.messages import Load
 from dragonflyramp.metrics import counters, latencies
+from dragonflyramp.replicas import ReplicaEntry
+
+#: Share of the requests without capacity that are sent nevertheless, unless
+#: they cannot meet their deadline. Each kind and tenant is served at least a
+#: quarter as often as all if four in five of all are served, and more often if
+#: callers come back.
+_MIN_ADMITTED_SHARE = 0.2
 
 
 @attrs.define(eq=False)
@@ -28,7 +34,6 @@
     _rng: random.Random
     _assessor: ShortageAssessor
     _waiting: WaitingRequests
-    _limiter: RejectionLimiter = attrs.field(factory=RejectionLimiter)
 
     async def admit(
         self,
@@ -43,12 +48,12 @@
             and not self._assessor.has_capacity(context, now_seconds)
         )
         if not is_short:
-            self._record_admission(context, now_seconds)
+            self._assessor.shares.record(context.tenant, now_seconds)
             return None
         reason = await self._wait(context, now_seconds)
         now_seconds = self._clock()
-        if reason is None or not self._may_reject(context, reason):
-            self._record_admission(context, now_seconds)
+        if reason is None or not self._may_reject(reason):
+            self._assessor.shares.record(context.tenant, now_seconds)
             return None
         shortage = self._assessor.assess(context, now_seconds)
         rejection = Rejection(
@@ -59,10 +64,14 @@
         return rejection
 
     def record_load(
-        self, service: str, load: Load, work_ms: float, now_seconds: float
+        self,
+        entry: ReplicaEntry,
+        load: Load,
+        work_ms: float,
+        now_seconds: float,
     ) -> None:
-        """Record the load that a replica of a service reports."""
-        self._assessor.loads.record(service, load, work_ms, now_seconds)
+        """Record the load that a replica reports."""
+        self._assessor.loads.record(entry.service, load, work_ms, now_seconds)
         self._waiting.wake_soon()
 
     def stop_waiting(self) -> None:
@@ -86,32 +95,33 @@
             return None
         return _STOPPING if self._waiting.is_stopped else _WAITED
 
-    def _may_reject(self, context: RequestContext, reason: str) -> bool:
+    def _may_reject(self, reason: str) -> bool:
         if reason in {_DEADLINE, _STOPPING}:
             return True
-        if self._limiter.try_reject(_kind(context)):
+        if self._rng.random() >= _MIN_ADMITTED_SHARE:
             return True
         counters.add('admission_overrides', reason)
         return False
 
-    def _record_admission(
-        self, context: RequestContext, now_seconds: float
-    ) -> None:
-        self._assessor.shares.record(context.tenant, now_seconds)
-        self._limiter.record_admission(_kind(context))
-
 
 def create_priority_admission(
-    clock: Callable[[], float], rng: random.Random, fast_latency: FastLatency
+    backend_client: BackendClient, rng: random.Random
 ) -> PriorityAdmission:
-    """Create a policy; its `record_load` gets the load of replicas."""
+    """Create a policy that learns the load of replicas from a client."""
     assessor = ShortageAssessor(
-        contentions=Contentions(fast_latency),
+        contentions=Contentions(backend_client.fast_ms),
         loads=ServiceLoads(),
         shares=TenantShares(),
     )
-    waiting = WaitingRequests(assessor.order, assessor.has_capacity, clock)
-    return PriorityAdmission(clock, rng, assessor, waiting)
+    clock = backend_client.clock
+    admission = PriorityAdmission(
+        clock,
+        rng,
+        assessor,
+        WaitingRequests(assessor.order, assessor.has_capacity, clock),
+    )
+    backend_client.recorder.on_load = admission.record_load
+    return admission
 
 
 def _immediate_reason(
@@ -148,10 +158,6 @@
     return attrs.asdict(shortage)
 
 
-def _kind(context: RequestContext) -> tuple[str, str]:
-    return (context.route.name, context.tenant_name or '')
-
-
 _MS_PER_SECOND = 1000
 #: Reasons of rejections, as written to logs and metrics.
 _DEADLINE = 'deadline'
--- a/dragonflyramp/admission/_service_loads.py
+++ b/dragonflyramp/admission/_service_loads.py
@@ -1,19 +1,21 @@
 """Estimate how long requests wait for a slot of each service."""
 
 import math
-from collections.abc import Iterable
 
 import attrs
 
 from dragonflyramp.bounded_maps import use_entry
 from dragonflyramp.messages import Load
 
-#: Time constant with which reports lose weight: about the time in which a full
-#: queue of a replica is worked off.
-_TIME_CONSTANT_SECONDS = 0.5
-#: With less weight, the load is unknown: a single report counts for 0.6 s.
+#: Time constant with which reports lose weight. A front gets a few reports per
+#: second from a service that is short of capacity, and bursts last 3 to 6 s.
+_TIME_CONSTANT_SECONDS = 1.5
+#: Weight of the assumption that nothing waits. One report of a replica that is
+#: slow while others have free slots is thus not taken for a shortage.
+_PRIOR_WEIGHT = 1
+#: With less, the load is unknown.
 _MIN_WEIGHT = 0.3
-#: No sum of reports of a front keeps enough weight for longer.
+#: Without a report of waiting requests for so long, there is no shortage.
 _MAX_AGE_SECONDS = 2
 #: Limit on the services whose load is kept, removed ones included.
 _MAX_SERVICES = 4096
@@ -23,22 +25,23 @@
 class _WaitEstimate:
     """Mean wait for a slot, weighted by the age of the reports."""
 
-    _weight: float = 0
-    _weighted_sum_ms: float = 0
-    _at_seconds: float = -math.inf
+    weight: float = 0
+    weighted_sum_ms: float = 0
+    at_seconds: float = -math.inf
 
     def record(self, wait_ms: float, now_seconds: float) -> None:
-        decay = _decay_factor(now_seconds - self._at_seconds)
-        self._weight = self._weight * decay + 1
-        self._weighted_sum_ms *= decay
-        self._weighted_sum_ms += wait_ms
-        self._at_seconds = now_seconds
+        decay = _decay_factor(now_seconds - self.at_seconds)
+        self.weight = self.weight * decay + 1
+        self.weighted_sum_ms *= decay
+        self.weighted_sum_ms += wait_ms
+        self.at_seconds = now_seconds
 
     def wait_ms(self, now_seconds: float) -> float:
-        weight = self._weight * _decay_factor(now_seconds - self._at_seconds)
+        decay = _decay_factor(now_seconds - self.at_seconds)
+        weight = self.weight * decay
         if weight < _MIN_WEIGHT:
             return 0
-        return self._weighted_sum_ms / self._weight
+        return self.weighted_sum_ms * decay / (weight + _PRIOR_WEIGHT)
 
 
 @attrs.define(eq=False)
@@ -67,19 +70,8 @@
         """Return whether a replica has recently reported waiting requests."""
         return now_seconds < self._waits_until_seconds
 
-    def wait_ms(
-        self, services: Iterable[str], required_count: int, now_seconds: float
-    ) -> float:
-        """Return the expected wait until enough services have a free slot.
-
-        It is 0 for services whose load is unknown.
-        """
-        waits_ms = sorted(
-            self._wait_ms_of(service, now_seconds) for service in services
-        )
-        return waits_ms[required_count - 1] if waits_ms else 0
-
-    def _wait_ms_of(self, service: str, now_seconds: float) -> float:
+    def wait_ms(self, service: str, now_seconds: float) -> float:
+        """Return the expected wait for a slot; 0 if it is unknown."""
         estimate = self._by_service.get(service)
         return 0 if estimate is None else estimate.wait_ms(now_seconds)
 
--- a/dragonflyramp/admission/_shortages.py
+++ b/dragonflyramp/admission/_shortages.py
@@ -9,6 +9,7 @@
 from dragonflyramp.admission._tenant_shares import TenantShares
 from dragonflyramp.admission._waiting_requests import Order
 from dragonflyramp.backends import RequestContext
+from dragonflyramp.routes import Route
 
 #: Share of the latency target within which a request is rejected.
 _MAX_WAIT_TARGET_SHARE = 0.25
@@ -18,8 +19,6 @@
 _CALLER_WAIT_SHARE = 1 / 3
 #: Shortest delay after which a caller comes back: load does not fall earlier.
 _MIN_RETRY_AFTER_SECONDS = 0.05
-#: A tenant that has used more than its share tolerates this share of the wait.
-_EXCESSIVE_TENANT_SHARE = 0.5
 _MS_PER_SECOND = 1000
 
 
@@ -86,25 +85,30 @@
         """Return the inputs of the decision on a request."""
         route = context.route
         tolerated_ms = self.contentions.tolerated_ms(context)
-        if self.shares.is_excessive(context.tenant, now_seconds):
-            tolerated_ms *= _EXCESSIVE_TENANT_SHARE
+        tolerated_ms *= self.shares.factor(context.tenant, now_seconds)
         elapsed_ms = _ms_between(context.received_at_seconds, now_seconds)
         limit_ms = _ms_between(
             context.received_at_seconds, context.deadline_at_seconds
         )
         max_wait_ms = min(route.target_ms, limit_ms) * _MAX_WAIT_TARGET_SHARE
         return Shortage(
-            wait_ms=self.loads.wait_ms(
-                route.services,
-                1 if route.gather is None else route.gather.required_count,
-                now_seconds,
-            ),
+            wait_ms=self._wait_ms(route, now_seconds),
             tolerated_ms=tolerated_ms,
             max_wait_ms=max(0, max_wait_ms - elapsed_ms - _ANSWER_MS),
             remaining_ms=limit_ms - elapsed_ms,
             work_ms=self.contentions.work_ms(route),
         )
 
+    def _wait_ms(self, route: Route, now_seconds: float) -> float:
+        """Return the expected wait for as many services as are required."""
+        waits_ms = sorted(
+            self.loads.wait_ms(service, now_seconds)
+            for service in route.services
+        )
+        if route.gather is None:
+            return waits_ms[0]
+        return waits_ms[route.gather.required_count - 1]
+
     def has_capacity(self, context: RequestContext, now_seconds: float) -> bool:
         """Return whether a request is admitted now."""
         return self.assess(context, now_seconds).has_capacity
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -14,19 +14,20 @@
 from dragonflyramp.messages import Load, Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
+from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
 #: How long a cancelled attempt may still be answered. A reply in this time
 #: keeps the connection open. Until then, the age of the request shows the
 #: selector how slow the replica is.
 _LATE_REPLY_TIMEOUT_SECONDS = 0.25
-#: Called with a service, the load that one of its replicas reports, the fast
-#: latency of the route in ms, and the monotonic time.
-LoadListener: TypeAlias = Callable[[str, Load, float, float], None]
+#: Called with a replica and the load that it reports, the fast latency of the
+#: route in ms, and the monotonic time.
+LoadListener: TypeAlias = Callable[[ReplicaEntry, Load, float, float], None]
 
 
 def _ignore_load(
-    service: str, load: Load, fast_ms: float, now_seconds: float
+    entry: ReplicaEntry, load: Load, fast_ms: float, now_seconds: float
 ) -> None:
     """Do nothing, for clients without admission control."""
 
@@ -54,7 +55,7 @@
         if reply.load is not None:
             replica.stats.record_load(reply.load, now_seconds)
             self.on_load(
-                replica.entry.service,
+                replica.entry,
                 reply.load,
                 self._latencies.for_route(context.route).fast_ms,
                 now_seconds,
