--- a/benchmarks/contention.py
+++ b/benchmarks/contention.py
@@ -87,15 +87,7 @@
     parser.add_argument('--seconds', type=float, default=13)
     options = parser.parse_args()
     logger.remove()
-    create_kinds = {'lookups': _make_lookups, 'searches': _make_searches}
-    run = ContentionRun(
-        experiment=attrs.evolve(
-            _SHARDS, seed=options.seed, seconds=options.seconds
-        ),
-        lookup_experiment=attrs.evolve(_LOOKUPS, seed=options.seed),
-        kinds=create_kinds[options.kinds](options.scale),
-        tenants=_TENANTS,
-    )
+    run = make_run(options.kinds, options.scale, options.seed, options.seconds)
     for has_admission in (False, True):
         statistics = run_contention(
             attrs.evolve(run, has_admission=has_admission)
@@ -104,6 +96,19 @@
         sys.stdout.write(f'{name}\n{_format_table(statistics)}')
 
 
+def make_run(
+    kinds_name: str, scale: float, seed: int, seconds: float = _SHARDS.seconds
+) -> ContentionRun:
+    """Create a run of lookups or searches with admission control."""
+    create_kinds = {'lookups': _make_lookups, 'searches': _make_searches}
+    return ContentionRun(
+        experiment=attrs.evolve(_SHARDS, seed=seed, seconds=seconds),
+        lookup_experiment=attrs.evolve(_LOOKUPS, seed=seed),
+        kinds=create_kinds[kinds_name](scale),
+        tenants=_TENANTS,
+    )
+
+
 def _make_lookups(scale: float) -> tuple[Kind, ...]:
     route = make_lookup_route(_SHARDS, 'lookup', 520, 1)
     weights = {
@@ -155,7 +160,8 @@
     if counts.kind.tenant == _LARGE_TENANT:
         return 'large tenant'
     priorities = {tenant.name: tenant.priority for tenant in _TENANTS}
-    return f'priority {priorities[counts.kind.tenant]}'
+    priority = priorities[counts.kind.tenant]
+    return f'priority {priority}'
 
 
 def _format_row(name: str, statistics: Iterable[KindStatistics]) -> str:
@@ -168,9 +174,13 @@
         )
         for counts in statistics
     ]
-    sent, *others = (sum(column) for column in zip(*rows, strict=True))
-    shares = ''.join(f'{count / max(1, sent):9.1%}' for count in others)
-    return f'  {name:14}{sent:7}{shares}\n'
+    sent, *others = map(sum, zip(*rows, strict=True))
+    cells = [
+        name.ljust(14),
+        str(sent).rjust(7),
+        *(format(count / max(1, sent), '9.1%') for count in others),
+    ]
+    return ''.join(('  ', *cells, '\n'))
 
 
 if __name__ == '__main__':
--- a/benchmarks/emulator/_contending_callers.py
+++ b/benchmarks/emulator/_contending_callers.py
@@ -65,14 +65,14 @@
 ) -> None:
     experiment = deployment.experiment
     kind = counts.kind
-    name = f'{kind.route.name}/{kind.tenant}'
+    name = '/'.join((kind.route.name, kind.tenant))
     rng = random.Random(f'{experiment.seed}/{name}')
     loop = asyncio.get_running_loop()
     tasks: list[asyncio.Task[None]] = []
     while loop.time() < experiment.seconds:
         await asyncio.sleep(rng.expovariate(kind.requests_per_second))
         call = _Call(
-            f'{name}/{len(tasks)}', kind, rng.choice(deployment.fronts), rng
+            f'{name}{len(tasks)}', kind, rng.choice(deployment.fronts), rng
         )
         tasks.append(asyncio.create_task(call.run(deployment, counts)))
     await asyncio.gather(*tasks)
@@ -95,7 +95,7 @@
         route = self._kind.route
         ends_at_seconds = started_at_seconds + route.timeout_ms / _MS_PER_SECOND
         answer = await self._send(self._emulated_front, ends_at_seconds)
-        rejected_count = _is_rejected(answer)
+        rejected_count = int(_is_rejected(answer))
         delay_seconds = _retry_delay_seconds(answer)
         remaining_seconds = ends_at_seconds - loop.time()
         if 0 < delay_seconds <= remaining_seconds * _CALLER_WAIT_SHARE:
--- a/benchmarks/emulator/_contention.py
+++ b/benchmarks/emulator/_contention.py
@@ -75,9 +75,6 @@
     for emulated_front in fronts:
         if run.has_admission:
             _add_admission(emulated_front, experiment.seed)
-        else:
-            events = emulated_front.front.backend_client.fleet.capacity_events
-            events.is_by_priority = False
     return EmulatedDeployment(experiment, by_id, fronts, tasks)
 
 
@@ -99,7 +96,8 @@
 
 
 def _failure_domain(experiment: Experiment, index: int) -> str:
-    return f'domain-{index % experiment.failure_domains}'
+    domain_index = index % experiment.failure_domains
+    return f'domain-{domain_index}'
 
 
 def _services(run: ContentionRun) -> Mapping[str, Experiment]:
@@ -112,6 +110,7 @@
 
 def _add_admission(emulated_front: EmulatedFront, seed: int) -> None:
     front = emulated_front.front
+    front.backend_client.fleet.capacity_events.is_by_priority = True
     front.admission = create_priority_admission(
         front.backend_client, random.Random(f'{seed}/{emulated_front.name}')
     )
--- a/dragonflyramp/admission/_priority_admission.py
+++ b/dragonflyramp/admission/_priority_admission.py
@@ -109,7 +109,7 @@
 ) -> PriorityAdmission:
     """Create a policy that learns the load of replicas from a client."""
     assessor = ShortageAssessor(
-        contentions=Contentions(backend_client.fast_ms),
+        contentions=Contentions(backend_client.latencies.fast_ms),
         loads=ServiceLoads(),
         shares=TenantShares(),
     )
--- a/dragonflyramp/admission/_shortages.py
+++ b/dragonflyramp/admission/_shortages.py
@@ -99,16 +99,6 @@
             work_ms=self.contentions.work_ms(route),
         )
 
-    def _wait_ms(self, route: Route, now_seconds: float) -> float:
-        """Return the expected wait for as many services as are required."""
-        waits_ms = sorted(
-            self.loads.wait_ms(service, now_seconds)
-            for service in route.services
-        )
-        if route.gather is None:
-            return waits_ms[0]
-        return waits_ms[route.gather.required_count - 1]
-
     def has_capacity(self, context: RequestContext, now_seconds: float) -> bool:
         """Return whether a request is admitted now."""
         return self.assess(context, now_seconds).has_capacity
@@ -122,6 +112,16 @@
             context.received_at_seconds + slack_ms / _MS_PER_SECOND,
         )
 
+    def _wait_ms(self, route: Route, now_seconds: float) -> float:
+        """Return the expected wait for as many services as are required."""
+        waits_ms = sorted(
+            self.loads.wait_ms(service, now_seconds)
+            for service in route.services
+        )
+        if route.gather is None:
+            return waits_ms[0]
+        return waits_ms[route.gather.required_count - 1]
+
 
 def _ms_between(from_seconds: float, to_seconds: float) -> float:
     return (to_seconds - from_seconds) * _MS_PER_SECOND
--- a/dragonflyramp/backends/_capacity_events.py
+++ b/dragonflyramp/backends/_capacity_events.py
@@ -15,7 +15,7 @@
     """Wake the tasks that wait for a connection to a service."""
 
     #: Whether tasks wake by priority; otherwise in the order of their arrival.
-    is_by_priority: bool = True
+    is_by_priority: bool = False
     _by_service: dict[str, _Waiters] = attrs.field(factory=dict)
 
     async def wait(
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -67,10 +67,6 @@
         """Create a fetch of one part from a service; `Fetch.run` starts it."""
         return create_fetch(self, context, service)
 
-    def fast_ms(self, route: Route) -> float:
-        """Return the latency in ms of a part of a route without queueing."""
-        return self.latencies.for_route(route).fast_ms
-
     def hedge_delay_ms(self, route: Route) -> float | None:
         """Return the hedge delay of a route in ms, or None for no hedge."""
         return self.policies.hedging.delay_ms(self.latencies.for_route(route))
--- a/dragonflyramp/backends/_latencies.py
+++ b/dragonflyramp/backends/_latencies.py
@@ -79,3 +79,7 @@
             lambda: RouteLatencies(route.target_ms),
             _MAX_ROUTES,
         )
+
+    def fast_ms(self, route: Route) -> float:
+        """Return the latency in ms of a part of a route without queueing."""
+        return self.for_route(route).fast_ms
--- a/dragonflyramp/callers/_answers.py
+++ b/dragonflyramp/callers/_answers.py
@@ -9,10 +9,9 @@
 import attrs
 
 from dragonflyramp.backends import ProvenSuccess, UnprovenSuccessError
-from dragonflyramp.callers._cutoffs import required_shard_count
 from dragonflyramp.messages import Reply, Request
 from dragonflyramp.results import ResultCode
-from dragonflyramp.routes import GatherSettings, Route
+from dragonflyramp.routes import GatherSettings, Route, required_shard_count
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/settings.py
+++ b/dragonflyramp/settings.py
@@ -34,6 +34,13 @@
     text = 'text'
 
 
+class AdmissionMode(enum.Enum):
+    """Which requests run while capacity is short."""
+
+    priority = 'priority'
+    all = 'all'  # noqa: WPS125 - the value of the flag
+
+
 class LogLevel(enum.Enum):
     """Log levels; the values are the names in loguru."""
 
@@ -109,6 +116,13 @@
         'grace period of a planned stop. After the grace period, the platform '
         'kills the process.',
     )
+    admission: AdmissionMode = _setting(
+        Choice(AdmissionMode),
+        AdmissionMode.priority,
+        'Which requests run while replicas report waiting requests, if routes '
+        'on the same services differ in priority or there are tenants: by '
+        'priority, or all in the order of their arrival.',
+    )
     log_level: LogLevel = _setting(
         Choice(LogLevel), LogLevel.info, 'Lowest level that is logged.'
     )
--- a/dragonflyramp/tools/__init__.py
+++ b/dragonflyramp/tools/__init__.py
@@ -4,6 +4,8 @@
 _front_program       start, reload and planned stop of a front
 _front_components    creation, start and stop of a front's components
 _front_gauges        gauges of a front
+_admission_components  admission policy of a front
+_native_api_components  server of the native API
 _text_decoders       decoding of the operators' text for a front
 operator             entry point and commands of the operators' command
 _operator_flags      flags and arguments of a command
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -13,7 +13,7 @@
     Preconnector,
     apply_peer_latency_ratios,
 )
-from dragonflyramp.callers import Claims, Front, NativeApi, NativeApiServer
+from dragonflyramp.callers import Front, NativeApiServer
 from dragonflyramp.machine_settings import MachineSettings
 from dragonflyramp.members import (
     DAEMONS_KIND,
@@ -35,11 +35,11 @@
     StoreClient,
     StoreDecoder,
 )
-from dragonflyramp.routes import search_route_name, submit_route_name
 from dragonflyramp.routing_state import ObjectDecoder, RoutingState
 from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
 from dragonflyramp.settings import ConfigurationSource, Settings
 from dragonflyramp.slow_replicas import SlowReplicaDetector
+from dragonflyramp.tools._admission_components import create_admission
 from dragonflyramp.tools._backend_components import (
     create_backend_client,
     create_fleet,
@@ -50,6 +50,9 @@
     create_views,
     create_watchers,
 )
+from dragonflyramp.tools._native_api_components import (
+    create_native_api_server,
+)
 from dragonflyramp.tools._suspect_components import (
     connect_crash_detector,
     connect_suspects,
@@ -117,6 +120,7 @@
     async def stop(self) -> None:
         """Report not ready, keep serving for the notice time, then drain."""
         self.front.is_stopping = True
+        self.front.admission.stop_waiting()
         now_seconds = time.monotonic()
         # The grace period has begun before a standstill, if there was one.
         signal_at_seconds = self.standstill_detector.earliest_signal_at_seconds(
@@ -187,12 +191,13 @@
         suspect_records,
         logs_all_answers=settings.logs_all_answers,
     )
+    front.admission = create_admission(settings.admission, front.backend_client)
     return FrontComponents(
         settings=settings,
         machine=machine,
         front=front,
         front_server=FrontServer(front, _CLOCK),
-        native_api_server=_create_native_api_server(front, store),
+        native_api_server=create_native_api_server(front, store, _CLOCK),
         metrics_server=MetricsServer(caller_header=REQUEST_ID),
         sync_server=SyncServer(synchronizer, _CLOCK),
         hub_links=dispatcher.hub_links,
@@ -260,19 +265,5 @@
     )
 
 
-def _create_native_api_server(
-    front: Front, store: StoreClient
-) -> NativeApiServer:
-    return NativeApiServer(
-        NativeApi(
-            front=front,
-            claims=Claims(store),
-            clock=_CLOCK,
-            name_search_route=search_route_name,
-            name_submit_route=submit_route_name,
-        )
-    )
-
-
 _CLOCK = time.monotonic
 _TICK_INTERVAL_SECONDS = 0.2
