--- a/dragonflyramp/admission/_contentions.py
+++ b/dragonflyramp/admission/_contentions.py
@@ -8,12 +8,6 @@
 from dragonflyramp.backends import RequestContext
 from dragonflyramp.routes import Route, RoutingTable, answer_due_ms
 
-#: Share of its slack that a request may wait. The rest is for the wait of a new
-#: connection, for replicas that are slower than the mean, and for the requests
-#: that other fronts send until this one hears of them.
-_OWN_SLACK_SHARE = 0.1
-#: Share of the slack of a more urgent request on the same services.
-_URGENT_SLACK_SHARE = 0.05
 #: Returns the fast latency of a route in ms.
 FastLatency: TypeAlias = Callable[[Route], float]
 _Priority: TypeAlias = tuple[int, int]
@@ -49,14 +43,23 @@
         """Return the time that a request takes without waiting."""
         return self._fast_latency(route)
 
-    def tolerated_ms(self, context: RequestContext) -> float:
-        """Return the expected wait up to which a request is admitted."""
-        tolerated_ms = self.slack_ms(context.route) * _OWN_SLACK_SHARE
-        for rival in self._rivals(context):
-            if rival.priority < context.priority:
-                slack_ms = self.slack_ms(rival.route) * _URGENT_SLACK_SHARE
-                tolerated_ms = min(tolerated_ms, slack_ms)
-        return tolerated_ms
+    def round_ms(self, context: RequestContext) -> float:
+        """Return the shortest work of the route and of more urgent ones."""
+        more_urgent = self._more_urgent(context)
+        return min(
+            self.work_ms(route) for route in (context.route, *more_urgent)
+        )
+
+    def is_most_urgent(self, context: RequestContext) -> bool:
+        """Return whether no other request goes before this one."""
+        return not self._more_urgent(context)
+
+    def _more_urgent(self, context: RequestContext) -> list[Route]:
+        return [
+            rival.route
+            for rival in self._rivals(context)
+            if rival.priority < context.priority
+        ]
 
     def _rivals(self, context: RequestContext) -> tuple[Rival, ...]:
         if context.table is not self._table:
--- a/dragonflyramp/admission/_shortages.py
+++ b/dragonflyramp/admission/_shortages.py
@@ -19,6 +19,14 @@
 _CALLER_WAIT_SHARE = 1 / 3
 #: Shortest delay after which a caller comes back: load does not fall earlier.
 _MIN_RETRY_AFTER_SECONDS = 0.05
+#: Expected wait that any request tolerates, in multiples of the shortest work
+#: on its services: as many requests wait as run. With less, the emulator shows
+#: refusals at two thirds of the capacity, where all can be served in time.
+_LEAST_ROUNDS = 1.0
+#: Added for tenants that have used no more than their share, and for requests
+#: that no other goes before.
+_FAIR_SHARE_ROUNDS = 0.5
+_MOST_URGENT_ROUNDS = 1.0
 _MS_PER_SECOND = 1000
 
 
@@ -84,8 +92,11 @@
     def assess(self, context: RequestContext, now_seconds: float) -> Shortage:
         """Return the inputs of the decision on a request."""
         route = context.route
-        tolerated_ms = self.contentions.tolerated_ms(context)
-        tolerated_ms *= self.shares.factor(context.tenant, now_seconds)
+        rounds = _LEAST_ROUNDS
+        if not self.shares.is_excessive(context.tenant, now_seconds):
+            rounds += _FAIR_SHARE_ROUNDS
+        if self.contentions.is_most_urgent(context):
+            rounds += _MOST_URGENT_ROUNDS
         elapsed_ms = _ms_between(context.received_at_seconds, now_seconds)
         limit_ms = _ms_between(
             context.received_at_seconds, context.deadline_at_seconds
@@ -93,7 +104,7 @@
         max_wait_ms = min(route.target_ms, limit_ms) * _MAX_WAIT_TARGET_SHARE
         return Shortage(
             wait_ms=self._wait_ms(route, now_seconds),
-            tolerated_ms=tolerated_ms,
+            tolerated_ms=rounds * self.contentions.round_ms(context),
             max_wait_ms=max(0, max_wait_ms - elapsed_ms - _ANSWER_MS),
             remaining_ms=limit_ms - elapsed_ms,
             work_ms=self.contentions.work_ms(route),
--- a/dragonflyramp/admission/_tenant_shares.py
+++ b/dragonflyramp/admission/_tenant_shares.py
@@ -11,6 +11,9 @@
 #: Time constant with which earlier requests are forgotten: a burst is visible
 #: within a second, and forgotten soon after it.
 _TIME_CONSTANT_SECONDS = 3
+#: A tenant has used more than its share if it exceeds the mean of the active
+#: ones by this factor. Fronts see few requests, so counts differ by chance.
+_EXCESS_FACTOR = 1.5
 #: With less, a tenant is not active.
 _MIN_USE = 0.1
 #: Limit on the tenants whose use is kept, removed ones included.
@@ -50,11 +53,11 @@
         use = None if tenant is None else self._by_tenant.get(tenant.name)
         return 0 if use is None else use.current(now_seconds)
 
-    def factor(self, tenant: Tenant | None, now_seconds: float) -> float:
-        """Return 1, or less for a tenant that has used more than the mean."""
+    def is_excessive(self, tenant: Tenant | None, now_seconds: float) -> bool:
+        """Return whether a tenant has used more than its share."""
         own_use = self.use_of(tenant, now_seconds)
         if tenant is None or own_use < _MIN_USE:
-            return 1
+            return False
         uses = [use.current(now_seconds) for use in self._by_tenant.values()]
         mean_use = statistics.fmean(use for use in uses if use >= _MIN_USE)
-        return min(1, mean_use / own_use)
+        return own_use > mean_use * _EXCESS_FACTOR
