--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,7 +13,7 @@
 from benchmarks.emulator import KindStatistics, run_contention
 from benchmarks.contention import make_run
 from benchmarks.emulator._event_loops import run_in_virtual_time
-from dragonflyramp.admission import PriorityAdmission, Rejection
+from dragonflyramp.admission import AdmitAll, PriorityAdmission, Rejection
 from dragonflyramp.admission._contentions import Contentions
 from dragonflyramp.admission._service_loads import ServiceLoads
 from dragonflyramp.admission._shortages import Shortage, ShortageAssessor
@@ -21,12 +21,21 @@
 from dragonflyramp.admission._waiting_requests import WaitingRequests
 from dragonflyramp.backends import CrashDetector, CrashWatch, RequestContext
 from dragonflyramp.backends._capacity_events import CapacityEvents
+from dragonflyramp.callers import Refusal, RelayedAnswer
 from dragonflyramp.messages import Load
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
+from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, Route, RoutingTable
 from dragonflyramp.runtime import TaskSet
+from dragonflyramp.settings import AdmissionMode
 from dragonflyramp.tenants import Tenant, TenantDirectory
-from tests.front_harnesses import make_request, make_route, make_table
+from dragonflyramp.tools._admission_components import create_admission
+from tests.front_harnesses import (
+    make_request,
+    make_route,
+    make_table,
+    run_harness,
+)
 
 _SHARDS = tuple(f'shard-{index}' for index in range(10))
 _URGENT = make_route('urgent')
@@ -332,6 +341,34 @@
     assert woken == [0, 1, 2]
 
 
+async def test_rejected_request_reaches_no_replica() -> None:
+    """A refusal that says "not run" must be true, and say when to come back."""
+    async with run_harness(make_table(_URGENT, _NORMAL)) as harness:
+        client = harness.front.backend_client
+        admission = create_admission(AdmissionMode.priority, client)
+        harness.front.admission = admission
+        assert isinstance(await harness.send('/urgent/x'), RelayedAnswer)
+        ran_count = harness.run_count('a')
+        for index in range(8):
+            client.recorder.on_load(
+                _entry('a', index), Load(2, 90, 2), _WORK_MS, client.clock()
+            )
+        answer = await harness.send('/normal/x', deadline_ms=100)
+        assert isinstance(answer, Refusal)
+        assert answer.code is ResultCode.not_admitted
+        assert answer.retry_after_seconds is not None
+        assert harness.run_count('a') == ran_count
+
+
+async def test_setting_turns_admission_off() -> None:
+    """Operators must be able to get the order of arrival back."""
+    async with run_harness(make_table(_URGENT, _NORMAL)) as harness:
+        client = harness.front.backend_client
+        admission = create_admission(AdmissionMode.all, client)
+        assert isinstance(admission, AdmitAll)
+        assert not client.fleet.capacity_events.is_by_priority
+
+
 def _share(
     statistics: Sequence[KindStatistics], name: str = 'on_time_count'
 ) -> float:
