--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -30,6 +30,7 @@
 from dragonflyramp.callers._request_contexts import (
     RouteMatch,
     build_context,
+    context_after_wait,
     find_route,
 )
 from dragonflyramp.callers._retry_delays import retry_after_seconds
@@ -146,7 +147,8 @@
                     rejection.retry_after_seconds,
                 )
             return await self.suspect_guard.run(
-                context, functools.partial(self._send, query)
+                context_after_wait(context, self.clock() - now_seconds),
+                functools.partial(self._send, query),
             )
 
     async def _send(self, query: Query, context: RequestContext) -> Answer:
--- a/dragonflyramp/callers/_request_contexts.py
+++ b/dragonflyramp/callers/_request_contexts.py
@@ -11,6 +11,8 @@
 #: of the time limit, whichever is shorter. A request that would wait longer
 #: is refused, so that the caller can try elsewhere.
 _CAPACITY_WAIT_SHARE = 0.2
+#: Shorter waits before that are not taken from it.
+_MIN_WAITED_SECONDS = 0.001
 
 
 def find_route(table: RoutingTable, query: Query) -> Route | None:
@@ -54,3 +56,17 @@
             tenant_name='' if tenant is None else tenant.name,
         ),
     )
+
+
+def context_after_wait(
+    context: RequestContext, waited_seconds: float
+) -> RequestContext:
+    """Return the context with what is left of the wait for capacity."""
+    if waited_seconds < _MIN_WAITED_SECONDS:
+        return context
+    return attrs.evolve(
+        context,
+        capacity_wait_seconds=max(
+            0, context.capacity_wait_seconds - waited_seconds
+        ),
+    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -22,6 +22,7 @@
 from dragonflyramp.backends import CrashDetector, CrashWatch, RequestContext
 from dragonflyramp.backends._capacity_events import CapacityEvents
 from dragonflyramp.callers import Refusal, RelayedAnswer
+from dragonflyramp.callers._request_contexts import context_after_wait
 from dragonflyramp.messages import Load
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.results import ResultCode
@@ -43,6 +44,7 @@
 _SEARCH = make_route('search', gather=GatherSettings(_SHARDS, 10, 0.8))
 _TABLE = make_table(_URGENT, _NORMAL, _SEARCH)
 _WORK_MS = 20
+_REST_SECONDS = pytest.approx(0.75)
 _TENANTS = tuple(Tenant(name=f'tenant-{index}') for index in range(3))
 _TENANT_TABLE = attrs.evolve(
     _TABLE,
@@ -360,6 +362,19 @@
         assert harness.run_count('a') == ran_count
 
 
+def test_both_waits_end_in_time() -> None:
+    """A wait for admission must shorten that for a connection.
+
+    The sum would exceed a quarter of the latency target.
+    """
+    context = _Harness().context()
+    assert context_after_wait(context, 0) is context
+    assert (
+        context_after_wait(context, 0.25).capacity_wait_seconds == _REST_SECONDS
+    )
+    assert context_after_wait(context, 3).capacity_wait_seconds == 0
+
+
 async def test_setting_turns_admission_off() -> None:
     """Operators must be able to get the order of arrival back."""
     async with run_harness(make_table(_URGENT, _NORMAL)) as harness:
