--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -1,6 +1,8 @@
 """Update replica and route statistics from the outcomes of attempts."""
 
 import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
 
 import attrs
 
@@ -8,10 +10,12 @@
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._latencies import LatenciesByRoute
+from dragonflyramp.backends._replicas import Replica
 from dragonflyramp.backends._reply_checks import ReplyVerdict
-from dragonflyramp.messages import Reply
+from dragonflyramp.messages import Load, Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
+from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.rollouts import AnswerKind, VersionPolicy
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
@@ -28,6 +32,16 @@
 _ROUND_TRIP_MS = 3
 _NEW_CONNECTION_MS = 6
 
+#: Called with a replica and the load that it reports, the fast latency of the
+#: route in ms, and the monotonic time.
+LoadListener: TypeAlias = Callable[[ReplicaEntry, Load, float, float], None]
+
+
+def _ignore_load(
+    entry: ReplicaEntry, load: Load, fast_ms: float, now_seconds: float
+) -> None:
+    """Do nothing, for clients without admission control."""
+
 
 @attrs.define(eq=False)
 class OutcomeRecorder:
@@ -36,6 +50,7 @@
     _latencies: LatenciesByRoute
     _slow_replica_detector: SlowReplicaDetector
     _versions: VersionPolicy
+    on_load: LoadListener = _ignore_load
 
     def record_reply(
         self,
@@ -50,7 +65,7 @@
             counters.add('invalid_replies', verdict.value)
         replica = attempt.replica
         if reply.load is not None:
-            replica.stats.record_load(reply.load, now_seconds)
+            self._record_load(replica, reply.load, context, now_seconds)
         if reply.is_misdirected:
             replica.health.record_misdirected(now_seconds)
         elif verdict is ReplyVerdict.success:
@@ -126,6 +141,17 @@
             limit_ms += _NEW_CONNECTION_MS
         return (now_seconds - written_at_seconds) * 1000 > limit_ms
 
+    def _record_load(
+        self,
+        replica: Replica,
+        load: Load,
+        context: RequestContext,
+        now_seconds: float,
+    ) -> None:
+        replica.stats.record_load(load, now_seconds)
+        fast_ms = self._latencies.for_route(context.route).fast_ms
+        self.on_load(replica.entry, load, fast_ms, now_seconds)
+
     def _record_latency(
         self, attempt: Attempt, context: RequestContext, now_seconds: float
     ) -> None:
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -29,6 +29,7 @@
 from dragonflyramp.callers._request_contexts import (
     RouteMatch,
     build_context,
+    context_after_wait,
     match_query,
 )
 from dragonflyramp.callers._retry_delays import (
@@ -131,11 +132,14 @@
                 tenant_name=context.tenant_name,
             )
         with contextlib.ExitStack() as cleanup:
-            rejection = await self.admission.admit(context, cleanup)
+            rejection = await self.admission.admit(
+                context, cleanup, now_seconds
+            )
             if rejection is not None:
                 return refuse_rejected(query, rejection, context.tenant_name)
             return await self.suspect_guard.run(
-                context, functools.partial(self._send, query, quota_check)
+                context_after_wait(context, self.clock() - now_seconds),
+                functools.partial(self._send, query, quota_check),
             )
 
     async def _send(
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -34,6 +34,7 @@
 from dragonflyramp.runtime import StandstillDetector, TaskSet, run_all
 from dragonflyramp.settings import Settings
 from dragonflyramp.slow_replicas import SlowReplicaDetector
+from dragonflyramp.tools._admission_components import create_admission
 from dragonflyramp.tools._backend_components import (
     create_backend_client,
     create_fleet,
@@ -124,6 +125,7 @@
     async def stop(self) -> None:
         """Report not ready, keep serving for the notice time, then drain."""
         self.front.is_stopping = True
+        self.front.admission.stop_waiting()
         now_seconds = time.monotonic()
         # The grace period has begun before a standstill, if there was one.
         signal_at_seconds = self.standstill_detector.earliest_signal_at_seconds(
@@ -198,6 +200,7 @@
         logs_all_answers=settings.logs_all_answers,
     )
     connect_quotas(front, machine, synchronizer, dispatcher.hub_links)
+    front.admission = create_admission(settings.admission, front.backend_client)
     return FrontComponents(
         settings=settings,
         machine=machine,
