Count no response of the store as a success without a status of the 2xx class

Replies of replicas with such a status, and 501 interim replies without a final one, reached no caller on the code as it was: neither relayed, nor as a part of a search, nor as a recorded outcome of the native API. test_success_checks now checks them over sockets.

--- a/dragonflyramp/platform/_api_http.py
+++ b/dragonflyramp/platform/_api_http.py
@@ -157,7 +157,8 @@
     code = _FAILURE_CODES_BY_STATUS.get(status)
     if code is not None:
         return Failure(code)
-    if status >= HTTPStatus.BAD_REQUEST:
+    # aiohttp also accepts a status such as 000.
+    if not HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
         return Failure(ResultCode.platform_down)
     fields = decode_json_object(body) if body else {}
     return Failure(ResultCode.bad_reply) if fields is None else Success(fields)
--- a/tests/test_success_checks.py
+++ b/tests/test_success_checks.py
@@ -800,3 +800,54 @@
         answer = await system.call('/order/x', request_id=b'S\xc3\xa3o')
     assert answer.status == 200
     assert answer.stamps == [b'a0.1']
+
+
+#: Status lines without a valid status; the last one is an interim reply that no
+#: final one follows.
+_INVALID_STATUSES = (
+    '000 Zero',
+    '099 Low',
+    '600 Odd',
+    '999 Odd',
+    '20 OK',
+    '2000 OK',
+    '+20 OK',
+    '-20 OK',
+    '2x0 OK',
+    'ABC OK',
+    ''.join(
+        ('100 Go\r\n\r\n', 'HTTP/1.1 100 Go\r\n\r\n' * 500, 'HTTP/1.1 100 Go')
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [('/lookup/x', 200), ('/order/x', 502), ('/search/x', 200)],
+)
+@pytest.mark.parametrize('status_line', _INVALID_STATUSES)
+async def test_reply_without_valid_status_is_unreadable(
+    status_line: str, path: str, status: int
+) -> None:
+    """A caller must not get such a reply, nor a search a part of it."""
+    odd = _WireReply(status=status_line, body=b'odd ' * 8)
+    async with _run_system() as system:
+        system.script('a', odd)
+        answer = await system.call(path)
+    assert answer.status in {status, 502, 504}
+    assert b'odd' not in answer.body
+    assert bool(answer.stamps) == (answer.status == 200)
+
+
+@pytest.mark.parametrize('status_line', _INVALID_STATUSES)
+async def test_outcome_needs_valid_status(
+    store_client: StoreClient, status_line: str
+) -> None:
+    """The native API must not record such a reply as an outcome."""
+    odd = _WireReply(status=status_line, headers=_SIGNED_HEADERS)
+    async with _run_native_api(store_client, odd) as (address, system):
+        first_answer = await _submit(address)
+        repeat_answer = await _submit(address)
+        assert len(system.requests('a')) == 1
+    assert first_answer[0] in {409, 502}
+    assert repeat_answer[0] == 409
