Bound what callers make a front keep, before the parser keeps it

Cause: after an error, aiohttp went on reading and queued up to 32 exceptions for each connection, whose messages hold all bytes of a read. Nothing bounded incomplete heads, waiting requests, unread answers, or the number of connections either.

A subclass of aiohttp's request handler counts bytes before they are parsed, stops at the first error, and answers 400, 408 or 431. ConnectionGuard decides, with the time as an argument, which connection is closed when the bytes or the connections of a port reach their bounds, which follow from memory_mb and max_fds. max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration take effect. The same holds at the readiness port, the metrics port and the native API. gRPC's options bound the port between daemons in part. Replies that are received get at most a twelfth of memory_mb, which changes nothing from 200 MB on.

The slow header's test read one byte of the answer at a time, so that it ran out of its bytes on the text of the 408; it reads all that is there now. Crowd and bounds are as they were.

--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -17,6 +17,10 @@
 _request_logs    log lines and counters of requests
 _claims          at-most-once execution of requests with an idempotency key
 _native_api_http HTTP server of the native API
+_caller_limits   limits of the ports, from the limits of the VM
+_connection_guards  which connections are closed when a limit is reached
+_guarded_http    HTTP connections that are guarded
+_guarded_servers_http  HTTP servers with such connections
 """
 
 from dragonflyramp.callers._answers import (
@@ -28,7 +32,19 @@
     RouteVersion,
     Success,
 )
+from dragonflyramp.callers._caller_limits import (
+    INTERNAL_PORT_LIMITS,
+    INTERNAL_REQUEST_LIMITS,
+    frontend_limits,
+    native_limits,
+)
 from dragonflyramp.callers._claims import Claims
+from dragonflyramp.callers._connection_guards import (
+    CloseReason,
+    ConnectionGuard,
+    GuardedConnection,
+    Phase,
+)
 from dragonflyramp.callers._cutoffs import (
     CutoffPolicy,
     DeadlineCutoff,
@@ -36,6 +52,15 @@
     TargetCutoff,
 )
 from dragonflyramp.callers._fronts import Front
+from dragonflyramp.callers._guarded_http import (
+    BodyTooLargeError,
+    GuardedRequestHandler,
+)
+from dragonflyramp.callers._guarded_servers_http import (
+    GuardedAppRunner,
+    GuardedServer,
+    check_connections,
+)
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._native_api_http import NativeApi, NativeApiServer
 from dragonflyramp.callers._queries import Query
@@ -45,15 +70,25 @@
 from dragonflyramp.callers._trial_claims import TrialClaims
 
 __all__ = (
+    'INTERNAL_PORT_LIMITS',
+    'INTERNAL_REQUEST_LIMITS',
     'Answer',
+    'BodyTooLargeError',
     'Claims',
+    'CloseReason',
+    'ConnectionGuard',
     'CutoffPolicy',
     'DeadlineCutoff',
     'Front',
+    'GuardedAppRunner',
+    'GuardedConnection',
+    'GuardedRequestHandler',
+    'GuardedServer',
     'MergedAnswer',
     'Merger',
     'NativeApi',
     'NativeApiServer',
+    'Phase',
     'Progress',
     'Query',
     'RecordMerger',
@@ -66,5 +101,8 @@
     'SuspectGuard',
     'TargetCutoff',
     'TrialClaims',
+    'check_connections',
     'describe_proofs',
+    'frontend_limits',
+    'native_limits',
 )
--- a/dragonflyramp/callers/_native_api_http.py
+++ b/dragonflyramp/callers/_native_api_http.py
@@ -14,13 +14,22 @@
 from aiohttp.typedefs import Handler
 
 from dragonflyramp.callers._answers import Answer, MergedAnswer, Refusal
+from dragonflyramp.callers._caller_limits import native_limits
 from dragonflyramp.callers._claims import Claims, KeyedRequest, KeyedResult
+from dragonflyramp.callers._connection_guards import ConnectionGuard
 from dragonflyramp.callers._fronts import Front
+from dragonflyramp.callers._guarded_servers_http import (
+    GuardedAppRunner,
+    check_connections,
+)
 from dragonflyramp.callers._merging import split_records
 from dragonflyramp.callers._queries import Query
+from dragonflyramp.machine_settings import VmLimits
 from dragonflyramp.messages import Request
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
+from dragonflyramp.routes import RequestLimits
+from dragonflyramp.runtime import TaskSet
 
 #: Maximum length of a request id and of an idempotency key.
 _MAX_ID_CHARACTERS = 200
@@ -136,6 +145,8 @@
     """Serve the native API over HTTP."""
 
     _api: NativeApi
+    _vm_limits: VmLimits = VmLimits()
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
     _runner: web.AppRunner | None = None
 
     async def start(self, address: str) -> str:
@@ -143,8 +154,13 @@
 
         Raise OSError if the address cannot be bound.
         """
-        self._runner = web.AppRunner(
+        guard = ConnectionGuard(
+            'native', native_limits(self._vm_limits), self._request_limits
+        )
+        self._tasks.start(check_connections(guard), 'connection_checks')
+        self._runner = GuardedAppRunner(
             self._api.create_application(),
+            guard,
             handler_cancellation=True,
             access_log=None,
         )
@@ -156,9 +172,14 @@
 
     async def stop(self) -> None:
         """Close the port and the open connections."""
+        await self._tasks.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _request_limits(self) -> RequestLimits:
+        table = self._api.front.current_table()
+        return RequestLimits() if table is None else table.request_limits
+
 
 @web.middleware
 async def _refuse_misdirected(
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -64,6 +64,19 @@
 _MAX_DECOMPRESSED_BYTES = 16_777_216
 #: Requests have samples, notices and suspicions, but no objects.
 _MAX_REQUEST_BYTES = 1_048_576
+#: Metadata of a request of a daemon has about 200 bytes.
+_MAX_METADATA_BYTES = 8192
+#: A daemon sends its HTTP/2 settings with its connection.
+_HANDSHAKE_TIMEOUT_MS = 3000
+#: A daemon has one request on a connection, and one that it has cancelled.
+_MAX_CONCURRENT_STREAMS = 16
+#: `max_fds` of the smallest VM in force; used where the settings have none.
+_DEFAULT_MAX_DESCRIPTORS = 4100
+#: An eighth of the descriptors that are not reserved for files is for other
+#: daemons.
+_FILE_DESCRIPTORS = 200
+_DESCRIPTOR_DIVISOR = 8
+_MIN_CONNECTIONS = 16
 #: The fastest level of zlib.
 _COMPRESSION_LEVEL = 1
 
@@ -81,6 +94,10 @@
 )
 _SERVER_OPTIONS = (
     ('grpc.max_receive_message_length', _MAX_REQUEST_BYTES),
+    ('grpc.max_metadata_size', _MAX_METADATA_BYTES),
+    ('grpc.absolute_max_metadata_size', _MAX_METADATA_BYTES),
+    ('grpc.server_handshake_timeout_ms', _HANDSHAKE_TIMEOUT_MS),
+    ('grpc.max_concurrent_streams', _MAX_CONCURRENT_STREAMS),
     *_OPTIONS,
 )
 
@@ -91,6 +108,8 @@
 
     _synchronizer: ViewSynchronizer
     _clock: Callable[[], float]
+    #: `max_fds` of the VM; 0 if unknown.
+    _max_descriptors: int = 0
     _server: aio.Server | None = None
 
     async def start(self, address: str) -> int:
@@ -98,7 +117,13 @@
 
         Raise RuntimeError if the address cannot be bound.
         """
-        server = aio.server(options=_SERVER_OPTIONS)
+        max_connections = _connection_limit(self._max_descriptors)
+        server = aio.server(
+            options=(
+                *_SERVER_OPTIONS,
+                ('grpc.max_allowed_incoming_connections', max_connections),
+            )
+        )
         methods = {
             _METHOD: unary_unary_rpc_method_handler(self._handle_request)
         }
@@ -293,6 +318,11 @@
         logger.bind(address=address).debug('link opened')
 
 
+def _connection_limit(max_descriptors: int) -> int:
+    usable = (max_descriptors or _DEFAULT_MAX_DESCRIPTORS) - _FILE_DESCRIPTORS
+    return max(_MIN_CONNECTIONS, usable // _DESCRIPTOR_DIVISOR)
+
+
 async def _send_request(channel: aio.Channel, request: SyncRequest) -> bytes:
     """Send a request and return the encoded response.
 
--- a/dragonflyramp/metrics_http.py
+++ b/dragonflyramp/metrics_http.py
@@ -8,7 +8,15 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
+from dragonflyramp.callers import (
+    INTERNAL_PORT_LIMITS,
+    INTERNAL_REQUEST_LIMITS,
+    ConnectionGuard,
+    GuardedAppRunner,
+    check_connections,
+)
 from dragonflyramp.metrics import counters
+from dragonflyramp.runtime import TaskSet
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -19,6 +27,7 @@
     #: if the port was one of a front that has ended.
     caller_header: str
     _runner: web.AppRunner | None = attrs.field(init=False, default=None)
+    _tasks: TaskSet = attrs.field(init=False, factory=TaskSet)
 
     async def start(self, host: str, port: int) -> str:
         """Listen and return the bound `IP:port`.
@@ -27,7 +36,11 @@
         """
         application = web.Application(middlewares=[self._refuse_caller])
         application.add_routes([web.get('/metrics', _handle_scrape)])
-        self._runner = web.AppRunner(application, access_log=None)
+        guard = ConnectionGuard(
+            'metrics', INTERNAL_PORT_LIMITS, lambda: INTERNAL_REQUEST_LIMITS
+        )
+        self._runner = GuardedAppRunner(application, guard, access_log=None)
+        self._tasks.start(check_connections(guard), 'connection_checks')
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
         bound_host, bound_port = self._runner.addresses[0][:2]
@@ -35,6 +48,7 @@
 
     async def stop(self) -> None:
         """Close the port and the open connections."""
+        await self._tasks.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -11,9 +12,20 @@
 from loguru import logger
 
 from dragonflyramp.backends import UnprovenSuccessError
-from dragonflyramp.callers import Front, Query, Refusal, RunningQueries
+from dragonflyramp.callers import (
+    INTERNAL_PORT_LIMITS,
+    INTERNAL_REQUEST_LIMITS,
+    ConnectionGuard,
+    Front,
+    GuardedServer,
+    Query,
+    RunningQueries,
+    check_connections,
+    frontend_limits,
+)
+from dragonflyramp.machine_settings import VmLimits
 from dragonflyramp.messages import Headers, Request
-from dragonflyramp.metrics import counters
+from dragonflyramp.metrics import counters, gauges
 from dragonflyramp.platform import _headers as http_headers
 from dragonflyramp.platform._answers_http import (
     CallerResponse,
@@ -23,22 +35,20 @@
     encode_unproven,
 )
 from dragonflyramp.platform._body_memory import BodyMemory
+from dragonflyramp.platform._request_bodies_http import (
+    BodyLimits,
+    read_body,
+    refuse_body,
+)
 from dragonflyramp.results import ResultCode
+from dragonflyramp.routes import RequestLimits
+from dragonflyramp.runtime import TaskSet
 
 _SUPPORTED_UPGRADE = 'websocket'
 _READINESS_PATH = '/api/ready'
-#: Callers may keep connections idle for this long; closing an idle connection
-#: earlier could race with its next request.
-_KEEP_ALIVE_TIMEOUT_SECONDS = 75.0
-#: Limit on the request line and on each header; it equals the platform's limit
-#: on all headers together.
-_MAX_LINE_BYTES = 16384
 #: Limit on a body before the first configuration.
 _DEFAULT_MAX_BODY_BYTES = 1024 * 1024
-#: Timeout for reading a body when the caller sends no deadline.
-_BODY_TIMEOUT_SECONDS = 10.0
-#: Retry delay for callers whose bodies do not fit into the memory.
-_MEMORY_RETRY_AFTER_SECONDS = 0.2
+_DEFAULT_LIMITS = RequestLimits()
 #: Interval between checks for running requests while draining.
 _DRAIN_POLL_INTERVAL_SECONDS = 0.05
 #: Consecutive checks without a running request that complete the drain.
@@ -53,10 +63,12 @@
 
     _front: Front
     _clock: Callable[[], float]
+    _vm_limits: VmLimits = VmLimits()
     _queries: RunningQueries = attrs.field(init=False)
     _body_memory: BodyMemory = attrs.field(factory=BodyMemory)
     _runner: web.ServerRunner | None = None
     _readiness_runner: web.ServerRunner | None = None
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     def __attrs_post_init__(self) -> None:
         """Run the queries on the front."""
@@ -68,9 +80,24 @@
         Raise OSError if an address cannot be bound, ValueError if its port is
         not a number, and OverflowError if its port is above 65535.
         """
-        self._runner = await _listen(self._handle_request, frontend)
+        guard = ConnectionGuard(
+            'frontend',
+            frontend_limits(self._vm_limits),
+            functools.partial(_request_limits, self._front),
+        )
+        gauges.register('caller_connections', lambda: len(guard))
+        gauges.register('caller_held_bytes', lambda: guard.held_bytes)
+        gauges.register('caller_unsent_bytes', lambda: guard.unsent_bytes)
+        self._runner = await _listen(self._handle_request, frontend, guard)
+        readiness_guard = ConnectionGuard(
+            'readiness', INTERNAL_PORT_LIMITS, lambda: INTERNAL_REQUEST_LIMITS
+        )
         self._readiness_runner = await _listen(
-            self._handle_readiness, readiness
+            self._handle_readiness, readiness, readiness_guard
+        )
+        self._tasks.start(check_connections(guard), 'connection_checks')
+        self._tasks.start(
+            check_connections(readiness_guard), 'connection_checks'
         )
         host, port = self._runner.addresses[0][:2]
         return f'{host}:{port}'
@@ -102,6 +129,7 @@
 
     async def stop(self) -> None:
         """Close the ports and the open connections."""
+        await self._tasks.cancel()
         for runner in (self._runner, self._readiness_runner):
             if runner is not None:
                 await runner.cleanup()
@@ -136,10 +164,10 @@
             request.headers.get(http_headers.DEADLINE_MS)
         )
         table = self._front.current_table()
-        body = await _read_body(
+        body = await read_body(
             request,
             deadline_ms,
-            _BodyLimits(
+            BodyLimits(
                 _DEFAULT_MAX_BODY_BYTES
                 if table is None
                 else table.max_body_bytes,
@@ -147,7 +175,7 @@
             ),
         )
         if isinstance(body, ResultCode):
-            refusal = encode_refusal(_refuse_body(body))
+            refusal = encode_refusal(refuse_body(body))
             # The rest of the body is not read.
             refusal.force_close()
             return refusal
@@ -202,14 +230,13 @@
 async def _listen(
     handler: Callable[..., object],  # noqa: WPS110 - as in aiohttp
     address: str,
+    guard: ConnectionGuard,
 ) -> web.ServerRunner:
-    server = web.Server(
-        handler,  # type: ignore[arg-type]
+    server = GuardedServer(
+        handler,
+        guard=guard,
         handler_cancellation=True,
         access_log=None,
-        keepalive_timeout=_KEEP_ALIVE_TIMEOUT_SECONDS,
-        max_line_size=_MAX_LINE_BYTES,
-        max_field_size=_MAX_LINE_BYTES,
         auto_decompress=False,
     )
     runner = web.ServerRunner(
@@ -221,57 +248,9 @@
     return runner
 
 
-@attrs.frozen
-class _BodyLimits:
-    """Limits on the body of one request, and on those of all together."""
-
-    max_bytes: int
-    memory: BodyMemory
-
-
-def _refuse_body(code: ResultCode) -> Refusal:
-    if code is ResultCode.queue_full:
-        counters.add('refusals', code.name)
-        return Refusal(
-            code=code, retry_after_seconds=_MEMORY_RETRY_AFTER_SECONDS
-        )
-    return Refusal(code=code)
-
-
-async def _read_body(
-    request: web.BaseRequest, deadline_ms: float | None, limits: _BodyLimits
-) -> bytes | ResultCode:
-    """Read the body.
-
-    Return body_too_large, bad_request, or queue_full if the bodies of all
-    requests take too much memory.
-    """
-    if not request.body_exists:
-        return b''
-    if (request.content_length or 0) > limits.max_bytes:
-        return ResultCode.body_too_large
-    timeout_seconds = (
-        _BODY_TIMEOUT_SECONDS if deadline_ms is None else deadline_ms / 1000
-    )
-    try:
-        async with asyncio.timeout(timeout_seconds):
-            return await _read_pieces(request, limits)
-    except (TimeoutError, web.RequestPayloadError) as error:
-        logger.bind(reason=repr(error)).info('failed to read the request body')
-        return ResultCode.bad_request
-
-
-async def _read_pieces(
-    request: web.BaseRequest, limits: _BodyLimits
-) -> bytes | ResultCode:
-    body = bytearray()
-    async for piece in request.content.iter_any():
-        body.extend(piece)
-        if len(body) > limits.max_bytes:
-            return ResultCode.body_too_large
-        if not limits.memory.try_hold(id(request), len(body)):
-            return ResultCode.queue_full
-    return bytes(body)
+def _request_limits(front: Front) -> RequestLimits:
+    table = front.current_table()
+    return _DEFAULT_LIMITS if table is None else table.request_limits
 
 
 def _decode_headers(request: web.BaseRequest) -> Headers:
--- a/dragonflyramp/platform/_store_decoders.py
+++ b/dragonflyramp/platform/_store_decoders.py
@@ -23,6 +23,7 @@
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import (
     GatherSettings,
+    RequestLimits,
     Route,
     RoutingTable,
     ServicePolicy,
@@ -49,6 +50,7 @@
 #: The end of the year 2999.
 _MAX_UNIX_MS = 32_503_680_000_000
 _MAX_VERSION_LENGTH = 200
+_MS_PER_SECOND = 1000
 
 
 def decode_routing_table(stored_object: Fields) -> RoutingTable | None:
@@ -79,10 +81,33 @@
             0,
             _MAX_COUNT,
         ),
+        request_limits=_parse_request_limits(limits),
         tenants=parse_tenants(spec.get('tenants')),
     )
 
 
+def _parse_request_limits(limits: Fields) -> RequestLimits:
+    """Parse the limits; those that are missing or 0 have their default."""
+    default = RequestLimits()
+    default_header_ms = default.header_timeout_seconds * _MS_PER_SECOND
+    default_idle_ms = default.idle_timeout_seconds * _MS_PER_SECOND
+    return RequestLimits(
+        max_header_bytes=require_int(
+            limits.get('max_header_bytes') or default.max_header_bytes,
+            0,
+            _MAX_COUNT,
+        ),
+        header_timeout_seconds=_parse_ms(
+            limits.get('header_timeout_ms') or default_header_ms
+        )
+        / _MS_PER_SECOND,
+        idle_timeout_seconds=_parse_ms(
+            limits.get('idle_timeout_ms') or default_idle_ms
+        )
+        / _MS_PER_SECOND,
+    )
+
+
 def _parse_route(fields: Fields) -> Route:
     timeout_ms = _parse_ms(fields.get('timeout_ms') or _DEFAULT_TIMEOUT_MS)
     return Route(
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -89,6 +89,23 @@
     return MappingProxyType(dict(service_policies))
 
 
+@attrs.frozen(kw_only=True)
+class RequestLimits:
+    """Limits on the requests of one connection.
+
+    The defaults hold before the first configuration. No caller inside the
+    limits that the platform publishes meets them.
+    """
+
+    #: Limit on all headers of a request, without its request line.
+    max_header_bytes: int = 65_536
+    #: Time from the first byte of a head until its end.
+    header_timeout_seconds: float = 30
+    #: Time without a request. Callers reuse connections that were idle for up
+    #: to four fifths of it.
+    idle_timeout_seconds: float = 75
+
+
 @attrs.frozen(kw_only=True)
 class RoutingTable:
     """Immutable routing table of one accepted configuration version."""
@@ -101,6 +118,7 @@
     )
     #: Limit on the body of a caller's request.
     max_body_bytes: int
+    request_limits: RequestLimits = RequestLimits()
     #: None if callers need no API keys.
     tenants: TenantDirectory | None = None
     _routes_by_host: Mapping[str, tuple[Route, ...]] = attrs.field(init=False)
--- a/dragonflyramp/tools/_backend_components.py
+++ b/dragonflyramp/tools/_backend_components.py
@@ -31,7 +31,7 @@
             Connection,
             codec=ReplicaCodec(),
             clock=clock,
-            memory=ReplyMemory(),
+            memory=_create_reply_memory(machine),
         ),
         tasks=connection_tasks,
         order=ReplicaOrder(
@@ -44,6 +44,14 @@
     )
 
 
+def _create_reply_memory(machine: MachineSettings) -> ReplyMemory:
+    memory = ReplyMemory()
+    share_bytes = machine.vm_limits.memory_bytes // _REPLY_MEMORY_DIVISOR
+    if share_bytes:
+        memory.max_bytes = min(memory.max_bytes, share_bytes)
+    return memory
+
+
 def create_backend_client(
     machine: MachineSettings,
     fleet: Fleet,
@@ -65,3 +73,8 @@
         peers=synchronizer.cluster,
         slow_replica_detector=synchronizer.slow_replica_detector,
     )
+
+
+#: Replies that are being received take up to this part of the memory. With
+#: 200 MB and more it is the default of ReplyMemory.
+_REPLY_MEMORY_DIVISOR = 12
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -13,7 +13,12 @@
     Preconnector,
     apply_peer_latency_ratios,
 )
-from dragonflyramp.callers import Claims, Front, NativeApi, NativeApiServer
+from dragonflyramp.callers import (
+    Claims,
+    Front,
+    NativeApi,
+    NativeApiServer,
+)
 from dragonflyramp.machine_settings import MachineSettings
 from dragonflyramp.members import (
     DAEMONS_KIND,
@@ -191,10 +196,12 @@
         settings=settings,
         machine=machine,
         front=front,
-        front_server=FrontServer(front, _CLOCK),
-        native_api_server=_create_native_api_server(front, store),
+        front_server=FrontServer(front, _CLOCK, machine.vm_limits),
+        native_api_server=_create_native_api_server(front, store, machine),
         metrics_server=MetricsServer(caller_header=REQUEST_ID),
-        sync_server=SyncServer(synchronizer, _CLOCK),
+        sync_server=SyncServer(
+            synchronizer, _CLOCK, machine.vm_limits.max_descriptors
+        ),
         hub_links=dispatcher.hub_links,
         registrar=Registrar(
             store=store,
@@ -261,7 +268,7 @@
 
 
 def _create_native_api_server(
-    front: Front, store: StoreClient
+    front: Front, store: StoreClient, machine: MachineSettings
 ) -> NativeApiServer:
     return NativeApiServer(
         NativeApi(
@@ -270,7 +277,8 @@
             clock=_CLOCK,
             name_search_route=search_route_name,
             name_submit_route=submit_route_name,
-        )
+        ),
+        machine.vm_limits,
     )
 
 
--- a/tests/test_untrusted_callers.py
+++ b/tests/test_untrusted_callers.py
@@ -271,7 +271,9 @@
         for _ in range(_SLOW_BYTES):
             writer.write(b'y')
             try:
-                await asyncio.wait_for(reader.read(1), _SLOW_PAUSE_SECONDS)
+                await asyncio.wait_for(
+                    reader.read(_BLOCK_BYTES), _SLOW_PAUSE_SECONDS
+                )
             except TimeoutError:
                 continue
             except ConnectionError:
