--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -11,7 +11,6 @@
 _headers        header names and the parsing of header values
 _answers_http   encoding of answers; what makes a success
 _front_http     HTTP server for callers and readiness checks
-_servers_http   failures of malformed requests, without their text
 _body_memory    limit on the memory of the bodies of callers' requests
 _backend_http   encoding of requests to replicas, decoding of replies
 """
--- a/dragonflyramp/tools/_caller_components.py
+++ b/dragonflyramp/tools/_caller_components.py
@@ -10,7 +10,7 @@
     NativeApi,
     NativeApiServer,
 )
-from dragonflyramp.machine_settings import RevocationBounds
+from dragonflyramp.machine_settings import RevocationBounds, VmLimits
 from dragonflyramp.members import ViewSynchronizer, news_age_seconds
 from dragonflyramp.platform import StoreClient, parse_api_key
 from dragonflyramp.routes import search_route_name, submit_route_name
@@ -30,7 +30,10 @@
 
 
 def create_native_api_server(
-    front: Front, store: StoreClient, clock: Callable[[], float]
+    front: Front,
+    store: StoreClient,
+    vm_limits: VmLimits,
+    clock: Callable[[], float],
 ) -> NativeApiServer:
     """Create the server of the native API."""
     return NativeApiServer(
@@ -41,5 +44,6 @@
             name_search_route=search_route_name,
             name_submit_route=submit_route_name,
             parse_api_key=parse_api_key,
-        )
+        ),
+        vm_limits,
     )
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -205,10 +205,14 @@
         settings=settings,
         machine=machine,
         front=front,
-        front_server=FrontServer(front, _CLOCK),
-        native_api_server=create_native_api_server(front, store, _CLOCK),
+        front_server=FrontServer(front, _CLOCK, machine.vm_limits),
+        native_api_server=create_native_api_server(
+            front, store, machine.vm_limits, _CLOCK
+        ),
         metrics_server=MetricsServer(caller_header=REQUEST_ID),
-        sync_server=SyncServer(synchronizer, _CLOCK),
+        sync_server=SyncServer(
+            synchronizer, _CLOCK, machine.vm_limits.max_descriptors
+        ),
         hub_links=dispatcher.hub_links,
         registrar=Registrar(
             store=store,
