--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import json
+import math
 import zlib
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -58,6 +59,10 @@
 #: Delays after a failed request, to a reachable and to an unreachable daemon.
 _RETRY_DELAY_SECONDS = 0.2
 _PROBE_DELAY_SECONDS = 1.0
+#: A request is not replaced sooner than this after it was sent. Responses that
+#: are under way would be lost and sent again each time: with 60 fronts and many
+#: ends of replicas, hubs with links of 10 Mbit/s answered nothing for seconds.
+_MIN_RENEWAL_SECONDS = 0.3
 #: Pause between requests, which limits their rate while changes follow each
 #: other quickly.
 _REQUEST_PAUSE_SECONDS = 0.02
@@ -194,14 +199,31 @@
     #: Connection to the other daemon, while it works.
     channel: aio.Channel | None = None
     _pending_request: asyncio.Task[bytes] | None = None
+    _sent_at_seconds: float = -math.inf
+    #: Timer that replaces the open request.
+    _renewal: asyncio.TimerHandle | None = None
     _failing_since_seconds: float | None = None
     _progress: LinkProgress = NO_PROGRESS
     _is_connected: bool = False
 
     def renew_request(self) -> None:
-        """Replace the open request with one that has the current revisions."""
-        if self._pending_request is not None:
-            self._pending_request.cancel()
+        """Replace the open request with one that has the current revisions.
+
+        A request that was sent a moment ago is replaced later, unless it is
+        answered before.
+        """
+        pending = self._pending_request
+        if pending is None or pending.done() or self._renewal is not None:
+            return
+        delay_seconds = (
+            self._sent_at_seconds + _MIN_RENEWAL_SECONDS - self._clock()
+        )
+        if delay_seconds <= 0:
+            pending.cancel()
+            return
+        self._renewal = asyncio.get_running_loop().call_later(
+            delay_seconds, pending.cancel
+        )
 
     async def run(self) -> None:
         """Send one request after another until cancelled."""
@@ -236,9 +258,11 @@
         )
         pending = asyncio.create_task(_send_request(channel, request))
         self._pending_request = pending
+        self._sent_at_seconds = started_at_seconds
         with contextlib.ExitStack() as cleanup:
             # Cancels the request when the link is closed.
             cleanup.callback(pending.cancel)
+            cleanup.callback(self._drop_renewal)
             await asyncio.wait((pending,))
         if pending.cancelled():
             return True
@@ -252,6 +276,11 @@
         self._record_response(request, response)
         return True
 
+    def _drop_renewal(self) -> None:
+        if self._renewal is not None:
+            self._renewal.cancel()
+            self._renewal = None
+
     def _record_response(
         self, request: SyncRequest, response: SyncResponse
     ) -> None:
