--- a/dragonflyramp/runtime.py
+++ b/dragonflyramp/runtime.py
@@ -77,6 +77,7 @@
     # visit them.
     gc.freeze()
     gc.set_threshold(*_GC_THRESHOLDS)
+    gc.enable()
     # Not aiomisc's entrypoint: its import takes a fifth of the start-up time.
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.get_loop().set_exception_handler(_report_loop_failure)
