Let an object of the store cost only itself, whatever it holds

Cause: the limit on decoded values counted a whole reply of the store, and a reply beyond it was dropped, in listings and in watches, each time again. The log shows it: `store lost` with kind `servers` and code `body_too_large`.

Change: long replies are split while they arrive, objects are decoded one at a time and reduced to the fields that the product reads, and one that cannot be held is left out under its name and reported once. The objects of a kind have a share of the VM's memory, beyond which the largest are left out first. The same on related paths: single reads, error replies with a large body (a front whose own entry was spoilt never registered again), messages between daemons, names at the end of a page that cannot be sent.

Tests: test_fronts_follow_list_with_large_entries failed before (no front ready within the limit of the test) and passes now. Three checks demanded that a reply or a message fails as a whole; in their place, the other objects have to be read within the same memory. is_within_limits gave way to measure_bytes, with the same cases and its limits in bytes.

--- a/dragonflyramp/_changes.py
+++ b/dragonflyramp/_changes.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any, TypeAlias
 
 import attrs
 
-#: Decoded JSON object.
-Fields: TypeAlias = dict[str, Any]
+from dragonflyramp.stored_objects import Fields, HeldObjects
 
 
 def _frozen_copy(objects_by_name: Mapping[str, Fields]) -> Mapping[str, Fields]:
@@ -36,6 +34,8 @@
         converter=_frozen_copy, repr=False
     )
     era: int = 0
+    #: Whether no object was left out for want of room.
+    is_complete: bool = True
 
     @property
     def position(self) -> Position:
@@ -75,12 +75,12 @@
     which these changes go.
     """
 
+    held: HeldObjects = attrs.field(factory=lambda: HeldObjects(''))
     #: Revision of the oldest page, or of the last changes.
     revision: int = 0
     #: Era of the first page.
     era: int = 0
     _newest_revision: int = 0
-    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict, repr=False)
 
     @property
     def needs_changes(self) -> bool:
@@ -97,23 +97,29 @@
             page.revision if is_first else min(self.revision, page.revision)
         )
         self._newest_revision = max(self._newest_revision, page.revision)
-        self._objects_by_name.update(page.objects_by_name)
+        for name, fields in page.objects_by_name.items():
+            self.held.put(name, fields)
         return True
 
     def apply(self, changes: ChangeBatch) -> None:
         """Apply the changes after `revision`."""
         for change in changes.changes:
-            apply_change(self._objects_by_name, change)
+            apply_change(self.held, change)
         self.revision = changes.revision
 
     def build(self) -> Listing:
         """Return the objects as of `revision`."""
-        return Listing(self.revision, self._objects_by_name, self.era)
+        return Listing(
+            self.revision,
+            self.held.by_name,
+            self.era,
+            is_complete=not self.held.is_incomplete,
+        )
 
 
-def apply_change(objects_by_name: dict[str, Fields], change: Change) -> None:
-    """Change or remove one object."""
-    if change.fields is None:
-        objects_by_name.pop(change.name, None)
-    else:
-        objects_by_name[change.name] = change.fields
+def apply_change(held: HeldObjects, change: Change) -> set[str]:
+    """Change or remove one object; return the names of those left out."""
+    if change.fields is not None:
+        return held.put(change.name, change.fields)
+    held.remove(change.name)
+    return set()
--- a/dragonflyramp/members/__init__.py
+++ b/dragonflyramp/members/__init__.py
@@ -17,14 +17,19 @@
 _hub_links      selection of the daemons from which to request changes
 _quota_messages encoding of the messages on quotas
 _grants_grpc    asks of quota servers, and answers to them
+_view_updates   updates of views in messages, and their encoding
 _links_grpc     gRPC server, and one client task for each link to a daemon
 """
 
 from dragonflyramp.members._clusters import Cluster, quota_hubs
 from dragonflyramp.members._hub_links import HubLinks
 from dragonflyramp.members._links_grpc import SyncServer
-from dragonflyramp.members._memberships import Daemon, Membership
-from dragonflyramp.members._registrars import DAEMONS_KIND, Registrar
+from dragonflyramp.members._memberships import (
+    DAEMONS_KIND,
+    Daemon,
+    Membership,
+)
+from dragonflyramp.members._registrars import Registrar
 from dragonflyramp.members._suspect_objects import (
     SUSPECTS_KIND,
     SuspectObjects,
--- a/dragonflyramp/members/_links_grpc.py
+++ b/dragonflyramp/members/_links_grpc.py
@@ -36,6 +36,7 @@
     NO_PROGRESS,
     LinkProgress,
     ViewSynchronizer,
+    lacks_changes,
 )
 from dragonflyramp.metrics import counters
 from dragonflyramp.object_limits import DECODE_ERRORS, has_few_values
@@ -182,7 +183,7 @@
         self._synchronizer.quota_leasing.accept_offer(request.quota_offer)
         await self._synchronizer.wait_for_changes(request)
         response = self._synchronizer.build_response(request, self._clock())
-        return _serialize(encode_response(response))
+        return _serialize_response(response)
 
 
 @attrs.define(eq=False)
@@ -233,7 +234,7 @@
                 # connection does not always report an error.
                 self.channel = channel
                 while await self._poll(channel):
-                    await asyncio.sleep(_REQUEST_PAUSE_SECONDS)
+                    await asyncio.sleep(_pause_seconds(self._synchronizer))
                 self.channel = None
             is_unreachable = self._is_unreachable(self._clock())
             await asyncio.sleep(
@@ -381,6 +382,13 @@
         logger.bind(address=address).debug('link opened')
 
 
+def _pause_seconds(synchronizer: ViewSynchronizer) -> float:
+    # Other daemons respond at once to one that has not listed yet.
+    if lacks_changes(synchronizer):
+        return _MIN_RENEWAL_SECONDS
+    return _REQUEST_PAUSE_SECONDS
+
+
 def _connection_limit(max_descriptors: int) -> int:
     usable = (max_descriptors or _DEFAULT_MAX_DESCRIPTORS) - _FILE_DESCRIPTORS
     return max(_MIN_CONNECTIONS, usable // _DESCRIPTOR_DIVISOR)
@@ -413,8 +421,29 @@
     return aio.insecure_channel(f'ipv4:{address}', options=_CLIENT_OPTIONS)
 
 
+def _serialize_response(response: SyncResponse) -> bytes:
+    """Serialize a response, without changes if they have no room."""
+    body = _encode_json(encode_response(response))
+    if len(body) > _MAX_MESSAGE_BYTES or not has_few_values(body):
+        counters.add('member_failures', 'changes_too_large')
+        without_changes = tuple(
+            attrs.evolve(update, changes=None) for update in response.updates
+        )
+        body = _encode_json(
+            encode_response(attrs.evolve(response, updates=without_changes))
+        )
+    return _compress(body)
+
+
 def _serialize(fields: Fields) -> bytes:
-    body = json.dumps(fields, separators=(',', ':')).encode()
+    return _compress(_encode_json(fields))
+
+
+def _encode_json(fields: Fields) -> bytes:
+    return json.dumps(fields, separators=(',', ':')).encode()
+
+
+def _compress(body: bytes) -> bytes:
     if len(body) < _COMPRESSION_THRESHOLD_BYTES:
         return body
     return zlib.compress(body, _COMPRESSION_LEVEL)
--- a/dragonflyramp/members/_memberships.py
+++ b/dragonflyramp/members/_memberships.py
@@ -7,8 +7,15 @@
 
 from dragonflyramp.metrics import counters
 from dragonflyramp.rendezvous import rendezvous_hash
+from dragonflyramp.stored_objects import (
+    LeftOutReason,
+    find_left_out_reason,
+    report_left_out,
+)
 from dragonflyramp.views import Fields
 
+#: Kind of the daemons' entries in the store.
+DAEMONS_KIND = 'dragonflyramp-daemons'
 #: A daemon may go on sending requests to replicas after its last message to
 #: this one, so it keeps its share of the limits for this long.
 _CONTACT_TTL_SECONDS = 60
@@ -111,6 +118,8 @@
     name, fields = named_entry
     spec = fields.get('spec')
     if not isinstance(spec, dict):
+        if find_left_out_reason(fields) is None:
+            report_left_out(DAEMONS_KIND, name, LeftOutReason.malformed)
         return None
     try:
         return decode_daemon(
@@ -118,6 +127,7 @@
         )
     except (TypeError, ValueError):
         counters.add('bad_objects', 'daemon')
+        report_left_out(DAEMONS_KIND, name, LeftOutReason.malformed)
         return None
 
 
--- a/dragonflyramp/members/_registrars.py
+++ b/dragonflyramp/members/_registrars.py
@@ -11,12 +11,11 @@
 from returns.result import Failure, Result
 
 from dragonflyramp.members._clusters import Cluster
+from dragonflyramp.members._memberships import DAEMONS_KIND
 from dragonflyramp.results import ResultCode
 from dragonflyramp.stores import KeyedStore
 from dragonflyramp.views import View
 
-#: Kind of the daemons' entries in the store.
-DAEMONS_KIND = 'dragonflyramp-daemons'
 #: Initial and maximum delay between attempts while the store is unavailable.
 _INITIAL_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 2
--- a/dragonflyramp/members/_suspect_objects.py
+++ b/dragonflyramp/members/_suspect_objects.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import attrs
-from loguru import logger
 from returns.result import Failure
 
 from dragonflyramp.members._suspicion_fields import (
@@ -16,6 +15,11 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.object_limits import DECODE_ERRORS
 from dragonflyramp.results import ResultCode
+from dragonflyramp.stored_objects import (
+    LeftOutReason,
+    find_left_out_reason,
+    report_left_out,
+)
 from dragonflyramp.stores import KeyedStore, StoreEra
 from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
 from dragonflyramp.views import Fields, Position, View
@@ -81,8 +85,9 @@
             stored = decode_record(fields, self.view.position.era)
             if stored is None:
                 counters.add('bad_objects', 'suspect')
-                logger.bind(fingerprint=name).warning(
-                    'record of a suspect request is malformed; it is ignored'
+                reason = find_left_out_reason(fields)
+                report_left_out(
+                    SUSPECTS_KIND, name, reason or LeftOutReason.malformed
                 )
             else:
                 self._apply(name, stored, now_seconds)
--- a/dragonflyramp/members/_sync_messages.py
+++ b/dragonflyramp/members/_sync_messages.py
@@ -22,7 +22,11 @@
     require_count,
     require_short_text,
 )
-from dragonflyramp.object_limits import is_within_limits
+from dragonflyramp.members._view_updates import (
+    ViewUpdate,
+    decode_update,
+    encode_update,
+)
 from dragonflyramp.quotas import LeaseOffer, LeaseStamp
 from dragonflyramp.replica_notices import NO_LEAVING_REPLICAS, LeavingReplicas
 from dragonflyramp.rollouts import NO_ROLLOUT_REPORT, RolloutReport
@@ -32,7 +36,7 @@
     NOT_REPORTED_VERSION,
     SuspicionReport,
 )
-from dragonflyramp.views import Change, ChangeBatch, Fields, Listing
+from dragonflyramp.views import Fields
 
 #: JSON has no infinity, so ages are limited; a view this old is of no use.
 MAX_AGE_SECONDS = 1e6
@@ -48,7 +52,6 @@
 _QUOTA_STAMP_KEY = 'quota_stamp'
 _ERAS_KEY = 'eras'
 _STORE_ERA_KEY = 'store_era'
-_ERA_KEY = 'era'
 
 
 @attrs.frozen(kw_only=True)
@@ -85,20 +88,6 @@
     quota_offer: LeaseOffer | None = None
 
 
-@attrs.frozen(kw_only=True)
-class ViewUpdate:
-    """Changes of one view for another daemon; ages are as of sending."""
-
-    kind: str
-    revision: int
-    age_seconds: float
-    #: How long ago the store became available again after an outage.
-    outage_age_seconds: float
-    era: int = 0
-    #: None if the revision of the other daemon's view is not older.
-    changes: ChangeBatch | Listing | None = None
-
-
 @attrs.frozen(kw_only=True)
 class SyncResponse:
     """Updates of views and a report of slow replicas for another daemon."""
@@ -171,7 +160,7 @@
         _SENDER_KEY: attrs.astuple(response.sender),
         'store_lost': response.is_store_lost,
         _AGGREGATES_KEY: _encode_aggregates(response.report),
-        'told': [_encode_update(update) for update in response.updates],
+        'told': [encode_update(update) for update in response.updates],
         _LEAVING_KEY: dict(response.leaving),
         **_encode_suspicions(response.suspicions),
         _QUOTA_STAMP_KEY: encode_stamp(response.quota_stamp),
@@ -188,7 +177,7 @@
         sender=decode_daemon(*fields[_SENDER_KEY]),
         is_store_lost=bool(fields['store_lost']),
         report=_decode_aggregates(fields[_AGGREGATES_KEY]),
-        updates=tuple(_decode_update(update) for update in fields['told']),
+        updates=tuple(decode_update(update) for update in fields['told']),
         leaving=_decode_leaving(fields),
         suspicions=_decode_suspicions(fields),
         quota_stamp=decode_stamp(fields.get(_QUOTA_STAMP_KEY)),
@@ -236,16 +225,6 @@
     }
 
 
-def _limit(object_fields: Any) -> Any:
-    """Return an object of another daemon, or raise ValueError.
-
-    A daemon that kept one that is too deep could not respond to others.
-    """
-    if is_within_limits(object_fields, _MAX_OBJECT_SIZE):
-        return object_fields
-    raise ValueError('an object is nested too deeply or too large')
-
-
 def _encode_aggregates(aggregates: LatencyAggregates) -> Fields:
     return {
         replica_id: (round(aggregate.count, 2), round(aggregate.ratio_sum, 2))
@@ -260,57 +239,6 @@
     }
 
 
-def _encode_update(update: ViewUpdate) -> Fields:
-    fields: Fields = {
-        'kind': update.kind,
-        'revision': update.revision,
-        'age': round(update.age_seconds, 3),
-        'outage_age': round(update.outage_age_seconds, 3),
-    }
-    if update.era:
-        fields[_ERA_KEY] = update.era
-    if isinstance(update.changes, Listing):
-        fields['all'] = dict(update.changes.objects_by_name)
-    elif update.changes is not None:
-        fields['changes'] = [
-            (change.name, change.fields) for change in update.changes.changes
-        ]
-    return fields
-
-
-def _decode_update(fields: Fields) -> ViewUpdate:
-    revision = int(fields['revision'])
-    era = require_count(fields.get(_ERA_KEY, 0))
-    changes: ChangeBatch | Listing | None = None
-    objects_by_name = fields.get('all')
-    encoded_changes = fields.get('changes')
-    if objects_by_name is not None:
-        changes = Listing(
-            revision,
-            {
-                str(name): _limit(object_fields)
-                for name, object_fields in objects_by_name.items()
-            },
-            era,
-        )
-    elif encoded_changes is not None:
-        decoded_changes = tuple(
-            Change(str(name), _limit(object_fields))
-            for name, object_fields in encoded_changes
-        )
-        changes = ChangeBatch(revision, decoded_changes, era)
-    return ViewUpdate(
-        kind=str(fields['kind']),
-        revision=revision,
-        era=era,
-        age_seconds=float(fields['age']),
-        outage_age_seconds=float(fields['outage_age']),
-        changes=changes,
-    )
-
-
-#: Limit on an object in a message.
-_MAX_OBJECT_SIZE = 10 * 1024 * 1024
 #: Limit on the wait that a request may ask for, because each waiting request
 #: occupies a task of the responding daemon.
 _MAX_WAIT_SECONDS = 30
--- a/dragonflyramp/members/_synchronizers.py
+++ b/dragonflyramp/members/_synchronizers.py
@@ -11,8 +11,9 @@
     MAX_AGE_SECONDS,
     SyncRequest,
     SyncResponse,
-    ViewUpdate,
 )
+from dragonflyramp.members._view_updates import ViewUpdate
+from dragonflyramp.metrics import counters
 from dragonflyramp.quotas import NoQuotaLeasing, QuotaLeasing
 from dragonflyramp.replica_notices import ReplicaNotices
 from dragonflyramp.rollouts import ReportedAnswers
@@ -29,6 +30,8 @@
 #: Leaving replicas are sent again for this long, because the daemons do not
 #: share a clock and a message takes a while.
 _LEAVING_OVERLAP_SECONDS = 1.5
+#: Objects that take more memory have no room in a message.
+_MAX_UPDATE_BYTES = 8_388_608
 #: A watch confirms a view more often than this while the store is available.
 _MAX_INFORMED_AGE_SECONDS = 5
 
@@ -204,17 +207,34 @@
         names: set[str] = set()
         if isinstance(update.changes, Listing):
             names = view.replace(update.changes, confirmed_at_seconds)
-        elif update.changes is not None:
+        elif update.changes is None:
+            _confirm_view(view, position, confirmed_at_seconds)
+        else:
             names = view.apply(update.changes, confirmed_at_seconds)
-        elif position == view.position:
-            view.apply(
-                ChangeBatch(update.revision, (), update.era),
-                confirmed_at_seconds,
-            )
         if names:
             self.on_change(view.kind, names)
 
 
+def _confirm_view(
+    view: View, position: Position, confirmed_at_seconds: float
+) -> None:
+    """Confirm a view by an update without changes.
+
+    If its position is later, the changes are too large for a message.
+    """
+    if position > view.position:
+        view.lacks_changes = True
+        counters.add('watch_restarts', 'changes_too_large')
+    else:
+        unchanged = ChangeBatch(position.revision, (), position.era)
+        view.apply(unchanged, confirmed_at_seconds)
+
+
+def lacks_changes(synchronizer: ViewSynchronizer) -> bool:
+    """Return whether a view needs changes that messages do not bring."""
+    return any(view.lacks_changes for view in synchronizer.views.values())
+
+
 def is_informed(synchronizer: ViewSynchronizer, now_seconds: float) -> bool:
     """Return whether the store or another daemon has responded lately.
 
@@ -266,7 +286,7 @@
             known_position = Position()
         # If no object of this kind changed, the batch is empty, but carries the
         # revision from which a watch continues.
-        changes = view.changes_since(known_position)
+        changes = view.changes_since(known_position, _MAX_UPDATE_BYTES)
     return ViewUpdate(
         kind=view.kind,
         revision=view.revision,
--- a/dragonflyramp/members/_watchers.py
+++ b/dragonflyramp/members/_watchers.py
@@ -102,6 +102,8 @@
     def _is_needed(self, now_seconds: float) -> bool:
         if not self.view.revision or self.cluster.is_hub():
             return True
+        if self.view.needs_listing:
+            return True
         age_seconds = self.view.age_seconds(now_seconds)
         if age_seconds > _MAX_VIEW_AGE_SECONDS:
             return True
@@ -109,19 +111,14 @@
         return is_isolated and age_seconds > _MAX_ISOLATED_VIEW_AGE_SECONDS
 
     async def _call_store(self) -> None:
-        if (
-            self.view.revision
-            and self.view.position.era < self.store_era.number
+        if self.view.revision and not _is_listing_due(
+            self.view, self.store_era
         ):
-            # Revisions are given out again after a restore, so changes after
-            # that of the view are unknown.
-            counters.add('watch_restarts', 'new_era')
-            code = await self._list_objects(allow_stale=False)
-        elif self.view.revision:
             code = await self._watch_changes()
         else:
             code = await self._list_objects(
                 allow_stale=self.timing.allows_stale_listing
+                and not self.view.revision
             )
         if code is ResultCode.history_gone:
             counters.add('watch_restarts', 'history_gone')
@@ -191,6 +188,16 @@
             self.on_change(self.view.kind, names)
 
 
+def _is_listing_due(view: View, store_era: StoreEra) -> bool:
+    """Return whether a watch from the position of a view is of no use."""
+    if view.position.era < store_era.number:
+        # Revisions are given out again after a restore, so changes after that
+        # of the view are unknown.
+        counters.add('watch_restarts', 'new_era')
+        return True
+    return view.needs_listing
+
+
 _Watched: TypeAlias = Result[ChangeBatch, ResultCode]
 
 
--- a/dragonflyramp/platform/__init__.py
+++ b/dragonflyramp/platform/__init__.py
@@ -3,7 +3,10 @@
 _settings_file  settings file of the machine
 _api_http       HTTP client of the platform's API, with timeouts
 _store_http     client of the metadata store
-_store_replies  listings and changes in the replies of the store
+_store_replies  reading of the replies of the store, in bounded memory
+_reply_elements splitting of a reply into the objects that it lists
+_collectors     collection of the objects of listings and watches
+_kept_fields    fields that are kept of the objects of each kind
 _store_decoders decoding of configuration, replica entries and evacuations
 _tenant_fields  decoding of the tenants of the configuration
 _rollout_orders decoding of rollout orders, and writes of their status
--- a/dragonflyramp/platform/_api_http.py
+++ b/dragonflyramp/platform/_api_http.py
@@ -6,10 +6,10 @@
 import re
 import socket
 import time
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any
+from typing import Any, TypeAlias
 
 import aiohttp
 import attrs
@@ -17,8 +17,6 @@
 from returns.result import Failure, Result, Success
 
 from dragonflyramp.metrics import counters, latencies
-from dragonflyramp.object_limits import has_few_values
-from dragonflyramp.platform._json_replies import decode_json_object
 from dragonflyramp.results import ResultCode
 from dragonflyramp.stores import StoreEra
 from dragonflyramp.views import Fields
@@ -35,14 +33,24 @@
 #: abandoned, so that a new one can be made.
 _CONNECT_TIMEOUT_SECONDS = 1
 
-#: The store's pages have about 1 MB, and its objects too.
-_MAX_REPLY_BYTES = 8_388_608
+#: A long reply is read for this long, while its bytes arrive. A processor share
+#: of an eighth splits some 10 MB in this time.
+_MAX_READ_SECONDS = 20
+#: The body of an error is read up to this size, so that its connection can be
+#: used again.
+_MAX_ERROR_BYTES = 65_536
 
 _BASE_PATH = '/api/objects'
 _ERA_HEADER = 'Store-Era'
 _ERA_PATTERN = re.compile('[0-9]{1,9}')
 
 
+#: Reads the body of a success from its pieces; None if it is malformed.
+BodyReader: TypeAlias = Callable[
+    [AsyncIterator[bytes]], Awaitable[Fields | None]
+]
+
+
 @attrs.frozen(kw_only=True)
 class ApiCall:
     """Request to the object API, with its timeout."""
@@ -51,6 +59,7 @@
     purpose: str
     method: str = 'GET'
     path_and_query: str
+    read_body: BodyReader
     body: Fields | None = None
     #: None to use the client's timeout.
     timeout_seconds: float | None = None
@@ -58,7 +67,7 @@
 
 @attrs.frozen
 class ApiReply:
-    """JSON object of a reply, and the era of the store that sent it."""
+    """Fields of a reply, and the era of the store that sent it."""
 
     fields: Fields
     era: int
@@ -81,20 +90,20 @@
         self.era = StoreEra()
 
     async def send(self, call: ApiCall) -> Result[Fields, ResultCode]:
-        """Send one call and return the JSON object of the reply."""
+        """Send one call and return the fields of the reply."""
         call_result = await self.send_for_reply(call)
         return call_result.map(lambda reply: reply.fields)
 
     async def send_for_reply(
         self, call: ApiCall
     ) -> Result[ApiReply, ResultCode]:
-        """Send one call and return the JSON object of the reply and its era.
+        """Send one call and return the fields of the reply and its era.
 
         Failures are result codes, never exceptions: object_missing (status
         404), version_conflict (409), history_gone (410), body_too_large (413),
-        bad_reply if the body is not a JSON object, and platform_down for other
-        error statuses, connection errors, timeouts, and replies of an era that
-        is over. A reply that is too large to be held also gives body_too_large.
+        bad_reply if the body is malformed, and platform_down for other error
+        statuses, connection errors, timeouts, and replies of an era that is
+        over.
         """
         counters.add('platform_calls', call.purpose)
         started_at_seconds = time.monotonic()
@@ -109,14 +118,18 @@
         return call_result
 
     async def _exchange(self, call: ApiCall) -> Result[ApiReply, ResultCode]:
-        total_seconds = call.timeout_seconds or self._timeout_seconds
+        timeout_seconds = call.timeout_seconds or self._timeout_seconds
         request = self._session.request(
             call.method,
             yarl.URL(f'{self._base_url}{call.path_and_query}', encoded=True),
             data=None if call.body is None else _single_use_body(call.body),
             headers=_JSON_HEADERS,
             timeout=aiohttp.ClientTimeout(
-                total=total_seconds, sock_connect=_CONNECT_TIMEOUT_SECONDS
+                total=timeout_seconds + _MAX_READ_SECONDS
+                if call.body is None
+                else timeout_seconds,
+                sock_connect=_CONNECT_TIMEOUT_SECONDS,
+                sock_read=timeout_seconds,
             ),
             allow_redirects=False,
         )
@@ -125,12 +138,14 @@
                 era = self._decode_era(reply.headers.get(_ERA_HEADER))
                 if era is None:
                     return Failure(ResultCode.platform_down)
-                body = await _read_body(reply)
-                if body is None:
-                    return Failure(ResultCode.body_too_large)
-                return _decode_reply(reply.status, body).map(
-                    lambda fields: ApiReply(fields, era)
-                )
+                code = _failure_code(reply.status)
+                if code is not None:
+                    await _read_error(reply)
+                    return Failure(code)
+                fields = await call.read_body(reply.content.iter_any())
+                if fields is None:
+                    return Failure(ResultCode.bad_reply)
+                return Success(ApiReply(fields, era))
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return Failure(ResultCode.platform_down)
 
@@ -165,15 +180,13 @@
         yield ApiClient(session, address, timeout_seconds)
 
 
-async def _read_body(reply: aiohttp.ClientResponse) -> bytes | None:
-    """Read a body; return None if it is too large, parsed or not."""
-    body = bytearray()
+async def _read_error(reply: aiohttp.ClientResponse) -> None:
+    byte_count = 0
     async for piece in reply.content.iter_any():
-        body.extend(piece)
-        if len(body) > _MAX_REPLY_BYTES:
+        byte_count += len(piece)
+        if byte_count > _MAX_ERROR_BYTES:
             reply.close()
-            return None
-    return bytes(body) if has_few_values(body) else None
+            return
 
 
 async def _single_use_body(body: Fields) -> AsyncIterator[bytes]:
@@ -194,15 +207,14 @@
     return sock
 
 
-def _decode_reply(status: int, body: bytes) -> Result[Fields, ResultCode]:
+def _failure_code(status: int) -> ResultCode | None:
+    """Return the code of an error status; None for a success."""
     code = _FAILURE_CODES_BY_STATUS.get(status)
     if code is not None:
-        return Failure(code)
+        return code
     # aiohttp also accepts a status such as 000.
-    if not HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
-        return Failure(ResultCode.platform_down)
-    fields = decode_json_object(body) if body else {}
-    return Failure(ResultCode.bad_reply) if fields is None else Success(fields)
+    is_success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
+    return None if is_success else ResultCode.platform_down
 
 
 _JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
--- /dev/null
+++ b/dragonflyramp/platform/_collectors.py
@@ -0,0 +1,168 @@
+"""Collect the objects of listings and watches, which may be odd."""
+
+import re
+from typing import Any, Protocol
+
+import attrs
+
+from dragonflyramp.metrics import counters
+from dragonflyramp.platform._kept_fields import FieldReducer, reducer_of
+from dragonflyramp.platform._reply_elements import find_meta
+from dragonflyramp.stored_objects import (
+    HeldObjects,
+    LeftOutReason,
+    create_left_out,
+    find_left_out_reason,
+    measure_bytes,
+    report_left_out,
+)
+from dragonflyramp.views import Change, Fields
+
+#: Surrogates have no encoding in a path or query.
+_SURROGATE = re.compile('[\ud800-\udfff]')
+#: Longer names have no room in the head of a request.
+_MAX_NAME_LENGTH = 1024
+#: No name with the same beginning comes after it.
+_LAST_CHARACTER = '\U0010ffff'
+
+
+class ElementCollector(Protocol):
+    """Collector of the elements of the list in a reply."""
+
+    #: Key of the list.
+    list_key: str
+    #: Whether the reply has the list, which may be empty.
+    has_list: bool
+
+    def add(self, element: Any) -> None:
+        """Add an element that was decoded."""
+
+    def add_unreadable(self, text: bytes, reason: LeftOutReason) -> None:
+        """Add an element that cannot be decoded."""
+
+
+@attrs.define(eq=False)
+class PageCollector(ElementCollector):
+    """Collect the objects of the pages of a listing."""
+
+    kind: str
+    held: HeldObjects
+    list_key: str = 'items'
+    has_list: bool = False
+    #: Greatest name of the page, after which the next one begins.
+    last_name: str = ''
+
+    def add(self, element: Any) -> None:
+        """Add an object."""
+        name = _raw_name(element)
+        self.last_name = max(self.last_name, _cursor(name))
+        if _is_usable(name):
+            self.held.put(name, _reduce(self.kind, name, element))
+        else:
+            _report_unnamed(self.kind, name)
+
+    def add_unreadable(self, text: bytes, reason: LeftOutReason) -> None:
+        """Add an object that cannot be decoded."""
+        self.add(_create_stub(self.kind, text, (), reason))
+
+
+@attrs.define(eq=False)
+class ChangeCollector(ElementCollector):
+    """Collect the last change of each object in the events of a watch."""
+
+    kind: str
+    held: HeldObjects
+    list_key: str = 'events'
+    has_list: bool = False
+    _names: dict[str, None] = attrs.field(factory=dict)
+
+    def add(self, element: Any) -> None:
+        """Add an event."""
+        stored_object = (
+            element.get('object') if isinstance(element, dict) else None
+        )
+        name = _raw_name(stored_object)
+        if not _is_usable(name):
+            _report_unnamed(self.kind, name)
+            return
+        self._names.pop(name, None)
+        self._names[name] = None
+        if element.get('tombstone'):
+            self.held.remove(name)
+        else:
+            self.held.put(name, _reduce(self.kind, name, stored_object))
+
+    def add_unreadable(self, text: bytes, reason: LeftOutReason) -> None:
+        """Add an event that cannot be decoded; it counts as no removal."""
+        self.add({'object': _create_stub(self.kind, text, ('object',), reason)})
+
+    def changes(self) -> tuple[Change, ...]:
+        """Return the changes in the order of the last event of each object."""
+        return tuple(
+            Change(name, self.held.by_name.get(name)) for name in self._names
+        )
+
+
+def _reduce(kind: str, name: str, stored_object: Any) -> Fields:
+    """Return what is kept of an object; a stub if that is too much."""
+    reason = find_left_out_reason(stored_object)
+    if reason is not None:
+        return create_left_out(name, reason)
+    reducer: FieldReducer = reducer_of(kind)
+    reduced = reducer.reduce(stored_object)
+    if measure_bytes(reduced, reducer.max_bytes) is not None:
+        return reduced
+    report_unusable(kind, name, LeftOutReason.too_large)
+    return create_left_out(name, LeftOutReason.too_large)
+
+
+def _create_stub(
+    kind: str, text: bytes, path: tuple[str, ...], reason: LeftOutReason
+) -> Fields:
+    meta = find_meta(text, path)
+    name = meta.get('name')
+    if isinstance(name, str) and name:
+        report_unusable(kind, name, reason)
+        return create_left_out(name, reason)
+    return {}
+
+
+def report_unusable(kind: str, name: str, reason: LeftOutReason) -> None:
+    """Count and report an object that is left out."""
+    counters.add('bad_objects', reason.value)
+    report_left_out(kind, name, reason)
+
+
+def _report_unnamed(kind: str, name: str) -> None:
+    counters.add('bad_objects', 'unnamed')
+    printable = name.encode(errors='backslashreplace').decode()
+    report_left_out(kind, printable, LeftOutReason.unnamed)
+
+
+def _is_usable(name: str) -> bool:
+    return (
+        0 < len(name) <= _MAX_NAME_LENGTH
+        and name.isprintable()
+        and not _SURROGATE.search(name)
+    )
+
+
+def _cursor(name: str) -> str:
+    """Return a text that can be sent, and follows a name in their order.
+
+    Of a name that cannot be sent, only the beginning is kept.
+    """
+    surrogate = _SURROGATE.search(name)
+    cut_at = min(
+        surrogate.start() if surrogate else len(name), _MAX_NAME_LENGTH
+    )
+    return name if cut_at == len(name) else name[:cut_at] + _LAST_CHARACTER
+
+
+def _raw_name(stored_object: Any) -> str:
+    """Return the name of an object; empty if it has none."""
+    meta = (
+        stored_object.get('meta') if isinstance(stored_object, dict) else None
+    )
+    name = meta.get('name') if isinstance(meta, dict) else ''
+    return name if isinstance(name, str) else ''
--- a/dragonflyramp/platform/_store_replies.py
+++ b/dragonflyramp/platform/_store_replies.py
@@ -1,101 +1,136 @@
-"""Parse the store's listings and watches, in which objects may be odd."""
-
-import re
-from typing import Any
-
-import attrs
-from returns.result import Failure, Result, Success
-
-from dragonflyramp.metrics import counters
-from dragonflyramp.object_limits import is_within_limits
-from dragonflyramp.platform._api_http import ApiReply
-from dragonflyramp.platform._json_replies import create_unreadable_object
-from dragonflyramp.platform._store_decoders import ENTRIES_KIND
-from dragonflyramp.results import ResultCode
-from dragonflyramp.views import Change, ChangeBatch, Listing
-
-#: Limit of the platform on the bytes of an object.
-_MAX_OBJECT_SIZE = 1024 * 1024
-#: Daemons pass entries on to each other. One of a replica has about 300 bytes.
-_MAX_ENTRY_SIZE = 16_384
-#: Surrogates have no encoding in a path or query.
-_SURROGATE = re.compile('[\ud800-\udfff]')
-
-
-@attrs.frozen
-class Page:
-    """Page of a listing."""
-
-    listing: Listing
-    #: Name after which the next page begins; empty for the last page.
-    next_after: str
-
-
-def parse_page(kind: str, reply: ApiReply) -> Page | None:
-    """Parse a page of a listing; return None if it is malformed."""
-    fields = reply.fields
-    listed_objects = fields.get('items')
-    revision = fields.get('at_rev')
-    if not isinstance(listed_objects, list) or not isinstance(revision, int):
+"""Read the JSON of the store's replies, in which single objects may be odd."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+
+from dragonflyramp.object_limits import has_few_values
+from dragonflyramp.platform._collectors import ElementCollector, report_unusable
+from dragonflyramp.platform._reply_elements import (
+    Element,
+    ElementSplitter,
+    decode_element,
+    find_meta,
+)
+from dragonflyramp.stored_objects import LeftOutReason, create_left_out
+from dragonflyramp.views import Fields
+
+#: A reply up to this size, and with few values, is decoded as a whole, which is
+#: faster. Pages have about 1 MB.
+_MAX_WHOLE_BYTES = 2_097_152
+_MAX_WHOLE_VALUES = 150_000
+#: Objects have up to `value_bytes` (1 MiB) in the store; as JSON, a character
+#: of two bytes may take six.
+_MAX_OBJECT_TEXT_BYTES = 4_194_304
+#: What is split without giving way to other tasks.
+_SPLIT_BYTES = 32_768
+
+
+async def collect_elements(
+    pieces: AsyncIterator[bytes], collector: ElementCollector
+) -> Fields | None:
+    """Collect the elements of a reply; return its other fields.
+
+    Return None if it is no JSON object. Besides what the collector keeps, this
+    takes the memory of about one element.
+    """
+    text = bytearray()
+    async for piece in pieces:
+        text += piece
+        if len(text) > _MAX_WHOLE_BYTES:
+            break
+    else:
+        fields = _collect_whole(bytes(text), collector)
+        if fields is not None:
+            return fields
+    return await _collect_split(bytes(text), pieces, collector)
+
+
+def _collect_whole(text: bytes, collector: ElementCollector) -> Fields | None:
+    if not has_few_values(text, _MAX_WHOLE_VALUES):
         return None
-    objects_by_name = {
-        _object_name(stored_object): _limit(kind, stored_object)
-        for stored_object in listed_objects
-    }
-    if objects_by_name.pop('', None) is not None:
-        counters.add('bad_objects', 'unnamed')
-    next_after = ''
-    if fields.get('has_more'):
-        next_after = max(map(_raw_name, listed_objects), default='')
-    return Page(Listing(revision, objects_by_name, reply.era), next_after)
-
-
-def parse_changes(
-    kind: str, reply: ApiReply
-) -> Result[ChangeBatch, ResultCode]:
-    """Parse the changes of a watch; fail with bad_reply."""
-    fields = reply.fields
-    events = fields.get('events')
-    revision = fields.get('at_rev')
-    if not isinstance(events, list) or not isinstance(revision, int):
-        return Failure(ResultCode.bad_reply)
-    changes = (_parse_event(kind, event) for event in events)
-    return Success(
-        ChangeBatch(revision, tuple(filter(None, changes)), reply.era)
-    )
-
-
-def _parse_event(kind: str, event: Any) -> Change | None:
-    """Parse an event of a watch; return None if it names no object."""
-    stored_object = event.get('object') if isinstance(event, dict) else None
-    name = _object_name(stored_object)
-    if not name:
-        counters.add('bad_objects', 'unnamed')
+    try:
+        fields = json.loads(text)
+    except (ValueError, RecursionError):
         return None
-    is_removal = bool(event.get('tombstone'))
-    return Change(name, None if is_removal else _limit(kind, stored_object))
-
-
-def _limit(kind: str, stored_object: Any) -> Any:
-    """Remove the spec of an object that is too deep or too large."""
-    max_size = _MAX_ENTRY_SIZE if kind == ENTRIES_KIND else _MAX_OBJECT_SIZE
-    if is_within_limits(stored_object, max_size):
-        return stored_object
-    counters.add('bad_objects', 'too_large')
-    return create_unreadable_object(_object_name(stored_object))
-
-
-def _object_name(stored_object: Any) -> str:
-    name = _raw_name(stored_object)
-    return name if name.isprintable() else ''
-
-
-def _raw_name(stored_object: Any) -> str:
-    """Return the name of an object; empty if it has none or no encoding."""
-    meta = (
-        stored_object.get('meta') if isinstance(stored_object, dict) else None
-    )
-    name = meta.get('name') if isinstance(meta, dict) else ''
-    if not isinstance(name, str) or _SURROGATE.search(name):
-        return ''
-    return name
+    if not isinstance(fields, dict):
+        return None
+    listed = fields.pop(collector.list_key, None)
+    if isinstance(listed, list):
+        collector.has_list = True
+        for element in listed:
+            collector.add(element)
+    return fields
+
+
+async def _collect_split(
+    text: bytes, pieces: AsyncIterator[bytes], collector: ElementCollector
+) -> Fields | None:
+    splitter = ElementSplitter()
+    with contextlib.suppress(ValueError, RecursionError):
+        await _collect_piece(splitter, text, collector)
+        text = b''
+        async for piece in pieces:
+            await _collect_piece(splitter, piece, collector)
+        fields = splitter.finish()
+        if isinstance(fields, dict):
+            listed = fields.pop(collector.list_key, None)
+            collector.has_list = isinstance(listed, list)
+            return fields
+    return None
+
+
+async def _collect_piece(
+    splitter: ElementSplitter, piece: bytes, collector: ElementCollector
+) -> None:
+    for begins_at in range(0, len(piece), _SPLIT_BYTES):
+        ends_at = begins_at + _SPLIT_BYTES
+        for element in splitter.feed(piece[begins_at:ends_at]):
+            _collect_element(element, collector)
+        await asyncio.sleep(0)
+
+
+def _collect_element(element: Element, collector: ElementCollector) -> None:
+    if element.is_cut or not has_few_values(element.text):
+        collector.add_unreadable(element.text, LeftOutReason.too_large)
+        return
+    try:
+        decoded = decode_element(element.text)
+    except (ValueError, RecursionError):
+        collector.add_unreadable(element.text, LeftOutReason.unreadable)
+    else:
+        collector.add(decoded)
+
+
+async def read_stored_object(
+    kind: str, name: str, pieces: AsyncIterator[bytes]
+) -> Fields | None:
+    """Read the reply with a single object; None if it is no JSON object.
+
+    Of an object that cannot be held, only `meta` is kept. The reply may be
+    empty.
+    """
+    collected = bytearray()
+    async for piece in pieces:
+        collected += piece
+        if len(collected) > _MAX_OBJECT_TEXT_BYTES:
+            break
+    text = bytes(collected)
+    if len(text) > _MAX_OBJECT_TEXT_BYTES or not has_few_values(text):
+        return _leave_out(kind, name, text, LeftOutReason.too_large)
+    try:
+        fields = decode_element(text) if text else {}
+    except (ValueError, RecursionError):
+        return _leave_out(kind, name, text, LeftOutReason.unreadable)
+    return fields if isinstance(fields, dict) else None
+
+
+def _leave_out(
+    kind: str, name: str, text: bytes, reason: LeftOutReason
+) -> Fields | None:
+    meta = find_meta(text, ())
+    if not meta:
+        return None
+    report_unusable(kind, name, reason)
+    return create_left_out(name, reason, meta)
--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -16,6 +16,11 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import RoutingTable
+from dragonflyramp.stored_objects import (
+    LeftOutReason,
+    find_left_out_reason,
+    report_left_out,
+)
 from dragonflyramp.views import Fields, View
 
 #: Delay of removals after an outage of the store. Replicas whose entries
@@ -27,6 +32,7 @@
 _MASS_REMOVAL_MIN_COUNT = 4
 _MASS_REMOVAL_SHARE = 0.25
 _REMOVAL_CHECK_INTERVAL_SECONDS = 0.2
+_MAX_LOGGED_DOMAINS = 64
 
 
 class ObjectDecoder(Protocol):
@@ -191,8 +197,9 @@
             if entry is None:
                 self.skipped_entries.add(name)
                 counters.add('bad_objects', 'entry')
-                logger.bind(entry=name).warning(
-                    'replica entry is malformed; the replica is not used'
+                reason = find_left_out_reason(stored_object)
+                report_left_out(
+                    view.kind, name, reason or LeftOutReason.malformed
                 )
         known = self.fleet.all_replicas().get(name)
         due_at_seconds = view.restored_at_seconds + _REMOVAL_DELAY_SECONDS
@@ -232,10 +239,13 @@
     """
     if held_domains is None:
         counters.add('bad_objects', 'holds')
-        logger.bind(domains=sorted(fleet.held_domains)).error(
-            'stored holds cannot be read; the last ones stay in force'
-        )
+        logger.bind(
+            domains=sorted(fleet.held_domains)[:_MAX_LOGGED_DOMAINS]
+        ).error('stored holds cannot be read; the last ones stay in force')
         return
     if held_domains != fleet.held_domains:
         hold_domains(fleet, held_domains)
-        logger.bind(domains=sorted(held_domains)).info('failure domains held')
+        logger.bind(
+            domains=sorted(held_domains)[:_MAX_LOGGED_DOMAINS],
+            count=len(held_domains),
+        ).info('failure domains held')
--- a/dragonflyramp/tools/_front_program.py
+++ b/dragonflyramp/tools/_front_program.py
@@ -25,6 +25,7 @@
     FrontComponents,
     create_components,
 )
+from dragonflyramp.tools._front_views import create_decoder, create_room
 
 _BAD_SETTING_EXIT_CODE = 2
 #: The settings file is read at least this often, because it may change without
@@ -49,7 +50,9 @@
 ) -> None:
     """Run a front until the stop event is set and it has drained."""
     async with open_store(
-        machine.store_address, settings.store_timeout_seconds
+        machine.store_address,
+        settings.store_timeout_seconds,
+        create_room(create_decoder(settings), machine),
     ) as store:
         components = create_components(settings, machine, store)
         async with contextlib.AsyncExitStack() as cleanup:
--- a/dragonflyramp/tools/_front_views.py
+++ b/dragonflyramp/tools/_front_views.py
@@ -21,6 +21,7 @@
 from dragonflyramp.platform import StoreDecoder
 from dragonflyramp.routing_state import ObjectDecoder, RoutingState
 from dragonflyramp.settings import ConfigurationSource, Settings
+from dragonflyramp.stored_objects import ObjectRoom
 from dragonflyramp.stores import WatchedStore
 from dragonflyramp.tools._rollout_components import (
     ROLLOUT_KINDS,
@@ -88,17 +89,29 @@
     return Membership(own_daemon)
 
 
+def create_room(decoder: ObjectDecoder, machine: MachineSettings) -> ObjectRoom:
+    """Divide the memory of a VM among the kinds of objects."""
+    return ObjectRoom(
+        machine.vm_limits.memory_bytes,
+        {
+            decoder.config_kind: _CONFIGURATION_SHARE,
+            decoder.entries_kind: _ENTRIES_SHARE,
+        },
+    )
+
+
 def create_views(
     decoder: ObjectDecoder, machine: MachineSettings
 ) -> dict[str, View]:
     """Create a view of each kind of object that a front follows."""
+    room = create_room(decoder, machine)
     kinds = (
         *decoder.kinds,
         DAEMONS_KIND,
         SUSPECTS_KIND,
         *rollout_kinds(machine),
     )
-    return {kind: View(kind) for kind in kinds}
+    return {kind: View(kind, max_bytes=room.max_bytes(kind)) for kind in kinds}
 
 
 def create_watchers(
@@ -130,6 +143,10 @@
     )
 
 
+#: Shares of the memory of a VM. Of 200 MB, some 20,000 entries of replicas and
+#: a configuration of `value_bytes` fit.
+_ENTRIES_SHARE = 0.2
+_CONFIGURATION_SHARE = 0.1
 #: Collects changes into one batch: starting replicas change their entries every
 #: second, many at a time. The delay does no harm, because a draining replica
 #: keeps serving for seconds.
--- a/dragonflyramp/views.py
+++ b/dragonflyramp/views.py
@@ -11,7 +11,6 @@
 
 import math
 from collections.abc import Mapping
-from types import MappingProxyType
 
 import attrs
 
@@ -19,13 +18,13 @@
 from dragonflyramp._changes import (
     Change,
     ChangeBatch,
-    Fields,
     Listing,
     ListingBuilder,
     Position,
     apply_change,
 )
 from dragonflyramp.runtime import Broadcast
+from dragonflyramp.stored_objects import Fields, HeldObjects, ObjectRoom
 
 __all__ = (
     'Change',
@@ -59,8 +58,18 @@
     #: When this daemon got the first listing of a new era, by the clock of the
     #: caller; the listing is as of about that time.
     restored_at_seconds: float = -math.inf
+    #: Memory that the objects may take.
+    max_bytes: int = ObjectRoom().max_bytes('')
+    #: Another daemon has changes that are too large for its messages.
+    lacks_changes: bool = False
     #: Not in the `repr`: the configuration holds API keys.
-    _objects_by_name: dict[str, Fields] = attrs.field(factory=dict, repr=False)
+    _held: HeldObjects = attrs.field(
+        default=attrs.Factory(
+            lambda view: HeldObjects(view.kind, view.max_bytes),
+            takes_self=True,
+        ),
+        repr=False,
+    )
     _change_log: ChangeLog = attrs.field(factory=ChangeLog)
     #: Wakes tasks that wait for the first listing of a new era.
     new_era: Broadcast = attrs.field(factory=Broadcast, repr=False)
@@ -73,7 +82,12 @@
     @property
     def objects_by_name(self) -> Mapping[str, Fields]:
         """Return the present objects, which change with the view."""
-        return MappingProxyType(self._objects_by_name)
+        return self._held.by_name
+
+    @property
+    def needs_listing(self) -> bool:
+        """Return whether a listing has objects that no change brings."""
+        return self.lacks_changes or self._held.may_be_completed
 
     def age_seconds(self, now_seconds: float) -> float:
         """Return the seconds since the store last confirmed the view."""
@@ -95,9 +109,9 @@
         """
         if listing.position < self.position:
             return set()
-        previous = self._objects_by_name
+        previous = self._held.by_name
         previous_position = self.position
-        self._objects_by_name = dict(listing.objects_by_name)
+        self._hold(listing)
         self.position = listing.position
         self._confirm(confirmed_at_seconds)
         is_restored = bool(previous_position.revision) and (
@@ -107,11 +121,11 @@
             self.restored_at_seconds = confirmed_at_seconds
             self.record_outage_end(confirmed_at_seconds)
             self.new_era.wake()
-        names = previous.keys() | self._objects_by_name.keys()
+        present = self._held.by_name
         changed = {
             name
-            for name in names
-            if previous.get(name) != self._objects_by_name.get(name)
+            for name in previous.keys() | present.keys()
+            if previous.get(name) != present.get(name)
         }
         if changed or is_restored or not previous_position.revision:
             self.last_change_position = listing.position
@@ -135,35 +149,51 @@
             return set()
         names = set()
         for change in changes.changes:
-            names.add(change.name)
-            self._change_log.add(change.name, changes.revision)
-            apply_change(self._objects_by_name, change)
+            for name in (change.name, *apply_change(self._held, change)):
+                names.add(name)
+                self._change_log.add(name, changes.revision)
         self.position = changes.position
         if names:
             self.last_change_position = changes.position
         self._confirm(confirmed_at_seconds)
         return names
 
-    def changes_since(self, position: Position) -> ChangeBatch | Listing:
+    def changes_since(
+        self, position: Position, max_bytes: float = math.inf
+    ) -> ChangeBatch | Listing | None:
         """Return the last change of each object after a position.
 
-        Return a listing if the log does not reach back to the position.
+        Return a listing if the log does not reach back to the position, and
+        None if the objects take more than a number of bytes.
         """
         names = None
         if position.era == self.position.era:
             names = self._change_log.names_since(position.revision)
         if names is None:
+            if self._held.held_bytes > max_bytes:
+                return None
             return Listing(
-                self.revision, self._objects_by_name, self.position.era
+                self.revision, self.objects_by_name, self.position.era
             )
+        if self._held.size_of(names) > max_bytes:
+            return None
         return ChangeBatch(
             self.revision,
             tuple(
-                Change(name, self._objects_by_name.get(name)) for name in names
+                Change(name, self.objects_by_name.get(name)) for name in names
             ),
             self.position.era,
         )
 
+    def _hold(self, listing: Listing) -> None:
+        """Hold the objects of a listing in place of the present ones."""
+        self._held = HeldObjects(
+            self.kind, self.max_bytes, is_incomplete=not listing.is_complete
+        )
+        for name, fields in listing.objects_by_name.items():
+            self._held.put(name, fields)
+        self.lacks_changes = False
+
     def _confirm(self, confirmed_at_seconds: float) -> None:
         if confirmed_at_seconds <= self.confirmed_at_seconds:
             return
