Tell callers when there is quota again after the loss of all fronts

Cause: the time comes from the quota server, which has no rate to compute one from, and answers with the time after which a front asks again.

Change: the front still asks again after 0.5 s, because other fronts may have leased their shares, but tells its callers no time before its own share is free. Fronts that start together get their shares at about that time.

Not changed: the wait itself. A share may be away as long as a hub that the former process has leased it to may be alive; to end the wait sooner, each registered daemon would have to state that it holds no such lease.

Result: test_refusal_without_shares_tells_their_time failed before (0.5 s told in each second), and passes.

--- a/dragonflyramp/quotas/_accounts.py
+++ b/dragonflyramp/quotas/_accounts.py
@@ -6,7 +6,10 @@
 
 import attrs
 
-from dragonflyramp.quotas._buckets import MAX_RETRY_AFTER_SECONDS
+from dragonflyramp.quotas._buckets import (
+    MAX_RETRY_AFTER_SECONDS,
+    NO_SHARE_RETRY_AFTER_SECONDS,
+)
 from dragonflyramp.quotas._limits import (
     AHEAD_VALIDITY_SECONDS,
     DEMAND_VALIDITY_SECONDS,
@@ -56,10 +59,18 @@
     _until_seconds: float = -math.inf
     _interval_seconds: float = 0
     _refused_count: int = 0
+    #: Callers are told no earlier time.
+    _earliest_at_seconds: float = -math.inf
     _logged_at_seconds: float = -math.inf
 
-    def record(self, retry_after_seconds: float, now_seconds: float) -> None:
-        """Remember a refusal."""
+    def record(
+        self,
+        retry_after_seconds: float,
+        now_seconds: float,
+        earliest_at_seconds: float = -math.inf,
+    ) -> None:
+        """Remember a refusal; callers are told a time no earlier than one."""
+        self._earliest_at_seconds = earliest_at_seconds
         self._interval_seconds = max(_MIN_REFUSAL_SECONDS, retry_after_seconds)
         self._until_seconds = now_seconds + self._interval_seconds
         self._refused_count = 0
@@ -81,7 +92,10 @@
             + self._refused_count * self._interval_seconds
         )
         self._refused_count += 1
-        return min(delay_seconds, MAX_RETRY_AFTER_SECONDS)
+        return min(
+            max(delay_seconds, self._earliest_at_seconds - now_seconds),
+            MAX_RETRY_AFTER_SECONDS,
+        )
 
     def should_log(self, now_seconds: float) -> bool:
         """Return whether to log a refusal, and count it as logged."""
@@ -130,9 +144,17 @@
         )
 
     def apply_grant(
-        self, grant: QuotaGrant, asked_at_seconds: float, now_seconds: float
+        self,
+        grant: QuotaGrant,
+        asked_at_seconds: float,
+        now_seconds: float,
+        share_free_in_seconds: float = 0,
     ) -> None:
-        """Keep granted units until they expire, counted from the ask."""
+        """Keep granted units until they expire, counted from the ask.
+
+        A quota server without any share gets some when those of the fronts are
+        free, of which this one's is an example: they start together.
+        """
         self.pool.add(
             grant.units, asked_at_seconds + DEMAND_VALIDITY_SECONDS, None
         )
@@ -144,7 +166,16 @@
         if grant.units or grant.ahead:
             self.granted_at_seconds = now_seconds
         if grant.retry_after_seconds is not None:
-            self.refusal.record(grant.retry_after_seconds, now_seconds)
+            is_without_share = (
+                grant.retry_after_seconds == NO_SHARE_RETRY_AFTER_SECONDS
+            )
+            self.refusal.record(
+                grant.retry_after_seconds,
+                now_seconds,
+                now_seconds + share_free_in_seconds
+                if is_without_share
+                else -math.inf,
+            )
 
     def _target_units(self, now_seconds: float) -> int:
         rate_per_second = self.rate.per_second(now_seconds)
--- a/dragonflyramp/quotas/_asks.py
+++ b/dragonflyramp/quotas/_asks.py
@@ -61,9 +61,15 @@
         if reply is None:
             account.refusal.record(FAILURE_RETRY_SECONDS, now_seconds)
             return
+        owned = self.node.leases.owned
         for grant in reply.grants:
             if grant.tenant_name == tenant.name:
-                account.apply_grant(grant, asked_at_seconds, now_seconds)
+                account.apply_grant(
+                    grant,
+                    asked_at_seconds,
+                    now_seconds,
+                    owned.seconds_until_free(now_seconds),
+                )
 
     async def _settle(self, account: TenantAccount) -> None:
         hub_name = self.node.leases.find_server(
--- a/dragonflyramp/quotas/_shares.py
+++ b/dragonflyramp/quotas/_shares.py
@@ -65,14 +65,18 @@
         Before that, a former process of this front may have leased it, and
         other fronts may not count this one.
         """
-        if self._registered_at_seconds is None:
+        if self.seconds_until_free(now_seconds):
             return 0
+        return 1 / self._daemon_count
+
+    def seconds_until_free(self, now_seconds: float) -> float:
+        """Return how long the share is 0 at least; 0 once it is owned."""
+        if self._registered_at_seconds is None:
+            return AWAY_SECONDS
         counted_since_seconds = max(
             self.started_at_seconds, self._registered_at_seconds
         )
-        if now_seconds < counted_since_seconds + AWAY_SECONDS:
-            return 0
-        return 1 / self._daemon_count
+        return max(0, counted_since_seconds + AWAY_SECONDS - now_seconds)
 
 
 @attrs.frozen
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -39,6 +39,7 @@
 )
 from dragonflyramp.quotas._accounts import RememberedRefusal
 from dragonflyramp.quotas._buckets import QuotaBucket
+from dragonflyramp.quotas._limits import AWAY_SECONDS
 from dragonflyramp.tenants import Tenant
 from dragonflyramp.views import Fields
 from tests.quota_models import BOUNDS, Cluster, greatest_window, run_virtually
@@ -244,6 +245,40 @@
     assert refusal.pop_delay_seconds(10.5) is None
 
 
+def test_refusal_without_shares_tells_their_time() -> None:
+    """After the loss of all fronts, callers must not come back in vain.
+
+    They were told 0.5 s, and refused again for four seconds.
+    """
+    delays = run_virtually(_refused_delays())
+    assert delays == sorted(delays, reverse=True)
+    assert delays[0] == pytest.approx(AWAY_SECONDS, abs=0.3)
+    assert delays[-1] < AWAY_SECONDS / 2
+
+
+async def _refused_delays() -> list[float]:
+    """Start all fronts, and ask one a few times until its share is free."""
+    tenants = _tenants()
+    limits = {
+        tenant.name: QuotaLimit(tenant.rate_per_second, tenant.burst)
+        for tenant in tenants.values()
+    }
+    cluster = Cluster(_FRONT_COUNT, limits, random.Random(1))
+    delays = []
+    async with asyncio.TaskGroup() as group:
+        tasks = cluster.start(group)
+        for _ in range(4):
+            delay_seconds = await cluster.quotas[0].try_acquire(
+                tenants['tenant-0'], 0
+            )
+            assert delay_seconds is not None
+            delays.append(delay_seconds)
+            await asyncio.sleep(1)
+        for task in tasks:
+            task.cancel()
+    return delays
+
+
 async def test_request_that_waited_is_checked_again() -> None:
     """A request after a pause must not be sent with an old unit.
 
