Let requests with time left wait for a slow quota server

Cause: each request waited 0.15 s for the quota server at most, whatever time it had, although the units of an answer are valid for 0.25 s.

Ruled out: that a tenant above its limit gets less than its limit.

Change: a request waits for two fifths of its time, and until units of the answer expire (0.25 s) at most. The bound of the quotas does not change: it counts units as valid for 0.25 s.

--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -122,7 +122,9 @@
                 _NOT_RUN_RETRY_AFTER_SECONDS,
                 tenant_name=context.tenant_name,
             )
-        quota_check = QuotaCheck(self.quotas, context.tenant)
+        quota_check = QuotaCheck(
+            self.quotas, context.tenant, context.deadline_at_seconds
+        )
         quota_delay_seconds = await quota_check.acquire(now_seconds)
         if quota_delay_seconds is not None:
             return refuse(
--- a/dragonflyramp/callers/_quota_checks.py
+++ b/dragonflyramp/callers/_quota_checks.py
@@ -10,6 +10,9 @@
 from dragonflyramp.tenants import Tenant
 
 _MS_PER_SECOND = 1000
+#: Share of the time of a request that it may wait for a quota server; most of
+#: it is left to the replicas.
+_MAX_WAIT_SHARE = 0.4
 
 
 @attrs.define(eq=False)
@@ -22,6 +25,8 @@
 
     quotas: QuotaPolicy
     tenant: Tenant | None
+    #: When the caller stops waiting for the answer.
+    deadline_at_seconds: float = math.inf
     #: Counts suspension of the machine.
     clock: Callable[[], float] = boot_seconds
     _valid_until_seconds: float = -math.inf
@@ -36,7 +41,10 @@
             return None
         if self.clock() <= self._valid_until_seconds:
             return None
-        delay_seconds = await self.quotas.try_acquire(tenant, now_seconds)
+        remaining_seconds = self.deadline_at_seconds - now_seconds
+        delay_seconds = await self.quotas.try_acquire(
+            tenant, now_seconds, remaining_seconds * _MAX_WAIT_SHARE
+        )
         if delay_seconds is None:
             self._valid_until_seconds = self.clock() + MAX_SEND_DELAY_SECONDS
             return None
--- a/dragonflyramp/quotas/_distributed.py
+++ b/dragonflyramp/quotas/_distributed.py
@@ -11,14 +11,13 @@
 from dragonflyramp.metrics import counters
 from dragonflyramp.quotas._accounts import TenantAccount
 from dragonflyramp.quotas._asks import FAILURE_RETRY_SECONDS, TenantAsks
+from dragonflyramp.quotas._limits import DEMAND_VALIDITY_SECONDS
 from dragonflyramp.quotas._nodes import LeaseRenewals, QuotaNode
 from dragonflyramp.quotas._policies import QuotaPolicy
 from dragonflyramp.quotas._pools import UnitPool
 from dragonflyramp.runtime import run_all
 from dragonflyramp.tenants import Tenant
 
-#: Longest wait of a request for a quota server; a small part of any deadline.
-_MAX_WAIT_SECONDS = 0.15
 _SETTLEMENT_INTERVAL_SECONDS = 0.25
 #: Accounts of tenants, those of earlier configurations included.
 _MAX_ACCOUNTS = 16_384
@@ -39,10 +38,15 @@
     )
 
     async def try_acquire(
-        self, tenant: Tenant, now_seconds: float
+        self,
+        tenant: Tenant,
+        now_seconds: float,
+        max_wait_seconds: float = math.inf,
     ) -> float | None:
         """Take one request from the quota of a tenant.
 
+        A request waits for a quota server until units of its answer expire.
+
         Units expire on the clock of the node, which counts suspension, and not
         on that of the argument.
         """
@@ -63,7 +67,9 @@
         if delay_seconds is not None:
             counters.add('quota_decisions', 'refused_again')
             return delay_seconds
-        return await self._wait_for_unit(tenant, account)
+        return await self._wait_for_unit(
+            tenant, account, min(max_wait_seconds, DEMAND_VALIDITY_SECONDS)
+        )
 
     async def run(self) -> None:
         """Renew leases and return unused units, until cancelled."""
@@ -83,13 +89,13 @@
             await asyncio.sleep(_SETTLEMENT_INTERVAL_SECONDS)
 
     async def _wait_for_unit(
-        self, tenant: Tenant, account: TenantAccount
+        self, tenant: Tenant, account: TenantAccount, max_wait_seconds: float
     ) -> float | None:
         """Ask for a unit; return None with one, else the time until then."""
         reason = 'no_answer'
         delay_seconds: float | None = FAILURE_RETRY_SECONDS
         with account.wait(), contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_MAX_WAIT_SECONDS):
+            async with asyncio.timeout(max_wait_seconds):
                 reason, delay_seconds = await self._ask_until_known(
                     tenant, account
                 )
--- a/dragonflyramp/quotas/_policies.py
+++ b/dragonflyramp/quotas/_policies.py
@@ -1,5 +1,6 @@
 """Define the interface of quotas."""
 
+import math
 from typing import Protocol
 
 import attrs
@@ -11,11 +12,15 @@
     """Policy for whether another request of a tenant may run."""
 
     async def try_acquire(
-        self, tenant: Tenant, now_seconds: float
+        self,
+        tenant: Tenant,
+        now_seconds: float,
+        max_wait_seconds: float = math.inf,
     ) -> float | None:
         """Take one request from the quota of a tenant.
 
-        Return None if it may run, else the seconds until there is quota.
+        Return None if it may run, else the seconds until there is quota. The
+        request waits for the decision as long as it may, at most.
         """
 
     async def run(self) -> None:
@@ -26,7 +31,12 @@
 class UnlimitedQuotas(QuotaPolicy):
     """Let all requests run."""
 
-    async def try_acquire(self, tenant: Tenant, now_seconds: float) -> None:
+    async def try_acquire(
+        self,
+        tenant: Tenant,
+        now_seconds: float,
+        max_wait_seconds: float = math.inf,
+    ) -> None:
         """Return None: the request may run."""
 
     async def run(self) -> None:
--- a/tests/quota_models.py
+++ b/tests/quota_models.py
@@ -104,19 +104,21 @@
     rng: random.Random
     quotas: list[DistributedQuotas] = attrs.field(factory=list)
     message_count: int = 0
+    #: Least and greatest time of a message one way.
+    latency_seconds: tuple[float, float] = (0.001, 0.003)
     #: Names of daemons that do not answer.
     lost: set[str] = attrs.field(factory=set)
 
     async def request_grants(
         self, hub_name: str, request: GrantRequest
     ) -> GrantReply | None:
-        """Send a message to a hub, with a latency of 1 to 3 ms each way."""
+        """Send a message to a hub, and wait for the answer."""
         self.message_count += 1
-        await asyncio.sleep(self.rng.uniform(0.001, 0.003))
+        await asyncio.sleep(self.rng.uniform(*self.latency_seconds))
         if hub_name in self.lost:
             return None
         reply = self._node(hub_name).answer_request(request)
-        await asyncio.sleep(self.rng.uniform(0.001, 0.003))
+        await asyncio.sleep(self.rng.uniform(*self.latency_seconds))
         return reply
 
     def start(self, group: asyncio.TaskGroup) -> list[asyncio.Task[None]]:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import json
+import math
 import random
 
 import attrs
@@ -115,7 +116,10 @@
 
 
 async def _run_load(
-    seed: int, factors: dict[str, float], seconds: float
+    seed: int,
+    factors: dict[str, float],
+    seconds: float,
+    latency_seconds: tuple[float, float] = (0.001, 0.003),
 ) -> _Load:
     tenants = _tenants()
     rng = random.Random(seed)
@@ -128,6 +132,7 @@
         tasks = load.cluster.start(group)
         await asyncio.sleep(_WARM_UP_SECONDS)
         load.cluster.message_count = 0
+        load.cluster.latency_seconds = latency_seconds
         await asyncio.gather(
             *(
                 load.send_tenant(
@@ -187,6 +192,69 @@
     _check_bound(load)
 
 
+def test_tenant_above_its_limit_with_slow_servers() -> None:
+    """A tenant that asks for too much must get its limit, and others theirs.
+
+    The servers need up to 120 ms for an answer, as while a configuration comes
+    into force.
+    """
+    name = 'tenant-0'
+    load = run_virtually(
+        _run_load(7, {name: 6.3}, 8, latency_seconds=(0.02, 0.06))
+    )
+    limit_per_second = _tenants()[name].rate_per_second
+    assert len(load.sent[name]) >= 0.9 * limit_per_second * 8
+    others = sum(load.refused.values()) - load.refused[name]
+    assert others <= 10
+    _check_bound(load)
+
+
+@pytest.mark.parametrize(
+    ('remaining_seconds', 'is_served'), [(0.4, False), (0.8, True)]
+)
+def test_request_waits_for_slow_server(
+    remaining_seconds: float, is_served: bool
+) -> None:
+    """A request with time left must not be refused for a slow answer.
+
+    All were refused after 0.15 s, also those that had 2.5 s. One with little
+    time is refused while there is some left.
+    """
+    waited_seconds, delay_seconds = run_virtually(
+        _acquire_slowly(remaining_seconds)
+    )
+    assert waited_seconds <= 0.4 * remaining_seconds
+    assert (delay_seconds is None) is is_served
+
+
+async def _acquire_slowly(
+    remaining_seconds: float,
+) -> tuple[float, float | None]:
+    """Return how long a request waits for a server, and the decision."""
+    tenant = _tenants()['tenant-0']
+    limits = {
+        tenant.name: QuotaLimit(tenant.rate_per_second, tenant.burst),
+    }
+    cluster = Cluster(_FRONT_COUNT, limits, random.Random(1))
+    clock = asyncio.get_running_loop().time
+    async with asyncio.TaskGroup() as group:
+        tasks = cluster.start(group)
+        await asyncio.sleep(_WARM_UP_SECONDS)
+        cluster.latency_seconds = (0.09, 0.1)
+        started_at_seconds = clock()
+        check = QuotaCheck(
+            cluster.quotas[0],
+            tenant,
+            started_at_seconds + remaining_seconds,
+            clock,
+        )
+        delay_seconds = await check.acquire(started_at_seconds)
+        waited_seconds = clock() - started_at_seconds
+        for task in tasks:
+            task.cancel()
+    return waited_seconds, delay_seconds
+
+
 def test_leases_add_up_to_the_whole_at_most() -> None:
     """Fronts that count too few daemons must not raise the rate at one hub."""
     table = LeaseTable(own_name='hub', process_id='hub/1', started_at_seconds=0)
@@ -287,7 +355,7 @@
     policy = _CountingPolicy()
     now_seconds = 100.0
     tenant = Tenant(name='tenant', rate_per_second=1)
-    check = QuotaCheck(policy, tenant, lambda: now_seconds)
+    check = QuotaCheck(policy, tenant, clock=lambda: now_seconds)
     await check.acquire(0)
     now_seconds += 0.2
     await check.acquire(0)
@@ -365,7 +433,12 @@
 class _CountingPolicy(QuotaPolicy):
     count: int = 0
 
-    async def try_acquire(self, tenant: Tenant, now_seconds: float) -> None:
+    async def try_acquire(
+        self,
+        tenant: Tenant,
+        now_seconds: float,
+        max_wait_seconds: float = math.inf,
+    ) -> None:
         """Let all requests run, and count them."""
         self.count += 1
 
