Apply the removal of an object that cannot be decoded

What callers would see: a failure domain that stays on hold after another writer has removed a hold of 900 KB, until the holds are listed again.

Cause: an event whose object cannot be decoded counted as no removal, and whether it is one was not read.

--- a/dragonflyramp/platform/_collectors.py
+++ b/dragonflyramp/platform/_collectors.py
@@ -6,7 +6,7 @@
 import attrs
 
 from dragonflyramp.platform._kept_fields import FieldReducer, reducer_of
-from dragonflyramp.platform._reply_elements import find_meta
+from dragonflyramp.platform._reply_elements import find_meta, has_true_member
 from dragonflyramp.stored_objects import (
     HeldObjects,
     LeftOutReason,
@@ -16,6 +16,7 @@
 )
 from dragonflyramp.views import Change, Fields
 
+_TOMBSTONE_KEY = 'tombstone'
 #: Surrogates have no encoding in a path or query.
 _SURROGATE = re.compile('[\ud800-\udfff]')
 #: Longer names have no room in the head of a request.
@@ -85,14 +86,16 @@
             return
         self._names.pop(name, None)
         self._names[name] = None
-        if element.get('tombstone'):
+        if element.get(_TOMBSTONE_KEY):
             self.held.remove(name)
         else:
             _put_reduced(self.held, name, stored_object)
 
     def add_unreadable(self, text: bytes, reason: LeftOutReason) -> None:
-        """Add an event that cannot be decoded; it counts as no removal."""
-        self.add({'object': _create_stub(self.kind, text, ('object',), reason)})
+        """Add an event that cannot be decoded."""
+        stub = _create_stub(self.kind, text, ('object',), reason)
+        is_removal = has_true_member(text, _TOMBSTONE_KEY)
+        self.add({'object': stub, _TOMBSTONE_KEY: is_removal})
 
     def changes(self) -> tuple[Change, ...]:
         """Return the changes in the order of the last event of each object."""
--- a/dragonflyramp/platform/_reply_elements.py
+++ b/dragonflyramp/platform/_reply_elements.py
@@ -168,19 +168,34 @@
     return {} if name is None else {'name': name, 'rev': revision}
 
 
+def has_true_member(text: bytes, key: str) -> bool:
+    """Return whether a member of an object that cannot be decoded is true."""
+    member_at = _find_member(text, 0, key)
+    return member_at is not None and text.startswith(b'true', member_at)
+
+
 def _find_member(text: bytes, begins_at: int, key: str) -> int | None:
     """Return where the value of a member of the object at a position begins."""
     quoted_key = json.dumps(key).encode()
+    for token in _iterate_members(text, begins_at):
+        colon = _COLON.match(text, token.end())
+        if token[0] == quoted_key and colon is not None:
+            return colon.end()
+    return None
+
+
+def _iterate_members(text: bytes, begins_at: int) -> Iterator[re.Match[bytes]]:
+    """Yield the strings in an object, those in nested values excepted."""
     depth = 0
-    for token in _TOKEN.finditer(text, begins_at):
-        depth += _DEPTH_CHANGES.get(token[0], 0)
+    token = _TOKEN.search(text, begins_at)
+    while token is not None and token['cut'] is None:
+        depth += _DEPTH_CHANGES.get(token['bracket'], 0)
+        if depth == 1 and token['bracket'] is None:
+            yield token
         if depth == 0:
-            return None
-        if depth == 1 and token[0] == quoted_key:
-            colon = _COLON.match(text, token.end())
-            if colon is not None:
-                return colon.end()
-    return None
+            return
+        pattern = _TOKEN if depth == 1 else _INNER_TOKEN
+        token = pattern.search(text, token.end())
 
 
 def _decode_scalar(text: bytes, position: int | None) -> Any:
--- a/tests/test_large_objects.py
+++ b/tests/test_large_objects.py
@@ -91,6 +91,18 @@
     assert first == expected
 
 
+@pytest.mark.parametrize('large_value', _LARGE_VALUES)
+def test_removal_of_large_object_is_followed(large_value: bytes) -> None:
+    """A failure domain must not stay on hold after a large hold is gone."""
+    body = b'{"events":[%s],"at_rev":8}' % b','.join(
+        b'{"object":%s,"tombstone":%s}' % (_object(name, large_value), flag)
+        for name, flag in (('natal', b'true'), ('recife', b'false'))
+    )
+    held = read_events('evacuations', _pieces(body)).objects_by_name
+    assert held['natal'] is None
+    assert held['recife'] is not None
+
+
 def test_long_page_and_events_take_little_memory() -> None:
     """Many objects whose sum is large must not fill the memory of a VM.
 
