--- a/dragonflyramp/members/_memberships.py
+++ b/dragonflyramp/members/_memberships.py
@@ -10,7 +10,7 @@
 from dragonflyramp.stored_objects import (
     LeftOutReason,
     find_left_out_reason,
-    report_left_out,
+    log_left_out,
 )
 from dragonflyramp.views import Fields
 
@@ -119,7 +119,7 @@
     spec = fields.get('spec')
     if not isinstance(spec, dict):
         if find_left_out_reason(fields) is None:
-            report_left_out(DAEMONS_KIND, name, LeftOutReason.malformed)
+            log_left_out(DAEMONS_KIND, name, LeftOutReason.malformed)
         return None
     try:
         return decode_daemon(
@@ -127,7 +127,7 @@
         )
     except (TypeError, ValueError):
         counters.add('bad_objects', 'daemon')
-        report_left_out(DAEMONS_KIND, name, LeftOutReason.malformed)
+        log_left_out(DAEMONS_KIND, name, LeftOutReason.malformed)
         return None
 
 
--- a/dragonflyramp/members/_suspect_objects.py
+++ b/dragonflyramp/members/_suspect_objects.py
@@ -18,7 +18,7 @@
 from dragonflyramp.stored_objects import (
     LeftOutReason,
     find_left_out_reason,
-    report_left_out,
+    log_left_out,
 )
 from dragonflyramp.stores import KeyedStore, StoreEra
 from dragonflyramp.suspects import CrashSuspects, SuspectRecord, Suspicion
@@ -86,7 +86,7 @@
             if stored is None:
                 counters.add('bad_objects', 'suspect')
                 reason = find_left_out_reason(fields)
-                report_left_out(
+                log_left_out(
                     SUSPECTS_KIND, name, reason or LeftOutReason.malformed
                 )
             else:
--- a/dragonflyramp/quotas/_accounts.py
+++ b/dragonflyramp/quotas/_accounts.py
@@ -152,8 +152,8 @@
     ) -> None:
         """Keep granted units until they expire, counted from the ask.
 
-        A quota server without any share gets some when those of the fronts are
-        free, of which this one's is an example: they start together.
+        A quota server without shares gets some once fronts own theirs again;
+        those that started together do so at about the same time.
         """
         self.pool.add(
             grant.units, asked_at_seconds + DEMAND_VALIDITY_SECONDS, None
--- a/dragonflyramp/routing_state.py
+++ b/dragonflyramp/routing_state.py
@@ -19,7 +19,7 @@
 from dragonflyramp.stored_objects import (
     LeftOutReason,
     find_left_out_reason,
-    report_left_out,
+    log_left_out,
 )
 from dragonflyramp.views import Fields, View
 
@@ -198,9 +198,7 @@
                 self.skipped_entries.add(name)
                 counters.add('bad_objects', 'entry')
                 reason = find_left_out_reason(stored_object)
-                report_left_out(
-                    view.kind, name, reason or LeftOutReason.malformed
-                )
+                log_left_out(view.kind, name, reason or LeftOutReason.malformed)
         known = self.fleet.all_replicas().get(name)
         due_at_seconds = view.restored_at_seconds + _REMOVAL_DELAY_SECONDS
         if now_seconds < due_at_seconds and _is_older(entry, known):
--- a/dragonflyramp/stored_objects/__init__.py
+++ b/dragonflyramp/stored_objects/__init__.py
@@ -16,7 +16,7 @@
     LeftOutReason,
     create_left_out,
     find_left_out_reason,
-    report_left_out,
+    log_left_out,
     report_unusable,
 )
 from dragonflyramp.stored_objects._measures import measure_bytes
@@ -30,6 +30,6 @@
     'create_left_out',
     'find_left_out_reason',
     'measure_bytes',
-    'report_left_out',
+    'log_left_out',
     'report_unusable',
 )
--- a/dragonflyramp/stored_objects/_left_out.py
+++ b/dragonflyramp/stored_objects/_left_out.py
@@ -80,9 +80,9 @@
 def report_unusable(kind: str, name: str, reason: LeftOutReason) -> None:
     """Count an object that cannot be held, and log it the first time."""
     counters.add('bad_objects', reason.value)
-    report_left_out(kind, name, reason)
+    log_left_out(kind, name, reason)
 
 
-def report_left_out(kind: str, name: str, reason: LeftOutReason) -> None:
+def log_left_out(kind: str, name: str, reason: LeftOutReason) -> None:
     """Log an object that is left out, the first time."""
     _reports.report(kind, name, reason)
