Split the time of a search in metrics, log lines and explain

Cause: nobody could tell where the 45 ms of a search with a target of 40 go. Metrics had the latency of an answer and that of a part from its write on, and nothing of the event loop, of new connections or of why connections end.

Change: for each search, how long its request waited to be read, when its first and its last first attempt were written, when the last part of the answer came, when the search ended and when the answer was merged, as histograms by route and in the log line of a late, partial or sampled answer; explain prints them. Ends of connections to replicas by reason. Attempts keep their times in seconds, and are rounded only for the log. The search moves from the front to a module of its own. Buckets of histograms are finer below 50 ms, and the last bound is 3 s.

The test that compares the page of metrics with the code also finds calls that are broken over two lines.

No logic of requests changed.

--- a/benchmarks/emulator/_connections.py
+++ b/benchmarks/emulator/_connections.py
@@ -8,6 +8,7 @@
 from benchmarks.emulator._replicas import EmulatedReplica
 from dragonflyramp.backends import ConnectionHooks
 from dragonflyramp.backends._exchanges import (
+    ConnectionEnd,
     Exchange,
     Outcome,
     OutcomeKind,
@@ -42,7 +43,7 @@
         self._current = exchange
         self._queue.put_nowait(exchange)
 
-    def close(self) -> None:
+    def close(self, end: ConnectionEnd = ConnectionEnd.stopped) -> None:
         """Cancel the current exchange and close the connection."""
         if self._current is not None:
             self._current.finish(Outcome(OutcomeKind.cancelled))
--- a/dragonflyramp/backends/_attempts.py
+++ b/dragonflyramp/backends/_attempts.py
@@ -6,7 +6,12 @@
 import attrs
 
 from dragonflyramp.backends._connections_http import Connection
-from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
+from dragonflyramp.backends._exchanges import (
+    ConnectionEnd,
+    Exchange,
+    Outcome,
+    OutcomeKind,
+)
 from dragonflyramp.backends._replicas import Replica
 from dragonflyramp.backends._reply_checks import ReplyVerdict
 from dragonflyramp.backends._requests import AttemptRecord, FetchResult
@@ -38,15 +43,13 @@
         After the outcome, the connection may serve another request.
         """
         if not self.exchange.outcome.done():
-            self.connection.close()
+            self.connection.close(ConnectionEnd.abandoned)
 
 
 @attrs.define(eq=False)
 class Attempts:
     """Attempts of one fetch: in flight, and records of finished ones."""
 
-    #: Monotonic arrival time of the caller's request.
-    received_at_seconds: float
     in_flight: dict[asyncio.Future[Outcome], Attempt] = attrs.field(
         factory=dict
     )
@@ -113,15 +116,14 @@
         return AttemptRecord(
             replica_id=attempt.exchange.replica_id,
             purpose=attempt.purpose,
-            started_ms=self._elapsed_ms(attempt.started_at_seconds),
-            expected_latency_ms=round(attempt.expected_latency_ms, 1),
-            ended_ms=self._elapsed_ms(now_seconds),
+            started_at_seconds=attempt.started_at_seconds,
+            expected_latency_ms=attempt.expected_latency_ms,
+            ended_at_seconds=now_seconds,
             outcome=kind.value,
+            written_at_seconds=attempt.exchange.written_at_seconds,
+            is_connection_new=attempt.is_connection_new,
         )
 
-    def _elapsed_ms(self, at_seconds: float) -> float:
-        return round((at_seconds - self.received_at_seconds) * 1000, 1)
-
 
 @attrs.define(eq=False)
 class FailureSummary:
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/backends/_connections_http.py
@@ -11,6 +11,7 @@
 
 from dragonflyramp.backends._codecs import Codec
 from dragonflyramp.backends._exchanges import (
+    ConnectionEnd,
     Exchange,
     Outcome,
     OutcomeKind,
@@ -113,7 +114,7 @@
         raw = await reader.outcome
         if isinstance(raw, RawReply):
             return self._handle_reply(raw)
-        self.protocol.close()
+        self.protocol.close(ConnectionEnd.unusable)
         return Outcome(raw)
 
     def _is_copy(self, raw: RawReply) -> bool:
@@ -145,14 +146,15 @@
                 stamp=reply.stamp,
                 body_bytes=len(reply.body),
             ).info('reply of another request')
-            self.protocol.close()
+            self.protocol.close(ConnectionEnd.unusable)
             return Outcome(OutcomeKind.garbled)
         is_kept = raw.is_keep_alive and not reply.closes_connection
-        if self.protocol.has_unsent_bytes:
-            # The next request would wait until the server reads this one.
-            is_kept = False
-        if not (is_kept and self.matcher.will_recognize(reply)):
-            self.protocol.close()
+        if not is_kept:
+            self.protocol.close(ConnectionEnd.asked)
+        # The next request would wait until the server reads this one.
+        has_unsent_bytes = self.protocol.has_unsent_bytes
+        if has_unsent_bytes or not self.matcher.will_recognize(reply):
+            self.protocol.close(ConnectionEnd.unusable)
         if reply.keep_alive_seconds is None:
             self._restart_idle_timeout(_DEFAULT_IDLE_TIMEOUT_SECONDS)
         else:
@@ -236,14 +238,14 @@
         self._current = exchange
         self._queue.put_nowait(exchange)
 
-    def close(self) -> None:
+    def close(self, end: ConnectionEnd = ConnectionEnd.stopped) -> None:
         """Cancel the current exchange and close the connection if it is open.
 
         A connection that is still opening is kept for later exchanges.
         """
         if self._current is not None:
             self._current.finish(Outcome(OutcomeKind.cancelled))
-        self._channel.protocol.close()
+        self._channel.protocol.close(end)
 
     async def run(self) -> None:
         """Open the connection and execute exchanges until it is closed.
@@ -252,7 +254,9 @@
         """
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._hooks.on_end, self)
-            cleanup.callback(self._channel.protocol.close)
+            cleanup.callback(
+                self._channel.protocol.close, ConnectionEnd.stopped
+            )
             cleanup.callback(self.close)
             is_open = await self._channel.open()
             if self._queue.empty():
--- a/dragonflyramp/backends/_contexts.py
+++ b/dragonflyramp/backends/_contexts.py
@@ -21,6 +21,8 @@
     #: Maximum wait for a replica with capacity.
     capacity_wait_seconds: float
     crash_watch: CrashWatch
+    #: How long the request had waited in this process when it was read.
+    read_delay_seconds: float = 0
     #: None if no tenants are configured or the caller needs no API key.
     tenant: Tenant | None = None
 
--- a/dragonflyramp/backends/_exchanges.py
+++ b/dragonflyramp/backends/_exchanges.py
@@ -28,6 +28,30 @@
     cancelled = 'cancelled'
 
 
+class ConnectionEnd(enum.Enum):
+    """Why a connection to a replica ended."""
+
+    #: The replica, or the network, ended it.
+    peer_idle = 'peer_idle'
+    peer_busy = 'peer_busy'
+    #: It was idle for longer than the replica keeps connections open.
+    expired = 'expired'
+    #: The replica asked for it in its reply.
+    asked = 'asked'
+    #: Its request was given up, and no reply came in time.
+    abandoned = 'abandoned'
+    #: It is beyond this daemon's share of the replica's connections.
+    over_share = 'over_share'
+    #: It made room for a request that it could not carry.
+    no_room = 'no_room'
+    #: The replica gets no more requests.
+    retired = 'retired'
+    #: Bytes that belong to no request, or a copy that would not be recognized.
+    unusable = 'unusable'
+    #: The task of the connection ended.
+    stopped = 'stopped'
+
+
 @attrs.frozen(kw_only=True)
 class ReplyOrigin:
     """Exchange in which a reply was received."""
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -205,7 +205,7 @@
     client: 'BackendClient', context: RequestContext, service: str
 ) -> Fetch:
     """Create a fetch of one part from a service; `Fetch.run` starts it."""
-    attempts = Attempts(context.received_at_seconds)
+    attempts = Attempts()
     watch = context.crash_watch
     return Fetch(
         client,
--- a/dragonflyramp/backends/_idle_connections.py
+++ b/dragonflyramp/backends/_idle_connections.py
@@ -3,6 +3,7 @@
 import attrs
 
 from dragonflyramp.backends._connections_http import Connection
+from dragonflyramp.backends._exchanges import ConnectionEnd
 
 
 @attrs.define(eq=False)
@@ -16,7 +17,7 @@
         while self._connections:
             if self._connections[-1].is_usable(now_seconds):
                 return True
-            self._connections.pop().close()
+            self._connections.pop().close(ConnectionEnd.expired)
         return False
 
     def take(self, request_id: str, now_seconds: float) -> Connection | None:
@@ -42,11 +43,11 @@
         if not self._connections:
             return None
         connection = self._connections.pop(0)
-        connection.close()
+        connection.close(ConnectionEnd.no_room)
         return connection
 
     def close_all(self) -> None:
         """Close all connections."""
         for connection in self._connections:
-            connection.close()
+            connection.close(ConnectionEnd.retired)
         self._connections.clear()
--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/backends/_protocols_http.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from dragonflyramp.backends._exchanges import OutcomeKind
+from dragonflyramp.backends._exchanges import ConnectionEnd, OutcomeKind
 from dragonflyramp.backends._readers_http import ReplyReader
 from dragonflyramp.backends._reply_builders_http import IsCopy
 from dragonflyramp.backends._reply_memory import ReplyMemory
@@ -30,6 +30,8 @@
     is_open: bool = False
     _transport: asyncio.Transport | None = None
     _reader: ReplyReader | None = None
+    #: Why the connection ended, the first of several reasons.
+    _end: ConnectionEnd | None = None
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -48,7 +50,7 @@
         reader = self._reader
         if reader is None:
             counters.add('backend_faults', 'bytes_without_request')
-            self.close()
+            self.close(ConnectionEnd.unusable)
             return
         reader.feed(data)
         if reader.kind is not None:
@@ -56,7 +58,7 @@
             is_replied = reader.kind is OutcomeKind.replied
             if reader.has_unexpected_bytes or not is_replied:
                 counters.add('backend_faults', 'extra_or_garbled_bytes')
-                self.close()
+                self.close(ConnectionEnd.unusable)
 
     def eof_received(self) -> bool:
         """Complete a reply whose body ends with the connection.
@@ -64,6 +66,7 @@
         No request is sent from now on, since no reply to it could come.
         """
         self.is_open = False
+        self._end = self._end or _peer_end(self._reader)
         if self._reader is not None and not _was_reset(self._transport):
             self._reader.finish_at_eof()
         return False
@@ -71,6 +74,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Finish an incomplete reply as lost."""
         self.is_open = False
+        end = self._end or _peer_end(self._reader)
+        counters.add('connection_ends', end.value)
         if self._reader is not None:
             self._reader.finish(OutcomeKind.lost)
             self._reader = None
@@ -88,13 +93,19 @@
         self._transport.write(encoded)
         return reader
 
-    def close(self) -> None:
+    def close(self, end: ConnectionEnd) -> None:
         """Close the connection without flushing."""
         self.is_open = False
+        if self._end is None:
+            self._end = end
         if self._transport is not None:
             self._transport.abort()
 
 
+def _peer_end(reader: ReplyReader | None) -> ConnectionEnd:
+    return ConnectionEnd.peer_busy if reader else ConnectionEnd.peer_idle
+
+
 def _was_reset(transport: asyncio.Transport | None) -> bool:
     """Return whether a reset arrived together with the last bytes.
 
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -10,7 +10,12 @@
     ConnectionFactory,
     ConnectionHooks,
 )
-from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
+from dragonflyramp.backends._exchanges import (
+    ConnectionEnd,
+    Exchange,
+    Outcome,
+    OutcomeKind,
+)
 from dragonflyramp.backends._idle_connections import IdleConnections
 from dragonflyramp.backends._limits import ConnectionLimits
 from dragonflyramp.messages import Load, Reply
@@ -251,7 +256,11 @@
             # Other daemons may need the connections beyond this daemon's share.
             # The only connection to the replica is kept even if the share is 0.
             self._open.discard(connection)
-            connection.close()
+            connection.close(
+                ConnectionEnd.retired
+                if self.is_retired
+                else ConnectionEnd.over_share
+            )
             return
         self._idle.add(connection)
         self._on_capacity()
--- a/dragonflyramp/backends/_requests.py
+++ b/dragonflyramp/backends/_requests.py
@@ -9,17 +9,17 @@
 
 @attrs.frozen(kw_only=True)
 class AttemptRecord:
-    """Log record of one attempt; the log contains the fields in this order.
-
-    `started_ms` and `ended_ms` count from the arrival of the caller's request.
-    """
+    """What became of one attempt; times are monotonic."""
 
     replica_id: str
     purpose: str
-    started_ms: float
+    started_at_seconds: float
     expected_latency_ms: float
-    ended_ms: float
+    ended_at_seconds: float
     outcome: str
+    #: None if the request was not written.
+    written_at_seconds: float | None = None
+    is_connection_new: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -11,11 +11,10 @@
 from dragonflyramp.backends import BackendClient, RequestContext
 from dragonflyramp.callers._answer_builders import (
     build_relay_answer,
-    build_search_refusal,
     routed_by,
 )
-from dragonflyramp.callers._answers import Answer, MergedAnswer
-from dragonflyramp.callers._cutoffs import CutoffPolicy, Progress, TargetCutoff
+from dragonflyramp.callers._answers import Answer
+from dragonflyramp.callers._cutoffs import CutoffPolicy, TargetCutoff
 from dragonflyramp.callers._in_flight import InFlightCounter
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._queries import Query
@@ -33,21 +32,18 @@
     match_query,
 )
 from dragonflyramp.callers._retry_delays import (
+    NOT_RUN_RETRY_AFTER_SECONDS,
     UNAVAILABLE_RETRY_AFTER_SECONDS,
     retry_after_seconds,
 )
-from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
+from dragonflyramp.callers._searches import Searcher
 from dragonflyramp.callers._suspect_guards import SuspectGuard
 from dragonflyramp.callers._traffic_splits import WeightedRoundRobin
 from dragonflyramp.quotas import QuotaPolicy, UnlimitedQuotas
 from dragonflyramp.results import ResultCode
-from dragonflyramp.routes import GatherSettings, RoutingTable
+from dragonflyramp.routes import RoutingTable
 from dragonflyramp.tenants import KeyTrust, TrustAlways
 
-#: Retry delay for the caller if no replica ran the request, usually because all
-#: were full: a slot becomes free after about the duration of one request.
-_NOT_RUN_RETRY_AFTER_SECONDS = 0.1
-
 
 def _create_suspect_guard(front: 'Front') -> SuspectGuard:
     return SuspectGuard(detector=front.backend_client.crash_detector)
@@ -61,6 +57,16 @@
     )
 
 
+def _create_searcher(front: 'Front') -> Searcher:
+    return Searcher(
+        backend_client=front.backend_client,
+        clock=front.clock,
+        cutoff_policy=front.cutoff_policy,
+        merger=front.merger,
+        request_log=front._request_log,  # noqa: SLF001 - part of the front
+    )
+
+
 @attrs.define(eq=False, kw_only=True)
 class Front:
     """Route, execute and log callers' queries."""
@@ -90,6 +96,9 @@
     _request_log: RequestLog = attrs.field(
         init=False, default=attrs.Factory(_create_request_log, takes_self=True)
     )
+    _searcher: Searcher = attrs.field(
+        init=False, default=attrs.Factory(_create_searcher, takes_self=True)
+    )
 
     def is_ready(self) -> bool:
         """Return whether load balancers should send callers to this front."""
@@ -119,7 +128,7 @@
             return refuse(
                 query,
                 ResultCode.stopping,
-                _NOT_RUN_RETRY_AFTER_SECONDS,
+                NOT_RUN_RETRY_AFTER_SECONDS,
                 tenant_name=context.tenant_name,
             )
         quota_check = QuotaCheck(
@@ -164,7 +173,7 @@
             )
         if route.gather is None:
             return await self._relay(context, query)
-        return await self._search(context, query, route.gather)
+        return await self._searcher.search(context, query, route.gather)
 
     async def _relay(self, context: RequestContext, query: Query) -> Answer:
         service = self._round_robin.select(context.route)
@@ -192,93 +201,13 @@
                 fleet,
                 (service,),
                 1,
-                _NOT_RUN_RETRY_AFTER_SECONDS,
+                NOT_RUN_RETRY_AFTER_SECONDS,
                 self.clock(),
             ),
         )
         self._request_log.record(context, answer, (fetch_result,))
         return answer
 
-    async def _search(
-        self, context: RequestContext, query: Query, gather: GatherSettings
-    ) -> Answer:
-        fleet = self.backend_client.fleet
-        now_seconds = self.clock()
-        usable_count = sum(
-            bool(fleet.usable_replicas(shard, now_seconds))
-            for shard in gather.shards
-        )
-        shard_count = len(gather.shards)
-        initial_progress = Progress(
-            shard_count=shard_count,
-            succeeded_count=0,
-            failed_count=shard_count - usable_count,
-            min_share=gather.min_share,
-        )
-        if initial_progress.is_infeasible:
-            return refuse(
-                query,
-                ResultCode.no_replica,
-                retry_after_seconds(
-                    fleet,
-                    gather.shards,
-                    initial_progress.required_count,
-                    UNAVAILABLE_RETRY_AFTER_SECONDS,
-                    now_seconds,
-                ),
-                tenant_name=context.tenant_name,
-            )
-        scatter_gather = ScatterGather(
-            backend_client=self.backend_client,
-            context=context,
-            gather=gather,
-            cutoff_at_seconds=self.cutoff_policy.cutoff_at_seconds(
-                context.received_at_seconds,
-                context.route.target_ms,
-                context.deadline_at_seconds,
-            ),
-        )
-        shard_results = await scatter_gather.run()
-        answer = self._merge(context, gather, shard_results)
-        if scatter_gather.was_cut_off:
-            self.cutoff_policy.record_answer(
-                scatter_gather.cutoff_at_seconds, self.clock()
-            )
-        self._request_log.record(context, answer, shard_results.all_results)
-        return answer
-
-    def _merge(
-        self,
-        context: RequestContext,
-        gather: GatherSettings,
-        shard_results: ShardResults,
-    ) -> Answer:
-        progress = shard_results.progress(gather.min_share)
-        if not progress.is_sufficient:
-            return build_search_refusal(
-                shard_results,
-                is_finished=progress.is_finished,
-                delay_seconds=retry_after_seconds(
-                    self.backend_client.fleet,
-                    gather.shards,
-                    progress.required_count,
-                    _NOT_RUN_RETRY_AFTER_SECONDS,
-                    self.clock(),
-                ),
-            )
-        parts = tuple(
-            fetch_result.success
-            for fetch_result in shard_results.succeeded
-            if fetch_result.success is not None
-        )
-        return MergedAnswer(
-            parts=parts,
-            routed=routed_by(context),
-            body=self.merger.merge(
-                (part.reply.body for part in parts), gather.top_count
-            ),
-        )
-
 
 def find_match(front: Front, query: Query) -> RouteMatch | ResultCode:
     """Return the route of a query and its tenant, or why it is refused."""
--- a/dragonflyramp/callers/_guarded_http.py
+++ b/dragonflyramp/callers/_guarded_http.py
@@ -77,6 +77,9 @@
         self._body: StreamReader | None = None
         self._is_refused = False
         self._dropped_bytes = 0
+        #: Monotonic time at which the event loop found the last bytes. With
+        #: uvloop, it is that of the poll, before the callbacks that ran first.
+        self.polled_at_seconds: float = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept a connection, or close it if there is no room."""
@@ -107,6 +110,7 @@
             if not self._is_refused:
                 self._feed(data)
             return
+        self.polled_at_seconds = self._loop.time()
         limits = self._guard.request_limits()
         rest = data
         while rest and not self._is_refused:
--- a/dragonflyramp/callers/_queries.py
+++ b/dragonflyramp/callers/_queries.py
@@ -16,6 +16,8 @@
     deadline_ms: float | None
     #: Monotonic time of arrival.
     received_at_seconds: float
+    #: How long the request had waited in this process when it was read.
+    read_delay_seconds: float = 0
     #: Selects a route by name instead of by host and path.
     route_name: str = ''
     #: API key of the caller, empty without one. It is secret.
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -8,6 +8,7 @@
 
 from dragonflyramp.admission import Rejection
 from dragonflyramp.backends import (
+    AttemptRecord,
     FetchResult,
     Peers,
     ProvenSuccess,
@@ -25,6 +26,7 @@
 from dragonflyramp.callers._retry_delays import (
     UNAVAILABLE_RETRY_AFTER_SECONDS,
 )
+from dragonflyramp.callers._search_times import SearchTimes, elapsed_ms
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters, latencies
 from dragonflyramp.results import ResultCode
@@ -48,14 +50,20 @@
         context: RequestContext,
         answer: Answer,
         fetch_results: Sequence[FetchResult],
+        times: SearchTimes | None = None,
     ) -> None:
-        """Count an answer; log it if it is late, partial, failed or sampled."""
+        """Count an answer; log it if it is late, partial, failed or sampled.
+
+        `times` are those of a search.
+        """
         now_seconds = self._clock()
-        elapsed_ms = (now_seconds - context.received_at_seconds) * 1000
-        is_late = elapsed_ms > context.route.target_ms
+        answered_ms = elapsed_ms(now_seconds, context.received_at_seconds)
+        is_late = answered_ms > context.route.target_ms
         outcome = _outcome_name(answer)
         counters.add('answers', 'late' if is_late else outcome)
-        latencies.record('requests', elapsed_ms)
+        latencies.record('requests', answered_ms)
+        if times is not None:
+            times.record(context.route.name)
         self._answer_count += 1
         is_sampled = (
             self.logs_all or self._answer_count % _ANSWERS_PER_SAMPLE == 0
@@ -70,14 +78,15 @@
             tenant=context.tenant_name,
             is_search=context.route.gather is not None,
             outcome=outcome,
-            elapsed_ms=round(elapsed_ms, 1),
+            elapsed_ms=round(answered_ms, 1),
             target_ms=context.route.target_ms,
+            times=None if times is None else times.describe(),
             daemons=self._peers.daemon_count(),
             fingerprint=_lost_request_fingerprint(context, fetch_results),
             relayed=_describe_relayed(answer),
             sources=describe_proofs(answer),
             parts=[
-                _describe_part(fetch_result)
+                _describe_part(fetch_result, context.received_at_seconds)
                 for fetch_result in fetch_results
                 if _is_failed_or_repeated(fetch_result)
             ],
@@ -178,11 +187,32 @@
     return context.crash_watch.fingerprint if has_lost_attempt else ''
 
 
-def _describe_part(fetch_result: FetchResult) -> list[object]:
-    attempts = [list(attrs.astuple(record)) for record in fetch_result.records]
+def _describe_part(
+    fetch_result: FetchResult, received_at_seconds: float
+) -> list[object]:
+    attempts = [
+        _describe_attempt(record, received_at_seconds)
+        for record in fetch_result.records
+    ]
     return [fetch_result.service, fetch_result.code.name, attempts]
 
 
+def _describe_attempt(
+    record: AttemptRecord, received_at_seconds: float
+) -> list[object]:
+    """Describe an attempt with its times in ms since the request arrived."""
+    started_ms = elapsed_ms(record.started_at_seconds, received_at_seconds)
+    ended_ms = elapsed_ms(record.ended_at_seconds, received_at_seconds)
+    return [
+        record.replica_id,
+        record.purpose,
+        round(started_ms, 1),
+        round(record.expected_latency_ms, 1),
+        round(ended_ms, 1),
+        record.outcome,
+    ]
+
+
 def describe_proofs(answer: Answer) -> list[list[object]]:
     """Describe the attempts and connections from which a success is made."""
     if not isinstance(answer, Success):
--- a/dragonflyramp/callers/_retry_delays.py
+++ b/dragonflyramp/callers/_retry_delays.py
@@ -8,6 +8,9 @@
 #: Retry delay for the caller without a usable replica or a configuration:
 #: replicas recover, or new ones are listed, within a few tenths of a second.
 UNAVAILABLE_RETRY_AFTER_SECONDS = 0.25
+#: Retry delay for the caller if no replica ran the request, usually because all
+#: were full: a slot becomes free after about the duration of one request.
+NOT_RUN_RETRY_AFTER_SECONDS = 0.1
 
 
 def retry_after_seconds(
--- a/dragonflyramp/metrics.py
+++ b/dragonflyramp/metrics.py
@@ -17,8 +17,13 @@
 
 import attrs
 
+_SHORT_BOUNDS_MS = (1, 2, 3, 5, 10, 15, 20, 25, 30, 40, 50)
+_LONG_BOUNDS_MS = (100, 150, 200, 300, 500, 1000, 3000)
 #: Upper bounds of the buckets of every latency histogram.
-BUCKET_BOUNDS_MS = (1, 3, 10, 20, 50, 100, 200, 500, 1000, 3000, 10000)
+BUCKET_BOUNDS_MS = (*_SHORT_BOUNDS_MS, *_LONG_BOUNDS_MS)
+#: Routes that a latency is counted for separately; further ones share an entry.
+_MAX_ROUTES = 32
+_OTHER_ROUTES = 'other'
 
 
 class Counters:
@@ -69,16 +74,22 @@
 
 @attrs.define(eq=False)
 class Latencies:
-    """Latency histograms by name, such as requests and platform calls."""
+    """Latency histograms by name, such as requests, and by route.
 
-    by_name: dict[str, Histogram] = attrs.field(factory=dict)
+    The route is empty for latencies that belong to none.
+    """
 
-    def record(self, name: str, latency_ms: float) -> None:
+    by_name: dict[str, dict[str, Histogram]] = attrs.field(factory=dict)
+
+    def record(self, name: str, latency_ms: float, route: str = '') -> None:
         """Count one latency in milliseconds under a name."""
-        histogram = self.by_name.get(name)
+        by_route = self.by_name.setdefault(name, {})
+        if route not in by_route and len(by_route) >= _MAX_ROUTES:
+            route = _OTHER_ROUTES
+        histogram = by_route.get(route)
         if histogram is None:
             histogram = Histogram()
-            self.by_name[name] = histogram
+            by_route[route] = histogram
         histogram.record(latency_ms)
 
 
--- a/dragonflyramp/metrics_export.py
+++ b/dragonflyramp/metrics_export.py
@@ -6,7 +6,7 @@
 
 import functools
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from opentelemetry import metrics as otel
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -24,6 +24,7 @@
 _PREFIX = 'dragonflyramp_'
 _REASON_LABEL = 'reason'
 _BOUND_LABEL = 'le'
+_ROUTE_LABEL = 'route'
 
 _Observe = Callable[[otel.CallbackOptions], Iterable[otel.Observation]]
 
@@ -80,15 +81,24 @@
 def _observe_latency(
     name: str, options: otel.CallbackOptions
 ) -> list[otel.Observation]:
-    histogram = latencies.by_name.get(name, Histogram())
-    bounds = (*map(str, BUCKET_BOUNDS_MS), '+Inf')
-    cumulative_counts = itertools.accumulate(histogram.bucket_counts)
+    by_route = latencies.by_name.get(name, {})
     return [
-        otel.Observation(count, {_BOUND_LABEL: bound})
-        for bound, count in zip(bounds, cumulative_counts, strict=True)
+        observation
+        for route, histogram in by_route.items()
+        for observation in _observe_buckets(route, histogram)
     ]
 
 
+def _observe_buckets(
+    route: str, histogram: Histogram
+) -> Iterator[otel.Observation]:
+    labels = {_ROUTE_LABEL: route} if route else {}
+    bounds = (*map(str, BUCKET_BOUNDS_MS), '+Inf')
+    cumulative_counts = itertools.accumulate(histogram.bucket_counts)
+    for bound, count in zip(bounds, cumulative_counts, strict=True):
+        yield otel.Observation(count, {_BOUND_LABEL: bound, **labels})
+
+
 def _observe_gauge(
     name: str, options: otel.CallbackOptions
 ) -> list[otel.Observation]:
--- a/dragonflyramp/operators/_explanations.py
+++ b/dragonflyramp/operators/_explanations.py
@@ -148,6 +148,7 @@
     if elapsed_ms is not None:
         target_ms = fields.get('target_ms')
         yield f'  after {elapsed_ms} ms; the target is {target_ms} ms'
+    yield from _describe_times(fields)
     yield from _describe_fingerprint(fields)
     yield from _describe_state(state)
     parts = [_parse_request_part(*part) for part in fields.get('parts', ())]
@@ -157,6 +158,23 @@
     yield f'  cause: {cause}'
 
 
+def _describe_times(fields: Mapping[str, Any]) -> Iterator[str]:
+    """Describe when the stages of a search ended."""
+    times = fields.get('times')
+    if not times:
+        return
+    descriptions = [
+        f'{description} at {times[name]} ms'
+        for name, description in _STAGE_DESCRIPTIONS
+        if name in times
+    ]
+    read_delay_ms = times.get('read_delay_ms')
+    connection_count = times.get('new_connection_count')
+    stages = ', '.join(descriptions)
+    yield f'  waited {read_delay_ms} ms to be read; {stages}'
+    yield f'  new connections for the first sends: {connection_count}'
+
+
 def _describe_fingerprint(fields: Mapping[str, Any]) -> Iterator[str]:
     """Describe what other ids the request has come under."""
     fingerprint = fields.get('fingerprint')
@@ -219,6 +237,14 @@
     return code.meaning.sentence if code else name
 
 
+#: Stages of a search in the log, in their order.
+_STAGE_DESCRIPTIONS = (
+    ('first_written_ms', 'first part sent'),
+    ('last_written_ms', 'last part sent'),
+    ('last_part_ms', 'last part received'),
+    ('ended_ms', 'search ended'),
+    ('merged_ms', 'answer merged'),
+)
 #: A part that has not arrived when the answer is due is cancelled.
 _LATE_CODE = ResultCode.cancelled.name
 _NON_FAILURE_CODES = frozenset((_LATE_CODE, ResultCode.ok.name))
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -17,6 +17,7 @@
     INTERNAL_REQUEST_LIMITS,
     ConnectionGuard,
     Front,
+    GuardedRequestHandler,
     GuardedServer,
     Query,
     RunningQueries,
@@ -187,6 +188,20 @@
         return encode_answer(answer, query.request)
 
 
+def _read_delay_seconds(
+    request: web.BaseRequest, received_at_seconds: float
+) -> float:
+    """Return how long a request has waited for the event loop.
+
+    A request that follows another on its connection may have been polled with
+    it, so that this is an upper bound.
+    """
+    protocol = request.protocol
+    if not isinstance(protocol, GuardedRequestHandler):
+        return 0
+    return max(0, received_at_seconds - protocol.polled_at_seconds)
+
+
 def _offers_dropped_upgrade(request: web.BaseRequest) -> bool:
     """Return whether aiohttp may have dropped what follows a request.
 
@@ -227,6 +242,7 @@
         path=raw_path.partition('?')[0],
         deadline_ms=deadline_ms,
         received_at_seconds=received_at_seconds,
+        read_delay_seconds=_read_delay_seconds(request, received_at_seconds),
         api_key=http_headers.parse_api_key(headers),
     )
 
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -24,6 +24,7 @@
     ViewSynchronizer,
     Watcher,
 )
+from dragonflyramp.metrics import latencies
 from dragonflyramp.metrics_http import MetricsServer
 from dragonflyramp.platform import (
     REQUEST_ID,
@@ -155,8 +156,12 @@
 
     async def _detect_standstill(self) -> None:
         while True:
-            self.standstill_detector.tick(time.monotonic())
+            now_seconds = time.monotonic()
+            self.standstill_detector.tick(now_seconds)
             await asyncio.sleep(_TICK_INTERVAL_SECONDS)
+            slept_seconds = time.monotonic() - now_seconds
+            delay_seconds = max(0, slept_seconds - _TICK_INTERVAL_SECONDS)
+            latencies.record('event_loop_delays', delay_seconds * 1000)
 
 
 def create_components(
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -23,6 +23,7 @@
     RelayedFailure,
 )
 from dragonflyramp.fingerprints import compute_fingerprint
+from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings, WeightedService
 from tests.front_harnesses import (
@@ -294,6 +295,43 @@
     assert attempts[0][0] in {'a-0', 'a-1'}
 
 
+async def test_log_splits_the_time_of_a_late_search() -> None:
+    """Nobody could tell where the time of a late search went."""
+    lines: list[dict[str, Any]] = []
+    handler_id = logger.add(lambda line: lines.append(line.record['extra']))
+    async with run_harness(_SEARCH_TABLE, policies=_NO_HEDGING) as harness:
+        for server in harness.servers['a']:
+            server.faults.hung = 100
+        await harness.send(request_id='split')
+    logger.remove(handler_id)
+    logged = next(line for line in lines if line.get('request') == 'split')
+    times = logged['times']
+    stages = (
+        'first_written_ms',
+        'last_written_ms',
+        'last_part_ms',
+        'ended_ms',
+        'merged_ms',
+    )
+    assert [times[stage] for stage in stages] == sorted(
+        times[stage] for stage in stages
+    )
+    assert times['new_connection_count'] == 4
+    assert times['read_delay_ms'] == 0
+
+
+async def test_connection_ends_are_counted_by_reason() -> None:
+    """Nobody could tell why searches had to open connections again."""
+    before = counters.get('connection_ends', 'peer_idle')
+    async with run_harness(make_table(make_route())) as harness:
+        await harness.send()
+        harness.server('a', 0).close_connections()
+        harness.server('a', 1).close_connections()
+        await eventually(
+            lambda: counters.get('connection_ends', 'peer_idle') == before + 1
+        )
+
+
 async def test_log_of_all_answers_names_each_reply() -> None:
     """A wrong success must be traceable to the replies that it is made of."""
     lines: list[dict[str, Any]] = []
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -25,7 +25,7 @@
 def _defined_metrics() -> set[str]:
     counter_names = re.findall(r"counters\.add\(\s*'(\w+)'", _SOURCES)
     latency_names = re.findall(
-        r"(?:latencies|metrics)\.record\('(\w+)'", _SOURCES
+        r"(?:latencies|metrics)\.record\(\s*'(\w+)'", _SOURCES
     )
     gauge_names = re.findall(r"gauges\.register\(\s*'(\w+)'", _SOURCES)
     return {
