Move the connections to replicas into a package of their own

The folder of backends had 35 modules. What belongs to one connection, its exchanges and the pool of connections to one replica are a package now, which imports nothing of backends; the share of the connections goes with them. No logic changed.

--- a/benchmarks/emulator/_connections.py
+++ b/benchmarks/emulator/_connections.py
@@ -6,9 +6,9 @@
 import attrs
 
 from benchmarks.emulator._replicas import EmulatedReplica
-from dragonflyramp.backends import ConnectionHooks
-from dragonflyramp.backends._exchanges import (
+from dragonflyramp.replica_connections import (
     ConnectionEnd,
+    ConnectionHooks,
     Exchange,
     Outcome,
     OutcomeKind,
--- a/benchmarks/emulator/_deployments.py
+++ b/benchmarks/emulator/_deployments.py
@@ -17,7 +17,6 @@
     BackendClient,
     BudgetBounds,
     Budgets,
-    ConnectionHooks,
     Fleet,
     Policies,
     ReplicaOrder,
@@ -25,6 +24,9 @@
 )
 from dragonflyramp.callers import CutoffPolicy, Front
 from dragonflyramp.members import Cluster, Daemon, Membership
+from dragonflyramp.replica_connections import (
+    ConnectionHooks,
+)
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import (
     GatherSettings,
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,15 +15,8 @@
 from dragonflyramp.backends import (
     Budget,
     BudgetBounds,
-    Connection,
-    ConnectionHooks,
-    ConnectionPool,
     Replica,
 )
-from dragonflyramp.placement import (
-    LowestLatencySelector,
-    SelectionInputs,
-)
 from dragonflyramp.callers import RecordMerger
 from dragonflyramp.members import Cluster, Daemon, Membership, ViewSynchronizer
 from dragonflyramp.members._sync_messages import (
@@ -33,7 +26,16 @@
     encode_response,
 )
 from dragonflyramp.members._view_updates import UpdateEncoder
+from dragonflyramp.placement import (
+    LowestLatencySelector,
+    SelectionInputs,
+)
 from dragonflyramp.platform import StoreDecoder
+from dragonflyramp.replica_connections import (
+    Connection,
+    ConnectionHooks,
+    ConnectionPool,
+)
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.slow_replicas import SlowReplicaDetector
--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -10,9 +10,8 @@
 _replica_orders   order of the replicas of a service on this daemon
 _cold_limits      limit on the requests to cold replicas
 _capacity_events  wake-up of requests that wait for capacity
-_replicas         statistics, health and connections of one replica
-_idle_connections  idle connections to one replica
-_limits           this daemon's share of a replica's limits
+_replicas         statistics and health of one replica
+_limits           this daemon's share of the requests to a cold replica
 _reply_notices    replicas that leave or asked for a pause
 _latencies        latency quantiles of each route
 _recorders        updates of the statistics from outcomes of attempts
@@ -23,23 +22,13 @@
 _preconnectors    connections opened before the first search
 _contexts         context in which a request is executed
 _requests         results of the client
-_exchanges        one request and reply with a replica
-_codecs           interface for encoding requests and decoding replies
-_connections_http one task for each connection
-_protocols_http   requests and replies on one connection
-_readers_http     limits and the end of one reply
-_reply_builders_http  what the parser of one reply reports
 _proofs           proof that a reply is a success of a request
 _reply_checks     what a complete reply means for its request
-_reply_matchers   which request of a connection a reply answers
-_reply_memory     limit on the memory of all replies that are being received
 """
 
 from dragonflyramp.backends._budgets import Budget, BudgetBounds, Budgets
 from dragonflyramp.backends._clients import BackendClient, Policies
-from dragonflyramp.backends._codecs import Codec
 from dragonflyramp.backends._cold_limits import ColdReplicaLimiter
-from dragonflyramp.backends._connections_http import Connection, ConnectionHooks
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_detectors import Crash, CrashDetector
 from dragonflyramp.backends._crash_watches import CrashWatch
@@ -59,10 +48,8 @@
 )
 from dragonflyramp.backends._latencies import RouteLatencies
 from dragonflyramp.backends._limits import (
-    ConnectionLimits,
     Peers,
     cold_request_limit,
-    connection_limits,
 )
 from dragonflyramp.backends._preconnectors import Preconnector
 from dragonflyramp.backends._probes import ProbeOutcome, ReplicaProbe
@@ -71,8 +58,7 @@
     UnprovenSuccessError,
 )
 from dragonflyramp.backends._replica_orders import ReplicaOrder
-from dragonflyramp.backends._replicas import ConnectionPool, Replica
-from dragonflyramp.backends._reply_memory import ReplyMemory
+from dragonflyramp.backends._replicas import Replica
 from dragonflyramp.backends._requests import AttemptRecord, FetchResult
 
 __all__ = (
@@ -81,12 +67,7 @@
     'Budget',
     'BudgetBounds',
     'Budgets',
-    'Codec',
     'ColdReplicaLimiter',
-    'Connection',
-    'ConnectionHooks',
-    'ConnectionLimits',
-    'ConnectionPool',
     'Crash',
     'CrashDetector',
     'CrashWatch',
@@ -104,13 +85,11 @@
     'Replica',
     'ReplicaOrder',
     'ReplicaProbe',
-    'ReplyMemory',
     'RequestContext',
     'RouteLatencies',
     'UnprovenSuccessError',
     'apply_peer_latency_ratios',
     'cold_request_limit',
-    'connection_limits',
     'expire_notices',
     'hold_domains',
     'resume_delay_seconds',
--- a/dragonflyramp/backends/_attempts.py
+++ b/dragonflyramp/backends/_attempts.py
@@ -5,17 +5,17 @@
 
 import attrs
 
-from dragonflyramp.backends._connections_http import Connection
-from dragonflyramp.backends._exchanges import (
+from dragonflyramp.backends._replicas import Replica
+from dragonflyramp.backends._reply_checks import ReplyVerdict
+from dragonflyramp.backends._requests import AttemptRecord, FetchResult
+from dragonflyramp.messages import Reply
+from dragonflyramp.replica_connections import (
+    Connection,
     ConnectionEnd,
     Exchange,
     Outcome,
     OutcomeKind,
 )
-from dragonflyramp.backends._replicas import Replica
-from dragonflyramp.backends._reply_checks import ReplyVerdict
-from dragonflyramp.backends._requests import AttemptRecord, FetchResult
-from dragonflyramp.messages import Reply
 from dragonflyramp.results import ResultCode
 
 #: Purposes of an attempt, as written to logs and metrics.
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -10,7 +10,6 @@
 from dragonflyramp.backends._budgets import Budgets, rounding_offset
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_detectors import CrashDetector
-from dragonflyramp.backends._exchanges import Exchange
 from dragonflyramp.backends._fetches import Fetch, create_fetch
 from dragonflyramp.backends._fleets import Fleet
 from dragonflyramp.backends._hedging import HedgingPolicy, QuantileHedging
@@ -23,6 +22,7 @@
     SelectionInputs,
     expected_latency_ms,
 )
+from dragonflyramp.replica_connections import Exchange
 from dragonflyramp.rollouts import Sending
 from dragonflyramp.routes import Route, ServicePolicy
 from dragonflyramp.slow_replicas import SlowReplicaDetector
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -13,16 +13,16 @@
 )
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_watches import CrashRetries
-from dragonflyramp.backends._exchanges import (
-    Outcome,
-    OutcomeKind,
-    ReplyOrigin,
-)
 from dragonflyramp.backends._proofs import ProvenSuccess
 from dragonflyramp.backends._reply_checks import ReplyVerdict, check_reply
 from dragonflyramp.backends._requests import FetchResult
 from dragonflyramp.backends._schedulers import AttemptScheduler
 from dragonflyramp.messages import Reply
+from dragonflyramp.replica_connections import (
+    Outcome,
+    OutcomeKind,
+    ReplyOrigin,
+)
 from dragonflyramp.results import ResultCode
 
 if TYPE_CHECKING:
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -10,11 +10,15 @@
 
 from dragonflyramp.backends._capacity_events import CapacityEvents
 from dragonflyramp.backends._cold_limits import ColdReplicaLimiter
-from dragonflyramp.backends._connections_http import ConnectionFactory
-from dragonflyramp.backends._limits import Peers, connection_limits
+from dragonflyramp.backends._limits import Peers
 from dragonflyramp.backends._replica_orders import ReplicaOrder
-from dragonflyramp.backends._replicas import ConnectionPool, Replica
+from dragonflyramp.backends._replicas import Replica
 from dragonflyramp.backends._reply_notices import ReplyNoticeRecorder
+from dragonflyramp.replica_connections import (
+    ConnectionFactory,
+    ConnectionPool,
+    connection_limits,
+)
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.rollouts import AllVersions, VersionPolicy
 from dragonflyramp.routes import ServicePolicy
--- a/dragonflyramp/backends/_proofs.py
+++ b/dragonflyramp/backends/_proofs.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from dragonflyramp.backends._exchanges import ReplyOrigin
 from dragonflyramp.backends._reply_checks import ReplyVerdict, check_reply
 from dragonflyramp.messages import Reply, Request
+from dragonflyramp.replica_connections import ReplyOrigin
 
 
 class UnprovenSuccessError(Exception):
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -8,13 +8,13 @@
 
 from dragonflyramp.backends._attempts import FIRST, Attempt
 from dragonflyramp.backends._contexts import RequestContext
-from dragonflyramp.backends._exchanges import OutcomeKind
 from dragonflyramp.backends._latencies import LatenciesByRoute
 from dragonflyramp.backends._replicas import Replica
 from dragonflyramp.backends._reply_checks import ReplyVerdict
 from dragonflyramp.messages import Load, Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
+from dragonflyramp.replica_connections import OutcomeKind
 from dragonflyramp.replicas import ReplicaEntry
 from dragonflyramp.rollouts import AnswerKind, VersionPolicy
 from dragonflyramp.slow_replicas import SlowReplicaDetector
--- a/dragonflyramp/backends/_schedulers.py
+++ b/dragonflyramp/backends/_schedulers.py
@@ -7,8 +7,8 @@
 
 from dragonflyramp.backends._attempts import FIRST, HEDGE, RETRY, Attempts
 from dragonflyramp.backends._contexts import RequestContext
-from dragonflyramp.backends._exchanges import Outcome
 from dragonflyramp.metrics import counters, latencies
+from dragonflyramp.replica_connections import Outcome
 
 if TYPE_CHECKING:
     from dragonflyramp.backends._clients import BackendClient
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -19,18 +19,18 @@
 from dragonflyramp.callers._merging import Merger, RecordMerger
 from dragonflyramp.callers._queries import Query
 from dragonflyramp.callers._quota_checks import QuotaCheck
-from dragonflyramp.callers._request_logs import (
-    RequestLog,
-    refuse,
-    refuse_rejected,
-    refuse_unmatched,
-)
 from dragonflyramp.callers._request_contexts import (
     RouteMatch,
     build_context,
     context_after_wait,
     match_query,
 )
+from dragonflyramp.callers._request_logs import (
+    RequestLog,
+    refuse,
+    refuse_rejected,
+    refuse_unmatched,
+)
 from dragonflyramp.callers._retry_delays import (
     NOT_RUN_RETRY_AFTER_SECONDS,
     UNAVAILABLE_RETRY_AFTER_SECONDS,
--- a/dragonflyramp/platform/_backend_http.py
+++ b/dragonflyramp/platform/_backend_http.py
@@ -4,10 +4,12 @@
 
 import attrs
 
-from dragonflyramp.backends import Codec
 from dragonflyramp.messages import Headers, Reply, Request
 from dragonflyramp.metrics import counters
 from dragonflyramp.platform import _headers as http_headers
+from dragonflyramp.replica_connections import (
+    Codec,
+)
 
 
 @attrs.frozen
--- a/dragonflyramp/backends/_connections_http.py
+++ b/dragonflyramp/replica_connections/_connections_http.py
@@ -9,20 +9,20 @@
 import attrs
 from loguru import logger
 
-from dragonflyramp.backends._codecs import Codec
-from dragonflyramp.backends._exchanges import (
+from dragonflyramp.messages import Reply
+from dragonflyramp.metrics import counters
+from dragonflyramp.replica_connections._codecs import Codec
+from dragonflyramp.replica_connections._exchanges import (
     ConnectionEnd,
     Exchange,
     Outcome,
     OutcomeKind,
     ReplyOrigin,
 )
-from dragonflyramp.backends._protocols_http import ReplyProtocol
-from dragonflyramp.backends._reply_builders_http import RawReply
-from dragonflyramp.backends._reply_matchers import ReplyMatcher
-from dragonflyramp.backends._reply_memory import ReplyMemory
-from dragonflyramp.messages import Reply
-from dragonflyramp.metrics import counters
+from dragonflyramp.replica_connections._protocols_http import ReplyProtocol
+from dragonflyramp.replica_connections._reply_builders_http import RawReply
+from dragonflyramp.replica_connections._reply_matchers import ReplyMatcher
+from dragonflyramp.replica_connections._reply_memory import ReplyMemory
 
 #: Covers one lost SYN, which is retransmitted after a second. Two losses
 #: indicate a network failure.
--- a/dragonflyramp/backends/_idle_connections.py
+++ b/dragonflyramp/replica_connections/_idle_connections.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from dragonflyramp.backends._connections_http import Connection
-from dragonflyramp.backends._exchanges import ConnectionEnd
+from dragonflyramp.replica_connections._connections_http import Connection
+from dragonflyramp.replica_connections._exchanges import ConnectionEnd
 
 
 @attrs.define(eq=False)
--- a/dragonflyramp/backends/_protocols_http.py
+++ b/dragonflyramp/replica_connections/_protocols_http.py
@@ -7,11 +7,14 @@
 
 import attrs
 
-from dragonflyramp.backends._exchanges import ConnectionEnd, OutcomeKind
-from dragonflyramp.backends._readers_http import ReplyReader
-from dragonflyramp.backends._reply_builders_http import IsCopy
-from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.metrics import counters
+from dragonflyramp.replica_connections._exchanges import (
+    ConnectionEnd,
+    OutcomeKind,
+)
+from dragonflyramp.replica_connections._readers_http import ReplyReader
+from dragonflyramp.replica_connections._reply_builders_http import IsCopy
+from dragonflyramp.replica_connections._reply_memory import ReplyMemory
 
 
 @attrs.define(eq=False)
--- a/dragonflyramp/backends/_readers_http.py
+++ b/dragonflyramp/replica_connections/_readers_http.py
@@ -5,20 +5,20 @@
 
 import httptools
 
-from dragonflyramp.backends._exchanges import OutcomeKind
-from dragonflyramp.backends._reply_builders_http import (
+from dragonflyramp.metrics import counters
+from dragonflyramp.replica_connections._exchanges import OutcomeKind
+from dragonflyramp.replica_connections._reply_builders_http import (
     IsCopy,
     PartialReply,
     RawReply,
     ReplyBuilder,
     is_no_copy,
 )
-from dragonflyramp.backends._reply_matchers import (
+from dragonflyramp.replica_connections._reply_matchers import (
     has_second_reply,
     is_cut_by_status_line,
 )
-from dragonflyramp.backends._reply_memory import ReplyMemory
-from dragonflyramp.metrics import counters
+from dragonflyramp.replica_connections._reply_memory import ReplyMemory
 
 #: Limit on all bytes of a reply, with interim ones and the framing of chunks.
 #: Those of backend servers have a few kilobytes.
--- a/dragonflyramp/tools/_backend_components.py
+++ b/dragonflyramp/tools/_backend_components.py
@@ -9,14 +9,16 @@
     BudgetBounds,
     Budgets,
     ColdReplicaLimiter,
-    Connection,
     Fleet,
     ReplicaOrder,
-    ReplyMemory,
 )
 from dragonflyramp.machine_settings import MachineSettings
 from dragonflyramp.members import ViewSynchronizer
 from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections import (
+    Connection,
+    ReplyMemory,
+)
 from dragonflyramp.runtime import TaskSet
 from dragonflyramp.tools._rollout_components import create_version_policy
 from dragonflyramp.views import View
--- a/tests/front_harnesses.py
+++ b/tests/front_harnesses.py
@@ -13,17 +13,19 @@
     BackendClient,
     BudgetBounds,
     Budgets,
-    Connection,
     Fleet,
     Policies,
     ProvenSuccess,
-    ReplyMemory,
     apply_peer_latency_ratios,
 )
-from dragonflyramp.backends._exchanges import ReplyOrigin
 from dragonflyramp.callers import Front, Query, RelayedAnswer, RouteVersion
 from dragonflyramp.messages import Reply, Request
 from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections import (
+    Connection,
+    ReplyMemory,
+)
+from dragonflyramp.replica_connections._exchanges import ReplyOrigin
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import (
     GatherSettings,
--- a/tests/reply_servers.py
+++ b/tests/reply_servers.py
@@ -15,14 +15,18 @@
 
 import attrs
 
-from dragonflyramp.backends._connections_http import (
+from dragonflyramp.messages import Reply, Request
+from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections._connections_http import (
     Connection,
     ConnectionHooks,
 )
-from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
-from dragonflyramp.backends._reply_memory import ReplyMemory
-from dragonflyramp.messages import Reply, Request
-from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections._exchanges import (
+    Exchange,
+    Outcome,
+    OutcomeKind,
+)
+from dragonflyramp.replica_connections._reply_memory import ReplyMemory
 from tests.front_harnesses import make_request
 from tests.standins.resets import reset_on_close
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,8 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from benchmarks.emulator import KindStatistics, run_contention
 from benchmarks.contention import make_run
+from benchmarks.emulator import KindStatistics, run_contention
 from benchmarks.emulator._event_loops import run_in_virtual_time
 from dragonflyramp.admission import AdmitAll, PriorityAdmission, Rejection
 from dragonflyramp.admission._contentions import Contentions
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -24,12 +24,14 @@
     HedgingPolicy,
     NoHedging,
     Policies,
-    ReplyMemory,
     RouteLatencies,
 )
-from dragonflyramp.backends._readers_http import ReplyReader
 from dragonflyramp.callers import Front
 from dragonflyramp.platform import FrontServer
+from dragonflyramp.replica_connections import (
+    ReplyMemory,
+)
+from dragonflyramp.replica_connections._readers_http import ReplyReader
 from dragonflyramp.routes import (
     GatherSettings,
     Route,
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,20 +13,11 @@
     BudgetBounds,
     Budgets,
     ColdReplicaLimiter,
-    ConnectionPool,
     QuantileHedging,
     Replica,
     RouteLatencies,
-    connection_limits,
 )
 from dragonflyramp.backends._budgets import rounding_offset
-from dragonflyramp.backends._exchanges import Exchange
-from dragonflyramp.placement import (
-    LowestLatencySelector,
-    RandomSelector,
-    ReplicaSelector,
-    SelectionInputs,
-)
 from dragonflyramp.callers import (
     CutoffPolicy,
     DeadlineCutoff,
@@ -34,6 +25,17 @@
     TargetCutoff,
 )
 from dragonflyramp.messages import Load
+from dragonflyramp.placement import (
+    LowestLatencySelector,
+    RandomSelector,
+    ReplicaSelector,
+    SelectionInputs,
+)
+from dragonflyramp.replica_connections import (
+    ConnectionPool,
+    connection_limits,
+)
+from dragonflyramp.replica_connections._exchanges import Exchange
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.routes import ServicePolicy, answer_due_ms
 from dragonflyramp.runtime import TaskSet
--- a/tests/test_input_fuzzing.py
+++ b/tests/test_input_fuzzing.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 from dragonflyramp.backends import Fleet, expire_notices
-from dragonflyramp.backends._exchanges import OutcomeKind
-from dragonflyramp.backends._readers_http import ReplyReader
-from dragonflyramp.backends._reply_builders_http import RawReply
 from dragonflyramp.platform import StoreDecoder
+from dragonflyramp.replica_connections._exchanges import OutcomeKind
+from dragonflyramp.replica_connections._readers_http import ReplyReader
+from dragonflyramp.replica_connections._reply_builders_http import RawReply
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
 from dragonflyramp.runtime import TaskSet
 from tests.object_readers import read_page
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,10 +6,10 @@
 import time
 import tracemalloc
 from collections.abc import AsyncIterator
+from typing import Any
 
 import attrs
 import pytest
-from typing import Any
 
 from dragonflyramp.backends import Fleet
 from dragonflyramp.members import (
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -11,8 +11,9 @@
 import attrs
 from returns.result import Result
 
-from dragonflyramp.backends import Connection, ConnectionHooks, Preconnector
-from dragonflyramp.backends._exchanges import Exchange
+from dragonflyramp.backends import (
+    Preconnector,
+)
 from dragonflyramp.backends._trial_locks import TrialLocks
 from dragonflyramp.callers import RelayedAnswer
 from dragonflyramp.members import (
@@ -26,6 +27,11 @@
 from dragonflyramp.members._suspect_objects import encode_record
 from dragonflyramp.members._suspect_records import remove_old_records
 from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections import (
+    Connection,
+    ConnectionHooks,
+)
+from dragonflyramp.replica_connections._exchanges import Exchange
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
 from dragonflyramp.suspects import (
--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -13,15 +13,19 @@
 import pytest
 import uvloop
 
-from dragonflyramp.backends._connections_http import (
+from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections._connections_http import (
     Connection,
     ConnectionHooks,
 )
-from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
-from dragonflyramp.backends._readers_http import ReplyReader
-from dragonflyramp.backends._reply_builders_http import RawReply
-from dragonflyramp.backends._reply_memory import ReplyMemory
-from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections._exchanges import (
+    Exchange,
+    Outcome,
+    OutcomeKind,
+)
+from dragonflyramp.replica_connections._readers_http import ReplyReader
+from dragonflyramp.replica_connections._reply_builders_http import RawReply
+from dragonflyramp.replica_connections._reply_memory import ReplyMemory
 from tests.front_harnesses import make_request
 from tests.standins.listeners import address_of, listen
 from tests.standins.resets import reset_on_close
--- a/tests/test_reply_ends.py
+++ b/tests/test_reply_ends.py
@@ -12,19 +12,21 @@
 import uvloop
 
 from dragonflyramp.backends import (
-    Connection,
-    ConnectionPool,
     HedgingPolicy,
     Policies,
     RouteLatencies,
-    _connections_http,
 )
-from dragonflyramp.backends._exchanges import Exchange, OutcomeKind
-from dragonflyramp.backends._protocols_http import ReplyProtocol
-from dragonflyramp.backends._readers_http import ReplyReader
-from dragonflyramp.backends._reply_memory import ReplyMemory
 from dragonflyramp.callers import RelayedAnswer
 from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections import (
+    Connection,
+    ConnectionPool,
+    _connections_http,
+)
+from dragonflyramp.replica_connections._exchanges import Exchange, OutcomeKind
+from dragonflyramp.replica_connections._protocols_http import ReplyProtocol
+from dragonflyramp.replica_connections._readers_http import ReplyReader
+from dragonflyramp.replica_connections._reply_memory import ReplyMemory
 from dragonflyramp.runtime import TaskSet
 from tests.front_harnesses import make_route, make_table, run_harness
 from tests.reply_servers import SentReply, Step, pause, run_client
--- a/tests/test_reply_machines.py
+++ b/tests/test_reply_machines.py
@@ -19,15 +19,19 @@
     run_state_machine_as_test,
 )
 
-from dragonflyramp.backends import (
+from dragonflyramp.backends._reply_checks import check_reply
+from dragonflyramp.messages import Reply, Request
+from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections import (
     Connection,
     ConnectionPool,
     ReplyMemory,
 )
-from dragonflyramp.backends._exchanges import Exchange, Outcome, OutcomeKind
-from dragonflyramp.backends._reply_checks import check_reply
-from dragonflyramp.messages import Reply, Request
-from dragonflyramp.platform import ReplicaCodec
+from dragonflyramp.replica_connections._exchanges import (
+    Exchange,
+    Outcome,
+    OutcomeKind,
+)
 from dragonflyramp.runtime import TaskSet
 from tests.reply_servers import SentReply
 from tests.standins.wires import ModelLoop, Wire
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -10,14 +10,14 @@
 import pytest
 
 from dragonflyramp.backends import Policies
-from dragonflyramp.backends._exchanges import Exchange, OutcomeKind
-from dragonflyramp.backends._protocols_http import ReplyProtocol
-from dragonflyramp.backends._reply_matchers import (
+from dragonflyramp.messages import Reply, Request
+from dragonflyramp.platform import FrontServer
+from dragonflyramp.replica_connections._exchanges import Exchange, OutcomeKind
+from dragonflyramp.replica_connections._protocols_http import ReplyProtocol
+from dragonflyramp.replica_connections._reply_matchers import (
     ReplyMatcher,
     has_second_reply,
 )
-from dragonflyramp.messages import Reply, Request
-from dragonflyramp.platform import FrontServer
 from dragonflyramp.runtime import TaskSet
 from tests.front_harnesses import (
     make_front,
