--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -2,8 +2,9 @@
 
 Run `python -m benchmarks.parts`. The replicas reply immediately and run in a
 separate process, so that only the front's CPU time is measured. `--profile`
-also prints a profile of the front. The benchmark starts the process of the
-replicas itself, with `--replicas`.
+also prints a profile of the front, and `--calls` the number of calls per part
+instead of the time, without hedges: it is the same on every machine. The
+benchmark starts the process of the replicas itself, with `--replicas`.
 """
 
 import argparse
@@ -21,10 +22,10 @@
 import uvloop
 from loguru import logger
 
-from dragonflyramp.backends import Policies
+from dragonflyramp.backends import NoHedging, Policies, ReplicaOrder
 from dragonflyramp.callers import MergedAnswer
 from dragonflyramp.replicas import ReplicaEntry, ReplicaState
-from dragonflyramp.routes import GatherSettings, RoutingTable
+from dragonflyramp.routes import GatherSettings
 from dragonflyramp.runtime import TaskSet
 from tests.front_harnesses import (
     FrontHarness,
@@ -33,12 +34,15 @@
     make_table,
 )
 
-_REPLICAS_PER_SHARD = 3
+#: Each shard has a replica in each, the first of which is that of the front.
+_FAILURE_DOMAINS = ('recife', 'fortaleza', 'salvador')
+_REPLICAS_PER_SHARD = len(_FAILURE_DOMAINS)
 #: Daemons, including the front, that share the budget.
 _DAEMON_COUNT = 7
 #: Retries and hedges of all daemons per service and budget window, in addition
 #: to the ratio.
 _BUDGET_SLACK = 50
+_WARM_UP_SEARCHES = 10
 _RECORDS_PER_PART = 60
 _RECORD_BYTES = 16
 #: Numbers of the replies of all replicas, since each has a stamp of its own.
@@ -51,12 +55,15 @@
     parser.add_argument('--shards', type=int, default=36)
     parser.add_argument('--searches', type=int, default=300)
     parser.add_argument('--profile', action='store_true')
+    parser.add_argument('--calls', action='store_true')
     parser.add_argument('--replicas', action='store_true')
     options = parser.parse_args()
     logger.remove()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         if options.replicas:
             runner.run(_serve_replicas(options.shards * _REPLICAS_PER_SHARD))
+        elif options.calls:
+            runner.run(_count_calls(options.shards, options.searches))
         else:
             measurement = _measure(options.shards, options.searches)
             _run_measurement(runner, measurement, is_profiled=options.profile)
@@ -112,9 +119,7 @@
 
 async def _measure(shard_count: int, search_count: int) -> None:
     shards = tuple(map(_shard_name, range(shard_count)))
-    gather = GatherSettings(shards=shards, top_count=50, min_share=0.9)
-    routing_table = make_table(make_route(gather=gather))
-    async with _front_harness(routing_table, shard_count) as harness:
+    async with _front_harness(shards, Policies()) as harness:
         # Opens connections and collects latency samples before the measurement.
         await _run_searches(harness, search_count // 10)
         wall_seconds = time.perf_counter()
@@ -132,6 +137,22 @@
     )
 
 
+async def _count_calls(shard_count: int, search_count: int) -> None:
+    shards = tuple(map(_shard_name, range(shard_count)))
+    profile = cProfile.Profile()
+    policies = Policies(hedging=NoHedging())
+    async with _front_harness(shards, policies) as harness:
+        await _run_searches(harness, 2 * _WARM_UP_SEARCHES)
+        profile.enable()
+        await _run_searches(harness, search_count)
+        profile.disable()
+    part_count = search_count * shard_count
+    # pstats declares the attribute in a comment only.
+    calls = pstats.Stats(profile).total_calls  # type: ignore[attr-defined]
+    calls_per_part = round(calls / part_count, 1)
+    sys.stdout.write(f'{calls_per_part} calls per part\n')
+
+
 async def _run_searches(harness: FrontHarness, search_count: int) -> None:
     for number in range(search_count):
         answer = await harness.send(request_id=f'q{number}')
@@ -140,8 +161,10 @@
 
 @contextlib.asynccontextmanager
 async def _front_harness(
-    routing_table: RoutingTable, shard_count: int
+    shards: tuple[str, ...], policies: Policies
 ) -> AsyncIterator[FrontHarness]:
+    gather = GatherSettings(shards=shards, top_count=50, min_share=0.9)
+    shard_count = len(shards)
     command = (sys.executable, '-m', __spec__.name, '--replicas')
     with subprocess.Popen(
         (*command, f'--shards={shard_count}'),
@@ -153,13 +176,15 @@
         ports = replica_process.stdout.readline().split()
         tasks = TaskSet()
         front = make_front(
-            routing_table,
+            make_table(make_route(gather=gather)),
             _make_entries(ports),
             tasks,
             budget_slack=_BUDGET_SLACK,
-            policies=Policies(),
+            policies=policies,
             daemon_count=_DAEMON_COUNT,
         )
+        fleet = front.backend_client.fleet
+        fleet.order = ReplicaOrder(failure_domain=_FAILURE_DOMAINS[0])
         yield FrontHarness(front, {})
         await tasks.cancel()
         replica_process.communicate('')
@@ -175,7 +200,7 @@
             replica_id=f'i-{index}',
             service=_shard_name(index // _REPLICAS_PER_SHARD),
             address=f'127.0.0.1:{port}',
-            failure_domain='recife',
+            failure_domain=_FAILURE_DOMAINS[index % _REPLICAS_PER_SHARD],
             state=ReplicaState.ready,
             slots=4,
         )
