--- a/dragonflyramp/backends/__init__.py
+++ b/dragonflyramp/backends/__init__.py
@@ -3,10 +3,14 @@
 _clients          client with the state that all fetches share
 _fetches          fetch of one part from one service
 _attempts         attempts of one fetch, and its failure
+_fetch_steps      usual steps of a fetch, without a task
+_outcome_handlers  outcomes of the attempts of one fetch
+_selections       replica of an attempt, with or without a comparison
 _schedulers       start times of the first attempt, retries and hedges
 _hedging          delay after which a hedge is sent
 _budgets          limits on the retries and hedges of each service
 _fleets           replicas of each service, and which may receive requests
+_replica_lookups  replicas that this daemon prefers
 _replica_orders   order of the replicas of a service on this daemon
 _cold_limits      limit on the requests to cold replicas
 _capacity_events  wake-up of requests that wait for capacity
@@ -26,6 +30,7 @@
 _reply_checks     what a complete reply means for its request
 """
 
+from dragonflyramp.backends._attempts import FirstSends
 from dragonflyramp.backends._budgets import Budget, BudgetBounds, Budgets
 from dragonflyramp.backends._clients import BackendClient, Policies
 from dragonflyramp.backends._cold_limits import ColdReplicaLimiter
@@ -57,6 +62,7 @@
     ProvenSuccess,
     UnprovenSuccessError,
 )
+from dragonflyramp.backends._replica_lookups import preferred_replica
 from dragonflyramp.backends._replica_orders import ReplicaOrder
 from dragonflyramp.backends._replicas import Replica
 from dragonflyramp.backends._requests import AttemptRecord, FetchResult
@@ -72,6 +78,7 @@
     'CrashDetector',
     'CrashWatch',
     'Fetch',
+    'FirstSends',
     'FetchResult',
     'Fleet',
     'HedgingPolicy',
@@ -92,6 +99,7 @@
     'cold_request_limit',
     'expire_notices',
     'hold_domains',
+    'preferred_replica',
     'resume_delay_seconds',
     'software_versions',
 )
--- a/dragonflyramp/backends/_attempts.py
+++ b/dragonflyramp/backends/_attempts.py
@@ -1,6 +1,7 @@
 """Track the attempts of one fetch and derive its failure from them."""
 
 import asyncio
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -24,6 +25,16 @@
 HEDGE = 'hedge'
 
 
+@attrs.define(eq=False, kw_only=True)
+class FirstSends:
+    """First attempts at the parts of a search, which are sent together."""
+
+    #: Delay of a hedge after its first attempt; None for no hedge.
+    hedge_delay_ms: float | None = None
+    #: Monotonic time at which all were sent. No reply is read before.
+    ended_at_seconds: float = -math.inf
+
+
 @attrs.define(eq=False, kw_only=True)
 class Attempt:
     """One request of a fetch, to one replica."""
@@ -36,6 +47,8 @@
     expected_latency_ms: float
     #: Whether the connection was opened for this attempt.
     is_connection_new: bool = False
+    #: The attempts that are sent together with this one, if there are any.
+    first_sends: FirstSends | None = None
 
     def close(self) -> None:
         """Close the connection unless the attempt already has an outcome.
@@ -119,7 +132,7 @@
             started_at_seconds=attempt.started_at_seconds,
             expected_latency_ms=attempt.expected_latency_ms,
             ended_at_seconds=now_seconds,
-            outcome=kind.value,
+            outcome=kind,
             written_at_seconds=attempt.exchange.written_at_seconds,
             is_connection_new=attempt.is_connection_new,
         )
--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from dragonflyramp.backends._attempts import FIRST, RETRY, Attempt
+from dragonflyramp.backends._attempts import Attempt, FirstSends
 from dragonflyramp.backends._budgets import Budgets, rounding_offset
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_detectors import CrashDetector
@@ -16,21 +16,18 @@
 from dragonflyramp.backends._latencies import LatenciesByRoute
 from dragonflyramp.backends._limits import Peers
 from dragonflyramp.backends._recorders import OutcomeRecorder
-from dragonflyramp.placement import (
-    LowestLatencySelector,
-    ReplicaSelector,
-    SelectionInputs,
-    expected_latency_ms,
+from dragonflyramp.backends._selections import (
+    ReplicaChooser,
+    describe_sending,
 )
+from dragonflyramp.deferred_calls import CallQueue, ImmediateCalls
+from dragonflyramp.placement import LowestLatencySelector, ReplicaSelector
 from dragonflyramp.replica_connections import Exchange
-from dragonflyramp.rollouts import Sending
-from dragonflyramp.routes import Route, ServicePolicy
+from dragonflyramp.routes import Route
 from dragonflyramp.slow_replicas import SlowReplicaDetector
 
 #: Orders the daemons for the rounding of their budgets.
 _BUDGET_RANK_KEY = 'budget'
-#: Connections per replica of a service without a configured limit.
-_DEFAULT_MAX_CONNECTIONS = 8
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +38,16 @@
     hedging: HedgingPolicy = attrs.field(factory=QuantileHedging)
 
 
+def _create_chooser(client: 'BackendClient') -> ReplicaChooser:
+    return ReplicaChooser(
+        fleet=client.fleet,
+        peers=client.peers,
+        failure_domain=client.failure_domain,
+        selector=client.policies.selector,
+        rng=client.rng,
+    )
+
+
 @attrs.define(eq=False, kw_only=True)
 class BackendClient:
     """Send requests to the replicas of services."""
@@ -57,8 +64,13 @@
     slow_replica_detector: SlowReplicaDetector
     policies: Policies = attrs.field(factory=Policies)
     latencies: LatenciesByRoute = attrs.field(factory=LatenciesByRoute)
+    #: Runs what no answer waits for.
+    calls: CallQueue = attrs.field(factory=ImmediateCalls)
     recorder: OutcomeRecorder = attrs.field(init=False)
     crash_detector: CrashDetector = attrs.field(init=False)
+    _chooser: ReplicaChooser = attrs.field(
+        init=False, default=attrs.Factory(_create_chooser, takes_self=True)
+    )
 
     def __attrs_post_init__(self) -> None:
         """Hear of processes of replicas that ended."""
@@ -68,9 +80,12 @@
         """Create a fetch of one part from a service; `Fetch.run` starts it."""
         return create_fetch(self, context, service)
 
-    def hedge_delay_ms(self, route: Route) -> float | None:
-        """Return the hedge delay of a route in ms, or None for no hedge."""
-        return self.policies.hedging.delay_ms(self.latencies.for_route(route))
+    def plan_first_sends(self, route: Route) -> FirstSends:
+        """Return when first attempts that are sent now are hedged."""
+        latencies = self.latencies.for_route(route)
+        return FirstSends(
+            hedge_delay_ms=self.policies.hedging.delay_ms(latencies)
+        )
 
     def spend_budget(
         self, service: str, now_seconds: float, *, is_hedge: bool
@@ -98,35 +113,17 @@
         Return None if no candidate is left. A retry reuses a replica that was
         already tried if there is no other; a hedge does not.
         """
-        inputs = SelectionInputs(
-            failure_domain=self.failure_domain,
-            typical_ms=self.latencies.for_route(context.route).typical_ms,
-            target_ms=context.route.target_ms,
-            now_seconds=now_seconds,
-        )
-        policy = context.table.service_policies.get(service) or ServicePolicy(
-            name=service, max_connections=_DEFAULT_MAX_CONNECTIONS
-        )
-        sending = Sending(
-            service=service,
-            route=context.route.name,
-            is_first=purpose == FIRST,
-        )
-        candidates = self.fleet.versions.narrow(
-            self.fleet.candidates(policy, self.peers, now_seconds),
+        sending = describe_sending(context, service, purpose)
+        selection = self._chooser.choose(
+            context,
             sending,
+            tried_replica_ids,
+            self.latencies.for_route(context.route).typical_ms,
             now_seconds,
         )
-        untried = [
-            replica
-            for replica in candidates
-            if replica.entry.replica_id not in tried_replica_ids
-        ]
-        if untried or purpose != RETRY:
-            candidates = untried
-        replica = self.policies.selector.select(candidates, inputs, self.rng)
-        if replica is None:
+        if selection is None:
             return None
+        replica = selection.replica
         exchange = Exchange(
             request=context.request,
             replica_id=replica.entry.replica_id,
@@ -134,13 +131,14 @@
             outcome=asyncio.get_running_loop().create_future(),
             tenant_name=context.tenant_name,
         )
-        self.fleet.cold_limiter.record_send(replica, now_seconds)
+        if replica.is_cold(now_seconds):
+            self.fleet.cold_limiter.record_send(replica, now_seconds)
         self.fleet.versions.record_start(replica.entry, sending, now_seconds)
         return Attempt(
-            is_connection_new=not replica.connections.has_idle(now_seconds),
+            is_connection_new=not selection.has_idle_connection,
             exchange=exchange,
             replica=replica,
-            expected_latency_ms=expected_latency_ms(replica, inputs),
+            expected_latency_ms=selection.expected_latency_ms,
             connection=replica.connections.start(exchange, now_seconds),
             purpose=purpose,
             started_at_seconds=now_seconds,
@@ -153,5 +151,8 @@
     @recorder.default
     def _create_recorder(self) -> OutcomeRecorder:
         return OutcomeRecorder(
-            self.latencies, self.slow_replica_detector, self.fleet.versions
+            self.latencies,
+            self.slow_replica_detector,
+            self.fleet.versions,
+            calls=self.calls,
         )
--- a/dragonflyramp/backends/_cold_limits.py
+++ b/dragonflyramp/backends/_cold_limits.py
@@ -26,14 +26,11 @@
     _send_times: dict[str, list[float]] = attrs.field(factory=dict)
 
     def record_send(self, replica: Replica, now_seconds: float) -> None:
-        """Count a request if the replica is cold."""
-        if replica.is_cold(now_seconds):
-            send_times = self._send_times.setdefault(
-                replica.entry.replica_id, []
-            )
-            send_times.append(now_seconds)
-            while now_seconds - send_times[0] >= _COLD_RATE_WINDOW_SECONDS:
-                send_times.pop(0)
+        """Count a request to a cold replica."""
+        send_times = self._send_times.setdefault(replica.entry.replica_id, [])
+        send_times.append(now_seconds)
+        while now_seconds - send_times[0] >= _COLD_RATE_WINDOW_SECONDS:
+            send_times.pop(0)
 
     def allows(
         self,
--- a/dragonflyramp/backends/_fetches.py
+++ b/dragonflyramp/backends/_fetches.py
@@ -7,22 +7,15 @@
 import attrs
 
 from dragonflyramp.backends._attempts import (
-    Attempt,
     Attempts,
     FailureSummary,
 )
 from dragonflyramp.backends._contexts import RequestContext
 from dragonflyramp.backends._crash_watches import CrashRetries
-from dragonflyramp.backends._proofs import ProvenSuccess
-from dragonflyramp.backends._reply_checks import ReplyVerdict, check_reply
+from dragonflyramp.backends._fetch_steps import FetchSteps
+from dragonflyramp.backends._outcome_handlers import OutcomeHandler
 from dragonflyramp.backends._requests import FetchResult
 from dragonflyramp.backends._schedulers import AttemptScheduler
-from dragonflyramp.messages import Reply
-from dragonflyramp.replica_connections import (
-    Outcome,
-    OutcomeKind,
-    ReplyOrigin,
-)
 from dragonflyramp.results import ResultCode
 
 if TYPE_CHECKING:
@@ -41,11 +34,21 @@
     service: str
     _scheduler: AttemptScheduler
     _crash_retries: CrashRetries
-    _failure_summary: FailureSummary
+    _outcomes: OutcomeHandler
+    #: Steps that the caller may take before `run`, or in place of it.
+    steps: FetchSteps
     #: Whether a cancelled fetch keeps the connections of written requests for a
     #: short time, so that late replies are still read.
     accepts_late_replies: bool = False
 
+    def release(self) -> None:
+        """Release the attempts of a fetch whose result nobody waits for."""
+        self._outcomes.release(
+            self._client.clock(),
+            accepts_late_replies=self.accepts_late_replies,
+            is_answered=False,
+        )
+
     async def run(self) -> FetchResult:
         """Return the result; always release the attempts still in flight."""
         with contextlib.ExitStack() as cleanup:
@@ -53,12 +56,10 @@
             try:
                 fetch_result = await self._run()
             except asyncio.CancelledError:
-                self._release_attempts(
-                    accepts_late_replies=self.accepts_late_replies,
-                    is_answered=False,
-                )
+                self.release()
                 raise
-            self._release_attempts(
+            self._outcomes.release(
+                self._client.clock(),
                 accepts_late_replies=True,
                 is_answered=fetch_result.is_answered,
             )
@@ -76,8 +77,8 @@
 
     async def _run(self) -> FetchResult:
         scheduler = self._scheduler
-        if not await scheduler.start_first():
-            return self._failure_summary.failed_result(
+        if not scheduler.is_started and not await scheduler.start_first():
+            return self._outcomes.failure_summary.failed_result(
                 _unavailable_code(self._client, self.service),
                 self._client.clock(),
             )
@@ -85,8 +86,8 @@
             fetch_result = await self._advance(scheduler)
             if fetch_result is not None:
                 return fetch_result
-        return self._failure_summary.failed_result(
-            self._failure_summary.failure_code, self._client.clock()
+        return self._outcomes.failure_summary.failed_result(
+            self._outcomes.failure_summary.failure_code, self._client.clock()
         )
 
     async def _advance(self, scheduler: AttemptScheduler) -> FetchResult | None:
@@ -97,11 +98,11 @@
         done = await scheduler.wait()
         now_seconds = self._client.clock()
         for future in done:
-            fetch_result = self._handle_outcome(future, now_seconds)
+            fetch_result = self._outcomes.record(future, now_seconds)
             if fetch_result is not None:
                 return fetch_result
         if now_seconds >= self._context.deadline_at_seconds:
-            return self._failure_summary.failed_result(
+            return self._outcomes.failure_summary.failed_result(
                 ResultCode.deadline_exceeded, now_seconds
             )
         is_idempotent = self._context.route.is_idempotent
@@ -109,97 +110,18 @@
             needs_retry=is_idempotent and not scheduler.attempts.in_flight,
             deadline_at_seconds=self._context.deadline_at_seconds,
         ):
-            return self._failure_summary.failed_result(
-                self._failure_summary.failure_code, self._client.clock()
+            return self._outcomes.failure_summary.failed_result(
+                self._outcomes.failure_summary.failure_code,
+                self._client.clock(),
             )
         scheduler.retry_or_hedge(
             self._client.clock(),
-            may_have_run=self._failure_summary.may_have_run,
+            may_have_run=self._outcomes.failure_summary.may_have_run,
         )
         if scheduler.attempts.in_flight:
             self._context.crash_watch.record_retry()
         return None
 
-    def _handle_outcome(
-        self, future: asyncio.Future[Outcome], now_seconds: float
-    ) -> FetchResult | None:
-        """Record an outcome; return the result if the attempt succeeded."""
-        attempt = self._scheduler.attempts.in_flight[future]
-        outcome = future.result()
-        if outcome.reply is not None and outcome.origin is not None:
-            return self._handle_reply(
-                attempt, outcome.reply, outcome.origin, now_seconds
-            )
-        self._scheduler.attempts.finish(attempt, outcome.kind, now_seconds)
-        self._failure_summary.add_missing_reply(attempt, outcome.kind)
-        if outcome.kind is OutcomeKind.lost:
-            self._crash_retries.record_lost(attempt)
-        self._client.recorder.record_missing_reply(
-            attempt, outcome.kind, self._context, now_seconds
-        )
-        return None
-
-    def _handle_reply(
-        self,
-        attempt: Attempt,
-        reply: Reply,
-        origin: ReplyOrigin,
-        now_seconds: float,
-    ) -> FetchResult | None:
-        """Record a reply; return the result if it is a success."""
-        verdict = check_reply(
-            reply,
-            # The records of a part are read from its body.
-            accepts_content_coding=self._context.request.accepts_content_coding
-            and self._context.route.gather is None,
-        )
-        self._scheduler.attempts.finish(
-            attempt,
-            OutcomeKind.invalid if verdict.is_invalid else OutcomeKind.replied,
-            now_seconds,
-        )
-        self._client.recorder.record_reply(
-            attempt, reply, verdict, self._context, now_seconds
-        )
-        is_success = verdict is ReplyVerdict.success
-        if verdict is not ReplyVerdict.not_run:
-            self._crash_retries.record_reply(now_seconds, is_success=is_success)
-        if not is_success:
-            self._failure_summary.add_reply(reply, verdict)
-            return None
-        return FetchResult(
-            service=self.service,
-            code=ResultCode.ok,
-            success=ProvenSuccess(
-                request=attempt.exchange.request,
-                reply=reply,
-                service=self.service,
-                replica_id=attempt.exchange.replica_id,
-                purpose=attempt.purpose,
-                origin=origin,
-            ),
-            may_have_run=True,
-            records=tuple(self._scheduler.attempts.records),
-        )
-
-    def _release_attempts(
-        self, *, accepts_late_replies: bool, is_answered: bool
-    ) -> None:
-        """Cancel the attempts in flight, or accept their late replies."""
-        now_seconds = self._client.clock()
-        for attempt in tuple(self._scheduler.attempts.in_flight.values()):
-            if not is_answered:
-                self._crash_retries.remember_unanswered(attempt, now_seconds)
-            self._scheduler.attempts.finish(
-                attempt, OutcomeKind.cancelled, now_seconds
-            )
-            if accepts_late_replies and attempt.exchange.is_written:
-                self._client.recorder.accept_late_reply(
-                    attempt, self._context, now_seconds
-                )
-            else:
-                attempt.close()
-
 
 def create_fetch(
     client: 'BackendClient', context: RequestContext, service: str
@@ -207,14 +129,25 @@
     """Create a fetch of one part from a service; `Fetch.run` starts it."""
     attempts = Attempts()
     watch = context.crash_watch
-    return Fetch(
+    crash_retries = CrashRetries(watch, service, watch.suspicion)
+    scheduler = AttemptScheduler(client, context, service, attempts)
+    outcomes = OutcomeHandler(
         client,
         context,
         service,
-        AttemptScheduler(client, context, service, attempts),
-        CrashRetries(watch, service, watch.suspicion),
+        attempts,
+        crash_retries,
         FailureSummary(service, attempts),
     )
+    return Fetch(
+        client,
+        context,
+        service,
+        scheduler,
+        crash_retries,
+        outcomes,
+        FetchSteps(client, context, scheduler, outcomes),
+    )
 
 
 def _unavailable_code(client: 'BackendClient', service: str) -> ResultCode:
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -33,7 +33,8 @@
     of the replicas, the holds and the number of daemons.
     """
 
-    #: Replicas that are ready and outside the held domains; None if unknown.
+    #: Replicas that are ready and outside the held domains, in the order of
+    #: this daemon; None if unknown.
     permitted: tuple[Replica, ...] | None = None
     #: Cap and number of daemons for which connection limits are set.
     limit_inputs: tuple[int, int] | None = None
@@ -108,12 +109,10 @@
         They are ready, outside the held failure domains, of a permitted
         software version, and have not said that they leave or want a pause.
         """
-        notices = self.reply_notices.notices
         return [
             replica
-            for replica in _permitted_replicas(self, service, now_seconds)
-            if notices.resumes_at_seconds(replica.entry) <= now_seconds
-            and self.versions.permits(replica.entry, now_seconds)
+            for replica in permitted_replicas(self, service, now_seconds)
+            if is_usable(self, replica, now_seconds)
         ]
 
     def candidates(
@@ -216,7 +215,9 @@
     fleet: Fleet, policy: ServicePolicy, daemon_count: int
 ) -> None:
     """Set this daemon's connection limits for each replica."""
-    cache = fleet.caches.setdefault(policy.name, ServiceCache())
+    cache = fleet.caches.get(policy.name)
+    if cache is None:
+        cache = fleet.caches.setdefault(policy.name, ServiceCache())
     limit_inputs = (policy.max_connections, daemon_count)
     if cache.limit_inputs == limit_inputs:
         return
@@ -232,19 +233,12 @@
         )
 
 
-def preferred_replica(
-    fleet: Fleet, service: str, now_seconds: float
-) -> Replica | None:
-    """Return the usable replica that comes first in this daemon's order."""
-    usable = {
-        replica.entry.replica_id: replica
-        for replica in fleet.usable_replicas(service, now_seconds)
-    }
-    ranks = fleet.order.ranks(service, fleet.service_replicas(service))
-    return next(
-        (usable[replica_id] for replica_id in ranks if replica_id in usable),
-        None,
-    )
+def is_usable(fleet: Fleet, replica: Replica, now_seconds: float) -> bool:
+    """Return whether a permitted replica takes requests now."""
+    notices = fleet.reply_notices.notices
+    if notices.resumes_at_seconds(replica.entry) > now_seconds:
+        return False
+    return fleet.versions.permits(replica.entry, now_seconds)
 
 
 def resume_delay_seconds(
@@ -257,7 +251,7 @@
     notices = fleet.reply_notices.notices
     resume_times = (
         notices.resumes_at_seconds(replica.entry)
-        for replica in _permitted_replicas(fleet, service, now_seconds)
+        for replica in permitted_replicas(fleet, service, now_seconds)
         if fleet.versions.permits(replica.entry, now_seconds)
     )
     return max(0, min(resume_times, default=math.inf) - now_seconds)
@@ -281,19 +275,25 @@
     fleet.reply_notices.notices.expire(entries, now_seconds)
 
 
-def _permitted_replicas(
+def permitted_replicas(
     fleet: Fleet, service: str, now_seconds: float
 ) -> tuple[Replica, ...]:
-    """Return the replicas that are ready and outside the held domains."""
-    cache = fleet.caches.setdefault(service, ServiceCache())
+    """Return the replicas that are ready and outside the held domains.
+
+    They are in the order of this daemon.
+    """
+    cache = fleet.caches.get(service)
+    if cache is None:
+        cache = fleet.caches.setdefault(service, ServiceCache())
     if cache.permitted is None:
-        replicas = fleet.service_replicas(service).values()
-        entries = [replica.entry for replica in replicas]
+        replicas = fleet.service_replicas(service)
+        entries = [replica.entry for replica in replicas.values()]
         fleet.versions.record_listed(service, entries, now_seconds)
         cache.permitted = tuple(
-            replica
-            for replica in replicas
-            if replica.is_ready
-            and replica.entry.failure_domain not in fleet.held_domains
+            replicas[replica_id]
+            for replica_id in fleet.order.ranks(service, replicas)
+            if replicas[replica_id].is_ready
+            and replicas[replica_id].entry.failure_domain
+            not in fleet.held_domains
         )
     return cache.permitted
--- a/dragonflyramp/backends/_preconnectors.py
+++ b/dragonflyramp/backends/_preconnectors.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from dragonflyramp.backends._fleets import Fleet, preferred_replica
+from dragonflyramp.backends._fleets import Fleet
+from dragonflyramp.backends._replica_lookups import preferred_replica
 from dragonflyramp.backends._replicas import Replica
 
 #: Limits the load on replicas: a new connection occupies a slot for some
--- a/dragonflyramp/backends/_recorders.py
+++ b/dragonflyramp/backends/_recorders.py
@@ -1,6 +1,7 @@
 """Update replica and route statistics from the outcomes of attempts."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -8,9 +9,9 @@
 
 from dragonflyramp.backends._attempts import FIRST, Attempt
 from dragonflyramp.backends._contexts import RequestContext
-from dragonflyramp.backends._latencies import LatenciesByRoute
-from dragonflyramp.backends._replicas import Replica
+from dragonflyramp.backends._latencies import LatenciesByRoute, RouteLatencies
 from dragonflyramp.backends._reply_checks import ReplyVerdict
+from dragonflyramp.deferred_calls import CallQueue, ImmediateCalls
 from dragonflyramp.messages import Load, Reply
 from dragonflyramp.metrics import counters
 from dragonflyramp.metrics import latencies as latency_metrics
@@ -31,6 +32,8 @@
 #: domains: what the round trip and a new connection add is not its own time.
 _ROUND_TRIP_MS = 3
 _NEW_CONNECTION_MS = 6
+#: Resolution of the times of polls.
+_POLL_RESOLUTION_SECONDS = 0.001
 
 #: Called with a replica and the load that it reports, the fast latency of the
 #: route in ms, and the monotonic time.
@@ -51,6 +54,27 @@
     _slow_replica_detector: SlowReplicaDetector
     _versions: VersionPolicy
     on_load: LoadListener = _ignore_load
+    #: Runs what no answer waits for.
+    calls: CallQueue = attrs.field(factory=ImmediateCalls)
+
+    def record_success(
+        self,
+        attempt: Attempt,
+        reply: Reply,
+        context: RequestContext,
+        now_seconds: float,
+    ) -> None:
+        """Record a success, after the next answer has been sent."""
+        self.calls.add(
+            functools.partial(
+                self.record_reply,
+                attempt,
+                reply,
+                ReplyVerdict.success,
+                context,
+                now_seconds,
+            )
+        )
 
     def record_reply(
         self,
@@ -61,26 +85,25 @@
         now_seconds: float,
     ) -> None:
         """Record a reply, its reported load and its latency."""
-        if verdict.is_invalid:
-            counters.add('invalid_replies', verdict.value)
         replica = attempt.replica
+        latencies = self._latencies.for_route(context.route)
         if reply.load is not None:
-            self._record_load(replica, reply.load, context, now_seconds)
+            replica.stats.record_load(reply.load, now_seconds)
+            self.on_load(
+                replica.entry, reply.load, latencies.fast_ms, now_seconds
+            )
         if reply.is_misdirected:
             replica.health.record_misdirected(now_seconds)
         elif verdict is ReplyVerdict.success:
             replica.health.record_success()
-            is_slow = self._is_slow(attempt, context, _SLOW_RATIO, now_seconds)
-            self._record_latency(attempt, context, now_seconds)
-            self._record_answer(
-                attempt,
-                context,
-                AnswerKind.slow if is_slow else AnswerKind.good,
+            is_slow = _is_slow(
+                attempt, latencies.typical_ms, _SLOW_RATIO, now_seconds
             )
+            self._record_latency(attempt, latencies, now_seconds)
+            kind = AnswerKind.slow if is_slow else AnswerKind.good
+            self._record_answer(attempt, context, kind)
         else:
-            replica.health.record_error()
-            if verdict is not ReplyVerdict.not_run:
-                self._record_answer(attempt, context, AnswerKind.failed)
+            self._record_failure(attempt, verdict, context)
 
     def record_missing_reply(
         self,
@@ -106,9 +129,12 @@
 
         The age of its request is recorded as a latency.
         """
-        if self._is_slow(attempt, context, _SLOW_CANCELLED_RATIO, now_seconds):
+        latencies = self._latencies.for_route(context.route)
+        if _is_slow(
+            attempt, latencies.typical_ms, _SLOW_CANCELLED_RATIO, now_seconds
+        ):
             self._record_answer(attempt, context, AnswerKind.slow)
-        self._record_latency(attempt, context, now_seconds)
+        self._record_latency(attempt, latencies, now_seconds)
         loop = asyncio.get_running_loop()
         timer = loop.call_later(_LATE_REPLY_TIMEOUT_SECONDS, attempt.close)
         attempt.replica.in_flight[attempt.exchange] = attempt.started_at_seconds
@@ -116,6 +142,15 @@
             lambda _: _finish_late_reply(attempt, timer)
         )
 
+    def _record_failure(
+        self, attempt: Attempt, verdict: ReplyVerdict, context: RequestContext
+    ) -> None:
+        attempt.replica.health.record_error()
+        if verdict is not ReplyVerdict.not_run:
+            self._record_answer(attempt, context, AnswerKind.failed)
+        if verdict.is_invalid:
+            counters.add('invalid_replies', verdict.value)
+
     def _record_answer(
         self, attempt: Attempt, context: RequestContext, kind: AnswerKind
     ) -> None:
@@ -123,44 +158,16 @@
             attempt.replica.entry, context.route.name, kind
         )
 
-    def _is_slow(
-        self,
-        attempt: Attempt,
-        context: RequestContext,
-        max_ratio: float,
-        now_seconds: float,
-    ) -> bool:
-        """Return whether an attempt took much longer than its route does."""
-        written_at_seconds = attempt.exchange.written_at_seconds
-        if written_at_seconds is None:
-            return False
-        limit_ms = _ROUND_TRIP_MS + max_ratio * max(
-            1, self._latencies.for_route(context.route).typical_ms
-        )
-        if attempt.is_connection_new:
-            limit_ms += _NEW_CONNECTION_MS
-        return (now_seconds - written_at_seconds) * 1000 > limit_ms
-
-    def _record_load(
-        self,
-        replica: Replica,
-        load: Load,
-        context: RequestContext,
-        now_seconds: float,
-    ) -> None:
-        replica.stats.record_load(load, now_seconds)
-        fast_ms = self._latencies.for_route(context.route).fast_ms
-        self.on_load(replica.entry, load, fast_ms, now_seconds)
-
     def _record_latency(
-        self, attempt: Attempt, context: RequestContext, now_seconds: float
+        self, attempt: Attempt, latencies: RouteLatencies, now_seconds: float
     ) -> None:
         written_at_seconds = attempt.exchange.written_at_seconds
         if written_at_seconds is None:
             return
-        latencies = self._latencies.for_route(context.route)
-        latency_ms = (now_seconds - written_at_seconds) * 1000
+        latency_ms = max(0, now_seconds - written_at_seconds) * 1000
         ratio = latency_ms / max(1, latencies.typical_ms)
+        if _was_waiting(attempt, now_seconds):
+            ratio = min(1, ratio)
         # A replica that was slow for a moment is not a slow replica.
         ratio /= attempt.replica.stats.load.work_time_ratio(now_seconds)
         latency_metrics.record('parts', latency_ms)
@@ -172,6 +179,31 @@
             latencies.record(latency_ms)
 
 
+def _is_slow(
+    attempt: Attempt, typical_ms: float, max_ratio: float, now_seconds: float
+) -> bool:
+    """Return whether an attempt took much longer than its route does."""
+    written_at_seconds = attempt.exchange.written_at_seconds
+    if written_at_seconds is None:
+        return False
+    limit_ms = _ROUND_TRIP_MS + max_ratio * max(1, typical_ms)
+    if attempt.is_connection_new:
+        limit_ms += _NEW_CONNECTION_MS
+    return (now_seconds - written_at_seconds) * 1000 > limit_ms
+
+
+def _was_waiting(attempt: Attempt, now_seconds: float) -> bool:
+    """Return whether a reply was there when replies were first read.
+
+    Before, the daemon was sending the other parts, so that it cannot tell how
+    long the replica took.
+    """
+    sends = attempt.first_sends
+    if sends is None:
+        return False
+    return now_seconds < sends.ended_at_seconds + _POLL_RESOLUTION_SECONDS
+
+
 def _finish_late_reply(attempt: Attempt, timer: asyncio.TimerHandle) -> None:
     timer.cancel()
     attempt.replica.in_flight.pop(attempt.exchange, None)
--- a/dragonflyramp/backends/_replicas.py
+++ b/dragonflyramp/backends/_replicas.py
@@ -151,9 +151,9 @@
 
         After the backoff, one request at a time is sent as a probe.
         """
-        if self.health.is_backing_off(now_seconds):
-            return True
-        return self.health.needs_probe and bool(self.in_flight)
+        if not self.health.needs_probe:
+            return False
+        return self.health.is_backing_off(now_seconds) or bool(self.in_flight)
 
     def is_cold(self, now_seconds: float) -> bool:
         """Return whether the replica is still warming up."""
--- a/dragonflyramp/backends/_requests.py
+++ b/dragonflyramp/backends/_requests.py
@@ -4,6 +4,7 @@
 
 from dragonflyramp.backends._proofs import ProvenSuccess
 from dragonflyramp.messages import Reply
+from dragonflyramp.replica_connections import OutcomeKind
 from dragonflyramp.results import ResultCode
 
 
@@ -16,7 +17,7 @@
     started_at_seconds: float
     expected_latency_ms: float
     ended_at_seconds: float
-    outcome: str
+    outcome: OutcomeKind
     #: None if the request was not written.
     written_at_seconds: float | None = None
     is_connection_new: bool = False
--- a/dragonflyramp/bounded_maps.py
+++ b/dragonflyramp/bounded_maps.py
@@ -16,7 +16,11 @@
     """Return the entry of a key, created on first use.
 
     Entries beyond the limit are dropped, the least recently used one first.
+    Their order is not kept while less than half of the limit is in use.
     """
+    known = entries.get(key)
+    if known is not None and 2 * len(entries) < max_count:
+        return known
     entry = entries.pop(key) if key in entries else create()
     entries[key] = entry
     drop_oldest(entries, max_count)
--- a/dragonflyramp/callers/__init__.py
+++ b/dragonflyramp/callers/__init__.py
@@ -8,6 +8,7 @@
 _answer_builders answers from what was fetched
 _answers         types of answers; a success exists only with its proof
 _scatter_gather  scatter-gather over the shards of a search
+_part_fetches    first attempts, tasks and results of its parts
 _search_times    stages of a search, for metrics and logs
 _searches        searches over many shards, and their merged answers
 _cutoffs         policies for when a search returns a partial answer
--- a/dragonflyramp/callers/_fronts.py
+++ b/dragonflyramp/callers/_fronts.py
@@ -51,7 +51,6 @@
 
 def _create_request_log(front: 'Front') -> RequestLog:
     return RequestLog(
-        front.clock,
         front.backend_client.peers,
         logs_all=front.logs_all_answers,
     )
@@ -116,7 +115,10 @@
             query, match, self.backend_client.crash_detector
         )
         with self.in_flight:
-            return await self._execute(query, context)
+            answer = await self._execute(query, context)
+        if not self.in_flight.count:
+            self.backend_client.calls.run_soon()
+        return answer
 
     async def _execute(self, query: Query, context: RequestContext) -> Answer:
         now_seconds = self.clock()
@@ -166,16 +168,14 @@
                 quota_delay_seconds,
                 tenant_name=context.tenant_name,
             )
-        route = context.route
-        for service in route.services:
-            self.backend_client.budgets.for_service(service).record_request(
-                now_seconds
-            )
-        if route.gather is None:
+        if context.route.gather is None:
             return await self._relay(context, query)
-        return await self._searcher.search(context, query, route.gather)
+        return await self._searcher.search(context, query, context.route.gather)
 
     async def _relay(self, context: RequestContext, query: Query) -> Answer:
+        budgets = self.backend_client.budgets
+        for name in context.route.services:
+            budgets.for_service(name).record_request(self.clock())
         service = self._round_robin.select(context.route)
         fleet = self.backend_client.fleet
         if not fleet.usable_replicas(service, self.clock()):
@@ -205,7 +205,15 @@
                 self.clock(),
             ),
         )
-        self._request_log.record(context, answer, (fetch_result,))
+        self.backend_client.calls.add(
+            functools.partial(
+                self._request_log.record,
+                context,
+                answer,
+                (fetch_result,),
+                self.clock(),
+            )
+        )
         return answer
 
 
--- a/dragonflyramp/callers/_merging.py
+++ b/dragonflyramp/callers/_merging.py
@@ -1,6 +1,5 @@
 """Merge the results of the shards of a search."""
 
-import heapq
 import itertools
 from collections.abc import Iterable
 from typing import Protocol
@@ -30,7 +29,10 @@
     def merge(self, bodies: Iterable[bytes], top_count: int) -> bytes:
         """Return the greatest records, in descending order."""
         records = itertools.chain.from_iterable(map(split_records, bodies))
-        return b''.join(heapq.nlargest(top_count, records))
+        # A search has some hundreds of records, which are sorted sooner than
+        # a heap is kept.
+        greatest = sorted(records, reverse=True)[:top_count]
+        return b''.join(greatest)
 
 
 def split_records(body: bytes) -> list[bytes]:
--- a/dragonflyramp/callers/_request_logs.py
+++ b/dragonflyramp/callers/_request_logs.py
@@ -1,6 +1,6 @@
 """Log and count the requests of callers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from http import HTTPStatus
 
 import attrs
@@ -29,6 +29,7 @@
 from dragonflyramp.callers._search_times import SearchTimes, elapsed_ms
 from dragonflyramp.messages import Reply
 from dragonflyramp.metrics import counters, latencies
+from dragonflyramp.replica_connections import OutcomeKind
 from dragonflyramp.results import ResultCode
 
 #: One in this many answers is logged even if it is on time and complete, unless
@@ -40,7 +41,6 @@
 class RequestLog:
     """Log late, partial and failed answers, and all others or a sample."""
 
-    _clock: Callable[[], float]
     _peers: Peers
     logs_all: bool = False
     _answer_count: int = 0
@@ -50,14 +50,16 @@
         context: RequestContext,
         answer: Answer,
         fetch_results: Sequence[FetchResult],
+        answered_at_seconds: float,
         times: SearchTimes | None = None,
     ) -> None:
         """Count an answer; log it if it is late, partial, failed or sampled.
 
         `times` are those of a search.
         """
-        now_seconds = self._clock()
-        answered_ms = elapsed_ms(now_seconds, context.received_at_seconds)
+        answered_ms = elapsed_ms(
+            answered_at_seconds, context.received_at_seconds
+        )
         is_late = answered_ms > context.route.target_ms
         outcome = _outcome_name(answer)
         counters.add('answers', 'late' if is_late else outcome)
@@ -180,7 +182,7 @@
 ) -> str:
     """Return the fingerprint if an attempt lost its connection, else ''."""
     has_lost_attempt = any(
-        record.outcome == _LOST_OUTCOME
+        record.outcome is OutcomeKind.lost
         for fetch_result in fetch_results
         for record in fetch_result.records
     )
@@ -209,7 +211,7 @@
         round(started_ms, 1),
         round(record.expected_latency_ms, 1),
         round(ended_ms, 1),
-        record.outcome,
+        record.outcome.value,
     ]
 
 
@@ -233,6 +235,3 @@
         list(origin.earlier_ids),
         'connection' if origin.is_close_delimited else 'framing',
     ]
-
-
-_LOST_OUTCOME = 'lost'
--- a/dragonflyramp/callers/_scatter_gather.py
+++ b/dragonflyramp/callers/_scatter_gather.py
@@ -5,7 +5,6 @@
 import contextlib
 
 import attrs
-from loguru import logger
 
 from dragonflyramp.backends import (
     BackendClient,
@@ -14,6 +13,7 @@
     RequestContext,
 )
 from dragonflyramp.callers._cutoffs import Progress
+from dragonflyramp.callers._part_fetches import PartFetches
 from dragonflyramp.metrics import counters
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
@@ -68,9 +68,17 @@
         return attrs.evolve(self, succeeded=tuple(valid), failed=tuple(failed))
 
 
+def _count_shards(scatter_gather: 'ScatterGather') -> int:
+    return len(scatter_gather.gather.shards)
+
+
+def _count_required(scatter_gather: 'ScatterGather') -> int:
+    return scatter_gather.gather.required_count
+
+
 @attrs.define(eq=False, kw_only=True)
 class ScatterGather:
-    """Run a search in one task per shard and wait for enough results."""
+    """Send a search to all shards and wait for enough results."""
 
     backend_client: BackendClient
     context: RequestContext
@@ -84,6 +92,12 @@
     _failed: list[FetchResult] = attrs.field(factory=list)
     _ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_past_cutoff: bool = False
+    _shard_count: int = attrs.field(
+        init=False, default=attrs.Factory(_count_shards, takes_self=True)
+    )
+    _required_count: int = attrs.field(
+        init=False, default=attrs.Factory(_count_required, takes_self=True)
+    )
 
     async def run(self) -> ShardResults:
         """Run the search; cancel the fetches that are unfinished at its end."""
@@ -91,32 +105,25 @@
             self.backend_client.create_fetch(self.context, shard)
             for shard in self.gather.shards
         ]
-        tasks: list[asyncio.Task[None]] = []
+        parts = PartFetches(self.backend_client, self.context, self._add)
         with contextlib.ExitStack() as cleanup:
+            cleanup.callback(parts.release)
             if self.context.crash_watch.is_trial:
                 fetches = await self._try_shards(fetches)
-            for fetch in fetches:
-                task = asyncio.create_task(
-                    self._fetch_shard(fetch), name='shard'
-                )
-                tasks.append(task)
-                cleanup.callback(task.cancel)
+            parts.start(fetches)
+            _record_requests(self.backend_client, self.gather)
             await self._wait_until_ended(self.cutoff_at_seconds)
             was_ended = self._ended.is_set()
             self._is_past_cutoff = True
             self._end_if_possible()
             self.was_cut_off = self._ended.is_set() and not was_ended
             await self._wait_until_ended(self.context.deadline_at_seconds)
-            cancelled = []
-            for fetch, task in zip(fetches, tasks, strict=True):
-                fetch.accepts_late_replies = True
-                if not task.done():
-                    cancelled.append(fetch.cancelled_result())
+            cancelled = parts.give_up()
         return ShardResults(
             shard_count=len(self.gather.shards),
             succeeded=tuple(self._succeeded),
             failed=tuple(self._failed),
-            cancelled=tuple(cancelled),
+            cancelled=cancelled,
         ).without_copies()
 
     async def _try_shards(self, fetches: list[Fetch]) -> list[Fetch]:
@@ -158,39 +165,24 @@
             async with asyncio.timeout(max(0, remaining_seconds)):
                 fetch_result = await fetch.run()
         self._add(fetch_result)
-        self._end_if_possible()
         return fetch_result
 
-    async def _fetch_shard(self, fetch: Fetch) -> None:
-        try:
-            fetch_result = await fetch.run()
-        except Exception:
-            counters.add('task_failures', 'shard')
-            logger.exception(
-                'unhandled exception in the fetch from service {}',
-                fetch.service,
-            )
-            fetch_result = FetchResult(
-                service=fetch.service,
-                code=ResultCode.internal_error,
-                may_have_run=True,
-            )
-        self._add(fetch_result)
-        self._end_if_possible()
-
     def _add(self, fetch_result: FetchResult) -> None:
         is_success = fetch_result.success is not None
         (self._succeeded if is_success else self._failed).append(fetch_result)
+        self._end_if_possible()
 
     def _end_if_possible(self) -> None:
-        progress = Progress(
-            shard_count=len(self.gather.shards),
-            succeeded_count=len(self._succeeded),
-            failed_count=len(self._failed),
-            min_share=self.gather.min_share,
+        succeeded_count = len(self._succeeded)
+        failed_count = len(self._failed)
+        is_partial_allowed = (
+            self._is_past_cutoff and succeeded_count >= self._required_count
         )
-        is_partial_allowed = self._is_past_cutoff and progress.is_sufficient
-        if is_partial_allowed or progress.is_finished or progress.is_infeasible:
+        if (
+            is_partial_allowed
+            or succeeded_count + failed_count == self._shard_count
+            or self._shard_count - failed_count < self._required_count
+        ):
             self._ended.set()
 
     async def _wait_until_ended(self, timeout_at_seconds: float) -> None:
@@ -204,5 +196,12 @@
             return
 
 
+def _record_requests(client: BackendClient, gather: GatherSettings) -> None:
+    """Count the search in the budgets for hedges and retries."""
+    now_seconds = client.clock()
+    for shard in gather.shards:
+        client.budgets.for_service(shard).record_request(now_seconds)
+
+
 def _stamp_of(part: FetchResult) -> str:
     return '' if part.success is None else part.success.stamp
--- a/dragonflyramp/callers/_search_times.py
+++ b/dragonflyramp/callers/_search_times.py
@@ -17,6 +17,8 @@
 
     #: How long the request had waited in this process when it was read.
     read_delay_ms: float
+    #: When the checks of the request ended, such as that of the quota.
+    admitted_ms: float
     first_written_ms: float | None = None
     #: When the first attempts at all parts were written.
     last_written_ms: float | None = None
@@ -32,6 +34,7 @@
     def record(self, route_name: str) -> None:
         """Count the stages in the histograms of a route."""
         latencies.record('search_reads', self.read_delay_ms, route_name)
+        latencies.record('search_admissions', self.admitted_ms, route_name)
         latencies.record(
             'search_merges', self.merged_ms - self.ended_ms, route_name
         )
@@ -56,9 +59,10 @@
 
 
 @attrs.frozen(kw_only=True)
-class SearchEnd:
-    """Monotonic times at the end of a search."""
+class SearchPhases:
+    """Monotonic times at which a search began and ended."""
 
+    admitted_at_seconds: float
     ended_at_seconds: float
     merged_at_seconds: float
 
@@ -67,7 +71,7 @@
     context: RequestContext,
     succeeded: Sequence[FetchResult],
     fetch_results: Sequence[FetchResult],
-    end: SearchEnd,
+    phases: SearchPhases,
 ) -> SearchTimes:
     """Return the stages of a search with its results."""
     first_attempts = list(_first_attempts(fetch_results))
@@ -80,11 +84,12 @@
     arrived_at_seconds = context.received_at_seconds
     return SearchTimes(
         read_delay_ms=context.read_delay_seconds * _MS_PER_SECOND,
+        admitted_ms=elapsed_ms(phases.admitted_at_seconds, arrived_at_seconds),
         first_written_ms=_stage_ms(written_times, min, arrived_at_seconds),
         last_written_ms=_stage_ms(written_times, max, arrived_at_seconds),
         last_part_ms=_stage_ms(part_times, max, arrived_at_seconds),
-        ended_ms=elapsed_ms(end.ended_at_seconds, arrived_at_seconds),
-        merged_ms=elapsed_ms(end.merged_at_seconds, arrived_at_seconds),
+        ended_ms=elapsed_ms(phases.ended_at_seconds, arrived_at_seconds),
+        merged_ms=elapsed_ms(phases.merged_at_seconds, arrived_at_seconds),
         new_connection_count=sum(
             attempt.is_connection_new for attempt in first_attempts
         ),
--- a/dragonflyramp/callers/_searches.py
+++ b/dragonflyramp/callers/_searches.py
@@ -1,10 +1,15 @@
 """Run searches over many shards, and merge their results into answers."""
 
+import functools
 from collections.abc import Callable
 
 import attrs
 
-from dragonflyramp.backends import BackendClient, RequestContext
+from dragonflyramp.backends import (
+    BackendClient,
+    RequestContext,
+    preferred_replica,
+)
 from dragonflyramp.callers._answer_builders import (
     build_search_refusal,
     routed_by,
@@ -20,7 +25,7 @@
     retry_after_seconds,
 )
 from dragonflyramp.callers._scatter_gather import ScatterGather, ShardResults
-from dragonflyramp.callers._search_times import SearchEnd, measure_search
+from dragonflyramp.callers._search_times import SearchPhases, measure_search
 from dragonflyramp.results import ResultCode
 from dragonflyramp.routes import GatherSettings
 
@@ -43,7 +48,10 @@
 
         Refuse at once if too few shards have a usable replica.
         """
-        refusal = self._refuse_infeasible(context, query, gather)
+        admitted_at_seconds = self.clock()
+        refusal = self._refuse_infeasible(
+            context, query, gather, admitted_at_seconds
+        )
         if refusal is not None:
             return refusal
         scatter_gather = ScatterGather(
@@ -59,28 +67,51 @@
         shard_results = await scatter_gather.run()
         ended_at_seconds = self.clock()
         answer = self._merge(context, gather, shard_results)
-        end = SearchEnd(
-            ended_at_seconds=ended_at_seconds, merged_at_seconds=self.clock()
+        phases = SearchPhases(
+            admitted_at_seconds=admitted_at_seconds,
+            ended_at_seconds=ended_at_seconds,
+            merged_at_seconds=self.clock(),
         )
         if scatter_gather.was_cut_off:
             self.cutoff_policy.record_answer(
-                scatter_gather.cutoff_at_seconds, end.merged_at_seconds
+                scatter_gather.cutoff_at_seconds, phases.merged_at_seconds
+            )
+        self.backend_client.calls.add(
+            functools.partial(
+                self._record, context, answer, shard_results, phases
             )
-        times = measure_search(
-            context, shard_results.succeeded, shard_results.all_results, end
         )
+        return answer
+
+    def _record(
+        self,
+        context: RequestContext,
+        answer: Answer,
+        shard_results: ShardResults,
+        phases: SearchPhases,
+    ) -> None:
+        """Count and log an answer, with the stages of its search."""
+        fetch_results = shard_results.all_results
         self.request_log.record(
-            context, answer, shard_results.all_results, times
+            context,
+            answer,
+            fetch_results,
+            phases.merged_at_seconds,
+            measure_search(
+                context, shard_results.succeeded, fetch_results, phases
+            ),
         )
-        return answer
 
     def _refuse_infeasible(
-        self, context: RequestContext, query: Query, gather: GatherSettings
+        self,
+        context: RequestContext,
+        query: Query,
+        gather: GatherSettings,
+        now_seconds: float,
     ) -> Answer | None:
         fleet = self.backend_client.fleet
-        now_seconds = self.clock()
         usable_count = sum(
-            bool(fleet.usable_replicas(shard, now_seconds))
+            preferred_replica(fleet, shard, now_seconds) is not None
             for shard in gather.shards
         )
         shard_count = len(gather.shards)
--- a/dragonflyramp/operators/_explanations.py
+++ b/dragonflyramp/operators/_explanations.py
@@ -239,6 +239,7 @@
 
 #: Stages of a search in the log, in their order.
 _STAGE_DESCRIPTIONS = (
+    ('admitted_ms', 'admitted'),
     ('first_written_ms', 'first part sent'),
     ('last_written_ms', 'last part sent'),
     ('last_part_ms', 'last part received'),
--- a/dragonflyramp/placement/_selectors.py
+++ b/dragonflyramp/placement/_selectors.py
@@ -28,6 +28,9 @@
 #: Random addition as a share of the typical latency, so that requests spread
 #: over replicas with equal expected latency.
 _JITTER_SHARE = 0.15
+#: Expected latency up to which a replica is not compared with others, as a
+#: multiple of the typical one.
+_MAX_ACCEPTED_RATIO = 1.25
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +61,20 @@
     ) -> 'Replica | None':
         """Return one of the candidates, or None if there are none."""
 
+    def accept(
+        self,
+        first: 'Replica',
+        second: 'Replica | None',
+        inputs: SelectionInputs,
+    ) -> float | None:
+        """Return the expected latency of the first replica if it will do.
+
+        It needs no comparison with others, of which `second` is the next one.
+        Return None if it does, as by default.
+        """
+        latency_ms: float | None = None
+        return latency_ms
+
 
 @attrs.frozen
 class LowestLatencySelector(ReplicaSelector):
@@ -87,6 +104,34 @@
             default=None,
         )
 
+    def accept(
+        self,
+        first: 'Replica',
+        second: 'Replica | None',
+        inputs: SelectionInputs,
+    ) -> float | None:
+        """Return the expected latency of the first replica if it is ready.
+
+        It has an idle connection, is neither suspect nor cold, and about as
+        fast as most, but for what another failure domain would cost.
+        """
+        now_seconds = inputs.now_seconds
+        if (
+            first.is_suspect(now_seconds)
+            or first.is_cold(now_seconds)
+            or not first.connections.has_idle(now_seconds)
+        ):
+            return None
+        latency_ms = _work_latency_ms(first, inputs)
+        excess_ms = latency_ms - inputs.typical_ms * _MAX_ACCEPTED_RATIO
+        domain_cost_ms = _domain_cost_ms(first, inputs)
+        if excess_ms > 0:
+            if second is None:
+                return None
+            if excess_ms > _domain_cost_ms(second, inputs) - domain_cost_ms:
+                return None
+        return latency_ms + domain_cost_ms
+
 
 @attrs.frozen
 class RandomSelector(ReplicaSelector):
@@ -140,6 +185,15 @@
 
 def expected_latency_ms(replica: 'Replica', inputs: SelectionInputs) -> float:
     """Estimate the latency in ms of a request that is sent now."""
+    latency_ms = _work_latency_ms(replica, inputs)
+    latency_ms += _domain_cost_ms(replica, inputs)
+    if not replica.connections.has_idle(inputs.now_seconds):
+        latency_ms += _CONNECT_COST_MS
+    return latency_ms
+
+
+def _work_latency_ms(replica: 'Replica', inputs: SelectionInputs) -> float:
+    """Estimate the time at the replica, from its state and its load."""
     now_seconds = inputs.now_seconds
     slots = replica.entry.slots
     processing_ms = inputs.typical_ms * _latency_ratio_with_stall(
@@ -154,13 +208,15 @@
     latency_ms *= 1 + _FAILURE_COST_FACTOR * replica.health.failure_rate
     # While all replicas have free slots, the least loaded one is preferred.
     latency_ms += processing_ms * outstanding_request_count / (slots * slots)
-    if replica.entry.failure_domain != inputs.failure_domain:
-        latency_ms += cross_domain_cost_ms(inputs)
-    if not replica.connections.has_idle(now_seconds):
-        latency_ms += _CONNECT_COST_MS
     return latency_ms
 
 
+def _domain_cost_ms(replica: 'Replica', inputs: SelectionInputs) -> float:
+    if replica.entry.failure_domain == inputs.failure_domain:
+        return 0
+    return cross_domain_cost_ms(inputs)
+
+
 def cross_domain_cost_ms(inputs: SelectionInputs) -> float:
     """Return how much slower a replica in the own domain may be, in ms.
 
--- a/dragonflyramp/platform/_headers.py
+++ b/dragonflyramp/platform/_headers.py
@@ -1,5 +1,6 @@
 """Define the platform's header names and parse header values."""
 
+import functools
 from collections.abc import Iterable, Iterator
 
 from dragonflyramp.messages import Headers, Load
@@ -149,7 +150,14 @@
     >>> parse_load('3,0,8,250').work_time_ratio
     2.5
     """
-    numbers = (text or '').split(',')
+    if text is None or len(text) > _MAX_LOAD_CHARS:
+        return None
+    return _parse_load(text)
+
+
+@functools.lru_cache(maxsize=1024)
+def _parse_load(text: str) -> Load | None:
+    numbers = text.split(',')
     if len(numbers) not in _LOAD_LENGTHS or not all(map(_is_count, numbers)):
         return None
     running, waiting, slots, *work_percents = map(int, numbers)
@@ -197,6 +205,8 @@
 _TENANT_HEADERS = frozenset((AUTHORIZATION.lower(), TENANT.lower()))
 _NO_CODINGS = frozenset(('', 'identity'))
 _NUMBER_LIMIT = 1e12
+#: Four figures with blanks around them.
+_MAX_LOAD_CHARS = 64
 #: Figures in a load, without and with the work time.
 _LOAD_LENGTHS = (3, 4)
 #: A work time beyond these limits is a mistake of the replica.
--- a/dragonflyramp/replica_connections/_connections_http.py
+++ b/dragonflyramp/replica_connections/_connections_http.py
@@ -20,6 +20,7 @@
     ReplyOrigin,
 )
 from dragonflyramp.replica_connections._protocols_http import ReplyProtocol
+from dragonflyramp.replica_connections._readers_http import ReplyReader
 from dragonflyramp.replica_connections._reply_builders_http import RawReply
 from dragonflyramp.replica_connections._reply_matchers import ReplyMatcher
 from dragonflyramp.replica_connections._reply_memory import ReplyMemory
@@ -58,7 +59,8 @@
         on_closed: Callable[[], None],
     ) -> None:
         """Create a channel that is not open."""
-        self.protocol = ReplyProtocol(on_closed, memory)
+        self.protocol = ReplyProtocol(on_closed)
+        self._memory = memory
         #: Monotonic time until which the idle connection may be used.
         self.usable_until_seconds: float = 0
         self._address = address
@@ -86,11 +88,17 @@
                 'failed to connect to the replica'
             )
             return False
-        self._restart_idle_timeout(_DEFAULT_IDLE_TIMEOUT_SECONDS)
+        self.usable_until_seconds = (
+            self._clock() + _DEFAULT_IDLE_TIMEOUT_SECONDS * _USABLE_IDLE_SHARE
+        )
         return True
 
-    async def execute(self, exchange: Exchange) -> Outcome:
-        """Execute an exchange and return its outcome.
+    def send(
+        self,
+        exchange: Exchange,
+        incoming: asyncio.Future[RawReply | OutcomeKind],
+    ) -> None:
+        """Write the request of an exchange; `incoming` gets the reply to it.
 
         Nothing is sent if the connection is closed, or if the exchange has been
         cancelled or its deadline has passed.
@@ -99,80 +107,95 @@
         remaining_ms = int((exchange.deadline_at_seconds - now_seconds) * 1000)
         is_pending = remaining_ms > 0 and not exchange.outcome.done()
         if not is_pending or not self.protocol.is_open:
-            return Outcome(OutcomeKind.unsent)
+            _set_unsent(incoming)
+            return
         request = exchange.request
-        encoded = self._codec.encode(
-            request, exchange.replica_id, remaining_ms, exchange.tenant_name
-        )
+        try:
+            encoded = self._codec.encode(
+                request, exchange.replica_id, remaining_ms, exchange.tenant_name
+            )
+        except Exception as error:
+            # It is raised in the task of the connection.
+            incoming.set_exception(error)
+            return
         exchange.written_at_seconds = now_seconds
         self.matcher.start_request(request.request_id)
-        reader = self.protocol.send_request(
+        self.protocol.send_request(
             encoded,
-            is_head=request.method == 'HEAD',
-            is_copy=self._is_copy,
+            ReplyReader(
+                is_head=request.method == 'HEAD',
+                is_copy=self._is_copy,
+                memory=self._memory,
+                outcome=incoming,
+            ),
         )
-        raw = await reader.outcome
-        if isinstance(raw, RawReply):
-            return self._handle_reply(raw)
-        self.protocol.close(ConnectionEnd.unusable)
-        return Outcome(raw)
-
-    def _is_copy(self, raw: RawReply) -> bool:
-        is_copy = self.matcher.is_copy(self._decode(raw))
-        if is_copy:
-            self._decoded = None
-        return is_copy
 
-    def _decode(self, raw: RawReply) -> Reply:
+    def receive(self, raw: RawReply | OutcomeKind) -> Outcome:
+        """Return the outcome of the exchange whose request was sent."""
+        if not isinstance(raw, RawReply):
+            if raw is not OutcomeKind.unsent:
+                self.protocol.close(ConnectionEnd.unusable)
+            return Outcome(raw)
         if self._decoded is None or self._decoded[0] is not raw:
             reply = self._codec.decode(raw.status, raw.headers, raw.body)
-            self._decoded = (raw, reply)
-        return self._decoded[1]
-
-    def _handle_reply(self, raw: RawReply) -> Outcome:
-        reply = self._decode(raw)
+        else:
+            reply = self._decoded[1]
         self._decoded = None
         counters.add(
             'reply_ends',
             'connection' if raw.is_close_delimited else 'framing',
         )
-        self._hooks.on_reply(reply, self._clock())
+        now_seconds = self._clock()
+        self._hooks.on_reply(reply, now_seconds)
         if not self.matcher.accept(reply):
-            counters.add('backend_faults', 'reply_of_another_request')
-            logger.bind(
-                address=self._address,
-                request=self.matcher.current_id,
-                reply_request=reply.request_id,
-                stamp=reply.stamp,
-                body_bytes=len(reply.body),
-            ).info('reply of another request')
+            _log_other_reply(self._address, self.matcher, reply)
             self.protocol.close(ConnectionEnd.unusable)
             return Outcome(OutcomeKind.garbled)
-        is_kept = raw.is_keep_alive and not reply.closes_connection
-        if not is_kept:
-            self.protocol.close(ConnectionEnd.asked)
-        # The next request would wait until the server reads this one.
-        has_unsent_bytes = self.protocol.has_unsent_bytes
-        if has_unsent_bytes or not self.matcher.will_recognize(reply):
-            self.protocol.close(ConnectionEnd.unusable)
-        if reply.keep_alive_seconds is None:
-            self._restart_idle_timeout(_DEFAULT_IDLE_TIMEOUT_SECONDS)
-        else:
-            self._restart_idle_timeout(reply.keep_alive_seconds)
+        self._keep_or_close(raw, reply, now_seconds)
         origin = ReplyOrigin(
             address=self._address,
             connection=self._number,
             earlier_ids=tuple(self.matcher.earlier_ids),
             is_close_delimited=raw.is_close_delimited,
+            polled_at_seconds=self.protocol.polled_at_seconds,
         )
         return Outcome(OutcomeKind.replied, reply, origin)
 
-    def _restart_idle_timeout(self, idle_timeout_seconds: float) -> None:
+    def _is_copy(self, raw: RawReply) -> bool:
+        reply = self._codec.decode(raw.status, raw.headers, raw.body)
+        is_copy = self.matcher.is_copy(reply)
+        self._decoded = None if is_copy else (raw, reply)
+        return is_copy
+
+    def _keep_or_close(
+        self, raw: RawReply, reply: Reply, now_seconds: float
+    ) -> None:
+        """Decide whether the connection may carry another request."""
+        if not raw.is_keep_alive or reply.closes_connection:
+            self.protocol.close(ConnectionEnd.asked)
+        # The next request would wait until the server reads this one.
+        has_unsent_bytes = self.protocol.has_unsent_bytes
+        if has_unsent_bytes or not self.matcher.will_recognize(reply):
+            self.protocol.close(ConnectionEnd.unusable)
+        idle_timeout_seconds = reply.keep_alive_seconds
+        if idle_timeout_seconds is None:
+            idle_timeout_seconds = _DEFAULT_IDLE_TIMEOUT_SECONDS
         self.usable_until_seconds = (
-            self._clock() + idle_timeout_seconds * _USABLE_IDLE_SHARE
+            now_seconds + idle_timeout_seconds * _USABLE_IDLE_SHARE
         )
 
 
+def _log_other_reply(address: str, matcher: ReplyMatcher, reply: Reply) -> None:
+    counters.add('backend_faults', 'reply_of_another_request')
+    logger.bind(
+        address=address,
+        request=matcher.current_id,
+        reply_request=reply.request_id,
+        stamp=reply.stamp,
+        body_bytes=len(reply.body),
+    ).info('reply of another request')
+
+
 def _ignore_reply(reply: Reply, now_seconds: float) -> None:
     """Do nothing, for connections whose replies only their exchanges read."""
 
@@ -196,7 +219,7 @@
 
 
 class Connection:
-    """Connection to a replica; its task `run` executes queued exchanges."""
+    """Connection to a replica; its task `run` finishes the exchanges."""
 
     def __init__(
         self,
@@ -208,16 +231,16 @@
     ) -> None:
         """Create a connection that `run` opens."""
         self._hooks = hooks
-        #: None signals that the connection was closed.
-        self._queue: asyncio.Queue[Exchange | None] = asyncio.Queue()
         self._current: Exchange | None = None
+        #: Reply to the current or next exchange; None while there can be none.
+        self._incoming: asyncio.Future[RawReply | OutcomeKind] | None = None
         self._channel = _HttpChannel(
             address,
             codec,
             clock,
             hooks,
             memory or ReplyMemory(),
-            lambda: self._queue.put_nowait(None),
+            lambda: _set_unsent(self._incoming),
         )
 
     def is_usable(self, now_seconds: float) -> bool:
@@ -234,9 +257,13 @@
         return self._channel.matcher.may_carry(request_id)
 
     def start(self, exchange: Exchange) -> None:
-        """Queue an exchange, whose outcome is set exactly once."""
+        """Start an exchange, whose outcome is set exactly once.
+
+        Its request is written now, or as soon as the connection is open.
+        """
         self._current = exchange
-        self._queue.put_nowait(exchange)
+        if self._incoming is not None:
+            self._channel.send(exchange, self._incoming)
 
     def close(self, end: ConnectionEnd = ConnectionEnd.stopped) -> None:
         """Cancel the current exchange and close the connection if it is open.
@@ -259,24 +286,38 @@
             )
             cleanup.callback(self.close)
             is_open = await self._channel.open()
-            if self._queue.empty():
-                if not is_open:
-                    return
-                self._hooks.on_idle(self)
-            while await self._execute_next(is_open=is_open):
-                self._hooks.on_idle(self)
-
-    async def _execute_next(self, *, is_open: bool) -> bool:
+            if not is_open and self._current is not None:
+                self._current.finish(Outcome(OutcomeKind.unreachable))
+            while is_open:
+                is_open = await self._execute_next()
+
+    async def _execute_next(self) -> bool:
         """Execute the next exchange; return whether another one may follow.
 
         An idle connection refers neither to its last exchange nor to the reply.
         """
-        exchange = await self._queue.get()
+        incoming = asyncio.get_running_loop().create_future()
+        self._incoming = incoming
+        if self._current:
+            self._channel.send(self._current, incoming)
+        elif self._channel.protocol.is_open:
+            self._hooks.on_idle(self)
+        else:
+            return False
+        raw = await incoming
+        self._incoming = None
+        exchange = self._current
         if exchange is None:
             return False
-        outcome = Outcome(OutcomeKind.unreachable)
-        if is_open:
-            outcome = await self._channel.execute(exchange)
+        outcome = self._channel.receive(raw)
         self._current = None
         exchange.finish(outcome)
         return self._channel.protocol.is_open
+
+
+def _set_unsent(
+    incoming: asyncio.Future[RawReply | OutcomeKind] | None,
+) -> None:
+    """Tell the task of a connection that there will be no reply."""
+    if incoming is not None and not incoming.done():
+        incoming.set_result(OutcomeKind.unsent)
--- a/dragonflyramp/replica_connections/_exchanges.py
+++ b/dragonflyramp/replica_connections/_exchanges.py
@@ -63,6 +63,9 @@
     earlier_ids: tuple[str, ...]
     #: The body has no length and ended when the connection closed.
     is_close_delimited: bool
+    #: Monotonic time at which the event loop found the last bytes of the reply,
+    #: before it handled them; None if unknown.
+    polled_at_seconds: float | None = None
 
 
 @attrs.frozen
--- a/dragonflyramp/replica_connections/_protocols_http.py
+++ b/dragonflyramp/replica_connections/_protocols_http.py
@@ -13,8 +13,6 @@
     OutcomeKind,
 )
 from dragonflyramp.replica_connections._readers_http import ReplyReader
-from dragonflyramp.replica_connections._reply_builders_http import IsCopy
-from dragonflyramp.replica_connections._reply_memory import ReplyMemory
 
 
 @attrs.define(eq=False)
@@ -28,9 +26,14 @@
 
     #: Called once, when the connection closes.
     _on_closed: Callable[[], None]
-    _memory: ReplyMemory
     #: Whether a request may be sent.
     is_open: bool = False
+    #: Monotonic time at which the event loop found the last bytes. With uvloop,
+    #: it is that of the poll, whatever was handled since.
+    polled_at_seconds: float | None = None
+    _loop: asyncio.AbstractEventLoop = attrs.field(
+        factory=asyncio.get_running_loop
+    )
     _transport: asyncio.Transport | None = None
     _reader: ReplyReader | None = None
     #: Why the connection ended, the first of several reasons.
@@ -50,6 +53,7 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110 - asyncio's
         """Feed the pending reply; close on unexpected or invalid bytes."""
+        self.polled_at_seconds = self._loop.time()
         reader = self._reader
         if reader is None:
             counters.add('backend_faults', 'bytes_without_request')
@@ -84,17 +88,11 @@
             self._reader = None
         self._on_closed()
 
-    def send_request(
-        self, encoded: bytes, *, is_head: bool, is_copy: IsCopy
-    ) -> ReplyReader:
-        """Write a request and return the reader of its reply."""
-        reader = ReplyReader(
-            is_head=is_head, is_copy=is_copy, memory=self._memory
-        )
+    def send_request(self, encoded: bytes, reader: ReplyReader) -> None:
+        """Write a request, and read its reply with the reader."""
         self._reader = reader
         assert self._transport is not None
         self._transport.write(encoded)
-        return reader
 
     def close(self, end: ConnectionEnd) -> None:
         """Close the connection without flushing."""
--- a/dragonflyramp/replica_connections/_readers_http.py
+++ b/dragonflyramp/replica_connections/_readers_http.py
@@ -44,17 +44,15 @@
         is_head: bool,
         is_copy: IsCopy = is_no_copy,
         memory: ReplyMemory | None = None,
+        outcome: asyncio.Future[RawReply | OutcomeKind] | None = None,
     ) -> None:
         """Create the reader; a reply to HEAD has no body.
 
         Replies for which `is_copy` returns True are skipped.
         """
         self._memory = memory or ReplyMemory()
-        loop = asyncio.get_running_loop()
         #: The complete reply, or why there is none.
-        self.outcome: asyncio.Future[RawReply | OutcomeKind] = (
-            loop.create_future()
-        )
+        self.outcome = outcome or asyncio.get_running_loop().create_future()
         #: Kind of the outcome; None before the end.
         self.kind: OutcomeKind | None = None
         #: Whether the connection carried bytes that belong to no reply.
@@ -65,6 +63,7 @@
         )
         #: Bytes since the last copy.
         self._received_bytes = 0
+        self._is_held = False
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; the end of the reply sets the outcome.
@@ -98,7 +97,8 @@
 
     def finish(self, outcome: RawReply | OutcomeKind) -> None:
         """Set the outcome and drop what is held; a later one is ignored."""
-        self._memory.release(self)
+        if self._is_held:
+            self._memory.release(self)
         builder = self._builder
         if builder is None:
             return
@@ -125,6 +125,7 @@
             counters.add('backend_faults', 'too_large')
             self.finish(OutcomeKind.garbled)
         else:
+            self._is_held = True
             self._memory.hold(self, builder.partial.held_bytes)
 
     def _parse(self, builder: ReplyBuilder, received: bytes) -> None:
--- a/dragonflyramp/replica_connections/_reply_builders_http.py
+++ b/dragonflyramp/replica_connections/_reply_builders_http.py
@@ -26,6 +26,7 @@
     rb'HTTP/(?:0\.9|1\.[01]|2\.0) (?:\d{3}(?:\s|\Z)|[A-Za-z]{1,40}+ \d{3}\s?\Z)'
 )
 _STATUS_LINE_START = b'HTTP/'
+_LENGTH_NAMES = ('content-length', 'transfer-encoding')
 
 
 @attrs.frozen(kw_only=True)
@@ -59,8 +60,6 @@
 
     status: int = 0
     headers: list[tuple[str, str]] = attrs.field(factory=list)
-    #: Memory of the headers so far.
-    header_bytes: int = 0
     #: The body as received. One growing buffer would be copied as it grows, and
     #: leave gaps in the memory that other large bodies do not fill.
     pieces: list[bytes] = attrs.field(factory=list)
@@ -73,12 +72,14 @@
     @property
     def held_bytes(self) -> int:
         """Return the memory that the reply takes."""
-        return self.header_bytes + self.body_bytes
+        header_bytes = sum(
+            len(name) + len(text) + _HEADER_BYTES for name, text in self.headers
+        )
+        return header_bytes + self.body_bytes
 
     def drop_headers(self) -> None:
         """Drop the headers of an interim reply."""
         self.headers.clear()
-        self.header_bytes = 0
 
     def freeze(self) -> RawReply:
         """Return the reply, which shares nothing with this one."""
@@ -91,19 +92,6 @@
         )
 
 
-@attrs.define(eq=False)
-class _ParserCalls:
-    """Calls from the parser in a reply."""
-
-    count: int = 0
-
-    def add(self, body_bytes: int) -> None:
-        """Count a call; raise an error beyond the limit."""
-        self.count += 1
-        if self.count > _MAX_PARSER_CALLS + body_bytes // _MIN_PIECE_BYTES:
-            raise _LimitError
-
-
 class ReplyBuilder:
     """Build the first final reply that is no copy of an earlier one."""
 
@@ -119,33 +107,40 @@
             httptools.HttpResponseParser(self)
         )
         self.copy_count = 0
-        self._calls = _ParserCalls()
+        #: Calls from the parser in the reply.
+        self._call_count = 0
         self._reason = b''
         self._is_head = is_head
         self._is_copy = is_copy
 
     def on_message_begin(self) -> None:
         """Mark bytes of a second reply as unexpected."""
-        self._calls.add(self.partial.body_bytes)
+        self._call_count += 1
+        if self._call_count > _MAX_PARSER_CALLS:
+            _check_calls(self._call_count, self.partial.body_bytes)
         self.has_unexpected_bytes = self.raw is not None
         self._reason = b''
 
     def on_status(self, reason: bytes) -> None:
         """Add a piece of the reason phrase."""
-        self._calls.add(self.partial.body_bytes)
+        self._call_count += 1
+        if self._call_count > _MAX_PARSER_CALLS:
+            _check_calls(self._call_count, self.partial.body_bytes)
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Add a header of the reply; ignore a trailer."""
-        self._calls.add(self.partial.body_bytes)
+        self._call_count += 1
+        if self._call_count > _MAX_PARSER_CALLS:
+            _check_calls(self._call_count, self.partial.body_bytes)
         if self.partial.has_head or self.raw is not None:
             return
-        if len(self.partial.headers) >= _MAX_HEADERS or _is_cut_off(value):
+        headers = self.partial.headers
+        if len(headers) >= _MAX_HEADERS or (
+            _STATUS_LINE_START in value and _is_cut_off(value)
+        ):
             raise _LimitError
-        self.partial.headers.append(
-            (name.decode('latin-1'), value.decode('latin-1'))
-        )
-        self.partial.header_bytes += len(name) + len(value) + _HEADER_BYTES
+        headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
         """Determine how the body ends."""
@@ -171,7 +166,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body."""
-        self._calls.add(self.partial.body_bytes)
+        self._call_count += 1
+        if self._call_count > _MAX_PARSER_CALLS:
+            _check_calls(self._call_count, self.partial.body_bytes)
         if self.raw is None:
             self.partial.pieces.append(body)
             self.partial.body_bytes += len(body)
@@ -194,9 +191,14 @@
             self.raw = raw
 
 
+def _check_calls(call_count: int, body_bytes: int) -> None:
+    """Raise an error if a body of this size allows no more calls."""
+    if call_count > _MAX_PARSER_CALLS + body_bytes // _MIN_PIECE_BYTES:
+        raise _LimitError
+
+
 def _has_length(partial: PartialReply) -> bool:
-    names = {name.lower() for name, _ in partial.headers}
-    return bool(names & {'content-length', 'transfer-encoding'})
+    return any(name.lower() in _LENGTH_NAMES for name, _ in partial.headers)
 
 
 def _is_cut_off(line: bytes) -> bool:
@@ -204,6 +206,4 @@
 
     A reply that was cut in its head would lend it its status and headers.
     """
-    return _STATUS_LINE_START in line and bool(
-        _STATUS_LINE_PATTERN.search(line)
-    )
+    return bool(_STATUS_LINE_PATTERN.search(line))
--- a/dragonflyramp/rollouts/_front_rollouts.py
+++ b/dragonflyramp/rollouts/_front_rollouts.py
@@ -85,6 +85,11 @@
             or _gets_share(self, rollout, entry, now_seconds)
         )
 
+    def divides_requests(self, service: str) -> bool:
+        """Return whether a rollout of a service is not decided yet."""
+        rollout = self.known.find(service)
+        return rollout is not None and not _is_decided(rollout)
+
     def narrow(
         self, candidates: list[Candidate], sending: Sending, now_seconds: float
     ) -> list[Candidate]:
--- a/dragonflyramp/rollouts/_version_policies.py
+++ b/dragonflyramp/rollouts/_version_policies.py
@@ -28,6 +28,9 @@
     route: str
     #: Whether it is neither a retry nor a hedge.
     is_first: bool
+    #: Whether it may go to a replica that the request has tried, if there is
+    #: no other.
+    may_repeat_replica: bool = False
 
 
 class VersionPolicy(Protocol):
@@ -41,6 +44,9 @@
     def permits(self, entry: ReplicaEntry, now_seconds: float) -> bool:
         """Return whether a replica may get requests at all."""
 
+    def divides_requests(self, service: str) -> bool:
+        """Return whether `narrow` has to choose among all candidates."""
+
     def narrow(
         self, candidates: list[Candidate], sending: Sending, now_seconds: float
     ) -> list[Candidate]:
@@ -70,6 +76,10 @@
         """Return that every replica may get requests."""
         return True
 
+    def divides_requests(self, service: str) -> bool:
+        """Return that there is nothing to choose."""
+        return False
+
     def narrow(
         self, candidates: list[Candidate], sending: Sending, now_seconds: float
     ) -> list[Candidate]:
--- a/dragonflyramp/slow_replicas.py
+++ b/dragonflyramp/slow_replicas.py
@@ -48,8 +48,7 @@
 
     def decayed(self, now_seconds: float) -> 'LatencyAggregate':
         """Return the aggregate decayed to a later time."""
-        elapsed_seconds = max(0, now_seconds - self.updated_at_seconds)
-        factor = math.exp(-elapsed_seconds / _DECAY_TIME_CONSTANT_SECONDS)
+        factor = _decay_factor(now_seconds - self.updated_at_seconds)
         return LatencyAggregate(
             self.count * factor, self.ratio_sum * factor, now_seconds
         )
@@ -102,12 +101,11 @@
 
     def record(self, replica_id: str, ratio: float, now_seconds: float) -> None:
         """Record the latency ratio of a request of this daemon."""
-        sample = LatencyAggregate(1, ratio, now_seconds)
         if len(self._unsent_samples) >= _MAX_UNSENT_REPLICAS:
             self._unsent_samples = {}
             self._decay_and_report(now_seconds)
-        _add(self._unsent_samples, replica_id, sample)
-        _add(self._collected_samples, replica_id, sample)
+        _add_sample(self._unsent_samples, replica_id, ratio, now_seconds)
+        _add_sample(self._collected_samples, replica_id, ratio, now_seconds)
 
     def pop_unsent_samples(self) -> LatencyAggregates:
         """Return and clear the samples that have not been sent to a hub yet."""
@@ -192,6 +190,29 @@
         return slow_ratios
 
 
+def _add_sample(
+    aggregates: dict[str, LatencyAggregate],
+    replica_id: str,
+    ratio: float,
+    now_seconds: float,
+) -> None:
+    """Add one sample, the newest one, to the aggregate of a replica."""
+    earlier = aggregates.get(replica_id, _NO_SAMPLES)
+    factor = _decay_factor(now_seconds - earlier.updated_at_seconds)
+    aggregates[replica_id] = LatencyAggregate(
+        earlier.count * factor + 1,
+        earlier.ratio_sum * factor + ratio,
+        now_seconds,
+    )
+
+
+def _decay_factor(elapsed_seconds: float) -> float:
+    return math.exp(-max(0, elapsed_seconds) / _DECAY_TIME_CONSTANT_SECONDS)
+
+
+_NO_SAMPLES = LatencyAggregate()
+
+
 def _add(
     aggregates: dict[str, LatencyAggregate],
     replica_id: str,
--- a/dragonflyramp/tools/_backend_components.py
+++ b/dragonflyramp/tools/_backend_components.py
@@ -12,6 +12,7 @@
     Fleet,
     ReplicaOrder,
 )
+from dragonflyramp.deferred_calls import DeferredCalls
 from dragonflyramp.machine_settings import MachineSettings
 from dragonflyramp.members import ViewSynchronizer
 from dragonflyramp.platform import ReplicaCodec
@@ -78,6 +79,7 @@
         failure_domain=machine.failure_domain,
         peers=synchronizer.cluster,
         slow_replica_detector=synchronizer.slow_replica_detector,
+        calls=DeferredCalls(),
     )
 
 
--- a/dragonflyramp/tools/_front_components.py
+++ b/dragonflyramp/tools/_front_components.py
@@ -149,6 +149,7 @@
     async def close(self) -> None:
         """Close all ports and connections."""
         await self.front_server.stop()
+        self.front.backend_client.calls.run_all()
         await self.native_api_server.stop()
         await self.metrics_server.stop()
         await self.sync_server.stop()
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -368,7 +368,7 @@
   1.1 front-a {"time":"t2","message":"store lost","kind":"config"}
   1.2 front-a {"time":"t3","message":"replica listed","replica":"i-1","state":"ready"}
 no log line
-  1.3 front-a {"time":"t4","message":"request answered","request":"q1","outcome":"partial","elapsed_ms":99.0,"target_ms":90,"times":{"read_delay_ms":1.5,"first_written_ms":2.0,"last_written_ms":9.0,"last_part_ms":80.0,"ended_ms":98.0,"merged_ms":98.9,"new_connection_count":3},"parts":[["s1","cancelled",[["i-1","first",0.1,20.0,98.0,"cancelled"],["i-2","hedge",40.0,20.0,98.0,"cancelled"]]],["s2","connection_reset",[["i-3","first",0.1,20.0,9.0,"lost"]]]]}
+  1.3 front-a {"time":"t4","message":"request answered","request":"q1","outcome":"partial","elapsed_ms":99.0,"target_ms":90,"times":{"read_delay_ms":1.5,"admitted_ms":1.8,"first_written_ms":2.0,"last_written_ms":9.0,"last_part_ms":80.0,"ended_ms":98.0,"merged_ms":98.9,"new_connection_count":3},"parts":[["s1","cancelled",[["i-1","first",0.1,20.0,98.0,"cancelled"],["i-2","hedge",40.0,20.0,98.0,"cancelled"]]],["s2","connection_reset",[["i-3","first",0.1,20.0,9.0,"lost"]]]]}
 """  # noqa: E501 - log lines as they are written
 _OTHER_LOG = """{"time":"t3b","node":"front-b","message":"request refused","request":"q1","code":"no_replica"}
 {broken
@@ -389,7 +389,7 @@
         't4 front-a: request answered: partial',
         'version 4 in force since t1',
         'new connections for the first sends: 3',
-        'waited 1.5 ms to be read; first part sent at 2.0 ms',
+        'waited 1.5 ms to be read; admitted at 1.8 ms, first part sent at 2.0',
         'last part sent at 9.0 ms, last part received at 80.0 ms',
         'search ended at 98.0 ms, answer merged at 98.9 ms',
         'store config lost since t2',
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -15,7 +15,7 @@
     QuantileHedging,
     RouteLatencies,
 )
-from dragonflyramp.backends._fleets import preferred_replica
+from dragonflyramp.backends._replica_lookups import preferred_replica
 from dragonflyramp.callers import (
     MergedAnswer,
     Refusal,
@@ -307,6 +307,7 @@
     logged = next(line for line in lines if line.get('request') == 'split')
     times = logged['times']
     stages = (
+        'admitted_ms',
         'first_written_ms',
         'last_written_ms',
         'last_part_ms',
--- a/tests/test_reply_machines.py
+++ b/tests/test_reply_machines.py
@@ -102,7 +102,8 @@
     """Exchange, and what the machine sent as its reply."""
 
     exchange: Exchange
-    connection: Connection
+    #: None until the exchange has started.
+    connection: Connection | None
     method: str
     wire: Wire | None = None
     reply: _PlayedReply | None = None
@@ -448,7 +449,9 @@
 
     def _leave(self) -> None:
         if self.plays[-1].outcome is None:
-            self.plays[-1].connection.close()
+            connection = self.plays[-1].connection
+            assert connection is not None
+            connection.close()
 
     def _fill_memory(self) -> None:
         """Let another reply take the memory."""
@@ -469,8 +472,10 @@
         self.now_seconds += 5
 
     def _start(self, exchange: Exchange, method: str) -> None:
-        connection = self.pool.start(exchange, self.now_seconds)
-        self.plays.append(_Play(exchange, connection, method))
+        # The request may be written before the pool returns the connection.
+        play = _Play(exchange, None, method)
+        self.plays.append(play)
+        play.connection = self.pool.start(exchange, self.now_seconds)
 
     def _connect(self, protocol: Any, port: int) -> None:
         self.wires.append(Wire(protocol, self.loop, self._receive))
