Keep connections to the shards that a front searches

Cause: a connection to each shard was opened once in the life of a replica. The counter of ends by reason: 5,183 of 9,643 ended by the replica while idle, 791 expired.

test_connections_to_searched_shards_are_kept failed before.

--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -124,6 +124,7 @@
         if selection is None:
             return None
         replica = selection.replica
+        self.fleet.requested_at_seconds[service] = now_seconds
         exchange = Exchange(
             request=context.request,
             replica_id=replica.entry.replica_id,
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -67,6 +67,8 @@
     versions: VersionPolicy = attrs.field(factory=AllVersions)
     #: Derived values of each service, until its replicas or the holds change.
     caches: dict[str, ServiceCache] = attrs.field(factory=dict)
+    #: Monotonic time of the last attempt at a request of each service.
+    requested_at_seconds: dict[str, float] = attrs.field(factory=dict)
     _by_service: dict[str, dict[str, Replica]] = attrs.field(factory=dict)
     _by_id: dict[str, Replica] = attrs.field(factory=dict)
     #: What the replicas said about further requests.
@@ -153,7 +155,10 @@
     def _remove(self, replica: Replica) -> None:
         entry = replica.entry
         self._by_id.pop(entry.replica_id, None)
-        self._by_service[entry.service].pop(entry.replica_id, None)
+        replicas = self._by_service[entry.service]
+        replicas.pop(entry.replica_id, None)
+        if not replicas:
+            self.requested_at_seconds.pop(entry.service, None)
         self.order.invalidate(entry.service)
         self.caches.pop(entry.service, None)
         self.cold_limiter.discard(replica)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -289,3 +289,40 @@
             await eventually(lambda: not connection.is_usable(0))
             connection.close()
             await eventually(task.done)
+
+
+async def test_connections_to_searched_shards_are_kept() -> None:
+    """A front with few searches opened all connections within each of them.
+
+    Replicas close idle connections within seconds.
+    """
+    async with run_harness(_SEARCH_TABLE, 1) as harness:
+        fleet = harness.front.backend_client.fleet
+        preconnector = Preconnector(
+            fleet, _SEARCH_TABLE.searched_shards, harness.front.clock
+        )
+        now_seconds = harness.front.clock()
+        preconnector.open_missing(now_seconds)
+        await eventually(lambda: _connection_count(harness) == 2)
+        await _wait_until_idle(harness)
+        preconnector.open_missing(now_seconds + 20)
+        await eventually(lambda: _connection_count(harness) == 4)
+        await _wait_until_idle(harness)
+        # Nobody has searched for long enough.
+        preconnector.open_missing(now_seconds + 40)
+        await _wait_until_idle(harness)
+        assert _connection_count(harness) == 4
+
+
+def _connection_count(harness: FrontHarness) -> int:
+    return sum(server.connection_count for server in harness.all_servers())
+
+
+async def _wait_until_idle(harness: FrontHarness) -> None:
+    fleet = harness.front.backend_client.fleet
+    await eventually(
+        lambda: all(
+            replica.connections.has_idle(harness.front.clock())
+            for replica in fleet.all_replicas().values()
+        )
+    )
