Send hedges in time for short targets, and use the time of kept connections

Callers with a target of 46 ms got answers without 3 of 36 parts (median of the partial ones), although hedges had been sent for them.

Cause: hedges left at 28.3 ms (median), when the search stopped waiting at 32.6. The latest delay counted from the first attempt, as if no time had passed before it, did not leave time for a new connection, and was never below 0.42 of the target. Of those that the log shows 336 were cancelled and 32 answered. Besides, each answer was due as if its caller had just connected.

Change: a hedge leaves early enough to be answered, on a new connection, before the answer is due, but not before 1.4 times the typical latency; if none can be in time, the former limit holds. An answer on a connection that has carried a request before is due 3 ms later.

test_hedge_leaves_in_time_for_a_short_target and test_kept_connection_leaves_more_time failed before.

--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -80,12 +80,17 @@
         """Create a fetch of one part from a service; `Fetch.run` starts it."""
         return create_fetch(self, context, service)
 
-    def plan_first_sends(self, route: Route) -> FirstSends:
-        """Return when first attempts that are sent now are hedged."""
+    def plan_first_sends(self, route: Route, remaining_ms: float) -> FirstSends:
+        """Return when first attempts that are sent now are hedged.
+
+        `remaining_ms` is the time until the answer is due.
+        """
         latencies = self.latencies.for_route(route)
-        return FirstSends(
-            hedge_delay_ms=self.policies.hedging.delay_ms(latencies)
-        )
+        hedging = self.policies.hedging
+        delay_ms = hedging.delay_ms(latencies)
+        if delay_ms is not None:
+            delay_ms = min(delay_ms, hedging.latest_ms(latencies, remaining_ms))
+        return FirstSends(hedge_delay_ms=delay_ms)
 
     def spend_budget(
         self, service: str, now_seconds: float, *, is_hedge: bool
--- a/dragonflyramp/backends/_schedulers.py
+++ b/dragonflyramp/backends/_schedulers.py
@@ -60,7 +60,10 @@
         now_seconds = client.clock()
         timeout_at_seconds = now_seconds + self._context.capacity_wait_seconds
         while not self.try_start_first(
-            now_seconds, client.plan_first_sends(self._context.route)
+            now_seconds,
+            client.plan_first_sends(
+                self._context.route, self._context.remaining_ms(now_seconds)
+            ),
         ):
             if now_seconds >= timeout_at_seconds:
                 return False
--- a/dragonflyramp/callers/_cutoffs.py
+++ b/dragonflyramp/callers/_cutoffs.py
@@ -51,10 +51,13 @@
         received_at_seconds: float,
         target_ms: float,
         deadline_at_seconds: float,
+        *,
+        is_connection_kept: bool = False,
     ) -> float:
         """Return the time from which a partial answer is allowed.
 
-        Times are monotonic, in seconds.
+        Times are monotonic, in seconds. A caller on a new connection has spent
+        a part of the target on its setup.
         """
 
     def record_answer(
@@ -79,6 +82,8 @@
         received_at_seconds: float,
         target_ms: float,
         deadline_at_seconds: float,
+        *,
+        is_connection_kept: bool = False,
     ) -> float:
         """Return the target time less the latency outside the search.
 
@@ -86,7 +91,8 @@
         earlier.
         """
         lag_ms = min(_LAG_FACTOR * self._lag_ms, _MAX_LAG_SHARE * target_ms)
-        due_ms = max(answer_due_ms(target_ms) - lag_ms, target_ms / 2)
+        due_ms = answer_due_ms(target_ms, is_connection_kept=is_connection_kept)
+        due_ms = max(due_ms - lag_ms, target_ms / 2)
         return min(received_at_seconds + due_ms / 1000, deadline_at_seconds)
 
     def record_answer(
@@ -106,6 +112,8 @@
         received_at_seconds: float,
         target_ms: float,
         deadline_at_seconds: float,
+        *,
+        is_connection_kept: bool = False,
     ) -> float:
         """Return the deadline."""
         return deadline_at_seconds
--- a/dragonflyramp/callers/_guarded_http.py
+++ b/dragonflyramp/callers/_guarded_http.py
@@ -141,6 +141,11 @@
             self._guard.release_answer(connection)
             self._end_request(connection, request, resp)
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether the connection has carried an earlier request."""
+        return self._request_count > 1
+
     def release_body(self, byte_count: int) -> None:
         """Count bytes of a body that a handler has taken."""
         if self._connection is not None:
--- a/dragonflyramp/callers/_part_fetches.py
+++ b/dragonflyramp/callers/_part_fetches.py
@@ -115,8 +115,10 @@
             PartFetch(fetch, self._client, self._remove) for fetch in fetches
         ]
         self._unfinished = dict.fromkeys(parts)
-        self._sends = self._client.plan_first_sends(self._context.route)
         started_at_seconds = self._client.clock()
+        self._sends = self._client.plan_first_sends(
+            self._context.route, self._context.remaining_ms(started_at_seconds)
+        )
         for part in parts:
             part.send_first(self._sends)
         self._sends.ended_at_seconds = self._client.clock()
--- a/dragonflyramp/callers/_queries.py
+++ b/dragonflyramp/callers/_queries.py
@@ -18,6 +18,8 @@
     received_at_seconds: float
     #: How long the request had waited in this process when it was read.
     read_delay_seconds: float = 0
+    #: Whether the caller's connection has carried a request before.
+    is_connection_kept: bool = False
     #: Selects a route by name instead of by host and path.
     route_name: str = ''
     #: API key of the caller, empty without one. It is secret.
--- a/dragonflyramp/callers/_request_contexts.py
+++ b/dragonflyramp/callers/_request_contexts.py
@@ -74,6 +74,7 @@
         tenant=match.identity.tenant,
         received_at_seconds=query.received_at_seconds,
         read_delay_seconds=query.read_delay_seconds,
+        is_connection_kept=query.is_connection_kept,
         deadline_at_seconds=query.received_at_seconds + limit_ms / 1000,
         capacity_wait_seconds=min(limit_ms, route.target_ms)
         * _CAPACITY_WAIT_SHARE
--- a/dragonflyramp/callers/_searches.py
+++ b/dragonflyramp/callers/_searches.py
@@ -62,6 +62,7 @@
                 context.received_at_seconds,
                 context.route.target_ms,
                 context.deadline_at_seconds,
+                is_connection_kept=context.is_connection_kept,
             ),
         )
         shard_results = await scatter_gather.run()
--- a/dragonflyramp/platform/_front_http.py
+++ b/dragonflyramp/platform/_front_http.py
@@ -243,6 +243,8 @@
         deadline_ms=deadline_ms,
         received_at_seconds=received_at_seconds,
         read_delay_seconds=_read_delay_seconds(request, received_at_seconds),
+        is_connection_kept=isinstance(request.protocol, GuardedRequestHandler)
+        and request.protocol.has_answered,
         api_key=http_headers.parse_api_key(headers),
     )
 
--- a/dragonflyramp/routes.py
+++ b/dragonflyramp/routes.py
@@ -9,9 +9,11 @@
 
 from dragonflyramp.tenants import TenantDirectory
 
-#: Latency outside this daemon for connection setup and the network in both
-#: directions.
-_NETWORK_OVERHEAD_MS = 12.0
+#: Latency outside this daemon for the network in both directions, and for what
+#: this daemon does before it reads a request and after it has made the answer.
+_NETWORK_OVERHEAD_MS = 9.0
+#: Latency for the setup of the caller's connection.
+_CONNECTION_SETUP_MS = 3.0
 #: Latency outside this daemon for queueing, as a share of the latency target.
 _QUEUEING_SHARE = 0.03
 #: Tolerance for floating-point errors: 0.07 * 100 is greater than 7 and would
@@ -171,12 +173,17 @@
     return len(route.prefix)
 
 
-def answer_due_ms(target_ms: float) -> float:
+def answer_due_ms(
+    target_ms: float, *, is_connection_kept: bool = False
+) -> float:
     """Return when an answer has to leave this daemon to meet a target.
 
-    At least half of the target remains for the work.
+    At least half of the target remains for the work. The caller's time includes
+    the setup of its connection, unless that has carried a request before.
     """
     overhead_ms = _NETWORK_OVERHEAD_MS + target_ms * _QUEUEING_SHARE
+    if not is_connection_kept:
+        overhead_ms += _CONNECTION_SETUP_MS
     return max(target_ms - overhead_ms, target_ms / 2)
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Test the policies: selection, budget, hedging, cutoff and limits."""
 
+import math
 import random
 import tracemalloc
 
@@ -365,6 +366,28 @@
     assert hedging.delay_ms(latencies) == pytest.approx(42)
 
 
+def test_hedge_leaves_in_time_for_a_short_target() -> None:
+    """Hedges of short targets came after the search had stopped waiting.
+
+    They cost the budget and helped nobody.
+    """
+    latencies = RouteLatencies(target_ms=46)
+    for sample in range(300):
+        latencies.record(9 if sample % 5 else 60)
+    hedging = QuantileHedging()
+    assert hedging.delay_ms(latencies) > 20
+    latest_ms = hedging.latest_ms(latencies, remaining_ms=29)
+    assert 1.4 * 9 <= latest_ms < 20
+    # No hedge of a slow part can be in time.
+    assert hedging.latest_ms(latencies, remaining_ms=15) == math.inf
+
+
+def test_kept_connection_leaves_more_time() -> None:
+    """A search must not count the setup of an older connection."""
+    kept_ms = answer_due_ms(46, is_connection_kept=True)
+    assert answer_due_ms(46) < kept_ms < 46
+
+
 def test_hedge_waits_while_it_is_in_time() -> None:
     """Parts that are slow but not stalled must not use up the budget.
 
