Bound the calls that wait for an answer, and count calls more steadily

Deferred calls refer to the replies that they count: beyond 1,024 they run at once, so that many requests at a time keep few of them in memory. The check for notices of replicas, counters and the length of a reply take fewer calls.

--- a/dragonflyramp/backends/_clients.py
+++ b/dragonflyramp/backends/_clients.py
@@ -137,7 +137,7 @@
             outcome=asyncio.get_running_loop().create_future(),
             tenant_name=context.tenant_name,
         )
-        if replica.is_cold(now_seconds):
+        if now_seconds < replica.warm_at_seconds:
             self.fleet.cold_limiter.record_send(replica, now_seconds)
         self.fleet.versions.record_start(replica.entry, sending, now_seconds)
         return Attempt(
--- a/dragonflyramp/backends/_fleets.py
+++ b/dragonflyramp/backends/_fleets.py
@@ -241,7 +241,10 @@
 def is_usable(fleet: Fleet, replica: Replica, now_seconds: float) -> bool:
     """Return whether a permitted replica takes requests now."""
     notices = fleet.reply_notices.notices
-    if notices.resumes_at_seconds(replica.entry) > now_seconds:
+    if (
+        notices.by_id
+        and notices.resumes_at_seconds(replica.entry) > now_seconds
+    ):
         return False
     return fleet.versions.permits(replica.entry, now_seconds)
 
--- a/dragonflyramp/deferred_calls.py
+++ b/dragonflyramp/deferred_calls.py
@@ -15,6 +15,8 @@
 _SEND_SECONDS = 0.002
 #: Statistics of replicas are of use for some tenths of a second.
 _MAX_DELAY_SECONDS = 0.05
+#: Calls refer to the replies that they count, which take memory.
+_MAX_CALLS = 1024
 
 
 class CallQueue(Protocol):
@@ -53,9 +55,11 @@
     _timer: asyncio.TimerHandle | None = None
 
     def add(self, call: Call) -> None:
-        """Run a call soon."""
+        """Run a call soon, or all calls now if too many wait."""
         self._calls.append(call)
-        if self._timer is None:
+        if len(self._calls) >= _MAX_CALLS:
+            self.run_all()
+        elif self._timer is None:
             self._start_timer(_MAX_DELAY_SECONDS)
 
     def run_soon(self) -> None:
--- a/dragonflyramp/metrics.py
+++ b/dragonflyramp/metrics.py
@@ -35,11 +35,9 @@
 
     def add(self, name: str, reason: str, amount: int = 1) -> None:
         """Increase the counter of a name and reason by an amount."""
-        by_reason = self._counts.get(name)
-        if by_reason is None:
-            by_reason = collections.Counter()
-            self._counts[name] = by_reason
-        by_reason[reason] += amount
+        if name not in self._counts:
+            self._counts[name] = collections.Counter()
+        self._counts[name][reason] += amount
 
     def get(self, name: str, reason: str) -> int:
         """Return the count of a name and reason."""
@@ -83,7 +81,9 @@
 
     def record(self, name: str, latency_ms: float, route: str = '') -> None:
         """Count one latency in milliseconds under a name."""
-        by_route = self.by_name.setdefault(name, {})
+        if name not in self.by_name:
+            self.by_name[name] = {}
+        by_route = self.by_name[name]
         if route not in by_route and len(by_route) >= _MAX_ROUTES:
             route = _OTHER_ROUTES
         histogram = by_route.get(route)
--- a/dragonflyramp/replica_connections/_reply_builders_http.py
+++ b/dragonflyramp/replica_connections/_reply_builders_http.py
@@ -198,7 +198,10 @@
 
 
 def _has_length(partial: PartialReply) -> bool:
-    return any(name.lower() in _LENGTH_NAMES for name, _ in partial.headers)
+    for name, _ in partial.headers:
+        if name.lower() in _LENGTH_NAMES:
+            return True
+    return False
 
 
 def _is_cut_off(line: bytes) -> bool:
--- a/dragonflyramp/replica_notices.py
+++ b/dragonflyramp/replica_notices.py
@@ -46,7 +46,7 @@
 
     #: Called with the id of a replica that gets no new requests from now on.
     on_notice: Callable[[str], None] = _ignore_notice
-    _by_id: dict[str, _Notice] = attrs.field(factory=dict)
+    by_id: dict[str, _Notice] = attrs.field(factory=dict)
 
     def record_leaving(
         self, replica_id: str, start_time_ms: int, now_seconds: float
@@ -88,7 +88,7 @@
 
         The result is not later than the present time if it takes them now.
         """
-        notice = self._by_id.get(entry.replica_id)
+        notice = self.by_id.get(entry.replica_id)
         if notice is None or notice.start_time_ms != entry.start_time_ms:
             return -math.inf
         if notice.leaving_at_seconds is not None:
@@ -99,7 +99,7 @@
         """Return start times by id of leaving replicas learned since then."""
         return {
             replica_id: notice.start_time_ms
-            for replica_id, notice in self._by_id.items()
+            for replica_id, notice in self.by_id.items()
             if notice.leaving_at_seconds is not None
             and notice.leaving_at_seconds >= since_seconds
         }
@@ -108,7 +108,7 @@
         self, listed: Mapping[str, ReplicaEntry], now_seconds: float
     ) -> None:
         """Drop notices of processes that ended; `listed` is by replica id."""
-        for replica_id, notice in tuple(self._by_id.items()):
+        for replica_id, notice in tuple(self.by_id.items()):
             entry = listed.get(replica_id)
             if entry is None:
                 unlisted_seconds = now_seconds - notice.seen_at_seconds
@@ -117,23 +117,23 @@
                 is_expired = entry.start_time_ms > notice.start_time_ms
                 notice.seen_at_seconds = now_seconds
             if is_expired:
-                self._by_id.pop(replica_id)
+                self.by_id.pop(replica_id)
 
     def _notice(
         self, replica_id: str, start_time_ms: int, now_seconds: float
     ) -> _Notice | None:
         """Return the notice of a process; None if it has been replaced."""
-        notice = self._by_id.get(replica_id)
+        notice = self.by_id.get(replica_id)
         if notice is not None and notice.start_time_ms > start_time_ms:
             return None
         if notice is None or notice.start_time_ms < start_time_ms:
             notice = _Notice(
                 start_time_ms=start_time_ms, seen_at_seconds=now_seconds
             )
-            self._by_id.pop(replica_id, None)
-            self._by_id[replica_id] = notice
-        if len(self._by_id) > _MAX_NOTICES:
-            self._by_id.pop(next(iter(self._by_id)))
+            self.by_id.pop(replica_id, None)
+            self.by_id[replica_id] = notice
+        if len(self.by_id) > _MAX_NOTICES:
+            self.by_id.pop(next(iter(self.by_id)))
         return notice
 
 
